--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,54 @@
+import tseslint from 'typescript-eslint';
+import prettier from 'eslint-config-prettier';
+
+/** Folders that hold decisions; they may import the domain and the kernel alone. */
+const decisionFolders = ['src/home/decisions/**', 'src/agent/decisions/**', 'src/router/decisions/**'];
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'node_modules/**'] },
+  ...tseslint.configs.strict,
+  ...tseslint.configs.stylistic,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', varsIgnorePattern: '^_' }],
+    },
+  },
+  {
+    files: decisionFolders,
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: [
+                '**/platform/**',
+                '**/transport/**',
+                '**/admin/**',
+                '**/daemon/**',
+                '**/cli/**',
+                '**/telemetry/**',
+                'node:*',
+                'undici',
+                'ws',
+              ],
+              message: 'Decisions import the domain and the kernel alone.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['test/**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-unused-expressions': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/src/admin/AdminServer.ts
@@ -0,0 +1,89 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Service } from '../kernel/index.js';
+import type { Metrics } from '../telemetry/index.js';
+import { listenOrThrow, secretsEqual, type ListenAddress } from '../transport/index.js';
+
+/** What a process tells its operators. */
+export interface AdminSource {
+  /** Whether the process should be sent work. */
+  isReady(): boolean;
+  /** State of the whole process. */
+  getStatus(): unknown;
+  /**
+   * State of one model; undefined when this process does not know it.
+   * @param modelId - The model.
+   */
+  explain(modelId: string): unknown;
+}
+
+/** Answers operators over HTTP: health without, everything else with a credential. */
+export class AdminServer implements Service {
+  private readonly http: Server;
+
+  /**
+   * @param address - Address to listen on.
+   * @param token - Credential of operators.
+   * @param metrics - Metrics of the process.
+   * @param source - State of the process.
+   */
+  constructor(
+    private readonly address: ListenAddress,
+    private readonly token: string,
+    private readonly metrics: Metrics,
+    private readonly source: AdminSource,
+  ) {
+    this.http = createServer((request, response) => this.serve(request, response));
+  }
+
+  async start(): Promise<void> {
+    await listenOrThrow(this.http, this.address, 'admin');
+  }
+
+  async stop(): Promise<void> {
+    this.http.closeAllConnections();
+    await new Promise((resolve) => this.http.close(resolve));
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? '/', 'http://localhost');
+    if (url.pathname === '/healthz') {
+      response.writeHead(200).end('ok\n');
+      return;
+    }
+    if (url.pathname === '/readyz') {
+      const isReady = this.source.isReady();
+      response.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'not ready\n');
+      return;
+    }
+    if (!secretsEqual(request.headers.authorization ?? '', `Bearer ${this.token}`)) {
+      response.writeHead(401).end('The Authorization header must be "Bearer" and the admin token.\n');
+      return;
+    }
+    this.serveOperator(url, response);
+  }
+
+  private serveOperator(url: URL, response: ServerResponse): void {
+    switch (url.pathname) {
+      case '/metrics':
+        response
+          .writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+          .end(this.metrics.toPrometheusText());
+        return;
+      case '/status':
+        sendJson(response, this.source.getStatus());
+        return;
+      case '/explain':
+        sendJson(response, this.source.explain(url.searchParams.get('model') ?? ''));
+        return;
+      default:
+        response
+          .writeHead(404)
+          .end('Allowed are /healthz, /readyz, /metrics, /status and /explain?model=NAME.\n');
+    }
+  }
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+  response.writeHead(value === undefined ? 404 : 200, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(value ?? { error: 'unknown to this process' }));
+}
--- /dev/null
+++ b/src/admin/index.ts
@@ -0,0 +1,1 @@
+export * from './AdminServer.js';
--- /dev/null
+++ b/src/agent/AgentService.ts
@@ -0,0 +1,265 @@
+import type { Clock, Service } from '../kernel/index.js';
+import { Repeater } from '../kernel/index.js';
+import {
+  AGENT_METHODS,
+  PLACEMENT_PREFIX,
+  ROUTER_METHODS,
+  toModelId,
+  type AgentHello,
+  type AskParams,
+  type AskReply,
+  type FollowParams,
+  type Placement,
+  type PlacementOffer,
+  type ReplicaReport,
+  type RunParams,
+  type RunReply,
+  type ServerId,
+  type WakeParams,
+  type WakeReply,
+} from '../domain/index.js';
+import type { ObjectStore } from '../platform/index.js';
+import type { Log } from '../telemetry/index.js';
+import type { PeerConnection, PeerMethods } from '../transport/index.js';
+import type { AttemptRunner } from './AttemptRunner.js';
+import type { PermitSource } from './LoadGate.js';
+import type { GrantTable, ItemPhase } from './decisions/index.js';
+import type { ResidencyService } from './ResidencyService.js';
+
+/** Time between two tries to confirm the grants, in milliseconds. */
+const CONFIRM_INTERVAL_MS = 1_000;
+/** Time between two reports of an unchanged model, in milliseconds. */
+const REPORT_REFRESH_MS = 10_000;
+
+/** Longest time for which a stopping agent waits for its answers to be acknowledged, in milliseconds. */
+const STOP_LINGER_MS = 3_000;
+/** Time between two looks at that, in milliseconds. */
+const STOP_POLL_MS = 50;
+
+/** What an agent is made of. */
+export interface AgentParts {
+  readonly serverId: ServerId;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly store: ObjectStore;
+  readonly grants: GrantTable;
+  readonly residency: ResidencyService;
+  readonly runner: AttemptRunner;
+  readonly isPlain: boolean;
+  readonly log: Log;
+}
+
+/** Stands beside one backend server: the only sender of its orders and the gate before its work. */
+export class AgentService implements Service {
+  /** Routers that want reports, by model. */
+  private readonly followers = new Map<string, Set<PeerConnection>>();
+  private readonly lastReports = new Map<string, string>();
+  private readonly confirmRepeater: Repeater;
+  private readonly refreshRepeater: Repeater;
+  private leavingSince: number | undefined;
+  private wasReachable = false;
+
+  /** @param parts - What the agent is made of. */
+  constructor(private readonly parts: AgentParts) {
+    this.confirmRepeater = new Repeater(parts.clock, CONFIRM_INTERVAL_MS, () => void this.confirmGrants());
+    this.refreshRepeater = new Repeater(parts.clock, REPORT_REFRESH_MS, () => this.lastReports.clear());
+    parts.residency.onChange(() => this.reportChanges());
+  }
+
+  /** Whether the server takes no new work. */
+  get isLeaving(): boolean {
+    return this.leavingSince !== undefined;
+  }
+
+  async start(): Promise<void> {
+    await this.parts.residency.start();
+    await this.confirmGrants();
+    this.confirmRepeater.start();
+    this.refreshRepeater.start();
+  }
+
+  /** Takes no new work, finishes what runs, and then ends. */
+  async stop(): Promise<void> {
+    this.leave();
+    await this.parts.runner.whenIdle();
+    await this.waitForAcknowledgements();
+    this.confirmRepeater.stop();
+    this.refreshRepeater.stop();
+    this.parts.residency.stop();
+  }
+
+  private async waitForAcknowledgements(): Promise<void> {
+    const { clock, runner } = this.parts;
+    const endAtMs = clock.nowMs() + STOP_LINGER_MS;
+    while (runner.attempts.hasUnacknowledged && clock.nowMs() < endAtMs) {
+      await new Promise<void>((resolve) => {
+        clock.schedule(STOP_POLL_MS, resolve);
+      });
+    }
+  }
+
+  /** Refuses new work from now on. */
+  leave(): void {
+    if (this.isLeaving) {
+      return;
+    }
+    this.leavingSince = this.parts.clock.nowMs();
+    this.parts.residency.controller.leave();
+    this.parts.log.stateChanged('server leaving');
+    this.reportChanges();
+  }
+
+  /** The methods that routers call. */
+  getMethods(): PeerMethods {
+    return {
+      [AGENT_METHODS.hello]: () => this.hello(),
+      [AGENT_METHODS.follow]: (params: FollowParams, connection) => this.follow(params, connection),
+      [AGENT_METHODS.wake]: (params: WakeParams, connection) => this.wake(params, connection),
+      [AGENT_METHODS.offer]: (params: { modelId: string }) => this.offer(params.modelId),
+      [AGENT_METHODS.run]: (params: RunParams, connection) => this.run(params, connection),
+      [AGENT_METHODS.ask]: (params: AskParams) => this.ask(params),
+      [AGENT_METHODS.resume]: (params: AskParams, connection) => this.resume(params, connection),
+      [AGENT_METHODS.acknowledge]: (params: AskParams) =>
+        this.parts.runner.attempts.acknowledge(params.attemptId),
+      [AGENT_METHODS.cancel]: (params: AskParams) => this.parts.runner.cancel(params.attemptId),
+      [AGENT_METHODS.drain]: () => this.leave(),
+    };
+  }
+
+  private hello(): AgentHello {
+    const { serverId, incarnation, residency } = this.parts;
+    return { serverId, incarnation, slotCount: residency.slotCount, leaving: this.isLeaving };
+  }
+
+  private follow(params: FollowParams, connection: PeerConnection): ReplicaReport {
+    const followers = this.followers.get(params.modelId) ?? new Set();
+    this.followers.set(params.modelId, followers);
+    if (!followers.has(connection)) {
+      followers.add(connection);
+      connection.onClose(() => followers.delete(connection));
+    }
+    if (params.placement && this.parts.grants.accept(params.placement)) {
+      this.parts.residency.controller.tick(this.parts.clock.nowMs());
+      this.parts.residency.settle();
+    }
+    return this.reportOf(params.modelId);
+  }
+
+  private wake(params: WakeParams, connection: PeerConnection): WakeReply {
+    this.follow(params, connection);
+    const item = { itemId: params.modelId, sizeBytes: params.sizeBytes, keepAliveMs: params.keepAliveMs };
+    const result = this.parts.residency.wake(item, permitsOver(connection));
+    const report = this.reportOf(params.modelId);
+    return result.kind === 'refused' ? { refusedBecause: result.reason, report } : { report };
+  }
+
+  private offer(modelId: string): PlacementOffer {
+    return this.parts.residency.offerFor(this.parts.serverId, modelId, this.isLeaving);
+  }
+
+  private run(params: RunParams, connection: PeerConnection): RunReply {
+    if (params.incarnation !== this.parts.incarnation) {
+      return this.parts.runner.refuse(
+        params,
+        'serverFailed',
+        'The agent restarted before the request arrived.',
+      );
+    }
+    if (this.isLeaving) {
+      return this.parts.runner.refuse(
+        params,
+        'serverLeaving',
+        'The server is leaving and takes no new work.',
+      );
+    }
+    return this.parts.runner.run(params, connection);
+  }
+
+  private ask(params: AskParams): AskReply {
+    if (params.incarnation !== this.parts.incarnation) {
+      return { kind: 'otherIncarnation' };
+    }
+    const { attempts } = this.parts.runner;
+    const status = attempts.ask(params.attemptId, this.parts.clock.nowMs());
+    const outcome = attempts.getOutcome(params.attemptId);
+    return status.kind === 'finished' && outcome ? { ...status, outcome } : status;
+  }
+
+  private resume(params: AskParams, connection: PeerConnection): AskReply {
+    if (params.incarnation !== this.parts.incarnation) {
+      return { kind: 'otherIncarnation' };
+    }
+    return this.parts.runner.resume(params.attemptId, params.fromOrdinal ?? 0, connection);
+  }
+
+  private reportOf(modelId: string): ReplicaReport {
+    const { serverId, incarnation, residency, grants } = this.parts;
+    return {
+      serverId,
+      incarnation,
+      modelId: toModelId(modelId),
+      phase: this.parts.isPlain ? 'ready' : toReportedPhase(residency.controller.phaseOf(modelId)),
+      placementVersion: grants.versionOf(modelId),
+      slotCount: residency.slotCount,
+      leaving: this.isLeaving,
+      reachable: residency.isReachable,
+    };
+  }
+
+  private reportChanges(): void {
+    this.logReachability();
+    for (const [modelId, followers] of this.followers) {
+      const report = this.reportOf(modelId);
+      const text = JSON.stringify(report);
+      if (this.lastReports.get(modelId) === text) {
+        continue;
+      }
+      this.lastReports.set(modelId, text);
+      for (const follower of followers) {
+        follower.notify(ROUTER_METHODS.report, report);
+      }
+    }
+  }
+
+  private logReachability(): void {
+    const isReachable = this.parts.residency.isReachable;
+    if (isReachable !== this.wasReachable) {
+      this.wasReachable = isReachable;
+      this.parts.log.stateChanged(isReachable ? 'backend server reachable' : 'backend server unreachable');
+    }
+  }
+
+  private async confirmGrants(): Promise<void> {
+    if (this.parts.grants.isConfirmed || this.parts.isPlain) {
+      return;
+    }
+    const listing = await this.parts.store.list<Placement>(PLACEMENT_PREFIX);
+    if (listing && !this.parts.grants.isConfirmed) {
+      this.parts.grants.confirm(listing.objects);
+      this.parts.log.stateChanged('grants confirmed', { placementCount: listing.objects.length });
+    }
+  }
+}
+
+/** Asks for permits on the connection that asked for the load. */
+function permitsOver(connection: PeerConnection): PermitSource {
+  return {
+    ask: (itemId) => connection.call<string | undefined>(ROUTER_METHODS.loadPermit, { itemId }),
+    done: (permitId) => connection.notify(ROUTER_METHODS.permitDone, { permitId }),
+  };
+}
+
+/** Folds the agent's phases into those that matter to a home. */
+function toReportedPhase(phase: ItemPhase): ReplicaReport['phase'] {
+  switch (phase) {
+    case 'waitingForMemory':
+    case 'loading':
+      return 'loading';
+    case 'loadUnknown':
+      return 'unloading';
+    case 'absent':
+    case 'ready':
+    case 'unloading':
+      return phase;
+  }
+}
--- /dev/null
+++ b/src/agent/index.ts
@@ -0,0 +1,7 @@
+export * from './BackendClient.js';
+export * from './HttpBackendClient.js';
+export * from './LoadGate.js';
+export * from './ResidencyService.js';
+export * from './AttemptRunner.js';
+export * from './AgentService.js';
+export * from './decisions/index.js';
--- /dev/null
+++ b/src/cli/commands/PublishCommand.ts
@@ -0,0 +1,90 @@
+import { join } from 'node:path';
+import { createInterface } from 'node:readline/promises';
+import { Command, Option } from 'clipanion';
+import { collectFiles, Publisher, type PlannedChange, type PublishResult } from '../../publish/index.js';
+import { EXIT_CODES, OperatorCommand } from '../OperatorCommand.js';
+
+/** Sign before each planned change. */
+const SIGNS: Readonly<Record<PlannedChange['kind'], string>> = {
+  create: '+',
+  update: '~',
+  unchanged: '=',
+  conflict: '!',
+};
+
+/** Brings configuration files into force. */
+export class PublishCommand extends OperatorCommand {
+  static override paths = [['publish']];
+  static override usage = Command.Usage({
+    description: 'Shows what the files below a folder change, and brings them into force.',
+    details: `
+      An object that another operator changed since this folder was last published is a conflict: it is shown field by
+      field and left alone. Once the files hold what should be, --accept-current publishes over it.
+    `,
+    examples: [['Publish without being asked', 'monsoonglade publish --yes examples']],
+  });
+
+  folder = Option.String({ name: 'DIR' });
+  dryRun = Option.Boolean('--dry-run', false, { description: 'Shows the plan only.' });
+  yes = Option.Boolean('--yes', false, { description: 'Does not ask before publishing.' });
+  acceptCurrent = Option.Boolean('--accept-current', false, { description: 'Publishes over conflicts.' });
+  recordFile = Option.String('--record', {
+    description: 'File that remembers the published versions; DIR/.monsoonglade-published.json unless given.',
+  });
+
+  protected async run(): Promise<number> {
+    const files = await collectFiles(this.folder);
+    return this.withPlatform(async ({ store, audit }) => {
+      const recordFile = this.recordFile ?? join(this.folder, '.monsoonglade-published.json');
+      const publisher = new Publisher(store, audit, recordFile);
+      const changes = await publisher.plan(files);
+      if (this.dryRun || !this.json) {
+        this.print(changes, changes.flatMap(describeChange));
+      }
+      if (this.dryRun || !(await this.isConfirmed(changes))) {
+        return hasConflict(changes) && !this.acceptCurrent ? EXIT_CODES.conflict : EXIT_CODES.done;
+      }
+      const results: PublishResult[] = [];
+      for (const change of changes) {
+        results.push(await publisher.apply(change, this.acceptCurrent));
+      }
+      this.print(results, results.map(describeResult));
+      return exitCodeOf(results);
+    });
+  }
+
+  private async isConfirmed(changes: readonly PlannedChange[]): Promise<boolean> {
+    if (this.yes || changes.every((change) => change.kind === 'unchanged')) {
+      return true;
+    }
+    const prompt = createInterface({ input: this.context.stdin, output: this.context.stderr });
+    const answer = await prompt.question('Publish? (yes/no) ');
+    prompt.close();
+    return answer.trim() === 'yes';
+  }
+}
+
+function hasConflict(changes: readonly PlannedChange[]): boolean {
+  return changes.some((change) => change.kind === 'conflict');
+}
+
+function describeChange(change: PlannedChange): string[] {
+  const found =
+    change.kind === 'conflict'
+      ? ` (now version ${change.currentVersion}, published from ${change.recordedVersion ?? 'none'})`
+      : '';
+  const head = `${SIGNS[change.kind]} ${change.file.path}: ${change.kind}${found}`;
+  return [head, ...(change.kind === 'create' ? [] : change.diff.map((line) => `    ${line}`))];
+}
+
+function describeResult(result: PublishResult): string {
+  return `${result.change.file.path}: ${result.outcome}, version ${result.version}`;
+}
+
+function exitCodeOf(results: readonly PublishResult[]): number {
+  if (results.some((result) => result.outcome === 'conflict')) {
+    return EXIT_CODES.conflict;
+  }
+  const isDone = results.every((result) => result.outcome === 'published' || result.outcome === 'unchanged');
+  return isDone ? EXIT_CODES.done : EXIT_CODES.unavailable;
+}
--- /dev/null
+++ b/src/cli/commands/StatusCommand.ts
@@ -0,0 +1,64 @@
+import { Command } from 'clipanion';
+import { EXIT_CODES, OperatorCommand, type ProcessAnswer } from '../OperatorCommand.js';
+
+/** Model as a router shows it. */
+interface ShownModel {
+  readonly modelId: string;
+  readonly decidedReplicas: number;
+  readonly waiting: number;
+  readonly replicas: readonly {
+    readonly serverId: string;
+    readonly phase: string;
+    readonly running: number;
+  }[];
+}
+
+/** Shows the state of some processes. */
+export class StatusCommand extends OperatorCommand {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    description: 'Shows routers, backend servers, models and the configuration revision of each process.',
+    examples: [
+      [
+        'Show two processes',
+        'monsoonglade status --admin http://127.0.0.1:7430 --admin http://127.0.0.1:7431',
+      ],
+    ],
+  });
+
+  protected async run(): Promise<number> {
+    const answers = await this.askProcesses('/status');
+    this.print(answers, answers.flatMap(describeProcess));
+    return answers.every((answer) => answer.body) ? EXIT_CODES.done : EXIT_CODES.unavailable;
+  }
+}
+
+function describeProcess(answer: ProcessAnswer): string[] {
+  const status = answer.body;
+  if (!status) {
+    return [`${answer.url}: ${answer.error ?? 'does not know'}`];
+  }
+  const ready = status.ready === true ? 'ready' : 'not ready';
+  if (status.role === 'agent') {
+    const backend = status.backendReachable === true ? 'reachable' : 'unreachable';
+    const memory = `${String(status.committedBytes)} bytes committed, ${String(status.freeBytes)} free`;
+    const models = (status.models as { modelId: string; phase: string; running: number }[]).map(
+      (model) => `    ${model.modelId}: ${model.phase}, ${model.running} running`,
+    );
+    return [`agent ${String(status.id)}: ${ready}, backend server ${backend}, ${memory}`, ...models];
+  }
+  const platform = status.platformReachable === true ? 'reachable' : 'unreachable';
+  const head = `router ${String(status.id)}: ${ready}, state revision ${String(status.stateRevision)}, platform ${platform}`;
+  return [head, ...(status.models as ShownModel[]).flatMap(describeModel)];
+}
+
+function describeModel(model: ShownModel): string[] {
+  const loaded = model.replicas.filter((replica) => replica.phase === 'ready').length;
+  const head = `    ${model.modelId}: decided ${model.decidedReplicas}, loaded ${loaded}, waiting ${model.waiting}`;
+  return [
+    head,
+    ...model.replicas.map(
+      (replica) => `        ${replica.serverId}: ${replica.phase}, ${replica.running} running`,
+    ),
+  ];
+}
--- /dev/null
+++ b/src/home/ClaimsService.ts
@@ -0,0 +1,140 @@
+import type { Clock } from '../kernel/index.js';
+import {
+  AGENT_METHODS,
+  CLAIM_PREFIX,
+  type AskParams,
+  type AskReply,
+  type ClaimParams,
+  type ClaimReply,
+  type OutcomeParams,
+} from '../domain/index.js';
+import { updateResolved, type ObjectStore } from '../platform/index.js';
+import type { PeerDialer } from '../transport/index.js';
+import {
+  ClaimLog,
+  type AttemptAnswer,
+  type ClaimCommand,
+  type ClaimSegment,
+  type NumberedSegment,
+} from './decisions/index.js';
+
+/** Time given to an agent to tell what became of an attempt, in milliseconds. */
+const ASK_TIMEOUT_MS = 1_500;
+
+interface Shard {
+  readonly log: ClaimLog;
+  readonly claimReplies: Map<number, (reply: ClaimReply) => void>;
+  readonly outcomeReplies: Map<number, (recorded: boolean) => void>;
+}
+
+/** Keeps the claims of the shards that this router is taken for the home of. */
+export class ClaimsService {
+  private readonly shards = new Map<string, Shard>();
+
+  /**
+   * @param clock - Source of time.
+   * @param store - The object API.
+   * @param dialer - Reaches agents.
+   * @param writerId - Names this process's run.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly store: ObjectStore,
+    private readonly dialer: PeerDialer,
+    private readonly writerId: string,
+  ) {}
+
+  /** @param params - Claim that is asked for. */
+  claim(params: ClaimParams): Promise<ClaimReply> {
+    const shard = this.getShard(params.claimShard);
+    return new Promise((resolve) => {
+      shard.claimReplies.set(shard.log.claim(params, this.clock.nowMs()), resolve);
+      this.carryOut(params.claimShard, shard);
+    });
+  }
+
+  /** @param params - Outcome that is to be kept; false when it could not be. */
+  recordOutcome(params: OutcomeParams): Promise<boolean> {
+    const shard = this.getShard(params.claimShard);
+    return new Promise((resolve) => {
+      shard.outcomeReplies.set(shard.log.recordOutcome(params, this.clock.nowMs()), resolve);
+      this.carryOut(params.claimShard, shard);
+    });
+  }
+
+  private getShard(name: string): Shard {
+    const existing = this.shards.get(name);
+    if (existing) {
+      return existing;
+    }
+    const shard: Shard = {
+      log: new ClaimLog(`${this.writerId}-${name}`),
+      claimReplies: new Map(),
+      outcomeReplies: new Map(),
+    };
+    this.shards.set(name, shard);
+    return shard;
+  }
+
+  private carryOut(name: string, shard: Shard): void {
+    for (const command of shard.log.takeCommands()) {
+      void this.carryOutOne(name, shard, command).then(() => this.carryOut(name, shard));
+    }
+  }
+
+  private async carryOutOne(name: string, shard: Shard, command: ClaimCommand): Promise<void> {
+    const path = (segmentNumber: number) => `${CLAIM_PREFIX}${name}/${String(segmentNumber)}`;
+    switch (command.kind) {
+      case 'list':
+        shard.log.listed(await this.list(name), this.clock.nowMs());
+        return;
+      case 'write': {
+        const result = await updateResolved(
+          this.store,
+          path(command.segmentNumber),
+          command.value,
+          command.ifVersion,
+        );
+        shard.log.written(result, this.clock.nowMs());
+        return;
+      }
+      case 'remove':
+        await this.store.remove(path(command.segmentNumber), command.ifVersion);
+        return;
+      case 'ask': {
+        const answer = await this.ask(command);
+        shard.log.asked(command.key, command.attemptId, answer, this.clock.nowMs());
+        return;
+      }
+      case 'replyClaim':
+        shard.claimReplies.get(command.operationId)?.(command.reply);
+        shard.claimReplies.delete(command.operationId);
+        return;
+      case 'replyOutcome':
+        shard.outcomeReplies.get(command.operationId)?.(command.recorded);
+        shard.outcomeReplies.delete(command.operationId);
+        return;
+    }
+  }
+
+  private async list(name: string): Promise<NumberedSegment[] | undefined> {
+    const listing = await this.store.list<ClaimSegment>(`${CLAIM_PREFIX}${name}/`);
+    return listing?.objects.map((object) => ({
+      segmentNumber: Number(object.path.slice(object.path.lastIndexOf('/') + 1)),
+      version: object.version,
+      value: object.value,
+    }));
+  }
+
+  private async ask(command: ClaimCommand & { kind: 'ask' }): Promise<AttemptAnswer> {
+    const params: AskParams = { attemptId: command.attemptId, incarnation: command.target.incarnation };
+    const late = new Promise<AttemptAnswer>((resolve) => {
+      this.clock.schedule(ASK_TIMEOUT_MS, () => resolve({ kind: 'unreachable' }));
+    });
+    const asked = this.dialer
+      .connect(command.target.peerAddress)
+      .then((connection) => connection.call<AskReply>(AGENT_METHODS.ask, params))
+      .catch((): AttemptAnswer => ({ kind: 'unreachable' }));
+    return Promise.race([asked, late]);
+  }
+}
--- /dev/null
+++ b/src/home/HomeService.ts
@@ -0,0 +1,396 @@
+import type { Clock, Service } from '../kernel/index.js';
+import { Repeater } from '../kernel/index.js';
+import {
+  AGENT_METHODS,
+  QUARANTINE_PREFIX,
+  toServerId,
+  type AssignParams,
+  type AssignReply,
+  type ReleaseParams,
+  type ReplicaReport,
+  type WakeParams,
+  type WakeReply,
+} from '../domain/index.js';
+import type { ObjectStore } from '../platform/index.js';
+import type { Catalogue, CatalogueModel } from '../router/Catalogue.js';
+import type { Membership, StateStore } from '../router/decisions/index.js';
+import type { AuditTrail, Log, Metrics } from '../telemetry/index.js';
+import type { PeerDialer } from '../transport/index.js';
+import { AgentLinks } from './AgentLinks.js';
+import type { PlacementReviewer } from './PlacementReviewer.js';
+import {
+  CrashLedger,
+  HistogramKeepAlivePolicy,
+  ModelHome,
+  QUARANTINE_MS,
+  type HomeCommand,
+} from './decisions/index.js';
+
+/** Time between two ticks of every home, in milliseconds. */
+const TICK_MS = 50;
+/** Time between two reviews of every placement, in milliseconds. */
+const REVIEW_INTERVAL_MS = 500;
+/** Time after which a caller of a stopping or unknown home should come back, in milliseconds. */
+const COME_BACK_MS = 1_000;
+
+/** What the service is made of. */
+export interface HomeParts {
+  readonly clock: Clock;
+  readonly store: ObjectStore;
+  readonly state: StateStore;
+  readonly catalogue: Catalogue;
+  readonly membership: Membership;
+  readonly dialer: PeerDialer;
+  readonly reviewer: PlacementReviewer;
+  readonly audit: AuditTrail;
+  readonly metrics: Metrics;
+  readonly log: Log;
+}
+
+/** What is kept under the quarantine prefix. */
+export interface QuarantineObject {
+  readonly fingerprint: string;
+  readonly modelId: string;
+  readonly untilMs: number;
+}
+
+interface HostedModel {
+  readonly home: ModelHome;
+  followedServers: Set<string>;
+  reviewing: boolean;
+}
+
+/** Is the home of the models that hash to this router, and of any model that another router takes it for. */
+export class HomeService implements Service {
+  private readonly hosted = new Map<string, HostedModel>();
+  private readonly waitingReplies = new Map<string, (reply: AssignReply) => void>();
+  private readonly crashes = new CrashLedger();
+  private readonly links: AgentLinks;
+  private readonly ticker: Repeater;
+  private readonly reviews: Repeater;
+  private stopping = false;
+
+  /** @param parts - What the service is made of. */
+  constructor(private readonly parts: HomeParts) {
+    this.links = new AgentLinks(parts.clock, parts.dialer, {
+      reported: (report) => this.reported(report),
+      lost: (serverId) => this.lost(serverId),
+    });
+    this.ticker = new Repeater(parts.clock, TICK_MS, () => this.tick());
+    this.reviews = new Repeater(parts.clock, REVIEW_INTERVAL_MS, () => this.reviewAll());
+    parts.state.onChange((path) => this.stateChanged(path));
+    parts.metrics.gauge('home_models', () => this.hosted.size);
+    parts.metrics.gauge('home_waiting', () => this.waitingReplies.size);
+  }
+
+  start(): Promise<void> {
+    this.ticker.start();
+    this.reviews.start();
+    this.reviewAll();
+    return Promise.resolve();
+  }
+
+  /** Takes no new requests and ends when the waiting ones have been assigned or refused. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    while (this.waitingReplies.size > 0) {
+      await new Promise<void>((resolve) => {
+        this.parts.clock.schedule(TICK_MS, resolve);
+      });
+    }
+    this.ticker.stop();
+    this.reviews.stop();
+  }
+
+  /**
+   * Finds a server for a request; the answer comes when one is free, or with a refusal.
+   * @param params - The request.
+   */
+  assign(params: AssignParams): Promise<AssignReply> {
+    const model = this.parts.catalogue.getModel(params.modelId);
+    if (this.stopping || !model) {
+      const reason = this.stopping ? 'routerStopping' : 'unknownModel';
+      const detail = this.stopping
+        ? 'The router is stopping.'
+        : `No service has the model ${params.modelId}.`;
+      return Promise.resolve({ kind: 'refused', reason, detail, retryAfterMs: COME_BACK_MS });
+    }
+    const { home } = this.host(model);
+    return new Promise((resolve) => {
+      this.waitingReplies.set(params.requestId, resolve);
+      home.requestArrived(params, this.parts.clock.nowMs());
+      this.carryOut(model, home);
+    });
+  }
+
+  /** @param params - Request that its router gave up while it waited or ran. */
+  abandon(params: { readonly requestId: string; readonly modelId: string }): void {
+    this.waitingReplies.delete(params.requestId);
+    this.withHome(params.modelId, (home, nowMs) => home.requestAbandoned(params.requestId, nowMs));
+  }
+
+  /** @param params - End of an assigned request. */
+  release(params: ReleaseParams): void {
+    this.withHome(params.modelId, (home, nowMs) => home.released(params, nowMs));
+  }
+
+  /** @param report - Report that an agent sent. */
+  reported(report: ReplicaReport): void {
+    this.withHome(report.modelId, (home, nowMs) => home.reported(report, nowMs));
+  }
+
+  /** @param modelId - Model whose state is wanted; undefined when this router is not its home. */
+  explain(modelId: string) {
+    const hosted = this.hosted.get(modelId);
+    const model = this.parts.catalogue.getModel(modelId);
+    if (!hosted || !model) {
+      return undefined;
+    }
+    const placement = this.parts.catalogue.getPlacement(modelId);
+    const replicas = [...hosted.home.views].map((view) => ({
+      serverId: view.serverId,
+      phase: view.phase,
+      usable: view.isUsable,
+      running: view.running.size,
+      slotCount: view.slotCount,
+    }));
+    const nowMs = this.parts.clock.nowMs();
+    const forecast = hosted.home.estimate.forecast(hosted.home.line.length, hosted.home.views, nowMs);
+    return {
+      modelId,
+      decidedReplicas: placement?.value.decidedReplicas ?? 0,
+      placementVersion: placement?.version ?? 0,
+      grants: placement?.value.grants ?? [],
+      replicas,
+      waiting: hosted.home.line.length,
+      forecast,
+      loadMeanMs: Math.round(hosted.home.estimate.loadTime.meanMs),
+      serviceMeanMs: Math.round(hosted.home.estimate.serviceTime.meanMs),
+    };
+  }
+
+  /**
+   * Time left of the most urgent request that waits for a model, in milliseconds.
+   * @param modelId - The model.
+   */
+  mostUrgentRemainingMs(modelId: string): number {
+    let deadlineAtMs = Infinity;
+    for (const request of this.hosted.get(modelId)?.home.line.all() ?? []) {
+      deadlineAtMs = Math.min(deadlineAtMs, request.deadlineAtMs);
+    }
+    return deadlineAtMs - this.parts.clock.nowMs();
+  }
+
+  /** Models that this router is a home of. */
+  getHostedModelIds(): string[] {
+    return [...this.hosted.keys()];
+  }
+
+  private withHome(modelId: string, change: (home: ModelHome, nowMs: number) => void): void {
+    const hosted = this.hosted.get(modelId);
+    const model = this.parts.catalogue.getModel(modelId);
+    if (hosted && model) {
+      change(hosted.home, this.parts.clock.nowMs());
+      this.carryOut(model, hosted.home);
+    }
+  }
+
+  private lost(serverId: string): void {
+    for (const [modelId, hosted] of this.hosted) {
+      if (hosted.followedServers.has(serverId)) {
+        this.withHome(modelId, (home, nowMs) => home.serverLost(serverId, nowMs));
+      }
+    }
+  }
+
+  private host(model: CatalogueModel): HostedModel {
+    const existing = this.hosted.get(model.modelId);
+    if (existing) {
+      return existing;
+    }
+    const home = new ModelHome({
+      alwaysLoaded: model.model === undefined,
+      keepAlive: new HistogramKeepAlivePolicy(model.service.weighing),
+      crashes: this.crashes,
+    });
+    const hosted: HostedModel = { home, followedServers: new Set(), reviewing: false };
+    this.hosted.set(model.modelId, hosted);
+    this.followServers(model, hosted);
+    void this.review(model, hosted);
+    return hosted;
+  }
+
+  private tick(): void {
+    for (const modelId of this.hosted.keys()) {
+      this.withHome(modelId, (home, nowMs) => home.tick(nowMs));
+    }
+  }
+
+  private reviewAll(): void {
+    const nowMs = this.parts.clock.nowMs();
+    for (const model of this.parts.catalogue.getModels()) {
+      const hosted = this.hosted.get(model.modelId);
+      if (this.parts.membership.isHomeOf(model.modelId, nowMs)) {
+        const own = hosted ?? this.host(model);
+        this.followServers(model, own);
+        void this.review(model, own);
+      } else if (hosted) {
+        this.retire(model.modelId, hosted);
+      }
+    }
+  }
+
+  /** Gives up a model that another router is the home of now, once nothing waits or runs here. */
+  private retire(modelId: string, hosted: HostedModel): void {
+    if (hosted.home.line.length > 0 || hosted.home.runningCount > 0) {
+      return;
+    }
+    for (const serverId of hosted.followedServers) {
+      this.links.unfollow(serverId, modelId);
+    }
+    this.hosted.delete(modelId);
+  }
+
+  private async review(model: CatalogueModel, hosted: HostedModel): Promise<void> {
+    if (hosted.reviewing || model.model === undefined || this.stopping) {
+      return;
+    }
+    hosted.reviewing = true;
+    await this.parts.reviewer.review(model, hosted.home);
+    hosted.reviewing = false;
+  }
+
+  private stateChanged(path: string): void {
+    if (path.startsWith(QUARANTINE_PREFIX)) {
+      this.quarantineChanged(path);
+      return;
+    }
+    for (const [modelId, hosted] of this.hosted) {
+      const model = this.parts.catalogue.getModel(modelId);
+      if (model && path.endsWith(modelId)) {
+        this.followServers(model, hosted);
+      }
+    }
+  }
+
+  private quarantineChanged(path: string): void {
+    const object = this.parts.state.get<QuarantineObject>(path)?.value;
+    if (object) {
+      this.crashes.quarantine(object.fingerprint, object.untilMs);
+      return;
+    }
+    this.crashes.clear(path.slice(QUARANTINE_PREFIX.length));
+  }
+
+  /** Follows the model on the servers that may hold it, and tells the home who they are. */
+  private followServers(model: CatalogueModel, hosted: HostedModel): void {
+    const placement = this.parts.catalogue.getPlacement(model.modelId);
+    const pool = this.parts.reviewer.getPool(model);
+    const serverIds =
+      model.model === undefined
+        ? pool.map((server) => server.serverId)
+        : (placement?.value.grants ?? []).map((grant) => toServerId(grant.serverId));
+    hosted.home.setServers(serverIds);
+    for (const serverId of hosted.followedServers) {
+      if (!serverIds.some((candidate) => candidate === serverId)) {
+        this.links.unfollow(serverId, model.modelId);
+      }
+    }
+    hosted.followedServers = new Set(serverIds);
+    for (const serverId of serverIds) {
+      const grant = placement?.value.grants.find((candidate) => candidate.serverId === serverId);
+      const server = pool.find((candidate) => candidate.serverId === serverId);
+      hosted.home.getReplica(serverId)?.setLeaving(grant?.state === 'revoking' || server?.leaving !== false);
+      const address = this.parts.membership.get(serverId)?.peerAddress;
+      if (address !== undefined) {
+        this.links.follow(serverId, address, { modelId: model.modelId, placement });
+      }
+    }
+  }
+
+  private carryOut(model: CatalogueModel, home: ModelHome): void {
+    for (const command of home.takeCommands()) {
+      switch (command.kind) {
+        case 'assign':
+          this.replyAssigned(model, home, command);
+          break;
+        case 'refuse':
+          this.replyRefused(command);
+          break;
+        case 'wake':
+          void this.wake(model, command.serverId, command.keepAliveMs);
+          break;
+        case 'quarantine':
+          void this.quarantine(model, command.fingerprint);
+          break;
+      }
+    }
+  }
+
+  private replyAssigned(
+    model: CatalogueModel,
+    home: ModelHome,
+    command: HomeCommand & { kind: 'assign' },
+  ): void {
+    const resolve = this.waitingReplies.get(command.requestId);
+    this.waitingReplies.delete(command.requestId);
+    const peerAddress = this.parts.membership.get(command.serverId)?.peerAddress;
+    if (!resolve || peerAddress === undefined) {
+      home.requestAbandoned(command.requestId, this.parts.clock.nowMs());
+      resolve?.({
+        kind: 'refused',
+        reason: 'noServer',
+        detail: 'The server is gone.',
+        retryAfterMs: COME_BACK_MS,
+      });
+      return;
+    }
+    this.parts.metrics.recordMs('queue_ms', command.queuedMs);
+    this.parts.metrics.count(`home_assigned_${model.service.requestClass}`);
+    const { serverId, queuedMs, loadMs, alone, incarnation } = command;
+    resolve({
+      kind: 'assigned',
+      assignment: { serverId, queuedMs, loadMs, alone, incarnation, peerAddress },
+    });
+  }
+
+  private replyRefused(command: HomeCommand & { kind: 'refuse' }): void {
+    const resolve = this.waitingReplies.get(command.requestId);
+    this.waitingReplies.delete(command.requestId);
+    this.parts.metrics.count(`home_refused_${command.reason}`);
+    resolve?.({ ...command, kind: 'refused' });
+  }
+
+  private async wake(model: CatalogueModel, serverId: string, keepAliveMs: number): Promise<void> {
+    const address = this.parts.membership.get(serverId)?.peerAddress;
+    const placement = this.parts.catalogue.getPlacement(model.modelId);
+    if (address === undefined) {
+      return;
+    }
+    const params: WakeParams = { modelId: model.modelId, placement, sizeBytes: model.sizeBytes, keepAliveMs };
+    this.parts.metrics.count('home_wakes');
+    try {
+      const connection = await this.links.connection(address);
+      const reply = await connection.call<WakeReply>(AGENT_METHODS.wake, params);
+      this.reported(reply.report);
+      if (reply.refusedBecause) {
+        this.parts.metrics.count(`home_wakes_refused_${reply.refusedBecause}`);
+        this.withHome(model.modelId, (home, nowMs) => home.wakeRefused(serverId, nowMs));
+      }
+    } catch {
+      this.withHome(model.modelId, (home, nowMs) => home.wakeRefused(serverId, nowMs));
+    }
+  }
+
+  private async quarantine(model: CatalogueModel, fingerprint: string): Promise<void> {
+    const untilMs = this.parts.clock.nowMs() + QUARANTINE_MS;
+    const value: QuarantineObject = { fingerprint, modelId: model.modelId, untilMs };
+    this.parts.log.degraded('request quarantined', { modelId: model.modelId });
+    const path = QUARANTINE_PREFIX + fingerprint;
+    const current = await this.parts.store.read(path);
+    const ifVersion = current.kind === 'found' ? current.object.version : 0;
+    const result = await this.parts.store.update(path, value, ifVersion);
+    const revision = result.kind === 'written' ? result.version : 0;
+    this.parts.audit.record('quarantine', fingerprint, 'crashed a backend server twice', revision);
+  }
+}
--- /dev/null
+++ b/src/kernel/index.ts
@@ -0,0 +1,5 @@
+export * from './Clock.js';
+export * from './SystemClock.js';
+export * from './Repeater.js';
+export * from './Random.js';
+export * from './Kernel.js';
--- /dev/null
+++ b/src/platform/PlatformHttp.ts
@@ -0,0 +1,64 @@
+import { Agent, request } from 'undici';
+
+/** Time given to the platform for answering a call that does not wait, in milliseconds. */
+const CALL_TIMEOUT_MS = 2_000;
+
+/** Answer of the platform; status 0 when there was none. */
+export interface PlatformAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Sends authenticated calls to the platform. */
+export class PlatformHttp {
+  private readonly agent = new Agent({ connections: 16, pipelining: 1 });
+  private callCountValue = 0;
+
+  /**
+   * @param baseUrl - URL of the platform without a trailing slash.
+   * @param token - Credential for the platform.
+   */
+  constructor(
+    private readonly baseUrl: string,
+    private readonly token: string,
+  ) {}
+
+  /** Calls made so far, waiting watches included. */
+  get callCount(): number {
+    return this.callCountValue;
+  }
+
+  /**
+   * Makes one call.
+   * @param method - HTTP method.
+   * @param path - Path and query.
+   * @param body - Value sent as JSON.
+   * @param waitMs - Time the platform may hold the answer back, in milliseconds.
+   */
+  async call(
+    method: 'GET' | 'PUT' | 'DELETE',
+    path: string,
+    body?: unknown,
+    waitMs = 0,
+  ): Promise<PlatformAnswer> {
+    this.callCountValue++;
+    try {
+      const response = await request(`${this.baseUrl}${path}`, {
+        method,
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS + waitMs),
+        headers: { authorization: `Bearer ${this.token}`, 'content-type': 'application/json' },
+        body: body === undefined ? undefined : JSON.stringify(body),
+      });
+      const text = await response.body.text();
+      return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
+    } catch {
+      return { status: 0, body: undefined };
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/publish/index.ts
@@ -0,0 +1,3 @@
+export * from './collectFiles.js';
+export * from './diff.js';
+export * from './Publisher.js';
--- /dev/null
+++ b/src/router/BudgetService.ts
@@ -0,0 +1,102 @@
+import type { Clock } from '../kernel/index.js';
+import { BUDGET_PREFIX, type OrganisationConfiguration } from '../domain/index.js';
+import { updateResolved, type ObjectStore } from '../platform/index.js';
+import { BudgetSlices, type BudgetObject } from './decisions/index.js';
+
+/** Tries to take a slice before the request is refused. */
+const MAX_SLICE_TRIES = 5;
+/** Length of an ISO date without the time. */
+const DAY_LENGTH = 10;
+
+/** Tokens that a request has reserved. */
+export interface BudgetReservation {
+  /** @param tokenCount - Tokens that were generated; the rest is given back. */
+  settle(tokenCount: number): void;
+}
+
+/** Keeps each organisation's spending within its daily limit, over all routers. */
+export class BudgetService {
+  private readonly slicesByOrganisation = new Map<
+    string,
+    { readonly day: string; readonly slices: BudgetSlices }
+  >();
+  private markNumber = 0;
+
+  /**
+   * @param clock - Source of time.
+   * @param store - The object API.
+   * @param writerId - Names this process's run.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly store: ObjectStore,
+    private readonly writerId: string,
+  ) {}
+
+  /**
+   * Reserves tokens for a request; undefined when the budget does not reach or can't be asked.
+   * @param organisation - Who pays.
+   * @param tokenCount - Tokens that the request may generate at most.
+   */
+  async reserve(
+    organisation: OrganisationConfiguration,
+    tokenCount: number,
+  ): Promise<BudgetReservation | undefined> {
+    if (organisation.tokensPerDay === undefined) {
+      return { settle: () => undefined };
+    }
+    const slices = this.slicesOf(organisation, organisation.tokensPerDay);
+    for (let attempt = 0; attempt < MAX_SLICE_TRIES; attempt++) {
+      if (slices.tryReserve(tokenCount)) {
+        return { settle: (spentTokens) => slices.giveBack(tokenCount - spentTokens) };
+      }
+      if (!(await this.takeSlice(organisation.organisation, slices, tokenCount))) {
+        return undefined;
+      }
+    }
+    return undefined;
+  }
+
+  /** Takes a slice; true when trying again makes sense. */
+  private async takeSlice(
+    organisationId: string,
+    slices: BudgetSlices,
+    neededTokens: number,
+  ): Promise<boolean> {
+    const path = `${BUDGET_PREFIX}${organisationId}/${this.today()}`;
+    const current = await this.store.read<BudgetObject>(path);
+    if (current.kind === 'unavailable') {
+      return false;
+    }
+    const takenTokens = current.kind === 'found' ? current.object.value.takenTokens : 0;
+    const version = current.kind === 'found' ? current.object.version : 0;
+    const sliceTokens = slices.nextSliceTokens(takenTokens, neededTokens);
+    if (sliceTokens === 0) {
+      return false;
+    }
+    const value: BudgetObject = {
+      mark: `${this.writerId}-${++this.markNumber}`,
+      takenTokens: takenTokens + sliceTokens,
+    };
+    const result = await updateResolved(this.store, path, value, version);
+    if (result.kind === 'written') {
+      slices.sliceTaken(sliceTokens);
+    }
+    return result.kind === 'written' || result.kind === 'conflict';
+  }
+
+  private slicesOf(organisation: OrganisationConfiguration, limitTokens: number): BudgetSlices {
+    const day = this.today();
+    const existing = this.slicesByOrganisation.get(organisation.organisation);
+    if (existing?.day === day) {
+      return existing.slices;
+    }
+    const slices = new BudgetSlices(limitTokens);
+    this.slicesByOrganisation.set(organisation.organisation, { day, slices });
+    return slices;
+  }
+
+  private today(): string {
+    return new Date(this.clock.nowMs()).toISOString().slice(0, DAY_LENGTH);
+  }
+}
--- /dev/null
+++ b/src/router/CallerAnswer.ts
@@ -0,0 +1,115 @@
+import type { ServerResponse } from 'node:http';
+import {
+  getStatusOf,
+  type AnswerChunk,
+  type AnswerHead,
+  type RecordedOutcome,
+  type Refusal,
+} from '../domain/index.js';
+import type { FlowSink, FlowTiming } from './RequestFlow.js';
+
+/** Writes one answer to its caller: an event stream as it comes, anything else when it is whole. */
+export class CallerAnswer implements FlowSink {
+  private head: AnswerHead | undefined;
+  private buffered: string[] = [];
+  private delivered = false;
+
+  /**
+   * @param response - Response to the caller.
+   * @param requestId - Named in a header.
+   */
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly requestId: string,
+  ) {}
+
+  get hasDelivered(): boolean {
+    return this.delivered;
+  }
+
+  deliver(chunk: AnswerChunk): void {
+    this.head ??= chunk.head;
+    if (chunk.text === '') {
+      return;
+    }
+    if (!this.isEventStream()) {
+      this.buffered.push(chunk.text);
+      return;
+    }
+    if (!this.delivered) {
+      this.delivered = true;
+      this.writeHead({});
+    }
+    this.response.write(chunk.text);
+  }
+
+  reset(): void {
+    this.head = undefined;
+    this.buffered = [];
+  }
+
+  getOutcome(): RecordedOutcome | undefined {
+    return this.head && !this.delivered ? { head: this.head, body: this.buffered.join('') } : undefined;
+  }
+
+  /** @param timing - Where the time went. */
+  complete(timing: FlowTiming): void {
+    if (!this.delivered) {
+      this.writeHead({ 'server-timing': `queue;dur=${timing.queuedMs}, load;dur=${timing.loadMs}` });
+      this.response.write(this.buffered.join(''));
+    }
+    this.response.end();
+  }
+
+  /** @param outcome - Outcome that an earlier request with the same key had. */
+  repeat(outcome: RecordedOutcome): void {
+    this.head = outcome.head;
+    this.writeHead({ 'idempotent-replayed': 'true', 'x-verdict': 'ran' });
+    this.response.end(outcome.body ?? '');
+  }
+
+  /** @param refusal - Final answer; an answer that has begun is broken off so that nobody takes it for whole. */
+  refuse(refusal: Refusal): void {
+    const body = toProblem(refusal);
+    if (this.delivered) {
+      this.response.write(`data: ${JSON.stringify(body)}\n\n`, () => this.response.destroy());
+      return;
+    }
+    const headers: Record<string, string> = {
+      'content-type': 'application/problem+json',
+      'x-request-id': this.requestId,
+      'x-verdict': refusal.verdict,
+    };
+    if (refusal.retryAfterMs !== undefined) {
+      headers['retry-after'] = String(Math.ceil(refusal.retryAfterMs / 1000));
+    }
+    this.response.writeHead(getStatusOf(refusal.reason), headers);
+    this.response.end(JSON.stringify(body));
+  }
+
+  private isEventStream(): boolean {
+    return this.head?.status === 200 && this.head.contentType.startsWith('text/event-stream');
+  }
+
+  private writeHead(headers: Record<string, string>): void {
+    const head = this.head ?? { status: 200, contentType: 'application/octet-stream' };
+    this.response.writeHead(head.status, {
+      'content-type': head.contentType,
+      'x-request-id': this.requestId,
+      ...headers,
+    });
+  }
+}
+
+/** Forms the problem document; `error` repeats it in the shape that clients of chat completions read. */
+function toProblem(refusal: Refusal): unknown {
+  return {
+    type: `urn:monsoonglade:refusal:${refusal.reason}`,
+    title: refusal.reason,
+    status: getStatusOf(refusal.reason),
+    detail: refusal.detail,
+    verdict: refusal.verdict,
+    retryAfterMs: refusal.retryAfterMs,
+    error: { message: refusal.detail, type: refusal.reason, code: refusal.verdict },
+  };
+}
--- /dev/null
+++ b/src/router/StateWatcher.ts
@@ -0,0 +1,176 @@
+import type { Clock, Random, Service } from '../kernel/index.js';
+import { ROUTER_METHODS, STATE_PREFIX } from '../domain/index.js';
+import type { InstanceList, ObjectStore } from '../platform/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import type { PeerDialer } from '../transport/index.js';
+import type { Membership, StateDelta, StateObject, StateStore } from './decisions/index.js';
+
+/** Longest that one watch waits, in milliseconds. */
+const WATCH_TIMEOUT_MS = 30_000;
+/** Pause after a failed call, doubled up to the limit, in milliseconds. */
+const FIRST_RETRY_MS = 200;
+/** Longest pause after a failed call, in milliseconds. */
+const MAX_RETRY_MS = 5_000;
+/** Time between two pulls from another router, in milliseconds. */
+const PULL_INTERVAL_MS = 2_000;
+
+/** What the watcher is made of. */
+export interface StateWatcherParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: ObjectStore;
+  readonly instances: InstanceList;
+  readonly state: StateStore;
+  readonly membership: Membership;
+  readonly dialer: PeerDialer;
+  readonly seedAddresses: readonly string[];
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Keeps the state and the membership current: from the platform, and from other routers where that fails. */
+export class StateWatcher implements Service {
+  private stopped = false;
+  private platformUp = true;
+
+  /** @param parts - What the watcher is made of. */
+  constructor(private readonly parts: StateWatcherParts) {}
+
+  /** Whether the platform answered the last call. */
+  get isPlatformUp(): boolean {
+    return this.platformUp;
+  }
+
+  /** Reads everything once where possible, then watches. */
+  async start(): Promise<void> {
+    await Promise.all([this.readState(), this.readInstances(0)]);
+    if (!this.platformUp) {
+      await this.pull();
+    }
+    void this.watchState();
+    void this.watchInstances();
+    void this.pullForever();
+  }
+
+  stop(): Promise<void> {
+    this.stopped = true;
+    return Promise.resolve();
+  }
+
+  /**
+   * Answers another router's pull.
+   * @param revision - Revision that it holds everything up to.
+   */
+  getDelta(revision: number): StateDelta {
+    return this.parts.state.deltaSince(revision);
+  }
+
+  private async readState(): Promise<boolean> {
+    const listing = await this.parts.store.list<unknown>(STATE_PREFIX);
+    this.notePlatform(listing !== undefined);
+    if (listing) {
+      this.parts.state.applyDelta(listing as { objects: StateObject[]; revision: number });
+    }
+    return listing !== undefined;
+  }
+
+  private async watchState(): Promise<void> {
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.stopped) {
+      const since = this.parts.state.revision;
+      const listing = await this.parts.store.watch<unknown>(STATE_PREFIX, since, WATCH_TIMEOUT_MS);
+      this.notePlatform(listing !== undefined);
+      if (listing) {
+        this.parts.state.applyDelta(listing as { objects: StateObject[]; revision: number });
+        retryMs = FIRST_RETRY_MS;
+        continue;
+      }
+      await this.pause(this.parts.random.jitterMs(retryMs));
+      retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+    }
+  }
+
+  private async watchInstances(): Promise<void> {
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.stopped) {
+      if (await this.readInstances(WATCH_TIMEOUT_MS)) {
+        retryMs = FIRST_RETRY_MS;
+        continue;
+      }
+      await this.pause(this.parts.random.jitterMs(retryMs));
+      retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+    }
+  }
+
+  private async readInstances(timeoutMs: number): Promise<boolean> {
+    const { membership, instances } = this.parts;
+    const since = timeoutMs === 0 ? 0 : membership.revision;
+    const listing = await instances.watch(since, timeoutMs);
+    if (listing && listing.revision !== membership.revision) {
+      membership.applyList(listing.instances, listing.revision);
+    }
+    return listing !== undefined;
+  }
+
+  private async pullForever(): Promise<void> {
+    while (!this.stopped) {
+      await this.pause(this.parts.random.jitterMs(PULL_INTERVAL_MS));
+      await this.pull();
+    }
+  }
+
+  /** Asks one other router for what this one misses. */
+  private async pull(): Promise<void> {
+    const addresses = this.otherAddresses();
+    const address = addresses[this.parts.random.below(Math.max(1, addresses.length))];
+    if (address === undefined || this.stopped) {
+      return;
+    }
+    try {
+      const connection = await this.parts.dialer.connect(address);
+      const params = {
+        revision: this.parts.state.revision,
+        wantsInstances: this.parts.membership.revision === 0,
+      };
+      const reply = await connection.call<PullReply>(ROUTER_METHODS.pullConfiguration, params);
+      this.parts.metrics.count('state_pulled_objects', reply.delta.objects.length);
+      this.parts.state.applyDelta(reply.delta);
+      if (reply.instances && this.parts.membership.revision === 0) {
+        this.parts.membership.applyList(reply.instances.list, reply.instances.revision);
+      }
+    } catch {
+      this.parts.metrics.count('state_pulls_failed');
+    }
+  }
+
+  private otherAddresses(): string[] {
+    const addresses: string[] = [];
+    for (const routerId of this.parts.membership.getRouterIds().slice(1)) {
+      const instance = this.parts.membership.get(routerId);
+      if (instance) {
+        addresses.push(instance.peerAddress);
+      }
+    }
+    return addresses.length > 0 ? addresses : [...this.parts.seedAddresses];
+  }
+
+  private notePlatform(isUp: boolean): void {
+    if (isUp !== this.platformUp) {
+      this.platformUp = isUp;
+      this.parts.log.stateChanged(isUp ? 'platform reachable' : 'platform unreachable');
+    }
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.parts.clock.schedule(delayMs, resolve);
+    });
+  }
+}
+
+/** Answer to a pull. */
+export interface PullReply {
+  readonly delta: StateDelta;
+  /** The instance list, when it was asked for. */
+  readonly instances?: { readonly list: Parameters<Membership['applyList']>[0]; readonly revision: number };
+}
--- /dev/null
+++ b/src/router/decisions/AnswerAssembler.ts
@@ -0,0 +1,45 @@
+import type { AnswerChunk, AnswerEnd } from '../../domain/index.js';
+
+/** What to do after a piece of an answer or its end came. */
+export type AssemblyStep =
+  | { readonly kind: 'wait' }
+  /** Pieces to hand on, in order. */
+  | { readonly kind: 'deliver'; readonly chunk: AnswerChunk }
+  /** Pieces are missing; ask for all from the next one on. */
+  | { readonly kind: 'resume' }
+  | { readonly kind: 'finished'; readonly end: AnswerEnd };
+
+/** Puts one attempt's answer together from numbered pieces that may come twice, late or not at all. */
+export class AnswerAssembler {
+  private next = 0;
+  private finished = false;
+
+  /** Number of the next piece wanted. */
+  get nextOrdinal(): number {
+    return this.next;
+  }
+
+  /** @param chunk - A piece that came. */
+  chunkArrived(chunk: AnswerChunk): AssemblyStep {
+    if (this.finished || chunk.ordinal < this.next) {
+      return { kind: 'wait' };
+    }
+    if (chunk.ordinal > this.next) {
+      return { kind: 'resume' };
+    }
+    this.next++;
+    return { kind: 'deliver', chunk };
+  }
+
+  /** @param end - The end that came. */
+  endArrived(end: AnswerEnd): AssemblyStep {
+    if (this.finished) {
+      return { kind: 'wait' };
+    }
+    if (end.kind === 'complete' && end.chunkCount > this.next) {
+      return { kind: 'resume' };
+    }
+    this.finished = true;
+    return { kind: 'finished', end };
+  }
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,3 @@
+export * from './DaemonSettings.js';
+export * from './ServiceFile.js';
+export * from './readSettings.js';
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,3 @@
+export * from './Metrics.js';
+export * from './Log.js';
+export * from './AuditTrail.js';
--- /dev/null
+++ b/src/transport/PeerServer.ts
@@ -0,0 +1,85 @@
+import { timingSafeEqual, createHash } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { WebSocketServer } from 'ws';
+import type { Clock, Service } from '../kernel/index.js';
+import { PeerConnection, type PeerMethods } from './PeerConnection.js';
+
+/** Largest message between two of our processes, in bytes. */
+export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
+
+/** Where a listener binds. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Compares two secrets in constant time. */
+export function secretsEqual(left: string, right: string): boolean {
+  const leftHash = createHash('sha256').update(left).digest();
+  const rightHash = createHash('sha256').update(right).digest();
+  return timingSafeEqual(leftHash, rightHash);
+}
+
+/**
+ * Binds a server, or explains which address is taken.
+ * @param server - HTTP server.
+ * @param address - Address to bind.
+ * @param field - Settings field that holds the address.
+ */
+export async function listenOrThrow(server: Server, address: ListenAddress, field: string): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (error: NodeJS.ErrnoException) => {
+      const cause =
+        error.code === 'EADDRINUSE' ? 'is in use by another process' : `cannot be bound (${error.code})`;
+      reject(new Error(`${field}: ${address.host}:${address.port} ${cause}; choose a free port.`));
+    });
+    server.listen(address.port, address.host, resolve);
+  });
+}
+
+/** Accepts connections of other processes of the system. */
+export class PeerServer implements Service {
+  private readonly http: Server = createServer((_request, response) => response.writeHead(404).end());
+  private readonly sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_MESSAGE_BYTES });
+  private readonly connections = new Set<PeerConnection>();
+
+  /**
+   * @param address - Address to listen on.
+   * @param secret - Credential that the other end must show.
+   * @param clock - Source of time.
+   * @param methods - What this process offers.
+   */
+  constructor(
+    private readonly address: ListenAddress,
+    private readonly secret: string,
+    private readonly clock: Clock,
+    private readonly methods: PeerMethods,
+  ) {
+    this.http.on('upgrade', (request, socket, head) => this.upgrade(request, socket, head));
+  }
+
+  async start(): Promise<void> {
+    await listenOrThrow(this.http, this.address, 'peer');
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.connections].map((connection) => connection.close()));
+    this.http.closeAllConnections();
+    await new Promise((resolve) => this.http.close(resolve));
+  }
+
+  private upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+    const presented = request.headers.authorization ?? '';
+    if (!secretsEqual(presented, `Bearer ${this.secret}`)) {
+      socket.end('HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n');
+      return;
+    }
+    const peerName = String(request.headers['x-monsoonglade-peer'] ?? 'unknown');
+    this.sockets.handleUpgrade(request, socket, head, (webSocket) => {
+      const connection = new PeerConnection(webSocket, this.clock, this.methods, peerName);
+      this.connections.add(connection);
+      connection.onClose(() => this.connections.delete(connection));
+    });
+  }
+}
--- /dev/null
+++ b/src/transport/index.ts
@@ -0,0 +1,3 @@
+export * from './PeerConnection.js';
+export * from './PeerServer.js';
+export * from './PeerDialer.js';
--- /dev/null
+++ b/standins/quickstart.ts
@@ -0,0 +1,186 @@
+/** Starts the whole system on one machine, sends three requests, and stays up until it is interrupted. */
+import { spawnSync } from 'node:child_process';
+import { rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { ChildProcess } from './ChildProcess.js';
+import { DEMO_ENVIRONMENT, DemoFleet } from './DemoFleet.js';
+import { expectedTokens } from './EngineStandIn.js';
+
+const GIB = 1024 ** 3;
+const TOKEN = 'mosquitero-demo-token';
+const MODEL = 'quote-assistant/quotes';
+const TOKEN_COUNT = 12;
+const isOnce = process.argv.includes('--once');
+const standIns: ChildProcess[] = [];
+let fleet: DemoFleet | undefined;
+
+async function startStandIn(kind: string, options: object): Promise<string> {
+  const started = await ChildProcess.start(kind, 'standins/main.js', [kind, JSON.stringify(options)]);
+  standIns.push(started.process);
+  return `http://127.0.0.1:${started.ready}`;
+}
+
+async function startAll(): Promise<DemoFleet> {
+  const platformUrl = await startStandIn('platform', { readMs: 800, readsPerSecond: 3, fullSpeedReads: 4 });
+  const created = await DemoFleet.create(platformUrl);
+  fleet = created;
+  const engine = {
+    capacityBytes: 40 * GIB,
+    slotCount: 8,
+    tokenMs: 10,
+    loadMsByTier: { memory: 50, disk: 300 },
+    weightStoreUrl: platformUrl,
+    adapterLoadMs: 5,
+    fencing: true,
+    restartMs: 500,
+  };
+  for (const [id, dataCentre] of [
+    ['engine-1', 'salto'],
+    ['engine-2', 'paysandu'],
+  ] as const) {
+    await created.startAgent(id, dataCentre, 'engines', {
+      kind: 'engine',
+      url: await startStandIn('engine', engine),
+    });
+  }
+  const ordersUrl = await startStandIn('orders', { workMs: 20 });
+  await created.startAgent('orders-1', 'montevideo', 'orders', {
+    kind: 'plain',
+    url: ordersUrl,
+    slotCount: 16,
+  });
+  await created.startRouter('router-1', 'salto');
+  await created.startRouter('router-2', 'montevideo');
+  publish(platformUrl);
+  return created;
+}
+
+function publish(platformUrl: string): void {
+  const cli = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+  const record = join(tmpdir(), `monsoonglade-quickstart-${process.pid}.json`);
+  const args = [cli, 'publish', 'examples', '--yes', '--record', record, '--platform', platformUrl];
+  const result = spawnSync(process.execPath, args, {
+    env: { ...process.env, ...DEMO_ENVIRONMENT },
+    encoding: 'utf8',
+  });
+  process.stdout.write(result.stdout);
+  void rm(record, { force: true });
+  if (result.status !== 0) {
+    throw new Error(`publish failed: ${result.stderr}`);
+  }
+}
+
+/** Sends a streamed chat request and checks every byte of the answer. */
+async function chat(title: string, entryUrl: string, prompt: string): Promise<void> {
+  const startedAtMs = Date.now();
+  const response = await fetch(`${entryUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' },
+    body: JSON.stringify({
+      model: MODEL,
+      messages: [{ role: 'user', content: prompt }],
+      stream: true,
+      max_tokens: TOKEN_COUNT,
+    }),
+  });
+  let text = '';
+  let firstTokenMs = 0;
+  for await (const piece of response.body ?? []) {
+    firstTokenMs ||= Date.now() - startedAtMs;
+    text += Buffer.from(piece as Uint8Array).toString();
+  }
+  const contents = [...text.matchAll(/^data: (\{.*\})$/gm)].map((match) => readContent(match[1] ?? ''));
+  const answer = contents.join('');
+  const isWhole =
+    text.endsWith('data: [DONE]\n\n') && answer === expectedTokens(MODEL, prompt, TOKEN_COUNT).join('');
+  const timing = await readTimings();
+  process.stdout.write(
+    `\n${title}\n  ${answer}\n  first token ${firstTokenMs} ms, total ${Date.now() - startedAtMs} ms${timing}\n`,
+  );
+  if (!isWhole) {
+    throw new Error(`${title}: the answer is not whole or not its own (status ${response.status}): ${text}`);
+  }
+}
+
+function readContent(json: string): string {
+  const event = JSON.parse(json) as { choices: { delta: { content?: string } }[] };
+  return event.choices[0]?.delta.content ?? '';
+}
+
+/** Reads how long a load takes off the model's home. */
+async function readTimings(): Promise<string> {
+  for (const daemon of fleet?.daemons.values() ?? []) {
+    const response = await fetch(`${daemon.adminUrl}/explain?model=${encodeURIComponent(MODEL)}`, {
+      headers: { authorization: `Bearer ${DEMO_ENVIRONMENT.MONSOONGLADE_ADMIN_TOKEN}` },
+    });
+    const explained = (await response.json()) as { loadMeanMs?: number; serviceMeanMs?: number };
+    if (explained.loadMeanMs !== undefined) {
+      return ` (load ${explained.loadMeanMs} ms and generation ${explained.serviceMeanMs ?? 0} ms on average so far)`;
+    }
+  }
+  return '';
+}
+
+async function order(entryUrl: string): Promise<void> {
+  const response = await fetch(`${entryUrl}/services/frame-orders/orders`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${TOKEN}`, 'idempotency-key': `frame-${process.pid}` },
+    body: JSON.stringify({ reference: 'window-42', widthMm: 900, heightMm: 1200 }),
+  });
+  const text = await response.text();
+  process.stdout.write(`\nOne frame order\n  ${text}\n  ${response.headers.get('server-timing') ?? ''}\n`);
+  if (response.status !== 201 || !text.includes('"execution":1')) {
+    throw new Error(`The order was not carried out once: ${response.status} ${text}`);
+  }
+}
+
+async function whenConfigured(entryUrl: string): Promise<void> {
+  for (let attempt = 0; attempt < 100; attempt++) {
+    const response = await fetch(`${entryUrl}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${TOKEN}` },
+      body: '{}',
+    });
+    await response.text();
+    if (response.status !== 401) {
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error('The published configuration did not come into force.');
+}
+
+async function stopAll(): Promise<void> {
+  await fleet?.stop();
+  await Promise.all(standIns.map((standIn) => standIn.stop()));
+}
+
+try {
+  const { daemons } = await startAll();
+  const [first = '', second = ''] = [...daemons.values()].flatMap((daemon) => daemon.entryUrl ?? []);
+  await whenConfigured(first);
+  await whenConfigured(second);
+  await chat('A cold start: no replica of the model is loaded', first, 'Quote for two screens in Salto');
+  await chat('Its warm replica, through the other router', second, 'Quote for a door screen');
+  await order(second);
+  if (!isOnce) {
+    process.stdout.write('\nThe system stays up; press Ctrl-C to end it.\n');
+    for (const daemon of daemons.values()) {
+      process.stdout.write(
+        `  ${daemon.id}: admin ${daemon.adminUrl}${daemon.entryUrl ? `, callers ${daemon.entryUrl}` : ''}\n`,
+      );
+    }
+    process.stdout.write(`  platform: ${fleet?.platform ?? ''}\n`);
+    await new Promise((resolve) => {
+      process.once('SIGINT', resolve);
+      process.once('SIGTERM', resolve);
+    });
+  }
+} catch (error) {
+  process.stderr.write(`${(error as Error).message}\n`);
+  process.exitCode = 1;
+} finally {
+  await stopAll();
+}
