--- a/src/agent/decisions/ResidencyController.ts
+++ b/src/agent/decisions/ResidencyController.ts
@@ -59,7 +59,10 @@
   private fencedAtMs = 0;
   /** Whether the last fence failed and is to be sent again. */
   private fenceWanted = false;
+  /** When an engine that ignores order numbers can no longer receive an earlier process's order. */
   private settledAtMs = Infinity;
+  /** Whether a state was read that shows everything that earlier processes ordered. */
+  private settled = false;
   private leaving = false;
 
   /**
@@ -76,9 +79,12 @@
     return this.orders.splice(0);
   }
 
-  /** @param itemId - Item to look at. */
+  /**
+   * Tells where an item is; `loadUnknown` until it is certain that no order of an earlier process is still to come.
+   * @param itemId - Item to look at.
+   */
   phaseOf(itemId: string): ItemPhase {
-    return this.items.get(itemId)?.phase ?? 'absent';
+    return this.items.get(itemId)?.phase ?? (this.settled ? 'absent' : 'loadUnknown');
   }
 
   /** Ids of all models that are not absent. */
@@ -112,7 +118,7 @@
       existing.lastUsedAtMs = nowMs;
       return this.describeExisting(existing);
     }
-    const reason = this.reasonNotToLoad(request, nowMs);
+    const reason = this.reasonNotToLoad(request);
     if (reason) {
       return { kind: 'refused', reason };
     }
@@ -228,6 +234,7 @@
         this.itemNotShown(item, askedAtMs);
       }
     }
+    this.settled ||= this.isSettledBy(askedAtMs);
     this.loadWaiting();
   }
 
@@ -264,7 +271,7 @@
     }
   }
 
-  private reasonNotToLoad(request: ItemRequest, nowMs: number): RefusalReason | undefined {
+  private reasonNotToLoad(request: ItemRequest): RefusalReason | undefined {
     if (this.leaving) {
       return 'serverLeaving';
     }
@@ -275,12 +282,12 @@
     } else if (this.phaseOf(request.baseItemId) !== 'ready') {
       return 'notLoaded';
     }
-    return nowMs < this.settledAtMs || !this.isFenced() ? 'notLoaded' : undefined;
+    return this.settled ? undefined : 'notLoaded';
   }
 
-  /** Whether no order of an earlier process can still be carried out. */
-  private isFenced(): boolean {
-    return this.bootId !== '' && (!this.fencing || this.fencedBelow > 0);
+  /** Whether no order of an earlier process can be carried out after a state that was asked for at a time. */
+  private isSettledBy(askedAtMs: number): boolean {
+    return this.fencing ? this.fencedBelow > 0 && askedAtMs > this.fencedAtMs : askedAtMs >= this.settledAtMs;
   }
 
   private sendFence(): void {
