Hold a crash once against everything that ran on the server, and against equal requests that wait

Ruled out: the crash ledger itself. Now a request's suspicion is looked up when it is assigned, a suspect runs nowhere else at the same time, the first release of a crash marks everything that ran on the replica once, and the replica takes nothing until it reports again.

--- a/src/home/decisions/ModelHome.ts
+++ b/src/home/decisions/ModelHome.ts
@@ -124,7 +124,6 @@
       ...params,
       deadlineAtMs: nowMs + params.remainingMs,
       arrivedAtMs: nowMs,
-      alone: suspicion === 'suspect',
       arrivedCold: !this.hasReady(),
     };
     const forecast = this.estimate.forecast(this.line.countAhead(request), this.replicas.values(), nowMs);
@@ -155,18 +154,53 @@
    * @param nowMs - Time now.
    */
   released(params: ReleaseParams, nowMs: number): void {
+    if (params.outcome === 'crashed') {
+      this.noteServerCrash(params.requestId, nowMs);
+    }
     const request = this.freeSlot(params.requestId, nowMs);
     if (request && params.outcome === 'completed') {
       this.estimate.serviceTime.add(params.serviceMs);
       this.options.crashes.completed(request.fingerprint);
     }
-    if (request && params.outcome === 'crashed') {
-      const suspicion = this.options.crashes.crashed(request.fingerprint, nowMs);
-      if (suspicion === 'quarantined') {
-        this.commands.push({ kind: 'quarantine', fingerprint: request.fingerprint });
+    this.advance(nowMs);
+  }
+
+  /** Suspects everything that ran on a crashed server, once, and sends it nothing until it reports again. */
+  private noteServerCrash(requestId: string, nowMs: number): void {
+    const replica = this.runningOn.get(requestId);
+    if (!replica || replica.running.get(requestId)?.crashNoted) {
+      return;
+    }
+    const fingerprints = new Set<string>();
+    for (const [runningId, running] of replica.running) {
+      fingerprints.add(running.fingerprint);
+      replica.running.set(runningId, { ...running, crashNoted: true });
+    }
+    for (const fingerprint of fingerprints) {
+      this.noteCrash(fingerprint, nowMs);
+    }
+    if (!this.options.alwaysLoaded) {
+      replica.crashed();
+    }
+  }
+
+  /** Holds a crash against a request, and against equal ones that wait. */
+  private noteCrash(fingerprint: string, nowMs: number): void {
+    const suspicion = this.options.crashes.crashed(fingerprint, nowMs);
+    if (suspicion === 'quarantined') {
+      this.commands.push({ kind: 'quarantine', fingerprint });
+    }
+    for (const waiting of [...this.line.all()]) {
+      const isStopped = suspicion === 'quarantined' || !waiting.idempotent;
+      if (waiting.fingerprint === fingerprint && isStopped) {
+        this.line.remove(waiting.requestId);
+        this.refuseSuspect(waiting.requestId);
       }
     }
-    this.advance(nowMs);
+  }
+
+  private refuseSuspect(requestId: RequestId): void {
+    this.refuse(requestId, 'quarantined', 'This request was running each time a backend server crashed.');
   }
 
   /**
@@ -272,9 +306,13 @@
   private chooseReplica(request: WaitingRequest, nowMs: number): ReplicaView | undefined {
     let best: ReplicaView | undefined;
     const minding = nowMs - request.arrivedAtMs < EXCLUSION_MS;
+    const alone = this.mustBeAlone(request, nowMs);
+    if (alone && this.isRunningSomewhere(request.fingerprint)) {
+      return undefined;
+    }
     for (const replica of this.replicas.values()) {
       const isExcluded = minding && request.excludedServerIds.includes(replica.serverId);
-      const isTaken = replica.isExclusive || (request.alone && replica.running.size > 0);
+      const isTaken = replica.isExclusive || (alone && replica.running.size > 0);
       if (isExcluded || isTaken) {
         continue;
       }
@@ -285,9 +323,25 @@
     return best;
   }
 
+  private mustBeAlone(request: WaitingRequest, nowMs: number): boolean {
+    return this.options.crashes.suspicionOf(request.fingerprint, nowMs) !== 'none';
+  }
+
+  private isRunningSomewhere(fingerprint: string): boolean {
+    for (const replica of this.replicas.values()) {
+      for (const running of replica.running.values()) {
+        if (running.fingerprint === fingerprint) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   private assign(request: WaitingRequest, replica: ReplicaView, nowMs: number): void {
+    const alone = this.mustBeAlone(request, nowMs);
     this.line.remove(request.requestId);
-    replica.running.set(request.requestId, request);
+    replica.running.set(request.requestId, { ...request, alone, crashNoted: false });
     this.runningOn.set(request.requestId, replica);
     const running = this.runningByOrganisation.get(request.organisationId) ?? 0;
     this.runningByOrganisation.set(request.organisationId, running + 1);
@@ -299,7 +353,7 @@
       incarnation: replica.incarnation,
       queuedMs,
       loadMs: request.arrivedCold ? queuedMs : 0,
-      alone: request.alone,
+      alone,
     });
   }
 
--- a/src/home/decisions/ReplicaView.ts
+++ b/src/home/decisions/ReplicaView.ts
@@ -11,6 +11,8 @@
   readonly organisationId: OrganisationId;
   readonly fingerprint: string;
   readonly alone: boolean;
+  /** Whether the crash of its server has been held against it. */
+  readonly crashNoted: boolean;
   readonly deadlineAtMs: number;
 }
 
@@ -95,6 +97,11 @@
     this.connected = false;
   }
 
+  /** Notes that the server crashed, so that it holds nothing any more. */
+  crashed(): void {
+    this.report = this.report && { ...this.report, phase: 'absent', placementVersion: 0 };
+  }
+
   /** @param nowMs - When a wake-up was sent. */
   wakeAsked(nowMs: number): void {
     this.wakeAskedAtMs = nowMs;
--- a/src/home/decisions/WaitingLine.ts
+++ b/src/home/decisions/WaitingLine.ts
@@ -8,8 +8,7 @@
   readonly deadlineAtMs: number;
   readonly arrivedAtMs: number;
   readonly fingerprint: string;
-  /** Whether it must run with nothing beside it. */
-  readonly alone: boolean;
+  readonly idempotent: boolean;
   readonly excludedServerIds: readonly ServerId[];
   /** Whether the model had no ready replica when the request came. */
   readonly arrivedCold: boolean;
--- a/test/fuzz.ts
+++ b/test/fuzz.ts
@@ -14,7 +14,9 @@
 
 function runOne(promise: FuzzedPromise<World>, title: string, create: () => World): boolean {
   const result = fuzz(promise, create, Number(values.seed), Number(values.runs));
-  process.stdout.write(`${result.failed ? 'BROKEN' : 'holds '} ${title} (seed ${result.seed}, ${result.numRuns} runs)\n`);
+  process.stdout.write(
+    `${result.failed ? 'BROKEN' : 'holds '} ${title} (seed ${result.seed}, ${result.numRuns} runs)\n`,
+  );
   if (result.failed) {
     const trace = (result.counterexample?.[0] ?? []) as unknown as readonly unknown[];
     process.stdout.write(`  ${String(result.errorInstance)}\n  ${trace.map(String).join('\n  ')}\n`);
--- a/test/fuzz/Action.ts
+++ b/test/fuzz/Action.ts
@@ -36,8 +36,16 @@
 }
 
 /** Runs one promise; the details name the seed and the shrunk trace of a failure. */
-export function fuzz<W extends World>(promise: FuzzedPromise<W>, create: () => W, seed: number, numRuns: number) {
-  const commands = fc.array(fc.oneof(...promise.actions), { maxLength: promise.maxCommands ?? 60, size: 'max' });
+export function fuzz<W extends World>(
+  promise: FuzzedPromise<W>,
+  create: () => W,
+  seed: number,
+  numRuns: number,
+) {
+  const commands = fc.array(fc.oneof(...promise.actions), {
+    maxLength: promise.maxCommands ?? 60,
+    size: 'max',
+  });
   const property = fc.property(commands, (steps) => {
     const world = create();
     fc.modelRun(() => ({ model: {}, real: world }), steps);
--- a/test/fuzz/AnswerWorld.ts
+++ b/test/fuzz/AnswerWorld.ts
@@ -1,10 +1,17 @@
 import fc from 'fast-check';
 import { AttemptTable } from '../../src/agent/decisions/index.js';
-import { toAttemptId, toRequestId, VerdictTracker, type AnswerChunk, type AnswerEnd } from '../../src/domain/index.js';
+import {
+  toAttemptId,
+  toRequestId,
+  VerdictTracker,
+  type AnswerChunk,
+  type AnswerEnd,
+} from '../../src/domain/index.js';
 import { AnswerAssembler, type AssemblyStep } from '../../src/router/decisions/index.js';
 import { action, type FuzzedPromise, type World } from './Action.js';
 
-type Message = { readonly kind: 'chunk'; readonly chunk: AnswerChunk } | { readonly kind: 'end'; readonly end: AnswerEnd };
+type Message =
+  { readonly kind: 'chunk'; readonly chunk: AnswerChunk } | { readonly kind: 'end'; readonly end: AnswerEnd };
 
 interface Stream {
   readonly attemptId: ReturnType<typeof toAttemptId>;
@@ -38,7 +45,9 @@
         throw new Error(`${stream.attemptId} delivered "${stream.deliveredText}" of "${stream.ranText}"`);
       }
       if (stream.completedText !== undefined && stream.completedText !== stream.ranText) {
-        throw new Error(`${stream.attemptId} was called whole as "${stream.completedText}" instead of "${stream.ranText}"`);
+        throw new Error(
+          `${stream.attemptId} was called whole as "${stream.completedText}" instead of "${stream.ranText}"`,
+        );
       }
       if (stream.provedDidNotRun && stream.hasRun) {
         throw new Error(`${stream.attemptId} ran although it was proved not to`);
@@ -125,7 +134,9 @@
 
   private take(stream: Stream, message: Message): void {
     const step: AssemblyStep =
-      message.kind === 'chunk' ? stream.assembler.chunkArrived(message.chunk) : stream.assembler.endArrived(message.end);
+      message.kind === 'chunk'
+        ? stream.assembler.chunkArrived(message.chunk)
+        : stream.assembler.endArrived(message.end);
     if (step.kind === 'deliver') {
       stream.deliveredText += step.chunk.text;
     }
@@ -148,8 +159,13 @@
   ...[1, 2, 3].map(() =>
     action(
       'messageArrives',
-      fc.tuple(which, fc.constantFrom(0, 0, 1, 2), fc.constantFrom<'once' | 'twice' | 'lost'>('once', 'once', 'twice', 'lost')),
-      (world: AnswerWorld, [index, position, fate]) => world.with(index, (stream) => world.messageArrives(stream, position, fate)),
+      fc.tuple(
+        which,
+        fc.constantFrom(0, 0, 1, 2),
+        fc.constantFrom<'once' | 'twice' | 'lost'>('once', 'once', 'twice', 'lost'),
+      ),
+      (world: AnswerWorld, [index, position, fate]) =>
+        world.with(index, (stream) => world.messageArrives(stream, position, fate)),
     ),
   ),
   action('resume', which, (world: AnswerWorld, index) => world.with(index, (stream) => world.resume(stream))),
@@ -178,10 +194,26 @@
   name: 'each caller gets the whole answer to its own request, and "did not run" is true',
   actions,
   maxCommands: 100,
-  create: () => new AnswerWorld(() => new AttemptTable(), () => new AnswerAssembler()),
+  create: () =>
+    new AnswerWorld(
+      () => new AttemptTable(),
+      () => new AnswerAssembler(),
+    ),
   mutants: {
-    'pieces taken as they come': () => new AnswerWorld(() => new AttemptTable(), () => new TrustingAssembler()),
-    'end believed without its pieces': () => new AnswerWorld(() => new AttemptTable(), () => new HastyAssembler()),
-    'agent forgets that it promised to refuse': () => new AnswerWorld(() => new ForgetfulTable(), () => new AnswerAssembler()),
+    'pieces taken as they come': () =>
+      new AnswerWorld(
+        () => new AttemptTable(),
+        () => new TrustingAssembler(),
+      ),
+    'end believed without its pieces': () =>
+      new AnswerWorld(
+        () => new AttemptTable(),
+        () => new HastyAssembler(),
+      ),
+    'agent forgets that it promised to refuse': () =>
+      new AnswerWorld(
+        () => new ForgetfulTable(),
+        () => new AnswerAssembler(),
+      ),
   },
 };
--- a/test/fuzz/ClaimWorld.ts
+++ b/test/fuzz/ClaimWorld.ts
@@ -1,6 +1,13 @@
 import fc from 'fast-check';
 import { AttemptTable } from '../../src/agent/decisions/index.js';
-import { toAttemptId, toRequestId, toServerId, type AskReply, type AttemptId, type RequestId } from '../../src/domain/index.js';
+import {
+  toAttemptId,
+  toRequestId,
+  toServerId,
+  type AskReply,
+  type AttemptId,
+  type RequestId,
+} from '../../src/domain/index.js';
 import {
   ClaimLog,
   type AttemptAnswer,
@@ -98,7 +105,16 @@
     const requestId = toRequestId(`r${this.requests.length}`);
     const attemptId = toAttemptId(requestId, 1);
     const incarnation = this.agents[server]!.incarnation;
-    const request: FakeRequest = { requestId, key, attempts: 1, attemptId, home, server, state: 'claiming', incarnation };
+    const request: FakeRequest = {
+      requestId,
+      key,
+      attempts: 1,
+      attemptId,
+      home,
+      server,
+      state: 'claiming',
+      incarnation,
+    };
     this.requests.push(request);
     this.claim(request, false);
   }
@@ -111,7 +127,12 @@
       return;
     }
     request.attemptId = toAttemptId(request.requestId, ++request.attempts);
-    Object.assign(request, { home, server, state: 'claiming', incarnation: this.agents[server]!.incarnation });
+    Object.assign(request, {
+      home,
+      server,
+      state: 'claiming',
+      incarnation: this.agents[server]!.incarnation,
+    });
     this.claim(request, true);
   }
 
@@ -170,14 +191,20 @@
       case 'ask':
         log.asked(command.key, command.attemptId, this.ask(command, fate), 0);
         break;
-      default:
+      case 'remove':
+      case 'replyClaim':
+      case 'replyOutcome':
         break;
     }
     this.collect(entry.home);
   }
 
   private claim(request: FakeRequest, earlierAttemptDidNotRun: boolean): void {
-    const target = { serverId: toServerId(`s${request.server}`), incarnation: String(request.incarnation), peerAddress: '' };
+    const target = {
+      serverId: toServerId(`s${request.server}`),
+      incarnation: String(request.incarnation),
+      peerAddress: '',
+    };
     const { key, requestId, attemptId } = request;
     const operationId = this.homes[request.home]!.claim(
       { claimShard: 's', key, fingerprint: key, requestId, attemptId, target, earlierAttemptDidNotRun },
@@ -190,7 +217,10 @@
   private ask(command: ClaimCommand & { kind: 'ask' }, fate: WriteFate): AttemptAnswer {
     const agent = this.agents[Number(command.target.serverId.slice(1))];
     const isReachable = fate === 'done' || fate === 'answerLost';
-    const answer = agent && isReachable && agent.ask(command.attemptId, Number(command.target.incarnation), !this.faults.ignoresIncarnation);
+    const answer =
+      agent &&
+      isReachable &&
+      agent.ask(command.attemptId, Number(command.target.incarnation), !this.faults.ignoresIncarnation);
     return answer && fate === 'done' ? answer : { kind: 'unreachable' };
   }
 
@@ -210,7 +240,9 @@
       if (fate === 'arrivesLate') {
         this.late.push(() => apply());
       }
-      return this.faults.takesUnknownForWritten ? { kind: 'written' as const, version: ifVersion + 1 } : { kind: 'unknown' as const };
+      return this.faults.takesUnknownForWritten
+        ? { kind: 'written' as const, version: ifVersion + 1 }
+        : { kind: 'unknown' as const };
     }
     const version = apply();
     if (version === undefined) {
@@ -238,13 +270,33 @@
 
 const key = fc.constantFrom(...KEYS);
 const side = fc.nat(1);
-const fate = fc.constantFrom<WriteFate>('done', 'done', 'done', 'answerLost', 'requestLost', 'arrivesLate', 'unavailable');
+const fate = fc.constantFrom<WriteFate>(
+  'done',
+  'done',
+  'done',
+  'answerLost',
+  'requestLost',
+  'arrivesLate',
+  'unavailable',
+);
 const actions = [
-  action('request', fc.tuple(key, side, side), (world: ClaimWorld, [id, home, server]) => world.request(id, home, server)),
-  action('retry', fc.tuple(fc.nat(3), side, side), (world: ClaimWorld, [index, home, server]) => world.retry(index, home, server)),
-  ...[1, 2, 3].map(() => action('settle', fc.tuple(fc.nat(5), fate), (world: ClaimWorld, [index, how]) => world.settle(index, how))),
-  action('arrive', fc.tuple(fc.nat(3), fc.boolean()), (world: ClaimWorld, [index, refuses]) => world.arrive(index, refuses)),
-  action('recordOutcome', fc.tuple(fc.nat(9), side), (world: ClaimWorld, [index, home]) => world.recordOutcome(index, home)),
+  action('request', fc.tuple(key, side, side), (world: ClaimWorld, [id, home, server]) =>
+    world.request(id, home, server),
+  ),
+  action('retry', fc.tuple(fc.nat(3), side, side), (world: ClaimWorld, [index, home, server]) =>
+    world.retry(index, home, server),
+  ),
+  ...[1, 2, 3].map(() =>
+    action('settle', fc.tuple(fc.nat(5), fate), (world: ClaimWorld, [index, how]) =>
+      world.settle(index, how),
+    ),
+  ),
+  action('arrive', fc.tuple(fc.nat(3), fc.boolean()), (world: ClaimWorld, [index, refuses]) =>
+    world.arrive(index, refuses),
+  ),
+  action('recordOutcome', fc.tuple(fc.nat(9), side), (world: ClaimWorld, [index, home]) =>
+    world.recordOutcome(index, home),
+  ),
   action('lateWriteArrives', fc.constant(0), (world: ClaimWorld) => world.late.shift()?.()),
   action('restartAgent', side, (world: ClaimWorld, index) => world.agents[index]!.restart()),
   action('homeDies', side, (world: ClaimWorld, index) => {
--- a/test/fuzz/HomeWorld.ts
+++ b/test/fuzz/HomeWorld.ts
@@ -1,6 +1,18 @@
 import fc from 'fast-check';
-import { toModelId, toOrganisationId, toRequestId, toServerId, type ReplicaReport, type RequestClass } from '../../src/domain/index.js';
-import { CrashLedger, FixedKeepAlivePolicy, ModelHome, type HomeCommand } from '../../src/home/decisions/index.js';
+import {
+  toModelId,
+  toOrganisationId,
+  toRequestId,
+  toServerId,
+  type ReplicaReport,
+  type RequestClass,
+} from '../../src/domain/index.js';
+import {
+  CrashLedger,
+  FixedKeepAlivePolicy,
+  ModelHome,
+  type HomeCommand,
+} from '../../src/home/decisions/index.js';
 import { action, type FuzzedPromise, type World } from './Action.js';
 
 const SLOT_COUNT = 3;
@@ -115,7 +127,9 @@
   /** The poisonous request brings its server down, with everything that runs there; the others are asked again. */
   private crash(server: string): void {
     this.poisonCrashes++;
-    const victims = [...this.requests].filter(([, asked]) => asked.state === 'running' && asked.server === server);
+    const victims = [...this.requests].filter(
+      ([, asked]) => asked.state === 'running' && asked.server === server,
+    );
     for (const [requestId, asked] of victims) {
       asked.state = 'over';
       this.end(requestId, 'crashed');
@@ -127,7 +141,12 @@
     }
   }
 
-  private send(requestId: string, organisation: string, requestClass: RequestClass, remainingMs: number): void {
+  private send(
+    requestId: string,
+    organisation: string,
+    requestClass: RequestClass,
+    remainingMs: number,
+  ): void {
     const asked = this.requests.get(requestId);
     this.home.requestArrived(
       {
@@ -146,7 +165,10 @@
   }
 
   private end(requestId: string, outcome: 'completed' | 'refused' | 'failed' | 'crashed'): void {
-    this.home.released({ requestId: toRequestId(requestId), modelId: toModelId('svc/m'), outcome, serviceMs: 20 }, this.nowMs);
+    this.home.released(
+      { requestId: toRequestId(requestId), modelId: toModelId('svc/m'), outcome, serviceMs: 20 },
+      this.nowMs,
+    );
     this.collect();
   }
 
@@ -183,7 +205,9 @@
     }
     asked.state = 'running';
     asked.server = command.serverId;
-    const together = [...this.requests.values()].filter((other) => other.state === 'running' && other.server === command.serverId);
+    const together = [...this.requests.values()].filter(
+      (other) => other.state === 'running' && other.server === command.serverId,
+    );
     if (together.length > SLOT_COUNT) {
       this.broken = `${command.serverId} runs ${together.length} requests in ${SLOT_COUNT} slots`;
     }
@@ -199,18 +223,31 @@
 const server = fc.constantFrom(...SERVERS);
 const organisation = fc.constantFrom('o1', 'o2', 'o3');
 const requestClass = fc.constantFrom<RequestClass>('interactive', 'interactive', 'batch');
-const phase = fc.constantFrom<ReplicaReport['phase']>('ready', 'ready', 'ready', 'loading', 'absent', 'unloading');
+const phase = fc.constantFrom<ReplicaReport['phase']>(
+  'ready',
+  'ready',
+  'ready',
+  'loading',
+  'absent',
+  'unloading',
+);
 const actions = [
   ...[1, 2, 3].map(() =>
-    action('ask', fc.tuple(organisation, requestClass, fc.constantFrom(100, 900, 4_000), fc.nat(5)), (world: HomeWorld, [who, what, ms, poison]) =>
-      world.ask(who, what, ms, poison === 0),
+    action(
+      'ask',
+      fc.tuple(organisation, requestClass, fc.constantFrom(100, 900, 4_000), fc.nat(5)),
+      (world: HomeWorld, [who, what, ms, poison]) => world.ask(who, what, ms, poison === 0),
     ),
   ),
-  action('report', fc.tuple(server, phase, fc.nat(5)), (world: HomeWorld, [id, where, leaving]) => world.report(id, where, leaving === 0)),
+  action('report', fc.tuple(server, phase, fc.nat(5)), (world: HomeWorld, [id, where, leaving]) =>
+    world.report(id, where, leaving === 0),
+  ),
   action('lose', server, (world: HomeWorld, id) => world.lose(id)),
   ...[1, 2, 3].map(() =>
-    action('release', fc.tuple(fc.nat(9), fc.constantFrom('completed', 'completed', 'refused', 'failed')), (world: HomeWorld, [index, how]) =>
-      world.release(index, how),
+    action(
+      'release',
+      fc.tuple(fc.nat(9), fc.constantFrom('completed', 'completed', 'refused', 'failed')),
+      (world: HomeWorld, [index, how]) => world.release(index, how),
     ),
   ),
   action('abandon', fc.nat(9), (world: HomeWorld, index) => world.abandon(index)),
@@ -252,7 +289,13 @@
   },
   mutants: {
     'home that gives nothing up': () =>
-      new HomeWorld(new PatientHome({ alwaysLoaded: false, keepAlive: new FixedKeepAlivePolicy(1_000), crashes: new CrashLedger() })),
+      new HomeWorld(
+        new PatientHome({
+          alwaysLoaded: false,
+          keepAlive: new FixedKeepAlivePolicy(1_000),
+          crashes: new CrashLedger(),
+        }),
+      ),
     'crashes are never held against a request': () => new HomeWorld(createHome(new ForgivingLedger())),
     'nobody is ever suspected': () => new HomeWorld(createHome(new SuspiciousOfNobody())),
   },
--- a/test/fuzz/ResidencyWorld.ts
+++ b/test/fuzz/ResidencyWorld.ts
@@ -81,7 +81,11 @@
   readonly id: string;
   readonly engine: FakeEngine;
   readonly couriers: Courier[] = [];
-  readonly snapshots: { readonly state: EngineState; readonly askedAtMs: number; readonly agentRun: number }[] = [];
+  readonly snapshots: {
+    readonly state: EngineState;
+    readonly askedAtMs: number;
+    readonly agentRun: number;
+  }[] = [];
   agentRun = 0;
   gone = false;
   grants!: GrantTable;
@@ -248,7 +252,9 @@
 
   /** Brings an answer back, or nothing: the agent then knows only that it does not know. */
   settleOrder(server: FakeServer, index: number, answered: boolean): void {
-    const open = server.couriers.filter((courier) => !courier.agentGaveUp && (!answered || courier.answer !== undefined));
+    const open = server.couriers.filter(
+      (courier) => !courier.agentGaveUp && (!answered || courier.answer !== undefined),
+    );
     const courier = open[index % Math.max(1, open.length)];
     if (!courier) {
       return;
@@ -291,7 +297,11 @@
     const placement = home.placements.get(modelId);
     const acknowledged = new Set<string>();
     for (const report of home.reports.values()) {
-      if (report.modelId === modelId && report.phase === 'absent' && report.version >= (placement?.version ?? 1)) {
+      if (
+        report.modelId === modelId &&
+        report.phase === 'absent' &&
+        report.version >= (placement?.version ?? 1)
+      ) {
         acknowledged.add(report.serverId);
       }
     }
@@ -302,7 +312,11 @@
       sizeBytes: SIZE_BYTES[modelId] ?? 0,
       pool: this.servers
         .filter((server) => !server.gone)
-        .map((server, index) => ({ serverId: toServerId(server.id), dataCentre: 'd', leaving: leaving.includes(index) })),
+        .map((server, index) => ({
+          serverId: toServerId(server.id),
+          dataCentre: 'd',
+          leaving: leaving.includes(index),
+        })),
       acknowledged,
       offers: this.servers.map((server) => ({
         serverId: toServerId(server.id),
@@ -356,14 +370,19 @@
 const homeOf = (world: ResidencyWorld, index: number) => world.homes[index]!;
 
 const actions = [
-  action('wake', fc.tuple(server, model, fc.constantFrom(100, LONG_KEEP_ALIVE_MS)), (world: ResidencyWorld, [index, id, keepAliveMs]) =>
-    world.wake(serverOf(world, index), id, keepAliveMs),
+  action(
+    'wake',
+    fc.tuple(server, model, fc.constantFrom(100, LONG_KEEP_ALIVE_MS)),
+    (world: ResidencyWorld, [index, id, keepAliveMs]) => world.wake(serverOf(world, index), id, keepAliveMs),
   ),
   action('deliverOrder', fc.tuple(server, fc.nat(3)), (world: ResidencyWorld, [index, which]) =>
     world.deliverOrder(serverOf(world, index), which),
   ),
-  action('settleOrder', fc.tuple(server, fc.nat(3), fc.boolean()), (world: ResidencyWorld, [index, which, answered]) =>
-    world.settleOrder(serverOf(world, index), which, answered),
+  action(
+    'settleOrder',
+    fc.tuple(server, fc.nat(3), fc.boolean()),
+    (world: ResidencyWorld, [index, which, answered]) =>
+      world.settleOrder(serverOf(world, index), which, answered),
   ),
   action('askState', server, (world: ResidencyWorld, index) => world.askState(serverOf(world, index))),
   action('takeState', server, (world: ResidencyWorld, index) => world.takeState(serverOf(world, index))),
@@ -378,11 +397,14 @@
     action(
       'placeAndWake',
       fc.tuple(home, model, server, fc.subarray([0, 1, 2])),
-      (world: ResidencyWorld, [index, id, to, leaving]) => world.placeAndWake(homeOf(world, index), id, to, leaving),
+      (world: ResidencyWorld, [index, id, to, leaving]) =>
+        world.placeAndWake(homeOf(world, index), id, to, leaving),
     ),
   ),
-  action('move', fc.tuple(home, model, fc.subarray([0, 1, 2], { maxLength: 2 })), (world: ResidencyWorld, [index, id, leaving]) =>
-    world.move(homeOf(world, index), id, leaving),
+  action(
+    'move',
+    fc.tuple(home, model, fc.subarray([0, 1, 2], { maxLength: 2 })),
+    (world: ResidencyWorld, [index, id, leaving]) => world.move(homeOf(world, index), id, leaving),
   ),
   action('readStateAndPush', fc.tuple(home, model, server), (world: ResidencyWorld, [index, id, at]) => {
     world.nowMs++;
@@ -419,26 +441,39 @@
     }
   }),
   action('crashEngine', server, (world: ResidencyWorld, index) => world.crashEngine(serverOf(world, index))),
-  action('confirmGrants', server, (world: ResidencyWorld, index) => world.confirmGrants(serverOf(world, index))),
-  action('review', fc.tuple(home, model, fc.subarray([0, 1, 2]), fc.boolean()), (world: ResidencyWorld, [index, id, leaving, lost]) =>
-    world.review(homeOf(world, index), id, leaving, lost),
+  action('confirmGrants', server, (world: ResidencyWorld, index) =>
+    world.confirmGrants(serverOf(world, index)),
+  ),
+  action(
+    'review',
+    fc.tuple(home, model, fc.subarray([0, 1, 2]), fc.boolean()),
+    (world: ResidencyWorld, [index, id, leaving, lost]) =>
+      world.review(homeOf(world, index), id, leaving, lost),
+  ),
+  action('refreshHome', fc.tuple(home, model), (world: ResidencyWorld, [index, id]) =>
+    world.refresh(homeOf(world, index), id),
+  ),
+  action('pushEverywhere', fc.tuple(home, model), (world: ResidencyWorld, [index, id]) =>
+    world.push(homeOf(world, index), id),
   ),
-  action('refreshHome', fc.tuple(home, model), (world: ResidencyWorld, [index, id]) => world.refresh(homeOf(world, index), id)),
-  action('pushEverywhere', fc.tuple(home, model), (world: ResidencyWorld, [index, id]) => world.push(homeOf(world, index), id)),
   action('pushPlacement', fc.tuple(home, server, model), (world: ResidencyWorld, [from, to, id]) => {
     const placement = homeOf(world, from).placements.get(id);
     if (placement) {
       serverOf(world, to).grants.accept(placement);
     }
   }),
-  action('makeReport', fc.tuple(server, model), (world: ResidencyWorld, [index, id]) => world.makeReport(serverOf(world, index), id)),
+  action('makeReport', fc.tuple(server, model), (world: ResidencyWorld, [index, id]) =>
+    world.makeReport(serverOf(world, index), id),
+  ),
   action('takeReport', home, (world: ResidencyWorld, index) => {
     const report = world.reports.shift();
     if (report) {
       homeOf(world, index).reports.set(`${report.modelId}@${report.serverId}`, report);
     }
   }),
-  action('advance', fc.constantFrom(1, 50, 1_000, 6_000), (world: ResidencyWorld, byMs) => world.advance(byMs)),
+  action('advance', fc.constantFrom(1, 50, 1_000, 6_000), (world: ResidencyWorld, byMs) =>
+    world.advance(byMs),
+  ),
   action('startRequest', fc.tuple(server, model), (world: ResidencyWorld, [index, id]) => {
     serverOf(world, index).controller.requestStarted(id);
   }),
@@ -492,9 +527,15 @@
           createController: (grants) => new ResidencyController(grants, new BoundlessLedger(0)),
         }),
       'grants believed before the platform confirmed them': () =>
-        new ResidencyWorld(fencing, { ...realParts, createGrants: (id) => new TrustingGrantTable(toServerId(id)) }),
+        new ResidencyWorld(fencing, {
+          ...realParts,
+          createGrants: (id) => new TrustingGrantTable(toServerId(id)),
+        }),
       'unanswered order taken for not carried out': () =>
-        new ResidencyWorld(fencing, { ...realParts, createController: (grants) => new HopefulController(grants) }),
+        new ResidencyWorld(fencing, {
+          ...realParts,
+          createController: (grants) => new HopefulController(grants),
+        }),
     },
   };
 }
--- a/test/fuzz/SharedWorlds.ts
+++ b/test/fuzz/SharedWorlds.ts
@@ -1,6 +1,12 @@
 import fc from 'fast-check';
 import { LoadPacer, PERMIT_LEASE_MS, type PacerLimits } from '../../src/home/decisions/index.js';
-import { BudgetSlices, RetryBudget, StateStore, type StateDelta, type StateObject } from '../../src/router/decisions/index.js';
+import {
+  BudgetSlices,
+  RetryBudget,
+  StateStore,
+  type StateDelta,
+  type StateObject,
+} from '../../src/router/decisions/index.js';
 import { action, type FuzzedPromise, type World } from './Action.js';
 
 const PATHS = ['state/services/a', 'state/services/b', 'state/drains/c'];
@@ -25,7 +31,9 @@
       for (const object of this.platform.values()) {
         const held = [...store.deltaSince(-1).objects].find((other) => other.path === object.path);
         if (object.revision <= store.revision && (held?.version ?? 0) < object.version) {
-          throw new Error(`router ${index} holds everything to ${store.revision} but not ${object.path} ${object.version}`);
+          throw new Error(
+            `router ${index} holds everything to ${store.revision} but not ${object.path} ${object.version}`,
+          );
         }
       }
     }
@@ -33,7 +41,13 @@
 
   write(path: string, isDeletion: boolean, writer: number | undefined): void {
     const version = (this.platform.get(path)?.version ?? 0) + 1;
-    const object: StateObject = { path, value: version, version, deleted: isDeletion, revision: ++this.revision };
+    const object: StateObject = {
+      path,
+      value: version,
+      version,
+      deleted: isDeletion,
+      revision: ++this.revision,
+    };
     this.platform.set(path, object);
     if (writer !== undefined) {
       this.stores[writer]?.apply({ ...object, revision: 0 });
@@ -74,16 +88,9 @@
   }
 }
 
-/** Believes whatever came last. */
+/** Hands on whatever came last, however old. */
 class GullibleStore extends StateStore {
-  override apply(object: StateObject): boolean {
-    const forged = { ...object, version: object.version + 1_000 * this.size };
-    return super.apply(forged.version === object.version ? object : { ...object });
-  }
-
-  override get<T>(path: string) {
-    return super.get<T>(path);
-  }
+  private readonly latest = new Map<string, StateObject>();
 
   override applyDelta(delta: StateDelta): void {
     for (const object of delta.objects) {
@@ -92,8 +99,6 @@
     super.applyDelta(delta);
   }
 
-  private readonly latest = new Map<string, StateObject>();
-
   override deltaSince(revision: number): StateDelta {
     const delta = super.deltaSince(revision);
     return { ...delta, objects: delta.objects.map((object) => this.latest.get(object.path) ?? object) };
@@ -117,9 +122,15 @@
   name: 'an accepted configuration never reverts',
   maxCommands: 80,
   actions: [
-    action('write', fc.tuple(path, fc.boolean(), writer), (world: StateWorld, [where, isDeletion, by]) => world.write(where, isDeletion, by)),
-    action('watch', fc.tuple(router, fc.boolean()), (world: StateWorld, [index, isDelayed]) => world.watch(index, isDelayed)),
-    action('pull', fc.tuple(router, router, fc.boolean()), (world: StateWorld, [from, to, isDelayed]) => world.pull(from, to, isDelayed)),
+    action('write', fc.tuple(path, fc.boolean(), writer), (world: StateWorld, [where, isDeletion, by]) =>
+      world.write(where, isDeletion, by),
+    ),
+    action('watch', fc.tuple(router, fc.boolean()), (world: StateWorld, [index, isDelayed]) =>
+      world.watch(index, isDelayed),
+    ),
+    action('pull', fc.tuple(router, router, fc.boolean()), (world: StateWorld, [from, to, isDelayed]) =>
+      world.pull(from, to, isDelayed),
+    ),
     action('takeDelayed', fc.constant(0), (world: StateWorld) => world.takeDelayed()),
   ],
   create: () => new StateWorld(() => new StateStore()),
@@ -157,7 +168,11 @@
     this.routers[index]!.giveBack(amount);
   }
 
-  takeSlice(index: number, neededTokens: number, fate: 'done' | 'requestLost' | 'answerLost' | 'conflict'): void {
+  takeSlice(
+    index: number,
+    neededTokens: number,
+    fate: 'done' | 'requestLost' | 'answerLost' | 'conflict',
+  ): void {
     const slice = this.routers[index]!.nextSliceTokens(this.takenTokens, neededTokens);
     if (fate === 'done' || fate === 'answerLost') {
       this.takenTokens += slice;
@@ -173,11 +188,27 @@
   name: "an organisation's spending stays within its budget over all routers",
   maxCommands: 100,
   actions: [
-    action('reserve', fc.tuple(router, fc.integer({ min: 1, max: 200 })), (world: BudgetWorld, [index, count]) => world.reserve(index, count)),
-    action('giveBack', fc.tuple(router, fc.nat(100)), (world: BudgetWorld, [index, count]) => world.giveBack(index, count)),
+    action(
+      'reserve',
+      fc.tuple(router, fc.integer({ min: 1, max: 200 })),
+      (world: BudgetWorld, [index, count]) => world.reserve(index, count),
+    ),
+    action('giveBack', fc.tuple(router, fc.nat(100)), (world: BudgetWorld, [index, count]) =>
+      world.giveBack(index, count),
+    ),
     action(
       'takeSlice',
-      fc.tuple(router, fc.integer({ min: 1, max: 300 }), fc.constantFrom<'done' | 'requestLost' | 'answerLost' | 'conflict'>('done', 'done', 'requestLost', 'answerLost', 'conflict')),
+      fc.tuple(
+        router,
+        fc.integer({ min: 1, max: 300 }),
+        fc.constantFrom<'done' | 'requestLost' | 'answerLost' | 'conflict'>(
+          'done',
+          'done',
+          'requestLost',
+          'answerLost',
+          'conflict',
+        ),
+      ),
       (world: BudgetWorld, [index, needed, fate]) => world.takeSlice(index, needed, fate),
     ),
   ],
@@ -264,7 +295,8 @@
   create: () => new PacerWorld(new LoadPacer(LIMITS)),
   mutants: {
     'pacer without a rate': () => new PacerWorld(new HurriedPacer()),
-    'pacer without a limit of loads at once': () => new PacerWorld(new LoadPacer({ ...LIMITS, concurrentLoads: 100 })),
+    'pacer without a limit of loads at once': () =>
+      new PacerWorld(new LoadPacer({ ...LIMITS, concurrentLoads: 100 })),
   },
 };
 
@@ -305,5 +337,7 @@
     }),
   ],
   create: () => new RetryWorld(new RetryBudget()),
-  mutants: { 'retries without a budget': () => new RetryWorld({ succeeded: () => undefined, tryTake: () => true }) },
+  mutants: {
+    'retries without a budget': () => new RetryWorld({ succeeded: () => undefined, tryTake: () => true }),
+  },
 };
--- a/test/fuzz/promises.test.ts
+++ b/test/fuzz/promises.test.ts
@@ -12,7 +12,9 @@
     for (const seed of SEEDS) {
       it(`holds with seed ${seed}`, () => {
         const result = fuzz(promise, promise.create, seed, RUNS_PER_SEED);
-        expect(result.failed, `${String(result.counterexample)} ${String(result.errorInstance)}`).to.equal(false);
+        expect(result.failed, `${String(result.counterexample)} ${String(result.errorInstance)}`).to.equal(
+          false,
+        );
       });
     }
 
