--- /dev/null
+++ b/test/process/wholePath.test.ts
@@ -0,0 +1,147 @@
+import { connect } from 'node:net';
+import { expect } from 'chai';
+import OpenAI from 'openai';
+import { expectedTokens } from '../../standins/EngineStandIn.js';
+import { streamedText, TestSystem, TOKENS, type ChatExtra } from './TestSystem.js';
+
+const MODEL = 'quotes/base';
+
+describe('the whole path', () => {
+  let system: TestSystem;
+
+  before(async () => {
+    system = await TestSystem.start({ engine: { slotCount: 64 } });
+  });
+
+  after(() => system.stop());
+
+  it('gives each of 200 concurrent streams over two routers its own answer, byte for byte', async () => {
+    const prompts = Array.from({ length: 200 }, (_, index) => `prompt ${index} ${'x'.repeat(index % 7)}`);
+    const answers = await Promise.all(
+      prompts.map((prompt, index) =>
+        system.chat(`router-${(index % 2) + 1}`, prompt, { stream: true, max_tokens: 6 }),
+      ),
+    );
+    for (const [index, answer] of answers.entries()) {
+      expect(streamedText(answer.text)).to.equal(expectedTokens(MODEL, prompts[index]!, 6).join(''));
+    }
+    expect(system.loadedCount(MODEL)).to.be.at.most(2);
+  });
+
+  it('serves the openai client, streaming and not', async () => {
+    const client = new OpenAI({
+      apiKey: TOKENS.mosquitero,
+      baseURL: `${system.fleet.getOrThrow('router-1').entryUrl}/v1`,
+      maxRetries: 0,
+    });
+    const request = {
+      model: MODEL,
+      messages: [{ role: 'user' as const, content: 'screens' }],
+      max_tokens: 4,
+    };
+    const whole = await client.chat.completions.create(request);
+    let streamed = '';
+    for await (const event of await client.chat.completions.create({ ...request, stream: true })) {
+      streamed += event.choices[0]?.delta.content ?? '';
+    }
+    const expected = expectedTokens(MODEL, 'screens', 4).join('');
+    expect(whole.choices[0]?.message.content).to.equal(expected);
+    expect(streamed).to.equal(expected);
+  });
+
+  it('serves an adapter', async () => {
+    const answer = await system.chat('router-2', 'in Salto', { model: 'quotes/base:salto', stream: true });
+    expect(streamedText(answer.text)).to.equal(expectedTokens('quotes/base:salto', 'in Salto', 5).join(''));
+  });
+
+  describe('bad input', () => {
+    async function doTest(extra: ChatExtra, status: number, title: string): Promise<void> {
+      const answer = await system.chat('router-1', 'p', extra);
+      const problem = JSON.parse(answer.text) as Record<string, unknown>;
+      expect(answer.status).to.equal(status);
+      expect(problem.title).to.equal(title);
+      expect(problem.verdict).to.equal('didNotRun');
+      expect(answer.headers.get('content-type')).to.equal('application/problem+json');
+    }
+
+    it('refuses a wrong token', () => doTest({ token: 'wrong' }, 401, 'unauthenticated'));
+    it('refuses an unknown model', () => doTest({ model: 'quotes/none' }, 404, 'unknownModel'));
+    it('refuses an unknown adapter', () => doTest({ model: 'quotes/base:none' }, 404, 'unknownModel'));
+    it("hides another organisation's model", () => doTest({ token: TOKENS.rimalia }, 404, 'unknownModel'));
+    it('refuses a deadline that has passed', () =>
+      doTest({ headers: { 'request-timeout-ms': '0' } }, 504, 'deadlinePassed'));
+    it('refuses a deadline that is no number', () =>
+      doTest({ headers: { 'request-timeout-ms': 'soon' } }, 400, 'malformedRequest'));
+    it('refuses a field of the wrong type', () => doTest({ max_tokens: -1 }, 400, 'malformedRequest'));
+
+    it('refuses a body that is not JSON', async () => {
+      const answer = await system.call('router-1', '/v1/chat/completions', {
+        method: 'POST',
+        body: '{"model":',
+      });
+      expect(answer.status).to.equal(400);
+    });
+
+    it('refuses a body over the limit', async () => {
+      const body = JSON.stringify({
+        model: MODEL,
+        messages: [{ role: 'user', content: 'x'.repeat(1_100_000) }],
+      });
+      const answer = await system.call('router-1', '/v1/chat/completions', { method: 'POST', body });
+      expect(answer.status).to.equal(413);
+    });
+
+    it('refuses a path that is not served', async () => {
+      expect((await system.call('router-1', '/v2/none')).status).to.equal(404);
+    });
+
+    it('refuses a peer without the secret', async () => {
+      const [host = '', port] = system.fleet.getOrThrow('router-1').instance.peerAddress.split(':');
+      const answer = await new Promise<string>((resolve) => {
+        const socket = connect(Number(port), host);
+        socket.on('data', (piece) => resolve(String(piece)));
+        socket.write(
+          'GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n',
+        );
+      });
+      expect(answer).to.match(/^HTTP\/1.1 401/);
+    });
+
+    it('refuses an operator without the token', async () => {
+      const response = await fetch(`${system.fleet.getOrThrow('router-1').adminUrl}/status`);
+      expect(response.status).to.equal(401);
+    });
+  });
+
+  it('cancels the stream on the engine when the caller hangs up', async () => {
+    const before = system.engines.reduce((sum, engine) => sum + engine.cancelledCount, 0);
+    const abort = new AbortController();
+    const response = await fetch(`${system.fleet.getOrThrow('router-1').entryUrl}/v1/chat/completions`, {
+      method: 'POST',
+      signal: abort.signal,
+      headers: { authorization: `Bearer ${TOKENS.mosquitero}` },
+      body: JSON.stringify({
+        model: MODEL,
+        messages: [{ role: 'user', content: 'long' }],
+        stream: true,
+        max_tokens: 2_000,
+      }),
+    });
+    await response.body?.getReader().read();
+    abort.abort();
+    await system.until(
+      'the engine saw the cancellation',
+      () => system.engines.reduce((sum, engine) => sum + engine.cancelledCount, 0) > before,
+    );
+  });
+
+  it('says which port is taken', async () => {
+    const first = system.fleet.getOrThrow('router-1');
+    const failure = await system.fleet.restart('router-1').then(
+      () => 'started',
+      (error: Error) => error.message,
+    );
+    system.fleet.daemons.set('router-1', first);
+    expect(failure).to.match(/peer: 127\.0\.0\.1:\d+ is in use by another process; choose a free port/);
+  });
+});
