Tell a crash of the engine from a broken connection even while the engine is down; outlive the balancer's idle connections

Cause of the quarantine test's timeout: the agent read the engine's state once after a broken connection; an engine that was just restarting did not answer, which counted neither as unreachable nor as a new boot, so the crash was reported as a plain failure, never held against the request, and retried. Ruled out: the home's crash ledger (fuzzed) and the quarantine watch. Now the agent looks until the engine answers or counts as unreachable. Cause of the memory test's failure: Node closes idle keep-alive connections after 5 s, which met the client's next request; 75 s now. Configuration tests no longer publish organisations that their set-up holds already.

--- a/src/agent/AttemptRunner.ts
+++ b/src/agent/AttemptRunner.ts
@@ -9,6 +9,8 @@
 
 /** Time that an adapter stays after its last use, in milliseconds. */
 const ADAPTER_KEEP_ALIVE_MS = 600_000;
+/** Time between two looks whether the backend server crashed, in milliseconds. */
+const CRASH_CHECK_INTERVAL_MS = 100;
 /** Time that a caller should wait after a server refused, in milliseconds. */
 const REFUSAL_RETRY_AFTER_MS = 1_000;
 
@@ -184,8 +186,15 @@
   }
 
   private async hasCrashed(bootIdBefore: string | undefined): Promise<boolean> {
-    await this.residency.refresh();
-    return !this.residency.isReachable || this.residency.bootId !== bootIdBefore;
+    while (this.residency.isReachable && this.residency.bootId === bootIdBefore) {
+      if (await this.residency.refresh()) {
+        return this.residency.bootId !== bootIdBefore;
+      }
+      await new Promise<void>((resolve) => {
+        this.clock.schedule(CRASH_CHECK_INTERVAL_MS, resolve);
+      });
+    }
+    return true;
   }
 
   private end(order: RunParams, live: LiveAttempt, result: BackendRunResult, crashed: boolean): void {
--- a/src/agent/ResidencyService.ts
+++ b/src/agent/ResidencyService.ts
@@ -23,7 +23,7 @@
   private readonly permitSourceByItem = new Map<string, PermitSource>();
   private latest: EngineState | undefined;
   private failedReads = 0;
-  private reading = false;
+  private reading: Promise<boolean> | undefined;
 
   /**
    * @param clock - Source of time.
@@ -133,15 +133,17 @@
     return this.latest?.diskCached.includes(itemId) ? 'disk' : 'remote';
   }
 
-  /** Reads the backend server's state now. */
-  async refresh(): Promise<void> {
-    if (this.reading) {
-      return;
-    }
-    this.reading = true;
+  /** Reads the backend server's state now; true when the server answered. */
+  refresh(): Promise<boolean> {
+    this.reading ??= this.readState().finally(() => {
+      this.reading = undefined;
+    });
+    return this.reading;
+  }
+
+  private async readState(): Promise<boolean> {
     const askedAtMs = this.clock.nowMs();
     const state = await this.backend.readState();
-    this.reading = false;
     this.failedReads = state ? 0 : this.failedReads + 1;
     if (state) {
       this.latest = state;
@@ -149,6 +151,7 @@
     }
     this.controller.tick(this.clock.nowMs());
     this.settle();
+    return state !== undefined;
   }
 
   /** Sends the orders that are due and tells the listeners. */
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -19,6 +19,8 @@
 
 /** Largest body of a caller's request, in bytes. */
 const MAX_BODY_BYTES = 1024 * 1024;
+/** Time that an idle connection stays open; longer than a balancer keeps one, which so closes first, in milliseconds. */
+const KEEP_ALIVE_MS = 75_000;
 /** Time for which a stopping router still answers new callers, until the balancer has noticed, in milliseconds. */
 const STOP_GRACE_MS = 1_000;
 /** Time after which a caller whose budget is exhausted should come back, in milliseconds. */
@@ -49,6 +51,7 @@
   /** @param parts - What the entry is made of. */
   constructor(private readonly parts: EntryParts) {
     this.http = createServer((request, response) => void this.serve(request, response));
+    this.http.keepAliveTimeout = KEEP_ALIVE_MS;
     parts.metrics.gauge('entry_live_requests', () => this.liveCount);
   }
 
--- a/test/process/configuration.test.ts
+++ b/test/process/configuration.test.ts
@@ -14,7 +14,7 @@
   beforeEach(async () => {
     system = await TestSystem.start({ engineCount: 1 });
     folder = await mkdtemp(join(tmpdir(), 'monsoonglade-test-'));
-    await cp('examples', folder, { recursive: true });
+    await cp('examples/rimalia', join(folder, 'rimalia'), { recursive: true });
   });
 
   afterEach(async () => {
@@ -34,7 +34,14 @@
   const knows = (router: string, service: string) =>
     system.until(
       `${router} knows ${service}`,
-      async () => (await system.chat(router, 'p', { token: 'rimalia-demo-token', model: service, headers: { 'request-timeout-ms': '50' } })).status !== 404,
+      async () =>
+        (
+          await system.chat(router, 'p', {
+            token: 'rimalia-demo-token',
+            model: service,
+            headers: { 'request-timeout-ms': '50' },
+          })
+        ).status !== 404,
       IN_FORCE_BOUND_MS,
     );
 
@@ -53,9 +60,13 @@
     expect(race.code).to.equal(3);
     expect(race.out).to.match(/! state\/services\/clearance-desk: conflict/);
     expect(race.out).to.match(/defaultDeadlineMs: 11000 -> 12000/);
-    expect(system.platform.peek('state/services/clearance-desk')?.value).to.include({ defaultDeadlineMs: 11_000 });
+    expect(system.platform.peek('state/services/clearance-desk')?.value).to.include({
+      defaultDeadlineMs: 11_000,
+    });
     expect((await publish('--accept-current')).code).to.equal(0);
-    expect(system.platform.peek('state/services/clearance-desk')?.value).to.include({ defaultDeadlineMs: 12_000 });
+    expect(system.platform.peek('state/services/clearance-desk')?.value).to.include({
+      defaultDeadlineMs: 12_000,
+    });
   });
 
   it('settles a lost answer by reading back', async () => {
@@ -80,7 +91,10 @@
     const audit = await system.runCli(['audit', '--kind', 'configuration', '--json']);
     const subjects = (JSON.parse(audit.out) as { subject: string }[]).map((entry) => entry.subject);
     expect(subjects).to.include('state/services/clearance-desk');
-    const urls = ['router-1', 'router-2', 'engine-1'].flatMap((id) => ['--admin', system.fleet.getOrThrow(id).adminUrl]);
+    const urls = ['router-1', 'router-2', 'engine-1'].flatMap((id) => [
+      '--admin',
+      system.fleet.getOrThrow(id).adminUrl,
+    ]);
     const status = await system.runCli(['status', ...urls]);
     expect(status.code, status.error).to.equal(0);
     expect(status.out).to.match(/router router-1: ready/);
@@ -90,10 +104,15 @@
   });
 
   it('is refused with file, field, value and what is allowed', async () => {
-    await writeFile(serviceFile(), JSON.stringify({ service: 'X', pool: 'p', organisations: ['rimalia'], models: [], replicas: 3 }));
+    await writeFile(
+      serviceFile(),
+      JSON.stringify({ service: 'X', pool: 'p', organisations: ['rimalia'], models: [], replicas: 3 }),
+    );
     const result = await system.runCli(['validate', folder]);
     expect(result.code).to.equal(2);
-    expect(result.error).to.match(/clearance-desk\.service\.json: field service: found "X"; allowed are lower-case letters/);
+    expect(result.error).to.match(
+      /clearance-desk\.service\.json: field service: found "X"; allowed are lower-case letters/,
+    );
     expect(result.error).to.match(/Unrecognized key: "replicas"/);
   });
 });
@@ -106,13 +125,18 @@
       await system.write('state/organisations/mosquitero', { ...value, tokensPerDay: 100 });
       await new Promise((resolve) => setTimeout(resolve, 300));
       const answers = await Promise.all(
-        Array.from({ length: 60 }, (_, index) => system.chat(`router-${(index % 3) + 1}`, `spend ${index}`, { max_tokens: 5 })),
+        Array.from({ length: 60 }, (_, index) =>
+          system.chat(`router-${(index % 3) + 1}`, `spend ${index}`, { max_tokens: 5 }),
+        ),
       );
       const served = answers.filter((answer) => answer.status === 200).length;
       expect(served).to.be.greaterThan(0);
       expect(served * 5).to.be.at.most(100);
       const refused = answers.find((answer) => answer.status === 429);
-      expect(JSON.parse(refused?.text ?? '{}')).to.include({ title: 'budgetExhausted', verdict: 'didNotRun' });
+      expect(JSON.parse(refused?.text ?? '{}')).to.include({
+        title: 'budgetExhausted',
+        verdict: 'didNotRun',
+      });
       expect(refused?.headers.get('retry-after')).to.equal('600');
     } finally {
       await system.stop();
--- a/test/process/failures.test.ts
+++ b/test/process/failures.test.ts
@@ -8,7 +8,9 @@
 /** Starts a long stream and resolves when its first piece has arrived. */
 async function startStream(system: TestSystem, router: string, prompt: string, tokenCount: number) {
   const answer = system.chat(router, prompt, { stream: true, max_tokens: tokenCount });
-  await system.until('the engine runs it', () => system.engines.some((engine) => engine.runCountByPrompt.has(prompt)));
+  await system.until('the engine runs it', () =>
+    system.engines.some((engine) => engine.runCountByPrompt.has(prompt)),
+  );
   return { answer, expected: expectedTokens(MODEL, prompt, tokenCount).join('') };
 }
 
@@ -34,7 +36,9 @@
       await new Promise((resolve) => setTimeout(resolve, 2_500));
       agent.kill('SIGCONT');
       expect(streamedText((await answer).text)).to.equal(expected);
-      expect(system.engines.reduce((sum, engine) => sum + (engine.runCountByPrompt.get('paused') ?? 0), 0)).to.equal(1);
+      expect(
+        system.engines.reduce((sum, engine) => sum + (engine.runCountByPrompt.get('paused') ?? 0), 0),
+      ).to.equal(1);
     });
 
     it('when the agent dies in mid-answer: an error, never a short success', async () => {
@@ -48,7 +52,9 @@
       await system.chat('router-1', 'warm up');
       const frozen = system.engines.find((engine) => engine.items.has(MODEL));
       frozen!.frozen = true;
-      const answer = await system.chat('router-2', 'elsewhere', { headers: { 'request-timeout-ms': '9000' } });
+      const answer = await system.chat('router-2', 'elsewhere', {
+        headers: { 'request-timeout-ms': '9000' },
+      });
       expect(answer.status, answer.text).to.equal(200);
     });
   });
@@ -86,7 +92,9 @@
   describe('requests that crash servers', () => {
     it('are quarantined after two crashes at most, on all routers, while others are answered', async () => {
       const poison = `please ${CRASH_MARK}`;
-      const innocents = Array.from({ length: 6 }, (_, index) => system.chat('router-2', `innocent ${index}`, { max_tokens: 20 }));
+      const innocents = Array.from({ length: 6 }, (_, index) =>
+        system.chat('router-2', `innocent ${index}`, { max_tokens: 20 }),
+      );
       const crashes = () => system.engines.reduce((sum, engine) => sum + engine.crashCount, 0);
       for (let attempt = 0; attempt < 6; attempt++) {
         await system.chat(`router-${(attempt % 2) + 1}`, poison).catch(() => undefined);
@@ -106,7 +114,10 @@
       await system.chat('router-1', 'warm up');
       system.platform.faults.outage = true;
       system.fleet.getOrThrow('router-2').process.kill('SIGKILL');
-      await system.until('router-1 answers', async () => (await system.chat('router-1', 'alone')).status === 200);
+      await system.until(
+        'router-1 answers',
+        async () => (await system.chat('router-1', 'alone')).status === 200,
+      );
       const services = Array.from({ length: 5 }, (_, index) => system.chat('router-1', `alone ${index}`));
       for (const answer of await Promise.all(services)) {
         expect(answer.status).to.equal(200);
--- a/test/process/orders.test.ts
+++ b/test/process/orders.test.ts
@@ -10,7 +10,12 @@
   let system: TestSystem;
 
   beforeEach(async () => {
-    system = await TestSystem.start({ routerCount: 3, engineCount: 0, orderCount: 2, services: [ORDER_SERVICE] });
+    system = await TestSystem.start({
+      routerCount: 3,
+      engineCount: 0,
+      orderCount: 2,
+      services: [ORDER_SERVICE],
+    });
   });
 
   afterEach(() => system.stop());
@@ -35,7 +40,9 @@
         answers.set(reference, given);
         for (let attempt = 0; attempt < 4; attempt++) {
           const router = `router-${((index + attempt) % 3) + 1}`;
-          const answer = await system.order(router, reference, `key-${index}`, timeoutMs).catch(() => undefined);
+          const answer = await system
+            .order(router, reference, `key-${index}`, timeoutMs)
+            .catch(() => undefined);
           if (answer) {
             given.push(answer);
           }
@@ -49,7 +56,10 @@
     const answers = await sendWithRepeats(20, 5_000);
     expectAtMostOnce(answers);
     for (const [reference, given] of answers) {
-      expect(given.map((answer) => answer.status), reference).to.deep.equal([201, 201, 201, 201]);
+      expect(
+        given.map((answer) => answer.status),
+        reference,
+      ).to.deep.equal([201, 201, 201, 201]);
       expect(given.at(-1)?.headers.get('idempotent-replayed')).to.equal('true');
     }
   });
@@ -57,7 +67,9 @@
   it('when two callers send it at the same moment through two routers', async () => {
     const pairs = await Promise.all(
       Array.from({ length: 20 }, (_, index) =>
-        Promise.all(['router-1', 'router-2'].map((router) => system.order(router, `twin-${index}`, `twin-${index}`))),
+        Promise.all(
+          ['router-1', 'router-2'].map((router) => system.order(router, `twin-${index}`, `twin-${index}`)),
+        ),
       ),
     );
     expect(system.orders.mostExecutions).to.equal(1);
@@ -90,7 +102,10 @@
     expect(verdictOf(answer)).to.equal('didNotRun');
     expect(answer.headers.get('retry-after')).to.equal('1');
     system.platform.faults.outage = false;
-    await system.until('the order goes through', async () => (await system.order('router-2', 'later', 'later')).status === 201);
+    await system.until(
+      'the order goes through',
+      async () => (await system.order('router-2', 'later', 'later')).status === 201,
+    );
     expect(system.orders.executions.get('later')).to.equal(1);
   });
 
--- a/test/process/replicas.test.ts
+++ b/test/process/replicas.test.ts
@@ -22,13 +22,17 @@
       const watch = watchPeak(system);
       const writesBefore = system.platform.writeCount;
       const burst = Promise.all(
-        Array.from({ length: 500 }, (_, index) => system.chat(`router-${(index % 8) + 1}`, `burst ${index}`, { max_tokens: 1 })),
+        Array.from({ length: 500 }, (_, index) =>
+          system.chat(`router-${(index % 8) + 1}`, `burst ${index}`, { max_tokens: 1 }),
+        ),
       );
       await disturb(system);
       const answers = await burst;
       watch.stop();
       expect(watch.peak()).to.equal(1);
-      expect(answers.filter((answer) => answer.status !== 200).map((answer) => answer.text)).to.deep.equal([]);
+      expect(answers.filter((answer) => answer.status !== 200).map((answer) => answer.text)).to.deep.equal(
+        [],
+      );
       expect(system.platform.writeCount).to.equal(writesBefore);
       expect(system.engines.map((engine) => engine.overcommitCount)).to.deep.equal([0, 0, 0]);
     } finally {
@@ -49,15 +53,25 @@
     agents.forEach((agent) => agent.kill('SIGCONT'));
   };
 
-  it('in a burst of 500 first requests at 8 routers, the platform down, engines that fence', () => doTest(true, platformDown));
+  it('in a burst of 500 first requests at 8 routers, the platform down, engines that fence', () =>
+    doTest(true, platformDown));
   it('the same with engines that ignore order numbers', () => doTest(false, platformDown));
   it('the same with agents paused past every heartbeat and resumed', () => doTest(false, agentPaused));
 });
 
 describe('worker memory is never over-committed', () => {
   it('when agents die in the middle of a load and start again', async () => {
-    const models = ['a', 'b', 'c'].map((name) => ({ name, version: '1', weightBytes: 45, kvCacheBytes: 0, adapters: [] }));
-    const system = await TestSystem.start({ engine: { fencing: false, loadMsByTier: { memory: 300, disk: 300 } }, services: [{ models }] });
+    const models = ['a', 'b', 'c'].map((name) => ({
+      name,
+      version: '1',
+      weightBytes: 45,
+      kvCacheBytes: 0,
+      adapters: [],
+    }));
+    const system = await TestSystem.start({
+      engine: { fencing: false, loadMsByTier: { memory: 300, disk: 300 } },
+      services: [{ models }],
+    });
     try {
       const calls = models.map((model) => system.chat('router-1', 'p', { model: `quotes/${model.name}` }));
       await system.until('a load is under way', () => system.engines.some((engine) => engine.items.size > 0));
@@ -73,7 +87,9 @@
       await system.until(
         'every model is served again',
         async () => {
-          const again = await Promise.all(models.map((model) => system.chat('router-2', 'q', { model: `quotes/${model.name}` })));
+          const again = await Promise.all(
+            models.map((model) => system.chat('router-2', 'q', { model: `quotes/${model.name}` })),
+          );
           return again.every((answer) => answer.status === 200);
         },
         30_000,
