Give up an attempt at once when its agent's process has ended

Cause: a router that had delivered part of an answer asked the dead agent's address until the deadline. Nothing listening there means that the process, which alone knew the attempt, is gone. Ruled out: giving up on any lost connection, since a paused agent resumes. Before: the caller of a killed agent waited 10.0 s for its error (the deadline). After: 1.6 s for the whole test. The test now finds the agent by the prompt it runs, since both engines may hold the model.

--- a/src/router/AttemptClient.ts
+++ b/src/router/AttemptClient.ts
@@ -12,12 +12,15 @@
   type RunReply,
 } from '../domain/index.js';
 import type { Metrics } from '../telemetry/index.js';
-import type { PeerConnection, PeerDialer } from '../transport/index.js';
+import { ConnectionLostError, type PeerConnection, type PeerDialer } from '../transport/index.js';
 import { AnswerAssembler, type AssemblyStep } from './decisions/index.js';
 
 /** Time between two tries to reach an agent again, in milliseconds. */
 const REASK_INTERVAL_MS = 300;
-/** Tries to reach an agent again before an idempotent attempt without any answer is given up. */
+/**
+ * Tries to reach an agent again before an attempt is given up that could be run elsewhere, or whose agent's process has
+ * ended and can't know of it any more.
+ */
 const TRIES_BEFORE_GIVING_UP = 4;
 
 /** How an attempt ended for its router. */
@@ -210,9 +213,9 @@
       live.resuming = false;
       this.metrics.count('attempts_resumed');
       this.takeResumeReply(live, reply, connection);
-    } catch {
+    } catch (error) {
       live.resuming = false;
-      this.resumeLater(live);
+      this.resumeLater(live, error instanceof ConnectionLostError && error.isRefused);
     }
   }
 
@@ -237,9 +240,9 @@
     }
   }
 
-  private resumeLater(live: LiveAttempt): void {
+  private resumeLater(live: LiveAttempt, isAgentGone: boolean): void {
     live.triesLeft--;
-    const isWorthWaiting = live.assembler.nextOrdinal > 0 || !live.params.idempotent;
+    const isWorthWaiting = !isAgentGone && (live.assembler.nextOrdinal > 0 || !live.params.idempotent);
     if (live.triesLeft <= 0 && !isWorthWaiting) {
       const detail = 'The agent could not be reached again.';
       live.settle({ kind: 'failed', crashed: false, reason: 'connectionLost', detail });
--- a/src/transport/PeerConnection.ts
+++ b/src/transport/PeerConnection.ts
@@ -13,7 +13,8 @@
 
 /** Raised by a call whose connection went away; the call may have been carried out. */
 export class ConnectionLostError extends Error {
-  constructor() {
+  /** @param isRefused - Whether nothing listens at the address, so that the process that did has ended. */
+  constructor(readonly isRefused = false) {
     super('The connection was lost before the answer came.');
   }
 }
--- a/src/transport/PeerDialer.ts
+++ b/src/transport/PeerDialer.ts
@@ -12,6 +12,8 @@
 export class PeerDialer {
   private readonly connections = new Map<string, Promise<PeerConnection>>();
   private readonly failedAtMsByAddress = new Map<string, number>();
+  /** Addresses at which nothing listened at the last dial. */
+  private readonly refusedAddresses = new Set<string>();
   private methods: PeerMethods = {};
 
   /**
@@ -42,7 +44,7 @@
     }
     const failedAtMs = this.failedAtMsByAddress.get(address) ?? -Infinity;
     if (this.clock.nowMs() - failedAtMs < REDIAL_PAUSE_MS) {
-      throw new ConnectionLostError();
+      throw new ConnectionLostError(this.refusedAddresses.has(address));
     }
     const pending = this.dial(address);
     this.connections.set(address, pending);
@@ -54,6 +56,7 @@
     } catch (error) {
       this.connections.delete(address);
       this.failedAtMsByAddress.set(address, this.clock.nowMs());
+      this.noteRefused(address, error);
       throw error;
     }
   }
@@ -66,6 +69,14 @@
     }
   }
 
+  private noteRefused(address: string, error: unknown): void {
+    if (error instanceof ConnectionLostError && error.isRefused) {
+      this.refusedAddresses.add(address);
+    } else {
+      this.refusedAddresses.delete(address);
+    }
+  }
+
   private async dial(address: string): Promise<PeerConnection> {
     const socket = new WebSocket(`ws://${address}/`, {
       handshakeTimeout: DIAL_TIMEOUT_MS,
@@ -74,7 +85,9 @@
     });
     return new Promise((resolve, reject) => {
       socket.once('open', () => resolve(new PeerConnection(socket, this.clock, this.methods, address)));
-      socket.once('error', () => reject(new ConnectionLostError()));
+      socket.once('error', (error: NodeJS.ErrnoException) =>
+        reject(new ConnectionLostError(error.code === 'ECONNREFUSED')),
+      );
     });
   }
 }
--- a/test/process/failures.test.ts
+++ b/test/process/failures.test.ts
@@ -14,9 +14,9 @@
   return { answer, expected: expectedTokens(MODEL, prompt, tokenCount).join('') };
 }
 
-/** Id of the agent whose engine holds the model. */
-function holderOf(system: TestSystem): string {
-  return `engine-${system.engines.findIndex((engine) => engine.items.has(MODEL)) + 1}`;
+/** Id of the agent whose engine runs or ran a prompt. */
+function runnerOf(system: TestSystem, prompt: string): string {
+  return `engine-${system.engines.findIndex((engine) => engine.runCountByPrompt.has(prompt)) + 1}`;
 }
 
 describe('with a system of two routers and two engines', () => {
@@ -31,7 +31,7 @@
   describe('whole answers to their own callers', () => {
     it('when the agent is paused in mid-answer and resumed', async () => {
       const { answer, expected } = await startStream(system, 'router-1', 'paused', 60);
-      const agent = system.fleet.getOrThrow(holderOf(system)).process;
+      const agent = system.fleet.getOrThrow(runnerOf(system, 'paused')).process;
       agent.kill('SIGSTOP');
       await new Promise((resolve) => setTimeout(resolve, 2_500));
       agent.kill('SIGCONT');
@@ -43,14 +43,14 @@
 
     it('when the agent dies in mid-answer: an error, never a short success', async () => {
       const { answer } = await startStream(system, 'router-1', 'killed', 400);
-      system.fleet.getOrThrow(holderOf(system)).process.kill('SIGKILL');
+      system.fleet.getOrThrow(runnerOf(system, 'killed')).process.kill('SIGKILL');
       const given = await answer.catch(() => undefined);
       expect(given && streamedText(given.text)).to.equal(undefined);
     });
 
     it('when an idle model is asked for while the engine of its first grant is frozen', async () => {
       await system.chat('router-1', 'warm up');
-      const frozen = system.engines.find((engine) => engine.items.has(MODEL));
+      const frozen = system.engines.find((engine) => engine.runCountByPrompt.has('warm up'));
       frozen!.frozen = true;
       const answer = await system.chat('router-2', 'elsewhere', {
         headers: { 'request-timeout-ms': '9000' },
@@ -60,21 +60,21 @@
   });
 
   describe('planned stops cut off nothing', () => {
-    async function doTest(idOf: (system: TestSystem) => string): Promise<void> {
+    async function doTest(idOf: () => string): Promise<void> {
       const { answer, expected } = await startStream(system, 'router-1', 'stopped', 200);
-      const { process } = system.fleet.getOrThrow(idOf(system));
+      const { process } = system.fleet.getOrThrow(idOf());
       process.kill('SIGTERM');
       expect(streamedText((await answer).text)).to.equal(expected);
       expect(await process.whenExited()).to.equal(0);
     }
 
-    it('when the agent is told to stop', () => doTest(holderOf));
+    it('when the agent is told to stop', () => doTest(() => runnerOf(system, 'stopped')));
     it('when the router of the caller is told to stop', () => doTest(() => 'router-1'));
     it('when the other router, perhaps the home, is told to stop', () => doTest(() => 'router-2'));
 
     it('when a server is drained: running work ends, new work goes elsewhere', async () => {
       const { answer, expected } = await startStream(system, 'router-1', 'drained', 100);
-      const holder = holderOf(system);
+      const holder = runnerOf(system, 'drained');
       const drained = await system.runCli(['drain', holder]);
       expect(drained.code, drained.error).to.equal(0);
       const drainedEngine = system.engines[Number(holder.slice(-1)) - 1]!;
