--- a/src/daemon/serviceNames.ts
+++ b/src/daemon/serviceNames.ts
@@ -12,7 +12,7 @@
   StateWatcher,
 } from '../router/index.js';
 import type { AuditTrail, Log, Metrics } from '../telemetry/index.js';
-import type { PeerDialer } from '../transport/index.js';
+import type { PeerDialer, TrafficMeter } from '../transport/index.js';
 
 /** Names under which the services of a process find each other. */
 export const NAMES = {
@@ -24,6 +24,7 @@
   store: serviceName<ObjectStore>('store'),
   instances: serviceName<InstanceList>('instances'),
   audit: serviceName<AuditTrail>('audit'),
+  traffic: serviceName<TrafficMeter>('traffic'),
   dialer: serviceName<PeerDialer>('dialer'),
   state: serviceName<StateStore>('state'),
   membership: serviceName<Membership>('membership'),
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -27,11 +27,13 @@
 } from '../router/index.js';
 import type { AgentSettings, DaemonSettings, RouterSettings, Secrets } from '../settings/index.js';
 import { AuditTrail, Log, Metrics } from '../telemetry/index.js';
-import { PeerDialer, PeerServer } from '../transport/index.js';
+import { PeerDialer, PeerServer, TrafficMeter } from '../transport/index.js';
 import { getAgentAdminSource, getRouterAdminSource } from './adminSources.js';
 import { getCallbackMethods, getRouterMethods } from './routerMethods.js';
 import { NAMES } from './serviceNames.js';
 
+/** Microseconds in a second. */
+const MICROSECONDS_PER_SECOND = 1_000_000;
 /** Random bytes that name one run of a process. */
 const INCARNATION_BYTES = 6;
 
@@ -72,7 +74,12 @@
   const store = kernel.register(NAMES.store, new HttpObjectStore(http));
   kernel.register(NAMES.instances, new HttpInstanceList(http));
   kernel.register(NAMES.audit, new AuditTrail(store, clock, settings.id));
-  kernel.register(NAMES.dialer, new PeerDialer(settings.id, secrets.peerSecret, clock));
+  const traffic = kernel.register(NAMES.traffic, new TrafficMeter());
+  kernel.register(NAMES.dialer, new PeerDialer(settings.id, secrets.peerSecret, clock, traffic));
+  metrics.gauge('peer_sent_bytes', () => traffic.sentBytes);
+  metrics.gauge('peer_received_bytes', () => traffic.receivedBytes);
+  metrics.gauge('platform_bytes', () => http.byteCount);
+  metrics.gauge('cpu_seconds', () => getCpuSeconds());
   metrics.gauge('platform_calls', () => http.callCount);
   metrics.gauge('resident_bytes', () => process.memoryUsage.rss());
 }
@@ -90,8 +97,9 @@
   const clock = kernel.getOrThrow(NAMES.clock);
   const dialer = kernel.getOrThrow(NAMES.dialer);
   dialer.offer(getCallbackMethods(kernel));
+  const traffic = kernel.getOrThrow(NAMES.traffic);
   await kernel.start({ start: () => Promise.resolve(), stop: () => closeLast(kernel) });
-  await kernel.start(new PeerServer(settings.peer, secrets.peerSecret, clock, getRouterMethods(kernel)));
+  await kernel.start(new PeerServer(settings.peer, secrets.peerSecret, clock, getRouterMethods(kernel), traffic));
   await kernel.start(kernel.getOrThrow(NAMES.watcher));
   await kernel.start(kernel.getOrThrow(NAMES.audit));
   const metrics = kernel.getOrThrow(NAMES.metrics);
@@ -216,13 +224,19 @@
     start: () => Promise.resolve(),
     stop: () => closeLast(kernel, () => backend.close()),
   });
-  await kernel.start(new PeerServer(settings.peer, secrets.peerSecret, clock, agent.getMethods()));
+  await kernel.start(new PeerServer(settings.peer, secrets.peerSecret, clock, agent.getMethods(), kernel.getOrThrow(NAMES.traffic)));
   await kernel.start(
     new AdminServer(settings.admin, secrets.adminToken, metrics, getAgentAdminSource(kernel, settings.id)),
   );
   await kernel.start(agent);
 }
 
+/** Processor time that this process has used, in seconds. */
+function getCpuSeconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_SECOND;
+}
+
 /** Closes what every other service may still need while it stops. */
 async function closeLast(kernel: Kernel, closeMore?: () => Promise<void>): Promise<void> {
   await kernel.getOrThrow(NAMES.dialer).close();
--- a/src/platform/PlatformHttp.ts
+++ b/src/platform/PlatformHttp.ts
@@ -13,6 +13,7 @@
 export class PlatformHttp {
   private readonly agent = new Agent({ connections: 16, pipelining: 1 });
   private callCountValue = 0;
+  private byteCountValue = 0;
 
   /**
    * @param baseUrl - URL of the platform without a trailing slash.
@@ -28,6 +29,11 @@
     return this.callCountValue;
   }
 
+  /** Bytes of the bodies and paths exchanged so far. */
+  get byteCount(): number {
+    return this.byteCountValue;
+  }
+
   /**
    * Makes one call.
    * @param method - HTTP method.
@@ -51,6 +57,7 @@
         body: body === undefined ? undefined : JSON.stringify(body),
       });
       const text = await response.body.text();
+      this.byteCountValue += path.length + text.length + (body === undefined ? 0 : JSON.stringify(body).length);
       return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
     } catch {
       return { status: 0, body: undefined };
--- a/src/transport/PeerConnection.ts
+++ b/src/transport/PeerConnection.ts
@@ -2,6 +2,7 @@
 import { WebSocket } from 'ws';
 import type { Clock } from '../kernel/index.js';
 import { Repeater } from '../kernel/index.js';
+import type { TrafficMeter } from './TrafficMeter.js';
 
 /** Time between two heartbeats in milliseconds. */
 export const HEARTBEAT_INTERVAL_MS = 1_000;
@@ -35,12 +36,14 @@
    * @param clock - Source of time.
    * @param methods - What this end offers.
    * @param peerName - Name of the other end, for logs.
+   * @param traffic - Counts the bytes.
    */
   constructor(
     private readonly socket: WebSocket,
     private readonly clock: Clock,
     methods: PeerMethods,
     readonly peerName: string,
+    private readonly traffic: TrafficMeter,
   ) {
     const client = new JSONRPCClient((payload) => this.send(JSON.stringify(payload)));
     const server = new JSONRPCServer({ errorListener: () => undefined });
@@ -52,8 +55,8 @@
     this.heartbeat = new Repeater(clock, HEARTBEAT_INTERVAL_MS, () => this.beat());
     this.heartbeat.start();
     socket.on('message', (message) => this.receive(String(message)));
-    socket.on('ping', () => this.noteHeard());
-    socket.on('pong', () => this.noteHeard());
+    socket.on('ping', () => this.noteHeard(0));
+    socket.on('pong', () => this.noteHeard(0));
     socket.on('close', () => this.finish());
     socket.on('error', () => this.abandon());
   }
@@ -122,16 +125,18 @@
       return;
     }
     if (this.socket.readyState === WebSocket.OPEN) {
+      this.traffic.noteSent(0);
       this.socket.ping();
     }
   }
 
-  private noteHeard(): void {
+  private noteHeard(payloadBytes: number): void {
+    this.traffic.noteReceived(payloadBytes);
     this.lastHeardAtMs = this.clock.nowMs();
   }
 
   private receive(text: string): void {
-    this.noteHeard();
+    this.noteHeard(text.length);
     let payload: unknown;
     try {
       payload = JSON.parse(text);
@@ -146,6 +151,7 @@
     if (this.socket.readyState !== WebSocket.OPEN) {
       throw new ConnectionLostError();
     }
+    this.traffic.noteSent(text.length);
     this.socket.send(text);
   }
 
--- a/src/transport/PeerDialer.ts
+++ b/src/transport/PeerDialer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../kernel/index.js';
 import { ConnectionLostError, PeerConnection, type PeerMethods } from './PeerConnection.js';
 import { MAX_MESSAGE_BYTES } from './PeerServer.js';
+import type { TrafficMeter } from './TrafficMeter.js';
 
 /** Time given to open a connection, in milliseconds. */
 const DIAL_TIMEOUT_MS = 1_000;
@@ -20,11 +21,13 @@
    * @param selfName - Name of this process, told to the other end.
    * @param secret - Credential shown to the other end.
    * @param clock - Source of time.
+   * @param traffic - Counts the bytes.
    */
   constructor(
     private readonly selfName: string,
     private readonly secret: string,
     private readonly clock: Clock,
+    private readonly traffic: TrafficMeter,
   ) {}
 
   /** @param methods - What this process offers on the connections it opens. */
@@ -84,7 +87,7 @@
       headers: { authorization: `Bearer ${this.secret}`, 'x-monsoonglade-peer': this.selfName },
     });
     return new Promise((resolve, reject) => {
-      socket.once('open', () => resolve(new PeerConnection(socket, this.clock, this.methods, address)));
+      socket.once('open', () => resolve(new PeerConnection(socket, this.clock, this.methods, address, this.traffic)));
       socket.once('error', (error: NodeJS.ErrnoException) =>
         reject(new ConnectionLostError(error.code === 'ECONNREFUSED')),
       );
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -4,6 +4,7 @@
 import { WebSocketServer } from 'ws';
 import type { Clock, Service } from '../kernel/index.js';
 import { PeerConnection, type PeerMethods } from './PeerConnection.js';
+import type { TrafficMeter } from './TrafficMeter.js';
 
 /** Largest message between two of our processes, in bytes. */
 export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
@@ -49,12 +50,14 @@
    * @param secret - Credential that the other end must show.
    * @param clock - Source of time.
    * @param methods - What this process offers.
+   * @param traffic - Counts the bytes.
    */
   constructor(
     private readonly address: ListenAddress,
     private readonly secret: string,
     private readonly clock: Clock,
     private readonly methods: PeerMethods,
+    private readonly traffic: TrafficMeter,
   ) {
     this.http.on('upgrade', (request, socket, head) => this.upgrade(request, socket, head));
   }
@@ -77,7 +80,7 @@
     }
     const peerName = String(request.headers['x-monsoonglade-peer'] ?? 'unknown');
     this.sockets.handleUpgrade(request, socket, head, (webSocket) => {
-      const connection = new PeerConnection(webSocket, this.clock, this.methods, peerName);
+      const connection = new PeerConnection(webSocket, this.clock, this.methods, peerName, this.traffic);
       this.connections.add(connection);
       connection.onClose(() => this.connections.delete(connection));
     });
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -1,3 +1,4 @@
+export * from './TrafficMeter.js';
 export * from './PeerConnection.js';
 export * from './PeerServer.js';
 export * from './PeerDialer.js';
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -235,15 +235,17 @@
   }
 
   private async answerWhole(completion: CompletionRequest, tokens: readonly string[]): Promise<JsonReply> {
+    const startedAtMs = Date.now();
     for (const _token of tokens) {
       await this.nextToken();
     }
+    const engineMs = Date.now() - startedAtMs;
     const message = { role: 'assistant', content: tokens.join('') };
     const usage = { prompt_tokens: 1, completion_tokens: tokens.length, total_tokens: tokens.length + 1 };
     const choices = [{ index: 0, message, finish_reason: 'stop' }];
     return {
       status: 200,
-      body: { id: 'c', object: 'chat.completion', created: 0, model: completion.model, choices, usage },
+      body: { id: 'c', object: 'chat.completion', created: 0, model: completion.model, choices, usage, engineMs },
     };
   }
 
