--- a/measure/traces.ts
+++ b/measure/traces.ts
@@ -65,7 +65,12 @@
   }
 }
 
-function generateTrace(profile: TenantProfile, random: Random, nextGapMs: () => number, daytimeOnly: boolean): Trace {
+function generateTrace(
+  profile: TenantProfile,
+  random: Random,
+  nextGapMs: () => number,
+  daytimeOnly: boolean,
+): Trace {
   const arrivals: number[] = [];
   let sessionAtMs = nextGapMs() * random.fraction();
   while (sessionAtMs < TRACE_DAYS * DAY_MS) {
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -99,7 +99,9 @@
   dialer.offer(getCallbackMethods(kernel));
   const traffic = kernel.getOrThrow(NAMES.traffic);
   await kernel.start({ start: () => Promise.resolve(), stop: () => closeLast(kernel) });
-  await kernel.start(new PeerServer(settings.peer, secrets.peerSecret, clock, getRouterMethods(kernel), traffic));
+  await kernel.start(
+    new PeerServer(settings.peer, secrets.peerSecret, clock, getRouterMethods(kernel), traffic),
+  );
   await kernel.start(kernel.getOrThrow(NAMES.watcher));
   await kernel.start(kernel.getOrThrow(NAMES.audit));
   const metrics = kernel.getOrThrow(NAMES.metrics);
@@ -224,7 +226,15 @@
     start: () => Promise.resolve(),
     stop: () => closeLast(kernel, () => backend.close()),
   });
-  await kernel.start(new PeerServer(settings.peer, secrets.peerSecret, clock, agent.getMethods(), kernel.getOrThrow(NAMES.traffic)));
+  await kernel.start(
+    new PeerServer(
+      settings.peer,
+      secrets.peerSecret,
+      clock,
+      agent.getMethods(),
+      kernel.getOrThrow(NAMES.traffic),
+    ),
+  );
   await kernel.start(
     new AdminServer(settings.admin, secrets.adminToken, metrics, getAgentAdminSource(kernel, settings.id)),
   );
--- a/src/home/decisions/KeepAlivePolicy.ts
+++ b/src/home/decisions/KeepAlivePolicy.ts
@@ -2,8 +2,16 @@
 export interface KeepAlivePlan {
   /** Time that the model stays after its last use, in milliseconds. */
   readonly keepAliveMs: number;
-  /** Time after the last use at which the model is loaded ahead of the next request; absent for never. */
-  readonly preWarmAfterMs?: number;
+  /** When the model is loaded again ahead of the next request; absent for never. */
+  readonly preWarm?: PreWarming;
+}
+
+/** A time in which a model is loaded ahead of its next request. */
+export interface PreWarming {
+  /** Time after the last use at which the model is to be ready, in milliseconds. */
+  readonly afterMs: number;
+  /** Time that it then stays without use, in milliseconds. */
+  readonly forMs: number;
 }
 
 /** Decides how long an idle model stays loaded. */
--- a/src/home/decisions/ModelHome.ts
+++ b/src/home/decisions/ModelHome.ts
@@ -385,7 +385,7 @@
     }
     const isCold = !this.hasReady();
     if (isCold || this.estimate.isAnotherReplicaWorthIt(this.line.length, this.replicas.values())) {
-      this.wakeNext(nowMs);
+      this.wakeNext(nowMs, this.plan().keepAliveMs);
     }
   }
 
@@ -414,7 +414,7 @@
     return false;
   }
 
-  private wakeNext(nowMs: number): void {
+  private wakeNext(nowMs: number, keepAliveMs: number): void {
     for (const replica of this.replicas.values()) {
       if (replica.canBeWoken(nowMs)) {
         replica.wakeAsked(nowMs);
@@ -450,21 +450,16 @@
   }
 
   private preWarm(nowMs: number): void {
-    const preWarmAfterMs = this.plan().preWarmAfterMs;
+    const { preWarm } = this.plan();
     const isIdle = this.runningOn.size === 0 && this.line.length === 0;
-    if (
-      preWarmAfterMs === undefined ||
-      this.lastBusyAtMs === undefined ||
-      !isIdle ||
-      this.options.alwaysLoaded
-    ) {
+    if (!preWarm || this.lastBusyAtMs === undefined || !isIdle || this.options.alwaysLoaded) {
       return;
     }
-    const isDue = nowMs - this.lastBusyAtMs >= preWarmAfterMs - this.estimate.loadTime.meanMs;
+    const isDue = nowMs - this.lastBusyAtMs >= preWarm.afterMs - this.estimate.loadTime.meanMs;
     if (isDue && this.preWarmedSinceMs === undefined) {
       this.preWarmedSinceMs = nowMs;
       if (!this.hasReady() && !this.isAnyBeingWoken(nowMs)) {
-        this.wakeNext(nowMs);
+        this.wakeNext(nowMs, preWarm.forMs + this.estimate.loadTime.meanMs);
       }
     }
   }
--- a/src/platform/PlatformHttp.ts
+++ b/src/platform/PlatformHttp.ts
@@ -57,7 +57,8 @@
         body: body === undefined ? undefined : JSON.stringify(body),
       });
       const text = await response.body.text();
-      this.byteCountValue += path.length + text.length + (body === undefined ? 0 : JSON.stringify(body).length);
+      this.byteCountValue +=
+        path.length + text.length + (body === undefined ? 0 : JSON.stringify(body).length);
       return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
     } catch {
       return { status: 0, body: undefined };
--- a/src/transport/PeerDialer.ts
+++ b/src/transport/PeerDialer.ts
@@ -87,7 +87,9 @@
       headers: { authorization: `Bearer ${this.secret}`, 'x-monsoonglade-peer': this.selfName },
     });
     return new Promise((resolve, reject) => {
-      socket.once('open', () => resolve(new PeerConnection(socket, this.clock, this.methods, address, this.traffic)));
+      socket.once('open', () =>
+        resolve(new PeerConnection(socket, this.clock, this.methods, address, this.traffic)),
+      );
       socket.once('error', (error: NodeJS.ErrnoException) =>
         reject(new ConnectionLostError(error.code === 'ECONNREFUSED')),
       );
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -245,7 +245,15 @@
     const choices = [{ index: 0, message, finish_reason: 'stop' }];
     return {
       status: 200,
-      body: { id: 'c', object: 'chat.completion', created: 0, model: completion.model, choices, usage, engineMs },
+      body: {
+        id: 'c',
+        object: 'chat.completion',
+        created: 0,
+        model: completion.model,
+        choices,
+        usage,
+        engineMs,
+      },
     };
   }
 
