--- /dev/null
+++ b/measure/main.ts
@@ -0,0 +1,42 @@
+/** Measures what the design promises: `npm run measure [-- --json] [--only TEXT] [--seed N]`. */
+import { parseArgs } from 'node:util';
+import { measureColdStarts } from './coldStart.js';
+import type { Figure } from './Figure.js';
+import { measureKeepAlive } from './keepAlive.js';
+import { measureGoodput, measureWarmOverhead } from './load.js';
+import { measureSlopes } from './slopes.js';
+
+const { values } = parseArgs({
+  options: {
+    json: { type: 'boolean', default: false },
+    only: { type: 'string', default: '' },
+    seed: { type: 'string', default: '1' },
+  },
+});
+
+/** The measurements by name. */
+const MEASUREMENTS: Readonly<Record<string, () => Promise<Figure[]>>> = {
+  keepAlive: () => Promise.resolve(measureKeepAlive(Number(values.seed))),
+  coldStart: measureColdStarts,
+  warmOverhead: measureWarmOverhead,
+  goodput: measureGoodput,
+  slopes: measureSlopes,
+};
+
+function print(figure: Figure): void {
+  if (values.json) {
+    process.stdout.write(`${JSON.stringify(figure)}\n`);
+    return;
+  }
+  const baseline = figure.baseline === undefined ? '' : `, baseline ${figure.baseline}`;
+  const target = figure.target === undefined ? '' : `, target ${figure.target}`;
+  process.stdout.write(`${figure.name}: ${figure.value} ${figure.unit}${baseline}${target}\n`);
+}
+
+for (const [name, measure] of Object.entries(MEASUREMENTS)) {
+  if (name.includes(values.only)) {
+    for (const figure of await measure()) {
+      print(figure);
+    }
+  }
+}
--- a/src/home/decisions/ModelHome.ts
+++ b/src/home/decisions/ModelHome.ts
@@ -418,11 +418,7 @@
     for (const replica of this.replicas.values()) {
       if (replica.canBeWoken(nowMs)) {
         replica.wakeAsked(nowMs);
-        this.commands.push({
-          kind: 'wake',
-          serverId: replica.serverId,
-          keepAliveMs: this.plan().keepAliveMs,
-        });
+        this.commands.push({ kind: 'wake', serverId: replica.serverId, keepAliveMs });
         return;
       }
     }
