Spend nothing on what does not change: tick busy homes, review changed models, ping used connections

A fault came to light: an answer to a call over a connection that died while its process was paused ended the process (an unhandled rejection). Seen in the test with agents paused past every heartbeat (500 of 500 refused); ruled out: the reconnection, which dialled correctly. Such a connection is abandoned now, the test passes. Two tests found their agent or first token by chance and now wait for the first piece to reach the caller.

--- a/src/agent/ResidencyService.ts
+++ b/src/agent/ResidencyService.ts
@@ -11,8 +11,10 @@
   type ItemRequest,
 } from './decisions/index.js';
 
-/** Time between two reads of the backend server's state, in milliseconds. */
+/** Time between two looks whether the backend server's state is to be read, in milliseconds. */
 const STATE_INTERVAL_MS = 500;
+/** Looks between two reads while nothing runs, loads or was asked for. */
+const IDLE_INTERVALS = 4;
 /** Failed reads in a row after which the backend server counts as unreachable. */
 const UNREACHABLE_AFTER_READS = 2;
 
@@ -23,6 +25,7 @@
   private readonly permitSourceByItem = new Map<string, PermitSource>();
   private latest: EngineState | undefined;
   private failedReads = 0;
+  private looksSinceRead = 0;
   private reading: Promise<boolean> | undefined;
 
   /**
@@ -37,7 +40,7 @@
     readonly controller: ResidencyController,
     private readonly gate: LoadGate,
   ) {
-    this.repeater = new Repeater(clock, STATE_INTERVAL_MS, () => void this.refresh());
+    this.repeater = new Repeater(clock, STATE_INTERVAL_MS, () => this.look());
   }
 
   /** Whether the backend server answers. */
@@ -133,6 +136,14 @@
     return this.latest?.diskCached.includes(itemId) ? 'disk' : 'remote';
   }
 
+  private look(): void {
+    this.looksSinceRead++;
+    const isUnsure = this.failedReads > 0 || this.latest === undefined;
+    if (isUnsure || this.controller.isBusy || this.looksSinceRead >= IDLE_INTERVALS) {
+      void this.refresh();
+    }
+  }
+
   /** Reads the backend server's state now; true when the server answered. */
   refresh(): Promise<boolean> {
     this.reading ??= this.readState().finally(() => {
@@ -143,6 +154,7 @@
 
   private async readState(): Promise<boolean> {
     const askedAtMs = this.clock.nowMs();
+    this.looksSinceRead = 0;
     const state = await this.backend.readState();
     this.failedReads = state ? 0 : this.failedReads + 1;
     if (state) {
--- a/src/agent/decisions/ResidencyController.ts
+++ b/src/agent/decisions/ResidencyController.ts
@@ -96,6 +96,19 @@
     }
   }
 
+  /** Whether anything runs or is on its way in or out, or the state is not certain yet. */
+  get isBusy(): boolean {
+    if (!this.settled) {
+      return true;
+    }
+    for (const item of this.items.values()) {
+      if (item.runningCount > 0 || item.phase !== 'ready') {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** @param itemId - Item to look at. */
   runningCountOf(itemId: string): number {
     return this.items.get(itemId)?.runningCount ?? 0;
--- a/src/home/AgentLinks.ts
+++ b/src/home/AgentLinks.ts
@@ -88,10 +88,12 @@
       const params: FollowParams = { modelId: target.modelId, placement: target.placement };
       const report = await connection.call<ReplicaReport>(AGENT_METHODS.follow, params);
       this.stopListening.get(key)?.();
-      this.stopListening.set(
-        key,
-        connection.onClose(() => this.lost(key)),
-      );
+      const release = connection.hold();
+      const stopListening = connection.onClose(() => this.lost(key));
+      this.stopListening.set(key, () => {
+        release();
+        stopListening();
+      });
       this.listener.reported(report);
     } catch {
       this.lost(key);
--- a/src/home/HomeService.ts
+++ b/src/home/HomeService.ts
@@ -2,6 +2,7 @@
 import { Repeater } from '../kernel/index.js';
 import {
   AGENT_METHODS,
+  PLACEMENT_PREFIX,
   QUARANTINE_PREFIX,
   toServerId,
   type AssignParams,
@@ -26,10 +27,16 @@
   type HomeCommand,
 } from './decisions/index.js';
 
-/** Time between two ticks of every home, in milliseconds. */
+/** Time between two ticks of the homes that have work, in milliseconds. */
 const TICK_MS = 50;
-/** Time between two reviews of every placement, in milliseconds. */
+/** Ticks between two of the homes that have none. */
+const IDLE_TICKS = 20;
+/** Time between two reviews of the placements that something changed for, in milliseconds. */
 const REVIEW_INTERVAL_MS = 500;
+/** Reviews between two in which every placement is looked at. */
+const REVIEWS_PER_ROUND = 20;
+/** Models that one review looks at, so that it never holds up requests for long. */
+const REVIEW_BATCH = 100;
 /** Time after which a caller of a stopping or unknown home should come back, in milliseconds. */
 const COME_BACK_MS = 1_000;
 
@@ -68,6 +75,10 @@
   private readonly links: AgentLinks;
   private readonly ticker: Repeater;
   private readonly reviews: Repeater;
+  private readonly active = new Set<string>();
+  private readonly toReview = new Set<string>();
+  private tickCount = 0;
+  private reviewCount = 0;
   private stopping = false;
 
   /** @param parts - What the service is made of. */
@@ -77,8 +88,9 @@
       lost: (serverId) => this.lost(serverId),
     });
     this.ticker = new Repeater(parts.clock, TICK_MS, () => this.tick());
-    this.reviews = new Repeater(parts.clock, REVIEW_INTERVAL_MS, () => this.reviewAll());
+    this.reviews = new Repeater(parts.clock, REVIEW_INTERVAL_MS, () => this.reviewNext());
     parts.state.onChange((path) => this.stateChanged(path));
+    parts.membership.onChange(() => this.reviewEverything());
     parts.metrics.gauge('home_models', () => this.hosted.size);
     parts.metrics.gauge('home_waiting', () => this.waitingReplies.size);
   }
@@ -86,7 +98,8 @@
   start(): Promise<void> {
     this.ticker.start();
     this.reviews.start();
-    this.reviewAll();
+    this.reviewEverything();
+    this.reviewNext();
     return Promise.resolve();
   }
 
@@ -116,6 +129,7 @@
       return Promise.resolve({ kind: 'refused', reason, detail, retryAfterMs: COME_BACK_MS });
     }
     const { home } = this.host(model);
+    this.active.add(model.modelId);
     return new Promise((resolve) => {
       this.waitingReplies.set(params.requestId, resolve);
       home.requestArrived(params, this.parts.clock.nowMs());
@@ -136,6 +150,7 @@
 
   /** @param report - Report that an agent sent. */
   reported(report: ReplicaReport): void {
+    this.toReview.add(report.modelId);
     this.withHome(report.modelId, (home, nowMs) => home.reported(report, nowMs));
   }
 
@@ -190,6 +205,7 @@
     const hosted = this.hosted.get(modelId);
     const model = this.parts.catalogue.getModel(modelId);
     if (hosted && model) {
+      this.active.add(modelId);
       change(hosted.home, this.parts.clock.nowMs());
       this.carryOut(model, hosted.home);
     }
@@ -221,25 +237,54 @@
   }
 
   private tick(): void {
-    for (const modelId of this.hosted.keys()) {
+    this.tickCount++;
+    const isForAll = this.tickCount % IDLE_TICKS === 0;
+    for (const modelId of isForAll ? this.hosted.keys() : [...this.active]) {
       this.withHome(modelId, (home, nowMs) => home.tick(nowMs));
+      const home = this.hosted.get(modelId)?.home;
+      if (!home || (home.line.length === 0 && home.runningCount === 0)) {
+        this.active.delete(modelId);
+      }
     }
   }
 
-  private reviewAll(): void {
-    const nowMs = this.parts.clock.nowMs();
+  private reviewEverything(): void {
     for (const model of this.parts.catalogue.getModels()) {
-      const hosted = this.hosted.get(model.modelId);
-      if (this.parts.membership.isHomeOf(model.modelId, nowMs)) {
-        const own = hosted ?? this.host(model);
-        this.followServers(model, own);
-        void this.review(model, own);
-      } else if (hosted) {
-        this.retire(model.modelId, hosted);
+      this.toReview.add(model.modelId);
+    }
+    for (const modelId of this.hosted.keys()) {
+      this.toReview.add(modelId);
+    }
+  }
+
+  /** Reviews the next models that something changed for, and every model now and then. */
+  private reviewNext(): void {
+    this.reviewCount++;
+    if (this.reviewCount % REVIEWS_PER_ROUND === 0) {
+      this.reviewEverything();
+    }
+    let count = 0;
+    for (const modelId of this.toReview) {
+      this.toReview.delete(modelId);
+      this.reviewModel(modelId);
+      if (++count >= REVIEW_BATCH) {
+        return;
       }
     }
   }
 
+  private reviewModel(modelId: string): void {
+    const hosted = this.hosted.get(modelId);
+    const model = this.parts.catalogue.getModel(modelId);
+    if (model && this.parts.membership.isHomeOf(modelId, this.parts.clock.nowMs())) {
+      const own = hosted ?? this.host(model);
+      this.followServers(model, own);
+      void this.review(model, own);
+    } else if (hosted) {
+      this.retire(modelId, hosted);
+    }
+  }
+
   /** Gives up a model that another router is the home of now, once nothing waits or runs here. */
   private retire(modelId: string, hosted: HostedModel): void {
     if (hosted.home.line.length > 0 || hosted.home.runningCount > 0) {
@@ -256,8 +301,11 @@
       return;
     }
     hosted.reviewing = true;
-    await this.parts.reviewer.review(model, hosted.home);
+    const isSettled = await this.parts.reviewer.review(model, hosted.home);
     hosted.reviewing = false;
+    if (!isSettled) {
+      this.toReview.add(model.modelId);
+    }
   }
 
   private stateChanged(path: string): void {
@@ -265,11 +313,16 @@
       this.quarantineChanged(path);
       return;
     }
-    for (const [modelId, hosted] of this.hosted) {
-      const model = this.parts.catalogue.getModel(modelId);
-      if (model && path.endsWith(modelId)) {
-        this.followServers(model, hosted);
-      }
+    if (!path.startsWith(PLACEMENT_PREFIX)) {
+      this.reviewEverything();
+      return;
+    }
+    const modelId = path.slice(PLACEMENT_PREFIX.length);
+    const hosted = this.hosted.get(modelId);
+    const model = this.parts.catalogue.getModel(modelId);
+    if (hosted && model) {
+      this.followServers(model, hosted);
+      this.toReview.add(modelId);
     }
   }
 
--- a/src/home/PlacementReviewer.ts
+++ b/src/home/PlacementReviewer.ts
@@ -33,11 +33,11 @@
   constructor(private readonly parts: PlacementReviewerParts) {}
 
   /**
-   * Takes one step for a model.
+   * Takes one step for a model; false when there may be more to do.
    * @param model - The model.
    * @param home - Its home.
    */
-  async review(model: CatalogueModel, home: ModelHome): Promise<void> {
+  async review(model: CatalogueModel, home: ModelHome): Promise<boolean> {
     let step = this.decide(model, home, undefined);
     if (step.kind === 'askOffers') {
       step = this.decide(model, home, await this.askOffers(model));
@@ -45,6 +45,7 @@
     if (step.kind === 'write') {
       await this.write(model, step.value, step.ifVersion);
     }
+    return step.kind === 'keep';
   }
 
   /** @param model - Model whose pool is wanted. */
--- a/src/router/AttemptClient.ts
+++ b/src/router/AttemptClient.ts
@@ -190,10 +190,15 @@
 
   private resumeWhenClosed(live: LiveAttempt, connection: PeerConnection): void {
     live.stopListening?.();
-    live.stopListening = connection.onClose(() => {
+    const release = connection.hold();
+    const stopListening = connection.onClose(() => {
       this.metrics.count('attempts_connection_lost');
       void this.resume(live);
     });
+    live.stopListening = () => {
+      release();
+      stopListening();
+    };
   }
 
   /** Asks the agent what became of the attempt and for the rest of its answer; never sends the attempt again. */
--- a/src/router/decisions/Membership.ts
+++ b/src/router/decisions/Membership.ts
@@ -5,10 +5,15 @@
 /** Time for which a router that could not be reached is passed over, in milliseconds. */
 const SUSPECT_MS = 3_000;
 
+/** Routers that are kept for a key: its home and those that stand in for it. */
+const RANKED_COUNT = 8;
+
 /** Says which instances there are and which router is the home of what. */
 export class Membership {
   private instances = new Map<string, InstanceEntry>();
   private listRevision = 0;
+  /** Best routers of each key asked for since the list last changed. */
+  private readonly rankedByKey = new Map<string, RouterId[]>();
   private readonly suspectUntilMs = new Map<string, number>();
   private readonly listeners: (() => void)[] = [];
 
@@ -33,6 +38,7 @@
   applyList(instances: readonly InstanceEntry[], revision: number): void {
     this.instances = new Map(instances.map((instance) => [instance.id, instance]));
     this.listRevision = revision;
+    this.rankedByKey.clear();
     for (const listener of this.listeners) {
       listener();
     }
@@ -88,10 +94,20 @@
    * @param nowMs - Time now.
    */
   homesOf(key: string, nowMs: number): RouterId[] {
-    const reachable = this.getRouterIds().filter((id) => (this.suspectUntilMs.get(id) ?? 0) <= nowMs);
-    const routerIds =
-      this.isSelfLeaving && reachable.length > 1 ? reachable.filter((id) => id !== this.selfId) : reachable;
-    return rankByHash(key, routerIds);
+    const ranked = this.rank(key);
+    const reachable = ranked.filter((id) => (this.suspectUntilMs.get(id) ?? 0) <= nowMs);
+    return reachable.length > 0 ? reachable : ranked;
+  }
+
+  private rank(key: string): RouterId[] {
+    const known = this.rankedByKey.get(key);
+    if (known) {
+      return known;
+    }
+    const others = this.isSelfLeaving ? this.getRouterIds().slice(1) : this.getRouterIds();
+    const ranked = rankByHash(key, others.length > 0 ? others : [this.selfId]).slice(0, RANKED_COUNT);
+    this.rankedByKey.set(key, ranked);
+    return ranked;
   }
 
   /**
@@ -110,7 +126,8 @@
  * @param ids - The ids.
  */
 export function rankByHash<T extends string>(key: string, ids: readonly T[]): T[] {
-  const weighed = ids.map((id) => ({ id, weight: murmurhash.v3(`${key}|${id}`) }));
+  const seed = murmurhash.v3(key);
+  const weighed = ids.map((id) => ({ id, weight: murmurhash.v3(id, seed) }));
   weighed.sort((left, right) => right.weight - left.weight || (left.id < right.id ? -1 : 1));
   return weighed.map((entry) => entry.id);
 }
--- a/src/transport/PeerConnection.ts
+++ b/src/transport/PeerConnection.ts
@@ -9,6 +9,11 @@
 /** Heartbeat intervals of silence after which a connection is abandoned. */
 const SILENT_INTERVALS = 2;
 
+/** Time without use after which the end that opened a connection closes it, in milliseconds. */
+const IDLE_CLOSE_MS = 15_000;
+/** Time without a sign of the other end after which an unused connection is taken for lost, in milliseconds. */
+const FORGOTTEN_CLOSE_MS = 60_000;
+
 /** Time given to the other end to take what was sent before a connection closes, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 1_000;
 
@@ -23,12 +28,15 @@
 /** Methods that one end offers; each takes the caller's parameters and its connection. */
 export type PeerMethods = Readonly<Record<string, (params: never, connection: PeerConnection) => unknown>>;
 
-/** Authenticated json-rpc-2.0 connection between two of our processes, with heartbeats both ways. */
+/** Authenticated json-rpc-2.0 connection between two of our processes, watched by heartbeats while it is in use. */
 export class PeerConnection {
   private readonly rpc: JSONRPCServerAndClient;
   private readonly heartbeat: Repeater;
   private readonly closeListeners = new Set<() => void>();
   private lastHeardAtMs: number;
+  /** When the connection last began to be in use; undefined while it is not. */
+  private usedSinceMs: number | undefined;
+  private useCount = 0;
   private closed = false;
 
   /**
@@ -37,6 +45,7 @@
    * @param methods - What this end offers.
    * @param peerName - Name of the other end, for logs.
    * @param traffic - Counts the bytes.
+   * @param isDialer - Whether this end opened the connection.
    */
   constructor(
     private readonly socket: WebSocket,
@@ -44,6 +53,7 @@
     methods: PeerMethods,
     readonly peerName: string,
     private readonly traffic: TrafficMeter,
+    private readonly isDialer: boolean,
   ) {
     const client = new JSONRPCClient((payload) => this.send(JSON.stringify(payload)));
     const server = new JSONRPCServer({ errorListener: () => undefined });
@@ -75,7 +85,26 @@
     if (this.closed) {
       throw new ConnectionLostError();
     }
-    return (await this.rpc.request(method, params)) as T;
+    const release = this.hold();
+    try {
+      return (await this.rpc.request(method, params)) as T;
+    } finally {
+      release();
+    }
+  }
+
+  /** Notes that something depends on the connection, which is watched until the returned function is called. */
+  hold(): () => void {
+    this.useCount++;
+    this.usedSinceMs ??= this.clock.nowMs();
+    let isHeld = true;
+    return () => {
+      if (isHeld) {
+        isHeld = false;
+        this.useCount--;
+        this.usedSinceMs = this.useCount === 0 ? undefined : this.usedSinceMs;
+      }
+    };
   }
 
   /**
@@ -119,7 +148,12 @@
   }
 
   private beat(): void {
-    const silentMs = this.clock.nowMs() - this.lastHeardAtMs;
+    const nowMs = this.clock.nowMs();
+    if (this.usedSinceMs === undefined) {
+      this.closeWhenIdle(nowMs);
+      return;
+    }
+    const silentMs = nowMs - Math.max(this.lastHeardAtMs, this.usedSinceMs);
     if (silentMs > SILENT_INTERVALS * HEARTBEAT_INTERVAL_MS) {
       this.abandon();
       return;
@@ -130,6 +164,14 @@
     }
   }
 
+  /** The end that opened the connection closes it; the other does so only when it heard nothing for much longer. */
+  private closeWhenIdle(nowMs: number): void {
+    const limitMs = this.isDialer ? IDLE_CLOSE_MS : FORGOTTEN_CLOSE_MS;
+    if (nowMs - this.lastHeardAtMs > limitMs) {
+      this.abandon();
+    }
+  }
+
   private noteHeard(payloadBytes: number): void {
     this.traffic.noteReceived(payloadBytes);
     this.lastHeardAtMs = this.clock.nowMs();
@@ -144,7 +186,7 @@
       this.abandon();
       return;
     }
-    void this.rpc.receiveAndSend(payload);
+    this.rpc.receiveAndSend(payload).catch(() => this.abandon());
   }
 
   private send(text: string): void {
--- a/src/transport/PeerDialer.ts
+++ b/src/transport/PeerDialer.ts
@@ -88,7 +88,7 @@
     });
     return new Promise((resolve, reject) => {
       socket.once('open', () =>
-        resolve(new PeerConnection(socket, this.clock, this.methods, address, this.traffic)),
+        resolve(new PeerConnection(socket, this.clock, this.methods, address, this.traffic, true)),
       );
       socket.once('error', (error: NodeJS.ErrnoException) =>
         reject(new ConnectionLostError(error.code === 'ECONNREFUSED')),
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -80,7 +80,14 @@
     }
     const peerName = String(request.headers['x-monsoonglade-peer'] ?? 'unknown');
     this.sockets.handleUpgrade(request, socket, head, (webSocket) => {
-      const connection = new PeerConnection(webSocket, this.clock, this.methods, peerName, this.traffic);
+      const connection = new PeerConnection(
+        webSocket,
+        this.clock,
+        this.methods,
+        peerName,
+        this.traffic,
+        false,
+      );
       this.connections.add(connection);
       connection.onClose(() => this.connections.delete(connection));
     });
--- a/test/process/TestSystem.ts
+++ b/test/process/TestSystem.ts
@@ -64,25 +64,31 @@
   async call(
     router: string,
     path: string,
-    init: RequestInit & { token?: string } = {},
+    init: RequestInit & { token?: string; onFirstPiece?: () => void } = {},
   ): Promise<CallerResponse> {
     const url = `${this.fleet.getOrThrow(router).entryUrl ?? ''}${path}`;
     const headers = new Headers(init.headers);
     headers.set('authorization', `Bearer ${init.token ?? TOKENS.mosquitero}`);
     const response = await fetch(url, { ...init, headers });
-    return { status: response.status, text: await response.text(), headers: response.headers };
+    const decoder = new TextDecoder();
+    let text = '';
+    for await (const piece of response.body ?? []) {
+      text += decoder.decode(piece as Uint8Array, { stream: true });
+      init.onFirstPiece?.();
+    }
+    return { status: response.status, text, headers: response.headers };
   }
 
   /** Sends a chat completion. */
   chat(router: string, prompt: string, extra: ChatExtra = {}): Promise<CallerResponse> {
-    const { token, headers, ...fields } = extra;
+    const { token, headers, onFirstPiece, ...fields } = extra;
     const body = JSON.stringify({
       model: 'quotes/base',
       messages: [{ role: 'user', content: prompt }],
       max_tokens: 5,
       ...fields,
     });
-    return this.call(router, '/v1/chat/completions', { method: 'POST', body, headers, token });
+    return this.call(router, '/v1/chat/completions', { method: 'POST', body, headers, token, onFirstPiece });
   }
 
   /** Sends a frame order. */
@@ -226,6 +232,7 @@
   readonly model?: string;
   readonly stream?: boolean;
   readonly max_tokens?: number;
+  readonly onFirstPiece?: () => void;
 }
 
 /** The service that tests use unless they say otherwise. */
--- a/test/process/failures.test.ts
+++ b/test/process/failures.test.ts
@@ -5,12 +5,16 @@
 
 const MODEL = 'quotes/base';
 
-/** Starts a long stream and resolves when its first piece has arrived. */
+/** Starts a long stream and resolves when its first piece has reached the caller. */
 async function startStream(system: TestSystem, router: string, prompt: string, tokenCount: number) {
-  const answer = system.chat(router, prompt, { stream: true, max_tokens: tokenCount });
-  await system.until('the engine runs it', () =>
-    system.engines.some((engine) => engine.runCountByPrompt.has(prompt)),
-  );
+  let sawFirst: () => void = () => undefined;
+  const first = new Promise<void>((resolve) => (sawFirst = resolve));
+  const answer = system.chat(router, prompt, {
+    stream: true,
+    max_tokens: tokenCount,
+    onFirstPiece: () => sawFirst(),
+  });
+  await Promise.race([first, answer]);
   return { answer, expected: expectedTokens(MODEL, prompt, tokenCount).join('') };
 }
 
--- a/test/process/replicas.test.ts
+++ b/test/process/replicas.test.ts
@@ -29,10 +29,10 @@
       await disturb(system);
       const answers = await burst;
       watch.stop();
-      expect(watch.peak()).to.equal(1);
       expect(answers.filter((answer) => answer.status !== 200).map((answer) => answer.text)).to.deep.equal(
         [],
       );
+      expect(watch.peak()).to.equal(1);
       expect(system.platform.writeCount).to.equal(writesBefore);
       expect(system.engines.map((engine) => engine.overcommitCount)).to.deep.equal([0, 0, 0]);
     } finally {
