--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,12 @@
 import prettier from 'eslint-config-prettier';
 
 /** Folders that hold decisions; they may import the domain and the kernel alone. */
-const decisionFolders = ['src/home/decisions/**', 'src/agent/decisions/**', 'src/router/decisions/**'];
+const decisionFolders = [
+  'src/home/decisions/**',
+  'src/agent/decisions/**',
+  'src/router/decisions/**',
+  'src/state/decisions/**',
+];
 
 export default tseslint.config(
   { ignores: ['dist/**', 'node_modules/**'] },
--- a/measure/main.ts
+++ b/measure/main.ts
@@ -4,7 +4,7 @@
 import type { Figure } from './Figure.js';
 import { measureKeepAlive } from './keepAlive.js';
 import { measureGoodput, measureWarmOverhead } from './load.js';
-import { measureSlopes } from './slopes.js';
+import { measureIdleCost, measureRequestCost, measureTargetState, measureTokenCost } from './slopes.js';
 
 const { values } = parseArgs({
   options: {
@@ -20,7 +20,10 @@
   coldStart: measureColdStarts,
   warmOverhead: measureWarmOverhead,
   goodput: measureGoodput,
-  slopes: measureSlopes,
+  requestCost: measureRequestCost,
+  tokenCost: measureTokenCost,
+  idleCost: measureIdleCost,
+  targetState: measureTargetState,
 };
 
 function print(figure: Figure): void {
--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -25,18 +25,8 @@
   readonly agents: Usage;
 }
 
-/** Measures how the cost of a router and an agent grows with what the fleet holds and does. */
-export async function measureSlopes(): Promise<Figure[]> {
-  return [
-    ...(await measureRequestCost()),
-    ...(await measureTokenCost()),
-    ...(await measureIdleCost()),
-    ...(await measureTargetState()),
-  ];
-}
-
 /** Processor time of one request, from two rates. */
-async function measureRequestCost(): Promise<Figure[]> {
+export async function measureRequestCost(): Promise<Figure[]> {
   const [slowRate, fastRate] = [50, 250];
   const fleet = await startLoaded();
   try {
@@ -60,7 +50,7 @@
 }
 
 /** Processor time of one streamed token, from two lengths of answers. */
-async function measureTokenCost(): Promise<Figure[]> {
+export async function measureTokenCost(): Promise<Figure[]> {
   const [shortCount, longCount] = [10, 210];
   const fleet = await startLoaded();
   try {
@@ -86,7 +76,7 @@
 }
 
 /** Cost of a fleet without work, from two numbers of agents and two of routers. */
-async function measureIdleCost(): Promise<Figure[]> {
+export async function measureIdleCost(): Promise<Figure[]> {
   const small = await watchIdle({ routerCount: 2, engineCount: 2 });
   const moreAgents = await watchIdle({ routerCount: 2, engineCount: 10 });
   const moreRouters = await watchIdle({ routerCount: 10, engineCount: 2 });
@@ -123,7 +113,7 @@
 }
 
 /** Memory and processor time of one router among 410, with the target's models, adapters and servers. */
-async function measureTargetState(): Promise<Figure[]> {
+export async function measureTargetState(): Promise<Figure[]> {
   const fleet = await MeasuredFleet.start({ ...LOAD_SETUP, routerCount: 1 });
   try {
     const beforeBytes = fleet.residentBytes('router-1');
--- a/src/agent/decisions/ResidencyController.ts
+++ b/src/agent/decisions/ResidencyController.ts
@@ -2,22 +2,16 @@
 import type { EngineOrder, EngineState, OrderOutcome } from './EngineState.js';
 import type { GrantTable } from './GrantTable.js';
 import { MemoryLedger } from './MemoryLedger.js';
-
-/** Time after which an unanswered order can no longer reach an engine that ignores order numbers, in milliseconds. */
-export const ORDER_SETTLE_MS = 5_000;
-
-/** Where an item is in its life on the backend server. */
-export type ItemPhase = 'absent' | 'waitingForMemory' | 'loading' | 'ready' | 'unloading' | 'loadUnknown';
-
-/** A model or adapter that is to be on the backend server. */
-export interface ItemRequest {
-  readonly itemId: string;
-  readonly sizeBytes: number;
-  /** Model that an adapter belongs to; absent for a model. */
-  readonly baseItemId?: string;
-  /** Time that the item stays after its last use, in milliseconds. */
-  readonly keepAliveMs: number;
-}
+import { ORDER_SETTLE_MS, OrderBook } from './OrderBook.js';
+import {
+  baseOf,
+  createItem,
+  isInUse,
+  rankForEviction,
+  type ItemPhase,
+  type ItemRequest,
+  type ResidentItem,
+} from './ResidentItem.js';
 
 /** Answer to a request for an item. */
 export type WakeResult =
@@ -25,22 +19,6 @@
   | { readonly kind: 'loading' }
   | { readonly kind: 'refused'; readonly reason: RefusalReason };
 
-interface Item {
-  readonly itemId: string;
-  sizeBytes: number;
-  readonly baseItemId?: string;
-  keepAliveMs: number;
-  phase: ItemPhase;
-  runningCount: number;
-  lastUsedAtMs: number;
-  /** Number of the order in flight; 0 when there is none. */
-  orderNumber: number;
-  /** Number of the last order, answered or not. */
-  lastOrderNumber: number;
-  /** When the phase last changed. */
-  changedAtMs: number;
-}
-
 /**
  * Decides which models and adapters one backend server loads and unloads.
  *
@@ -48,21 +26,8 @@
  * order without an answer counts as carried out until the engine shows otherwise.
  */
 export class ResidencyController {
-  private readonly items = new Map<string, Item>();
-  private readonly orders: EngineOrder[] = [];
-  private nextOrderNumber = 1;
-  private bootId = '';
-  private fencing = false;
-  /** Order number below which a fencing engine refuses everything. */
-  private fencedBelow = 0;
-  /** When the engine confirmed that. */
-  private fencedAtMs = 0;
-  /** Whether the last fence failed and is to be sent again. */
-  private fenceWanted = false;
-  /** When an engine that ignores order numbers can no longer receive an earlier process's order. */
-  private settledAtMs = Infinity;
-  /** Whether a state was read that shows everything that earlier processes ordered. */
-  private settled = false;
+  private readonly items = new Map<string, ResidentItem>();
+  private readonly book = new OrderBook();
   private leaving = false;
 
   /**
@@ -76,15 +41,15 @@
 
   /** Takes the orders that are to be sent now. */
   takeOrders(): EngineOrder[] {
-    return this.orders.splice(0);
+    return this.book.take();
   }
 
   /**
    * Tells where an item is; `loadUnknown` until it is certain that no order of an earlier process is still to come.
-   * @param itemId - Item to look at.
+   * @param itemId - ResidentItem to look at.
    */
   phaseOf(itemId: string): ItemPhase {
-    return this.items.get(itemId)?.phase ?? (this.settled ? 'absent' : 'loadUnknown');
+    return this.items.get(itemId)?.phase ?? (this.book.isSettled ? 'absent' : 'loadUnknown');
   }
 
   /** Ids of all models that are not absent. */
@@ -98,7 +63,7 @@
 
   /** Whether anything runs or is on its way in or out, or the state is not certain yet. */
   get isBusy(): boolean {
-    if (!this.settled) {
+    if (!this.book.isSettled) {
       return true;
     }
     for (const item of this.items.values()) {
@@ -109,7 +74,7 @@
     return false;
   }
 
-  /** @param itemId - Item to look at. */
+  /** @param itemId - ResidentItem to look at. */
   runningCountOf(itemId: string): number {
     return this.items.get(itemId)?.runningCount ?? 0;
   }
@@ -135,15 +100,7 @@
     if (reason) {
       return { kind: 'refused', reason };
     }
-    const item: Item = {
-      ...request,
-      phase: 'waitingForMemory',
-      runningCount: 0,
-      lastUsedAtMs: nowMs,
-      orderNumber: 0,
-      lastOrderNumber: 0,
-      changedAtMs: nowMs,
-    };
+    const item = createItem(request, 'waitingForMemory', nowMs);
     if (!this.makeRoomFor(item)) {
       return { kind: 'refused', reason: 'noMemory' };
     }
@@ -186,7 +143,7 @@
    */
   orderAnswered(order: EngineOrder, outcome: OrderOutcome, nowMs: number): void {
     if (order.kind === 'fence') {
-      this.fenceAnswered(order, outcome, nowMs);
+      this.book.fenceAnswered(order, outcome, nowMs);
       return;
     }
     const item = this.items.get(order.itemId);
@@ -204,39 +161,19 @@
         return;
       case 'unknown':
         item.phase = 'loadUnknown';
-        this.sendFence();
+        this.book.fence();
         return;
     }
   }
 
-  private fenceAnswered(order: EngineOrder, outcome: OrderOutcome, nowMs: number): void {
-    if (outcome === 'done') {
-      this.fencedBelow = Math.max(this.fencedBelow, order.orderNumber);
-      this.fencedAtMs = nowMs;
-      return;
-    }
-    this.fenceWanted = true;
-  }
-
   /**
    * Takes a state that the engine reported.
    * @param state - The state.
    * @param askedAtMs - When the state was asked for.
    */
   engineStateRead(state: EngineState, askedAtMs: number): void {
-    const isNewBoot = state.bootId !== this.bootId;
-    if (this.bootId === '') {
-      this.settledAtMs = state.fencing ? askedAtMs : askedAtMs + ORDER_SETTLE_MS;
-    }
-    this.bootId = state.bootId;
-    this.fencing = state.fencing;
     this.ledger.setCapacityBytes(state.capacityBytes);
-    this.nextOrderNumber = Math.max(this.nextOrderNumber, state.lastOrderNumber + 1);
-    if (isNewBoot || this.fenceWanted) {
-      this.fencedBelow = isNewBoot ? 0 : this.fencedBelow;
-      this.fenceWanted = false;
-      this.sendFence();
-    }
+    this.book.stateRead(state, askedAtMs);
     const shown = new Set<string>();
     for (const engineItem of state.items) {
       shown.add(engineItem.itemId);
@@ -247,7 +184,6 @@
         this.itemNotShown(item, askedAtMs);
       }
     }
-    this.settled ||= this.isSettledBy(askedAtMs);
     this.loadWaiting();
   }
 
@@ -266,11 +202,11 @@
     this.loadWaiting();
   }
 
-  private isRevoked(item: Item): boolean {
+  private isRevoked(item: ResidentItem): boolean {
     return this.grants.isRevoked(item.baseItemId ?? item.itemId);
   }
 
-  private describeExisting(item: Item): WakeResult {
+  private describeExisting(item: ResidentItem): WakeResult {
     switch (item.phase) {
       case 'ready':
         return { kind: 'ready' };
@@ -295,33 +231,16 @@
     } else if (this.phaseOf(request.baseItemId) !== 'ready') {
       return 'notLoaded';
     }
-    return this.settled ? undefined : 'notLoaded';
+    return this.book.isSettled ? undefined : 'notLoaded';
   }
 
-  /** Whether no order of an earlier process can be carried out after a state that was asked for at a time. */
-  private isSettledBy(askedAtMs: number): boolean {
-    return this.fencing ? this.fencedBelow > 0 && askedAtMs > this.fencedAtMs : askedAtMs >= this.settledAtMs;
-  }
-
-  private sendFence(): void {
-    if (this.fencing) {
-      this.orders.push({
-        orderNumber: this.nextOrderNumber++,
-        kind: 'fence',
-        itemId: '',
-        sizeBytes: 0,
-        isAdapter: false,
-      });
-    }
-  }
-
-  private makeRoomFor(wanted: Item): boolean {
+  private makeRoomFor(wanted: ResidentItem): boolean {
     let availableBytes = this.ledger.freeBytes - this.reservedByWaitingBytes();
     if (availableBytes >= wanted.sizeBytes) {
       return true;
     }
-    const victims: Item[] = [];
-    for (const candidate of this.evictionOrder(wanted)) {
+    const victims: ResidentItem[] = [];
+    for (const candidate of rankForEviction(wanted, [...this.items.values()])) {
       victims.push(candidate);
       availableBytes += candidate.sizeBytes;
       if (availableBytes >= wanted.sizeBytes) {
@@ -351,42 +270,13 @@
     return total;
   }
 
-  /** Idle items, the one whose keep-alive ends first coming first. */
-  private evictionOrder(wanted: Item): Item[] {
-    const candidates: Item[] = [];
-    for (const item of this.items.values()) {
-      const isBase = item.itemId === wanted.baseItemId;
-      if (item.phase === 'ready' && !isBase && !this.isInUse(item)) {
-        candidates.push(item);
-      }
-    }
-    const expiryMs = (item: Item) => item.lastUsedAtMs + item.keepAliveMs;
-    return candidates.sort((left, right) => expiryMs(left) - expiryMs(right));
-  }
-
-  private isInUse(item: Item): boolean {
-    if (item.runningCount > 0) {
-      return true;
-    }
-    for (const other of this.items.values()) {
-      const isOwnAdapter = other.baseItemId === item.itemId;
-      if (
-        isOwnAdapter &&
-        (other.runningCount > 0 || other.phase === 'loading' || other.phase === 'waitingForMemory')
-      ) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private loadWaiting(): void {
     for (const item of this.items.values()) {
       this.loadIfRoom(item);
     }
   }
 
-  private loadIfRoom(item: Item): void {
+  private loadIfRoom(item: ResidentItem): void {
     if (item.phase !== 'waitingForMemory') {
       return;
     }
@@ -401,12 +291,12 @@
     }
   }
 
-  private unload(item: Item): void {
+  private unload(item: ResidentItem): void {
     if (item.phase === 'waitingForMemory') {
       this.items.delete(item.itemId);
       return;
     }
-    if (item.phase !== 'ready' || this.isInUse(item)) {
+    if (item.phase !== 'ready' || isInUse(item, this.items.values())) {
       return;
     }
     for (const other of this.items.values()) {
@@ -418,20 +308,13 @@
     this.sendOrder(item, 'unload');
   }
 
-  private sendOrder(item: Item, kind: 'load' | 'unload'): void {
-    item.orderNumber = this.nextOrderNumber++;
-    item.lastOrderNumber = item.orderNumber;
+  private sendOrder(item: ResidentItem, kind: 'load' | 'unload'): void {
     const isAdapter = item.baseItemId !== undefined;
-    this.orders.push({
-      orderNumber: item.orderNumber,
-      kind,
-      itemId: item.itemId,
-      sizeBytes: item.sizeBytes,
-      isAdapter,
-    });
+    item.orderNumber = this.book.enter({ kind, itemId: item.itemId, sizeBytes: item.sizeBytes, isAdapter });
+    item.lastOrderNumber = item.orderNumber;
   }
 
-  private orderDone(item: Item, order: EngineOrder): void {
+  private orderDone(item: ResidentItem, order: EngineOrder): void {
     if (order.kind === 'load') {
       item.phase = 'ready';
       return;
@@ -440,7 +323,7 @@
     this.loadWaiting();
   }
 
-  private orderRefused(item: Item, order: EngineOrder): void {
+  private orderRefused(item: ResidentItem, order: EngineOrder): void {
     if (order.kind === 'load') {
       this.forget(item);
       return;
@@ -448,7 +331,7 @@
     item.phase = 'ready';
   }
 
-  private forget(item: Item): void {
+  private forget(item: ResidentItem): void {
     this.items.delete(item.itemId);
     this.ledger.release(item.itemId);
   }
@@ -470,41 +353,18 @@
   /** Takes over what an earlier process on this instance had ordered. */
   private adopt(itemId: string, sizeBytes: number, isLoaded: boolean, nowMs: number): void {
     this.ledger.adopt(itemId, sizeBytes);
-    this.items.set(itemId, {
-      itemId,
-      sizeBytes,
-      ...baseOf(itemId),
-      keepAliveMs: ORDER_SETTLE_MS,
-      phase: isLoaded ? 'ready' : 'loading',
-      runningCount: 0,
-      lastUsedAtMs: nowMs,
-      orderNumber: 0,
-      lastOrderNumber: 0,
-      changedAtMs: nowMs,
-    });
+    const request = { itemId, sizeBytes, ...baseOf(itemId), keepAliveMs: ORDER_SETTLE_MS };
+    this.items.set(itemId, createItem(request, isLoaded ? 'ready' : 'loading', nowMs));
   }
 
-  private itemNotShown(item: Item, askedAtMs: number): void {
+  private itemNotShown(item: ResidentItem, askedAtMs: number): void {
     const isOnItsWay = item.phase === 'waitingForMemory' || item.orderNumber !== 0;
     if (isOnItsWay || askedAtMs <= item.changedAtMs) {
       return;
     }
-    if (item.phase !== 'loadUnknown' || this.canNoLongerArrive(item, askedAtMs)) {
+    const { phase, lastOrderNumber, changedAtMs } = item;
+    if (phase !== 'loadUnknown' || !this.book.mayStillArrive(lastOrderNumber, changedAtMs, askedAtMs)) {
       this.forget(item);
     }
   }
-
-  /** Whether an order without an answer would show in this state if it were ever to be carried out. */
-  private canNoLongerArrive(item: Item, askedAtMs: number): boolean {
-    if (this.fencing) {
-      return this.fencedBelow > item.lastOrderNumber && askedAtMs > this.fencedAtMs;
-    }
-    return askedAtMs - item.changedAtMs >= ORDER_SETTLE_MS;
-  }
-}
-
-/** Reads the base model off an adapter's id, which is `service/model:adapter`. */
-function baseOf(itemId: string): { readonly baseItemId?: string } {
-  const end = itemId.indexOf(':');
-  return end < 0 ? {} : { baseItemId: itemId.slice(0, end) };
 }
--- a/src/cli/commands/ExplainCommand.ts
+++ b/src/cli/commands/ExplainCommand.ts
@@ -1,25 +1,7 @@
 import { Command, Option } from 'clipanion';
+import type { ModelExplanation, ReplicaExplanation } from '../../home/index.js';
 import { EXIT_CODES, OperatorCommand } from '../OperatorCommand.js';
 
-/** What a home says of one of its models. */
-interface Explanation {
-  readonly modelId: string;
-  readonly decidedReplicas: number;
-  readonly placementVersion: number;
-  readonly grants: readonly { readonly serverId: string; readonly state: string }[];
-  readonly replicas: readonly {
-    readonly serverId: string;
-    readonly phase: string;
-    readonly usable: boolean;
-    readonly running: number;
-    readonly slotCount: number;
-  }[];
-  readonly waiting: number;
-  readonly forecast: { readonly startInMs: number; readonly finishInMs: number };
-  readonly loadMeanMs: number;
-  readonly serviceMeanMs: number;
-}
-
 /** Explains where a model is, why, and what a request would meet now. */
 export class ExplainCommand extends OperatorCommand {
   static override paths = [['explain']];
@@ -35,7 +17,7 @@
   protected async run(): Promise<number> {
     const answers = await this.askProcesses(`/explain?model=${encodeURIComponent(this.model)}`);
     const known = answers.filter((answer) => answer.body && 'forecast' in answer.body);
-    const explanations = known.map((answer) => answer.body as unknown as Explanation);
+    const explanations = known.map((answer) => answer.body as unknown as ModelExplanation);
     if (explanations.length === 0) {
       this.context.stderr.write(
         `None of the ${answers.length} processes is the home of ${this.model}; name the other routers too.\n`,
@@ -47,7 +29,7 @@
   }
 }
 
-function describe(model: Explanation): string[] {
+function describe(model: ModelExplanation): string[] {
   const grants = model.grants.map((grant) => `${grant.serverId} (${grant.state})`).join(', ') || 'none';
   const forecast = `${Math.round(model.forecast.startInMs)} ms to start, ${Math.round(model.forecast.finishInMs)} ms to finish`;
   return [
@@ -59,7 +41,7 @@
   ];
 }
 
-function describeReplica(replica: Explanation['replicas'][number]): string {
+function describeReplica(replica: ReplicaExplanation): string {
   const usable = replica.usable ? 'takes work' : 'takes no work';
   return `    ${replica.serverId}: ${replica.phase}, ${usable}, ${replica.running} of ${replica.slotCount} slots in use`;
 }
--- a/src/cli/commands/StatusCommand.ts
+++ b/src/cli/commands/StatusCommand.ts
@@ -1,18 +1,7 @@
 import { Command } from 'clipanion';
+import type { ModelExplanation } from '../../home/index.js';
 import { EXIT_CODES, OperatorCommand, type ProcessAnswer } from '../OperatorCommand.js';
 
-/** Model as a router shows it. */
-interface ShownModel {
-  readonly modelId: string;
-  readonly decidedReplicas: number;
-  readonly waiting: number;
-  readonly replicas: readonly {
-    readonly serverId: string;
-    readonly phase: string;
-    readonly running: number;
-  }[];
-}
-
 /** Shows the state of some processes. */
 export class StatusCommand extends OperatorCommand {
   static override paths = [['status']];
@@ -49,10 +38,10 @@
   }
   const platform = status.platformReachable === true ? 'reachable' : 'unreachable';
   const head = `router ${String(status.id)}: ${ready}, state revision ${String(status.stateRevision)}, platform ${platform}`;
-  return [head, ...(status.models as ShownModel[]).flatMap(describeModel)];
+  return [head, ...(status.models as ModelExplanation[]).flatMap(describeModel)];
 }
 
-function describeModel(model: ShownModel): string[] {
+function describeModel(model: ModelExplanation): string[] {
   const loaded = model.replicas.filter((replica) => replica.phase === 'ready').length;
   const head = `    ${model.modelId}: decided ${model.decidedReplicas}, loaded ${loaded}, waiting ${model.waiting}`;
   return [
--- a/src/daemon/routerMethods.ts
+++ b/src/daemon/routerMethods.ts
@@ -9,7 +9,7 @@
   type ReplicaReport,
 } from '../domain/index.js';
 import type { Kernel } from '../kernel/index.js';
-import type { PullReply } from '../router/index.js';
+import type { PullReply } from '../state/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
 import { NAMES } from './serviceNames.js';
 
--- a/src/daemon/serviceNames.ts
+++ b/src/daemon/serviceNames.ts
@@ -3,14 +3,8 @@
 import type { ClaimsService, HomeService, PermitDesk, PacerService } from '../home/index.js';
 import type { Clock, Random } from '../kernel/index.js';
 import type { InstanceList, ObjectStore, PlatformHttp } from '../platform/index.js';
-import type {
-  AttemptClient,
-  Catalogue,
-  EntryServer,
-  Membership,
-  StateStore,
-  StateWatcher,
-} from '../router/index.js';
+import type { AttemptClient, EntryServer } from '../router/index.js';
+import type { Catalogue, Membership, StateStore, StateWatcher } from '../state/index.js';
 import type { AuditTrail, Log, Metrics } from '../telemetry/index.js';
 import type { PeerDialer, TrafficMeter } from '../transport/index.js';
 
--- a/src/daemon/wire.ts
+++ b/src/daemon/wire.ts
@@ -17,14 +17,11 @@
   AttemptClient,
   Authenticator,
   BudgetService,
-  Catalogue,
   EntryServer,
   HomeDirectory,
-  Membership,
   RequestParser,
-  StateStore,
-  StateWatcher,
 } from '../router/index.js';
+import { Catalogue, Membership, StateStore, StateWatcher } from '../state/index.js';
 import type { AgentSettings, DaemonSettings, RouterSettings, Secrets } from '../settings/index.js';
 import { AuditTrail, Log, Metrics } from '../telemetry/index.js';
 import { PeerDialer, PeerServer, TrafficMeter } from '../transport/index.js';
--- a/src/home/AgentLinks.ts
+++ b/src/home/AgentLinks.ts
@@ -2,8 +2,10 @@
 import { AGENT_METHODS, type FollowParams, type ReplicaReport } from '../domain/index.js';
 import type { PeerConnection, PeerDialer } from '../transport/index.js';
 
-/** Time between two tries to reach an agent, in milliseconds. */
-const RECONNECT_MS = 500;
+/** Time before the first new try to reach an agent, doubled with every failure up to the limit, in milliseconds. */
+const FIRST_RECONNECT_MS = 250;
+/** Longest time between two tries to reach an agent, in milliseconds. */
+const MAX_RECONNECT_MS = 4_000;
 
 /** Takes what happens on a link. */
 export interface LinkListener {
@@ -24,6 +26,8 @@
   >();
   private readonly busy = new Set<string>();
   private readonly stopListening = new Map<string, () => void>();
+  /** Time before the next new try, by what is followed. */
+  private readonly reconnectMs = new Map<string, number>();
 
   /**
    * @param clock - Source of time.
@@ -60,6 +64,7 @@
   unfollow(serverId: string, modelId: string): void {
     const key = `${modelId}@${serverId}`;
     this.followed.delete(key);
+    this.reconnectMs.delete(key);
     this.stopListening.get(key)?.();
     this.stopListening.delete(key);
   }
@@ -94,6 +99,7 @@
         release();
         stopListening();
       });
+      this.reconnectMs.delete(key);
       this.listener.reported(report);
     } catch {
       this.lost(key);
@@ -112,6 +118,8 @@
       return;
     }
     this.listener.lost(target.serverId);
-    this.clock.schedule(RECONNECT_MS, () => void this.connect(key));
+    const delayMs = this.reconnectMs.get(key) ?? FIRST_RECONNECT_MS;
+    this.reconnectMs.set(key, Math.min(MAX_RECONNECT_MS, delayMs * 2));
+    this.clock.schedule(delayMs, () => void this.connect(key));
   }
 }
--- a/src/home/HomeService.ts
+++ b/src/home/HomeService.ts
@@ -13,17 +13,19 @@
   type WakeReply,
 } from '../domain/index.js';
 import type { ObjectStore } from '../platform/index.js';
-import type { Catalogue, CatalogueModel } from '../router/Catalogue.js';
-import type { Membership, StateStore } from '../router/decisions/index.js';
+import type { Catalogue, CatalogueModel } from '../state/index.js';
+import type { Membership, StateStore } from '../state/index.js';
 import type { AuditTrail, Log, Metrics } from '../telemetry/index.js';
 import type { PeerDialer } from '../transport/index.js';
 import { AgentLinks } from './AgentLinks.js';
+import { explainModel, type ModelExplanation } from './explainModel.js';
 import type { PlacementReviewer } from './PlacementReviewer.js';
+import { QuarantineKeeper } from './QuarantineKeeper.js';
 import {
   CrashLedger,
   HistogramKeepAlivePolicy,
   ModelHome,
-  QUARANTINE_MS,
+  ReviewQueue,
   type HomeCommand,
 } from './decisions/index.js';
 
@@ -33,10 +35,6 @@
 const IDLE_TICKS = 20;
 /** Time between two reviews of the placements that something changed for, in milliseconds. */
 const REVIEW_INTERVAL_MS = 500;
-/** Reviews between two in which every placement is looked at. */
-const REVIEWS_PER_ROUND = 20;
-/** Models that one review looks at, so that it never holds up requests for long. */
-const REVIEW_BATCH = 100;
 /** Time after which a caller of a stopping or unknown home should come back, in milliseconds. */
 const COME_BACK_MS = 1_000;
 
@@ -54,13 +52,6 @@
   readonly log: Log;
 }
 
-/** What is kept under the quarantine prefix. */
-export interface QuarantineObject {
-  readonly fingerprint: string;
-  readonly modelId: string;
-  readonly untilMs: number;
-}
-
 interface HostedModel {
   readonly home: ModelHome;
   followedServers: Set<string>;
@@ -72,17 +63,18 @@
   private readonly hosted = new Map<string, HostedModel>();
   private readonly waitingReplies = new Map<string, (reply: AssignReply) => void>();
   private readonly crashes = new CrashLedger();
+  private readonly quarantines: QuarantineKeeper;
   private readonly links: AgentLinks;
   private readonly ticker: Repeater;
   private readonly reviews: Repeater;
   private readonly active = new Set<string>();
-  private readonly toReview = new Set<string>();
+  private readonly toReview = new ReviewQueue();
   private tickCount = 0;
-  private reviewCount = 0;
   private stopping = false;
 
   /** @param parts - What the service is made of. */
   constructor(private readonly parts: HomeParts) {
+    this.quarantines = new QuarantineKeeper(parts, this.crashes);
     this.links = new AgentLinks(parts.clock, parts.dialer, {
       reported: (report) => this.reported(report),
       lost: (serverId) => this.lost(serverId),
@@ -90,7 +82,7 @@
     this.ticker = new Repeater(parts.clock, TICK_MS, () => this.tick());
     this.reviews = new Repeater(parts.clock, REVIEW_INTERVAL_MS, () => this.reviewNext());
     parts.state.onChange((path) => this.stateChanged(path));
-    parts.membership.onChange(() => this.reviewEverything());
+    parts.membership.onChange(() => this.toReview.addAll(this.allModelIds()));
     parts.metrics.gauge('home_models', () => this.hosted.size);
     parts.metrics.gauge('home_waiting', () => this.waitingReplies.size);
   }
@@ -98,7 +90,7 @@
   start(): Promise<void> {
     this.ticker.start();
     this.reviews.start();
-    this.reviewEverything();
+    this.toReview.addAll(this.allModelIds());
     this.reviewNext();
     return Promise.resolve();
   }
@@ -155,33 +147,10 @@
   }
 
   /** @param modelId - Model whose state is wanted; undefined when this router is not its home. */
-  explain(modelId: string) {
-    const hosted = this.hosted.get(modelId);
-    const model = this.parts.catalogue.getModel(modelId);
-    if (!hosted || !model) {
-      return undefined;
-    }
+  explain(modelId: string): ModelExplanation | undefined {
+    const home = this.hosted.get(modelId)?.home;
     const placement = this.parts.catalogue.getPlacement(modelId);
-    const replicas = [...hosted.home.views].map((view) => ({
-      serverId: view.serverId,
-      phase: view.phase,
-      usable: view.isUsable,
-      running: view.running.size,
-      slotCount: view.slotCount,
-    }));
-    const nowMs = this.parts.clock.nowMs();
-    const forecast = hosted.home.estimate.forecast(hosted.home.line.length, hosted.home.views, nowMs);
-    return {
-      modelId,
-      decidedReplicas: placement?.value.decidedReplicas ?? 0,
-      placementVersion: placement?.version ?? 0,
-      grants: placement?.value.grants ?? [],
-      replicas,
-      waiting: hosted.home.line.length,
-      forecast,
-      loadMeanMs: Math.round(hosted.home.estimate.loadTime.meanMs),
-      serviceMeanMs: Math.round(hosted.home.estimate.serviceTime.meanMs),
-    };
+    return home && explainModel(modelId, home, placement, this.parts.clock.nowMs());
   }
 
   /**
@@ -248,28 +217,17 @@
     }
   }
 
-  private reviewEverything(): void {
+  /** Every configured model, and those hosted here that no longer are. */
+  private *allModelIds(): IterableIterator<string> {
     for (const model of this.parts.catalogue.getModels()) {
-      this.toReview.add(model.modelId);
-    }
-    for (const modelId of this.hosted.keys()) {
-      this.toReview.add(modelId);
+      yield model.modelId;
     }
+    yield* this.hosted.keys();
   }
 
-  /** Reviews the next models that something changed for, and every model now and then. */
   private reviewNext(): void {
-    this.reviewCount++;
-    if (this.reviewCount % REVIEWS_PER_ROUND === 0) {
-      this.reviewEverything();
-    }
-    let count = 0;
-    for (const modelId of this.toReview) {
-      this.toReview.delete(modelId);
+    for (const modelId of this.toReview.takeNext(() => this.allModelIds())) {
       this.reviewModel(modelId);
-      if (++count >= REVIEW_BATCH) {
-        return;
-      }
     }
   }
 
@@ -310,11 +268,11 @@
 
   private stateChanged(path: string): void {
     if (path.startsWith(QUARANTINE_PREFIX)) {
-      this.quarantineChanged(path);
+      this.quarantines.changed(path);
       return;
     }
     if (!path.startsWith(PLACEMENT_PREFIX)) {
-      this.reviewEverything();
+      this.toReview.addAll(this.allModelIds());
       return;
     }
     const modelId = path.slice(PLACEMENT_PREFIX.length);
@@ -326,15 +284,6 @@
     }
   }
 
-  private quarantineChanged(path: string): void {
-    const object = this.parts.state.get<QuarantineObject>(path)?.value;
-    if (object) {
-      this.crashes.quarantine(object.fingerprint, object.untilMs);
-      return;
-    }
-    this.crashes.clear(path.slice(QUARANTINE_PREFIX.length));
-  }
-
   /** Follows the model on the servers that may hold it, and tells the home who they are. */
   private followServers(model: CatalogueModel, hosted: HostedModel): void {
     const placement = this.parts.catalogue.getPlacement(model.modelId);
@@ -374,7 +323,7 @@
           void this.wake(model, command.serverId, command.keepAliveMs);
           break;
         case 'quarantine':
-          void this.quarantine(model, command.fingerprint);
+          void this.quarantines.add(command.fingerprint, model.modelId);
           break;
       }
     }
@@ -434,16 +383,4 @@
       this.withHome(model.modelId, (home, nowMs) => home.wakeRefused(serverId, nowMs));
     }
   }
-
-  private async quarantine(model: CatalogueModel, fingerprint: string): Promise<void> {
-    const untilMs = this.parts.clock.nowMs() + QUARANTINE_MS;
-    const value: QuarantineObject = { fingerprint, modelId: model.modelId, untilMs };
-    this.parts.log.degraded('request quarantined', { modelId: model.modelId });
-    const path = QUARANTINE_PREFIX + fingerprint;
-    const current = await this.parts.store.read(path);
-    const ifVersion = current.kind === 'found' ? current.object.version : 0;
-    const result = await this.parts.store.update(path, value, ifVersion);
-    const revision = result.kind === 'written' ? result.version : 0;
-    this.parts.audit.record('quarantine', fingerprint, 'crashed a backend server twice', revision);
-  }
 }
--- a/src/home/PermitDesk.ts
+++ b/src/home/PermitDesk.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../kernel/index.js';
 import { ROUTER_METHODS, type RouterId } from '../domain/index.js';
-import type { Membership } from '../router/decisions/index.js';
+import type { Membership } from '../state/index.js';
 import type { PeerDialer } from '../transport/index.js';
 import type { HomeService } from './HomeService.js';
 import type { PacerService } from './PacerService.js';
--- a/src/home/PlacementReviewer.ts
+++ b/src/home/PlacementReviewer.ts
@@ -6,8 +6,8 @@
   type PlacementOffer,
 } from '../domain/index.js';
 import type { ObjectStore } from '../platform/index.js';
-import type { Catalogue, CatalogueModel } from '../router/Catalogue.js';
-import { rankByHash, type Membership, type StateStore } from '../router/decisions/index.js';
+import type { Catalogue, CatalogueModel } from '../state/index.js';
+import { rankByHash, type Membership, type StateStore } from '../state/index.js';
 import type { AuditTrail } from '../telemetry/AuditTrail.js';
 import type { PeerDialer } from '../transport/index.js';
 import { decidePlacement, type ModelHome, type PlacementStep, type PoolServer } from './decisions/index.js';
--- a/src/home/decisions/ClaimLog.ts
+++ b/src/home/decisions/ClaimLog.ts
@@ -1,13 +1,18 @@
 import type {
-  AskReply,
   AttemptId,
-  AttemptTarget,
   ClaimParams,
   ClaimReply,
   OutcomeParams,
   RecordedOutcome,
-  RequestId,
 } from '../../domain/index.js';
+import type {
+  AttemptAnswer,
+  ClaimCommand,
+  ClaimEntry,
+  ClaimSegment,
+  ClaimWriteResult,
+  NumberedSegment,
+} from './ClaimTypes.js';
 
 /** Size at which a segment is sealed and the next one opened, in characters of JSON. */
 export const SEGMENT_LIMIT = 256_000;
@@ -16,61 +21,6 @@
 /** Time after which a claim is forgotten, in milliseconds. */
 export const CLAIM_RETENTION_MS = 86_400_000;
 
-/** One claim as it is kept in the platform. */
-export interface ClaimEntry {
-  readonly fingerprint: string;
-  readonly requestId: RequestId;
-  readonly attemptId: AttemptId;
-  readonly target: AttemptTarget;
-  readonly claimedAtMs: number;
-  readonly outcome?: RecordedOutcome | 'didNotRun';
-}
-
-/** A piece of the log; one object of the platform. */
-export interface ClaimSegment {
-  /** Changes with every write, so that a writer recognises its own. */
-  readonly mark: string;
-  /** A sealed segment gets no further claims. */
-  readonly sealed: boolean;
-  readonly claims: Readonly<Record<string, ClaimEntry>>;
-}
-
-/** A segment with its place in the log. */
-export interface NumberedSegment {
-  readonly segmentNumber: number;
-  readonly version: number;
-  readonly value: ClaimSegment;
-}
-
-/** What a claim log wants done; every `list`, `write` and `ask` is answered by the method of that name. */
-export type ClaimCommand =
-  | { readonly kind: 'list' }
-  | {
-      readonly kind: 'write';
-      readonly segmentNumber: number;
-      readonly value: ClaimSegment;
-      readonly ifVersion: number;
-    }
-  | { readonly kind: 'remove'; readonly segmentNumber: number; readonly ifVersion: number }
-  | {
-      readonly kind: 'ask';
-      readonly key: string;
-      readonly attemptId: AttemptId;
-      readonly target: AttemptTarget;
-    }
-  | { readonly kind: 'replyClaim'; readonly operationId: number; readonly reply: ClaimReply }
-  | { readonly kind: 'replyOutcome'; readonly operationId: number; readonly recorded: boolean };
-
-/** Outcome of a write to the platform. */
-export type ClaimWriteResult =
-  | { readonly kind: 'written'; readonly version: number }
-  | { readonly kind: 'conflict' }
-  | { readonly kind: 'unavailable' }
-  | { readonly kind: 'unknown' };
-
-/** What an agent said of an attempt; `unreachable` when it could not be asked. */
-export type AttemptAnswer = AskReply | { readonly kind: 'unreachable' };
-
 type Operation =
   | {
       readonly kind: 'claim';
--- a/src/home/decisions/ModelHome.ts
+++ b/src/home/decisions/ModelHome.ts
@@ -1,5 +1,6 @@
 import type {
   AssignParams,
+  OrganisationId,
   RefusalReason,
   ReleaseParams,
   ReplicaReport,
@@ -9,7 +10,9 @@
 import { AdmissionEstimate } from './AdmissionEstimate.js';
 import { CrashLedger } from './CrashLedger.js';
 import type { KeepAlivePolicy } from './KeepAlivePolicy.js';
-import { ReplicaView } from './ReplicaView.js';
+import { ReplicaView, type RunningRequest } from './ReplicaView.js';
+import { SlotTable } from './SlotTable.js';
+import { isAnyReady, WakePlanner, type WakeCommand } from './WakePlanner.js';
 import { WaitingLine, type WaitingRequest } from './WaitingLine.js';
 
 /** Time after its deadline at which a running request no longer occupies its slot, in milliseconds. */
@@ -20,13 +23,6 @@
 const NO_SERVER_PATIENCE_MS = 3_000;
 /** Shortest time that a refused caller is told to wait, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
-/** Batch requests that wake a model even if all of them could wait longer. */
-const BATCH_WAKE_COUNT = 8;
-/** Loads that a batch request leaves time for when it waits for a warm replica. */
-const BATCH_LOAD_MARGIN = 3;
-/** How far the keep-alive of a loaded replica may differ from the plan before it is told, as a ratio. */
-const KEEP_ALIVE_TOLERANCE = 0.25;
-
 /** What a home wants done. */
 export type HomeCommand =
   | {
@@ -45,7 +41,7 @@
       readonly detail: string;
       readonly retryAfterMs?: number;
     }
-  | { readonly kind: 'wake'; readonly serverId: ServerId; readonly keepAliveMs: number }
+  | WakeCommand
   | { readonly kind: 'quarantine'; readonly fingerprint: string };
 
 /** What a home is set up with. */
@@ -62,15 +58,14 @@
   readonly estimate = new AdmissionEstimate();
   private readonly replicas = new Map<string, ReplicaView>();
   private readonly commands: HomeCommand[] = [];
-  private readonly runningOn = new Map<string, ReplicaView>();
-  private readonly runningByOrganisation = new Map<string, number>();
-  private keepAliveTold = 0;
-  private lastBusyAtMs: number | undefined;
-  private preWarmedSinceMs: number | undefined;
+  private readonly slots = new SlotTable();
+  private readonly planner: WakePlanner;
   private noServerSinceMs: number | undefined;
 
   /** @param options - Set-up. */
-  constructor(private readonly options: ModelHomeOptions) {}
+  constructor(private readonly options: ModelHomeOptions) {
+    this.planner = new WakePlanner(options.keepAlive, this.estimate, this.line);
+  }
 
   /** Takes the commands that are to be carried out. */
   takeCommands(): HomeCommand[] {
@@ -78,13 +73,13 @@
   }
 
   /** The granted servers, preferred ones first. */
-  get views(): Iterable<ReplicaView> {
-    return this.replicas.values();
+  get views(): readonly ReplicaView[] {
+    return [...this.replicas.values()];
   }
 
   /** Requests that are assigned now. */
   get runningCount(): number {
-    return this.runningOn.size;
+    return this.slots.size;
   }
 
   /** @param serverId - Server to look at. */
@@ -110,23 +105,19 @@
    * @param nowMs - Time now.
    */
   requestArrived(params: AssignParams, nowMs: number): void {
-    this.noteGap(nowMs);
+    this.planner.requestArrived(nowMs, this.isIdle());
     const suspicion = this.options.crashes.suspicionOf(params.fingerprint, nowMs);
     if (suspicion === 'quarantined' || (suspicion === 'suspect' && !params.idempotent)) {
-      this.refuse(
-        params.requestId,
-        'quarantined',
-        'This request was running each time a backend server crashed.',
-      );
+      this.refuseSuspect(params.requestId);
       return;
     }
     const request: WaitingRequest = {
       ...params,
       deadlineAtMs: nowMs + params.remainingMs,
       arrivedAtMs: nowMs,
-      arrivedCold: !this.hasReady(),
+      arrivedCold: !isAnyReady(this.views),
     };
-    const forecast = this.estimate.forecast(this.line.countAhead(request), this.replicas.values(), nowMs);
+    const forecast = this.estimate.forecast(this.line.countAhead(request), this.views, nowMs);
     if (forecast.finishInMs > params.remainingMs) {
       const lateMs = forecast.finishInMs - params.remainingMs;
       const reason = forecast.startInMs > 0 ? 'overloaded' : 'cannotMeetDeadline';
@@ -167,7 +158,7 @@
 
   /** Suspects everything that ran on a crashed server, once, and sends it nothing until it reports again. */
   private noteServerCrash(requestId: string, nowMs: number): void {
-    const replica = this.runningOn.get(requestId);
+    const replica = this.slots.getReplica(requestId);
     if (!replica || replica.running.get(requestId)?.crashNoted) {
       return;
     }
@@ -245,15 +236,13 @@
    * @param nowMs - Time now.
    */
   tick(nowMs: number): void {
-    for (const replica of this.replicas.values()) {
-      for (const request of replica.running.values()) {
-        if (nowMs > request.deadlineAtMs + SLOT_GRACE_MS) {
-          this.freeSlot(request.requestId, nowMs);
-        }
-      }
+    for (const requestId of this.slots.overdueAt(nowMs - SLOT_GRACE_MS)) {
+      this.freeSlot(requestId, nowMs);
     }
     this.refuseHopeless(nowMs);
-    this.preWarm(nowMs);
+    if (this.isIdle() && !this.options.alwaysLoaded) {
+      this.commands.push(...this.planner.forExpected(this.views, nowMs));
+    }
     this.advance(nowMs);
   }
 
@@ -263,26 +252,12 @@
     this.watchForNoServer(nowMs);
   }
 
-  private noteGap(nowMs: number): void {
-    const isIdle = this.runningOn.size === 0 && this.line.length === 0;
-    if (isIdle && this.lastBusyAtMs !== undefined) {
-      this.options.keepAlive.gapSeen(nowMs - this.lastBusyAtMs);
-    }
-    this.lastBusyAtMs = nowMs;
-    this.preWarmedSinceMs = undefined;
-  }
-
-  private hasReady(): boolean {
-    for (const replica of this.replicas.values()) {
-      if (replica.isUsable && replica.isReady) {
-        return true;
-      }
-    }
-    return false;
+  private isIdle(): boolean {
+    return this.slots.size === 0 && this.line.length === 0;
   }
 
   private dispatch(nowMs: number): void {
-    const runningCountOf = (organisationId: string) => this.runningByOrganisation.get(organisationId) ?? 0;
+    const runningCountOf = (organisationId: OrganisationId) => this.slots.countOf(organisationId);
     const isEligible = (request: WaitingRequest) => this.chooseReplica(request, nowMs) !== undefined;
     while (this.line.length > 0 && this.hasFreeSlot()) {
       const request = this.line.next(runningCountOf, isEligible);
@@ -307,7 +282,7 @@
     let best: ReplicaView | undefined;
     const minding = nowMs - request.arrivedAtMs < EXCLUSION_MS;
     const alone = this.mustBeAlone(request, nowMs);
-    if (alone && this.isRunningSomewhere(request.fingerprint)) {
+    if (alone && this.slots.isRunning(request.fingerprint)) {
       return undefined;
     }
     for (const replica of this.replicas.values()) {
@@ -327,24 +302,10 @@
     return this.options.crashes.suspicionOf(request.fingerprint, nowMs) !== 'none';
   }
 
-  private isRunningSomewhere(fingerprint: string): boolean {
-    for (const replica of this.replicas.values()) {
-      for (const running of replica.running.values()) {
-        if (running.fingerprint === fingerprint) {
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
   private assign(request: WaitingRequest, replica: ReplicaView, nowMs: number): void {
     const alone = this.mustBeAlone(request, nowMs);
     this.line.remove(request.requestId);
-    replica.running.set(request.requestId, { ...request, alone, crashNoted: false });
-    this.runningOn.set(request.requestId, replica);
-    const running = this.runningByOrganisation.get(request.organisationId) ?? 0;
-    this.runningByOrganisation.set(request.organisationId, running + 1);
+    this.slots.occupy({ ...request, alone, crashNoted: false }, replica);
     const queuedMs = nowMs - request.arrivedAtMs;
     this.commands.push({
       kind: 'assign',
@@ -357,21 +318,11 @@
     });
   }
 
-  private freeSlot(requestId: string, nowMs: number) {
-    const replica = this.runningOn.get(requestId);
-    const request = replica?.running.get(requestId);
-    if (!replica || !request) {
-      return undefined;
-    }
-    replica.running.delete(requestId);
-    this.runningOn.delete(requestId);
-    const left = (this.runningByOrganisation.get(request.organisationId) ?? 1) - 1;
-    if (left > 0) {
-      this.runningByOrganisation.set(request.organisationId, left);
-    } else {
-      this.runningByOrganisation.delete(request.organisationId);
+  private freeSlot(requestId: string, nowMs: number): RunningRequest | undefined {
+    const request = this.slots.free(requestId);
+    if (request) {
+      this.planner.requestEnded(nowMs);
     }
-    this.lastBusyAtMs = nowMs;
     return request;
   }
 
@@ -379,85 +330,10 @@
     if (this.options.alwaysLoaded) {
       return;
     }
-    this.refreshKeepAlive(nowMs);
-    if (!this.isWakeDue(nowMs) || this.isAnyBeingWoken(nowMs)) {
-      return;
-    }
-    const isCold = !this.hasReady();
-    if (isCold || this.estimate.isAnotherReplicaWorthIt(this.line.length, this.replicas.values())) {
-      this.wakeNext(nowMs, this.plan().keepAliveMs);
-    }
-  }
-
-  private isWakeDue(nowMs: number): boolean {
-    let batchCount = 0;
-    for (const request of this.line.all()) {
-      if (request.requestClass === 'interactive') {
-        return true;
-      }
-      batchCount++;
-      const needsMs =
-        BATCH_LOAD_MARGIN * this.estimate.loadTime.meanMs + this.estimate.serviceTime.quantileMs(0.9);
-      if (request.deadlineAtMs - nowMs <= needsMs) {
-        return true;
-      }
-    }
-    return batchCount >= BATCH_WAKE_COUNT;
-  }
-
-  private isAnyBeingWoken(nowMs: number): boolean {
-    for (const replica of this.replicas.values()) {
-      if (!replica.isReady && replica.isBeingWoken(nowMs)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private wakeNext(nowMs: number, keepAliveMs: number): void {
-    for (const replica of this.replicas.values()) {
-      if (replica.canBeWoken(nowMs)) {
-        replica.wakeAsked(nowMs);
-        this.commands.push({ kind: 'wake', serverId: replica.serverId, keepAliveMs });
-        return;
-      }
-    }
-  }
-
-  private plan() {
-    return this.options.keepAlive.plan(this.estimate.loadTime.meanMs);
-  }
-
-  /** Tells loaded replicas a keep-alive that has changed. */
-  private refreshKeepAlive(_nowMs: number): void {
-    if (this.lastBusyAtMs === undefined || this.runningOn.size === 0) {
-      return;
-    }
-    const keepAliveMs = this.plan().keepAliveMs;
-    if (Math.abs(keepAliveMs - this.keepAliveTold) <= this.keepAliveTold * KEEP_ALIVE_TOLERANCE) {
-      return;
-    }
-    this.keepAliveTold = keepAliveMs;
-    for (const replica of this.replicas.values()) {
-      if (replica.isUsable && replica.isReady) {
-        this.commands.push({ kind: 'wake', serverId: replica.serverId, keepAliveMs });
-      }
-    }
-  }
-
-  private preWarm(nowMs: number): void {
-    const { preWarm } = this.plan();
-    const isIdle = this.runningOn.size === 0 && this.line.length === 0;
-    if (!preWarm || this.lastBusyAtMs === undefined || !isIdle || this.options.alwaysLoaded) {
-      return;
-    }
-    const isDue = nowMs - this.lastBusyAtMs >= preWarm.afterMs - this.estimate.loadTime.meanMs;
-    if (isDue && this.preWarmedSinceMs === undefined) {
-      this.preWarmedSinceMs = nowMs;
-      if (!this.hasReady() && !this.isAnyBeingWoken(nowMs)) {
-        this.wakeNext(nowMs, preWarm.forMs + this.estimate.loadTime.meanMs);
-      }
+    if (this.slots.size > 0) {
+      this.commands.push(...this.planner.forChangedPlan(this.views));
     }
+    this.commands.push(...this.planner.forWaiting(this.views, nowMs));
   }
 
   private watchForNoServer(nowMs: number): void {
@@ -487,7 +363,7 @@
         );
       } else if (remainingMs < this.estimate.serviceTime.meanMs) {
         this.line.remove(request.requestId);
-        const waitMs = this.estimate.forecast(this.line.length, this.replicas.values(), nowMs).startInMs;
+        const waitMs = this.estimate.forecast(this.line.length, this.views, nowMs).startInMs;
         this.refuse(request.requestId, 'overloaded', 'The answer would come after the deadline.', waitMs);
       }
     }
--- a/src/home/index.ts
+++ b/src/home/index.ts
@@ -1,5 +1,7 @@
 export * from './AgentLinks.js';
 export * from './PlacementReviewer.js';
+export * from './explainModel.js';
+export * from './QuarantineKeeper.js';
 export * from './HomeService.js';
 export * from './ClaimsService.js';
 export * from './PacerService.js';
--- a/src/router/Authenticator.ts
+++ b/src/router/Authenticator.ts
@@ -1,6 +1,6 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { OrganisationConfiguration } from '../domain/index.js';
-import type { Catalogue } from './Catalogue.js';
+import type { Catalogue } from '../state/index.js';
 
 /** Finds the organisation that a bearer token belongs to. */
 export class Authenticator {
--- a/src/router/HomeDirectory.ts
+++ b/src/router/HomeDirectory.ts
@@ -11,7 +11,7 @@
 } from '../domain/index.js';
 import type { ClaimsService, HomeService } from '../home/index.js';
 import type { PeerDialer } from '../transport/index.js';
-import type { Membership } from './decisions/index.js';
+import type { Membership } from '../state/index.js';
 
 /** Homes that are tried for one question. */
 const MAX_HOMES_TRIED = 3;
--- a/src/router/RequestParser.ts
+++ b/src/router/RequestParser.ts
@@ -13,7 +13,7 @@
   type RefusalReason,
   type RequestId,
 } from '../domain/index.js';
-import { plainModelId, type Catalogue, type CatalogueModel } from './Catalogue.js';
+import { plainModelId, type Catalogue, type CatalogueModel } from '../state/index.js';
 import { claimShardOf, type FlowExtras } from './RequestFlow.js';
 
 /** Tokens that a request may generate when it names no bound, in tokens. */
--- a/src/router/index.ts
+++ b/src/router/index.ts
@@ -1,6 +1,4 @@
 export * from './decisions/index.js';
-export * from './Catalogue.js';
-export * from './StateWatcher.js';
 export * from './AttemptClient.js';
 export * from './HomeDirectory.js';
 export * from './BudgetService.js';
--- /dev/null
+++ b/src/state/decisions/index.ts
@@ -0,0 +1,2 @@
+export * from './StateStore.js';
+export * from './Membership.js';
--- a/test/fuzz/SharedWorlds.ts
+++ b/test/fuzz/SharedWorlds.ts
@@ -1,12 +1,7 @@
 import fc from 'fast-check';
 import { LoadPacer, PERMIT_LEASE_MS, type PacerLimits } from '../../src/home/decisions/index.js';
-import {
-  BudgetSlices,
-  RetryBudget,
-  StateStore,
-  type StateDelta,
-  type StateObject,
-} from '../../src/router/decisions/index.js';
+import { BudgetSlices, RetryBudget } from '../../src/router/decisions/index.js';
+import { StateStore, type StateDelta, type StateObject } from '../../src/state/decisions/index.js';
 import { action, type FuzzedPromise, type World } from './Action.js';
 
 const PATHS = ['state/services/a', 'state/services/b', 'state/drains/c'];
