--- a/measure/slopes.ts
+++ b/measure/slopes.ts
@@ -118,7 +118,7 @@
   try {
     const beforeBytes = fleet.residentBytes('router-1');
     await enterTargetFleet(fleet);
-    await pause(8_000);
+    await pause(25_000);
     const { router } = await watch(fleet, [], () => pause(WINDOW_MS));
     const afterBytes = fleet.residentBytes('router-1');
     return [
--- a/src/agent/AgentService.ts
+++ b/src/agent/AgentService.ts
@@ -62,7 +62,7 @@
   /** @param parts - What the agent is made of. */
   constructor(private readonly parts: AgentParts) {
     this.confirmRepeater = new Repeater(parts.clock, CONFIRM_INTERVAL_MS, () => void this.confirmGrants());
-    this.refreshRepeater = new Repeater(parts.clock, REPORT_REFRESH_MS, () => this.lastReports.clear());
+    this.refreshRepeater = new Repeater(parts.clock, REPORT_REFRESH_MS, () => this.refresh());
     parts.residency.onChange(() => this.reportChanges());
   }
 
@@ -221,6 +221,12 @@
     }
   }
 
+  /** Has every model reported again, and forgets old attempts. */
+  private refresh(): void {
+    this.lastReports.clear();
+    this.parts.runner.attempts.forgetOld(this.parts.clock.nowMs());
+  }
+
   private logReachability(): void {
     const isReachable = this.parts.residency.isReachable;
     if (isReachable !== this.wasReachable) {
--- a/src/agent/AttemptRunner.ts
+++ b/src/agent/AttemptRunner.ts
@@ -219,7 +219,6 @@
     if (order.adapterId !== undefined) {
       this.residency.controller.requestEnded(order.adapterId, nowMs);
     }
-    this.attempts.forgetOld(nowMs);
     this.exclusiveCount -= order.alone ? 1 : 0;
     for (const listener of this.idleListeners.splice(0)) {
       listener();
--- a/src/agent/HttpBackendClient.ts
+++ b/src/agent/HttpBackendClient.ts
@@ -1,5 +1,5 @@
 import { Agent, request, type Dispatcher } from 'undici';
-import type { RunOrder } from '../domain/index.js';
+import type { AnswerHead, RunOrder } from '../domain/index.js';
 import { BackendClient, type AnswerSink, type BackendRunResult } from './BackendClient.js';
 import type { EngineOrder, EngineState, OrderOutcome } from './decisions/index.js';
 
@@ -83,7 +83,7 @@
       return { kind: 'notSent', detail: 'The engine does not hold the model.' };
     }
     const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
-    sink({ head: { status: response.statusCode, contentType }, text: '' });
+    let head: AnswerHead | undefined = { status: response.statusCode, contentType };
     response.body.setEncoding('utf8');
     const isEventStream = contentType.startsWith('text/event-stream');
     let tail = '';
@@ -92,7 +92,11 @@
       const text = String(piece);
       tail = (tail + text).slice(-STREAM_END.length * 2);
       tokenCount += isEventStream ? text.split(EVENT_START).length - 1 : 0;
-      sink({ text });
+      sink({ head, text });
+      head = undefined;
+    }
+    if (head) {
+      sink({ head, text: '' });
     }
     if (isEventStream && !tail.includes(STREAM_END)) {
       return { kind: 'failed', detail: 'The stream ended without its end marker.', connectionBroke: true };
--- a/src/agent/decisions/AttemptTable.ts
+++ b/src/agent/decisions/AttemptTable.ts
@@ -3,6 +3,9 @@
 /** Time that a finished or refused attempt is remembered, in milliseconds. */
 export const ATTEMPT_RETENTION_MS = 600_000;
 
+/** Time that an attempt is remembered whose answer was acknowledged, in milliseconds. */
+export const ACKNOWLEDGED_RETENTION_MS = 30_000;
+
 /** Answer to the question what became of an attempt. */
 export type AttemptStatus =
   /** It was never seen, and from now on it will be refused. */
@@ -19,6 +22,7 @@
       readonly chunks: AnswerChunk[];
       readonly end: AnswerEnd;
       readonly sinceMs: number;
+      acknowledged: boolean;
     };
 
 /** Remembers every attempt this agent saw, so that none runs twice and no answer is lost with a connection. */
@@ -81,7 +85,13 @@
     if (attempt?.kind !== 'running') {
       return false;
     }
-    this.attempts.set(end.attemptId, { kind: 'finished', chunks: attempt.chunks, end, sinceMs: nowMs });
+    this.attempts.set(end.attemptId, {
+      kind: 'finished',
+      chunks: attempt.chunks,
+      end,
+      sinceMs: nowMs,
+      acknowledged: false,
+    });
     return true;
   }
 
@@ -130,15 +140,22 @@
     const attempt = this.attempts.get(attemptId);
     if (attempt?.kind === 'finished') {
       attempt.chunks.length = 0;
+      attempt.acknowledged = true;
     }
   }
 
   /** @param nowMs - Time now; what ended long ago is forgotten. */
   forgetOld(nowMs: number): void {
     for (const [attemptId, attempt] of this.attempts) {
-      if (attempt.kind !== 'running' && nowMs - attempt.sinceMs >= ATTEMPT_RETENTION_MS) {
+      if (attempt.kind !== 'running' && nowMs - attempt.sinceMs >= retentionOf(attempt)) {
         this.attempts.delete(attemptId);
       }
     }
   }
 }
+
+/** Time that an attempt which does not run is remembered, in milliseconds. */
+function retentionOf(attempt: Attempt): number {
+  const isAcknowledged = attempt.kind === 'finished' && attempt.acknowledged;
+  return isAcknowledged ? ACKNOWLEDGED_RETENTION_MS : ATTEMPT_RETENTION_MS;
+}
