--- a/src/home/decisions/ClaimLog.ts
+++ b/src/home/decisions/ClaimLog.ts
@@ -15,7 +15,7 @@
 } from './ClaimTypes.js';
 
 /** Size at which a segment is sealed and the next one opened, in characters of JSON. */
-export const SEGMENT_LIMIT = 256_000;
+export const SEGMENT_LIMIT = 32_000;
 /** Largest body that is kept for repeats, in characters. */
 const KEPT_BODY_LIMIT = 8_000;
 /** Time after which a claim is forgotten, in milliseconds. */
@@ -66,8 +66,14 @@
   private nextOperationId = 1;
   private writeCount = 0;
 
-  /** @param writerId - Names this writer's run, unique among all. */
-  constructor(private readonly writerId: string) {}
+  /**
+   * @param writerId - Names this writer's run, unique among all.
+   * @param segmentLimit - Size at which a segment is sealed, in characters of JSON.
+   */
+  constructor(
+    private readonly writerId: string,
+    private readonly segmentLimit = SEGMENT_LIMIT,
+  ) {}
 
   /** Takes the commands that are to be carried out. */
   takeCommands(): ClaimCommand[] {
@@ -124,6 +130,7 @@
       case 'written':
         this.segments.set(write.segmentNumber, { version: result.version, value: write.value });
         this.replyToWritten(write);
+        this.removeExpired(nowMs);
         break;
       case 'conflict':
         this.isFresh = false;
@@ -297,7 +304,7 @@
   ): void {
     const cached = this.segments.get(segmentNumber);
     const claims = { ...cached?.value.claims, ...Object.fromEntries(group) };
-    const isFull = JSON.stringify(claims).length > SEGMENT_LIMIT;
+    const isFull = JSON.stringify(claims).length > this.segmentLimit;
     const mark = `${this.writerId}-${++this.writeCount}`;
     const value: ClaimSegment = { mark, sealed: (cached?.value.sealed ?? false) || isFull, claims };
     this.writeInFlight = { segmentNumber, value, claims: claimOperations, outcomes };
@@ -358,14 +365,19 @@
     return isOpen ? last : last + 1;
   }
 
+  /** Removes the oldest segments whose claims are all past their time; the newest segment always stays. */
   private removeExpired(nowMs: number): void {
-    for (const [segmentNumber, segment] of this.segments) {
+    for (const segmentNumber of [...this.segments.keys()].sort((left, right) => left - right)) {
+      const segment = this.segments.get(segmentNumber);
+      if (!segment?.value.sealed || segmentNumber === Math.max(...this.segments.keys())) {
+        return;
+      }
       const newestMs = Math.max(0, ...Object.values(segment.value.claims).map((claim) => claim.claimedAtMs));
-      const isExpired = segment.value.sealed && nowMs - newestMs > CLAIM_RETENTION_MS;
-      if (isExpired && segmentNumber !== Math.max(...this.segments.keys())) {
-        this.segments.delete(segmentNumber);
-        this.commands.push({ kind: 'remove', segmentNumber, ifVersion: segment.version });
+      if (nowMs - newestMs <= CLAIM_RETENTION_MS) {
+        return;
       }
+      this.segments.delete(segmentNumber);
+      this.commands.push({ kind: 'remove', segmentNumber, ifVersion: segment.version });
     }
   }
 }
--- a/test/fuzz/ClaimWorld.ts
+++ b/test/fuzz/ClaimWorld.ts
@@ -17,7 +17,9 @@
 } from '../../src/home/decisions/index.js';
 import { action, type FuzzedPromise, type World } from './Action.js';
 
-const KEYS = ['k1', 'k2'];
+const KEYS = ['k1', 'k2', 'k3'];
+/** So small that a segment is sealed with its second claim. */
+const SEGMENT_LIMIT = 200;
 
 /** What may happen to a write on its way. */
 type WriteFate = 'done' | 'answerLost' | 'requestLost' | 'arrivesLate' | 'unavailable';
@@ -73,7 +75,7 @@
 /** Two homes that keep claims in one platform, callers that repeat themselves, and agents that run attempts. */
 export class ClaimWorld implements World {
   readonly segments = new Map<number, NumberedSegment>();
-  readonly homes = [new ClaimLog('h0'), new ClaimLog('h1')];
+  readonly homes = [new ClaimLog('h0', SEGMENT_LIMIT), new ClaimLog('h1', SEGMENT_LIMIT)];
   readonly agents: FakeAgent[];
   readonly open: { readonly home: number; readonly command: ClaimCommand }[] = [];
   readonly late: (() => void)[] = [];
@@ -300,7 +302,7 @@
   action('lateWriteArrives', fc.constant(0), (world: ClaimWorld) => world.late.shift()?.()),
   action('restartAgent', side, (world: ClaimWorld, index) => world.agents[index]!.restart()),
   action('homeDies', side, (world: ClaimWorld, index) => {
-    world.homes[index] = new ClaimLog(`h${index}-again`);
+    world.homes[index] = new ClaimLog(`h${index}-again`, SEGMENT_LIMIT);
     const others = world.open.filter((entry) => entry.home !== index);
     world.open.splice(0, world.open.length, ...others);
     for (const request of world.requests) {
--- /dev/null
+++ b/test/home/decisions/ClaimLog.test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai';
+import { toAttemptId, toRequestId, toServerId, type ClaimParams } from '../../../src/domain/index.js';
+import { CLAIM_RETENTION_MS, ClaimLog, type ClaimCommand } from '../../../src/home/decisions/index.js';
+
+function claimOf(key: string): ClaimParams {
+  const requestId = toRequestId(`r-${key}`);
+  return {
+    claimShard: 's',
+    key,
+    fingerprint: key,
+    requestId,
+    attemptId: toAttemptId(requestId, 1),
+    target: { serverId: toServerId('s1'), incarnation: 'i', peerAddress: '' },
+    earlierAttemptDidNotRun: false,
+  };
+}
+
+/** Claims a key on a log whose platform always answers, and gives the commands that led there. */
+function claim(log: ClaimLog, key: string, nowMs: number): ClaimCommand[] {
+  const seen: ClaimCommand[] = [];
+  log.claim(claimOf(key), nowMs);
+  for (let commands = log.takeCommands(); commands.length > 0; commands = log.takeCommands()) {
+    seen.push(...commands);
+    for (const command of commands) {
+      if (command.kind === 'list') {
+        log.listed([], nowMs);
+      }
+      if (command.kind === 'write') {
+        log.written({ kind: 'written', version: command.ifVersion + 1 }, nowMs);
+      }
+    }
+  }
+  return seen;
+}
+
+describe('ClaimLog', () => {
+  describe('claim', () => {
+    it('seals a full segment and opens the next', () => {
+      const log = new ClaimLog('w', 10);
+      claim(log, 'a', 0);
+      const write = claim(log, 'b', 0).find((command) => command.kind === 'write');
+      expect(write).to.include({ segmentNumber: 2, ifVersion: 0 });
+    });
+
+    it('removes a sealed segment a day after its last claim, and never the newest', () => {
+      const log = new ClaimLog('w', 10);
+      claim(log, 'a', 0);
+      claim(log, 'b', 0);
+      const commands = claim(log, 'c', CLAIM_RETENTION_MS + 1);
+      const removed = commands
+        .filter((command) => command.kind === 'remove')
+        .map((command) => command.segmentNumber);
+      expect(removed).to.deep.equal([1, 2]);
+    });
+
+    it('gathers the claims that come while a write is under way into the next one', () => {
+      const log = new ClaimLog('w');
+      log.claim(claimOf('a'), 0);
+      log.takeCommands();
+      log.listed([], 0);
+      log.takeCommands();
+      log.claim(claimOf('b'), 0);
+      log.claim(claimOf('c'), 0);
+      expect(log.takeCommands()).to.deep.equal([]);
+      log.written({ kind: 'written', version: 1 }, 0);
+      const write = log.takeCommands().find((command) => command.kind === 'write');
+      expect(write?.kind === 'write' && Object.keys(write.value.claims)).to.deep.equal(['a', 'b', 'c']);
+    });
+  });
+});
