List an organisation's models; show that each organisation's prefixes have a salt of their own

GET /v1/models answers what the organisation may call, as clients of chat completions expect; tested with the openai client. The stand-in engine notes the salt of each prompt: two organisations differ, one is the same over both routers.

--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -117,6 +117,10 @@
         'The Authorization header must be "Bearer" and a token of an organisation.',
       );
     }
+    if (request.method === 'GET' && request.url === '/v1/models') {
+      sendModels(response, this.parts.parser.listModels(organisation));
+      return;
+    }
     const call: IncomingCall = {
       requestId,
       method: request.method ?? 'GET',
@@ -147,7 +151,7 @@
     if (path.startsWith('/services/')) {
       return this.parts.parser.parsePlain(call, organisation);
     }
-    const detail = `${call.method} ${path} is not served; allowed are POST /v1/chat/completions and /services/NAME/...`;
+    const detail = `${call.method} ${path} is not served; allowed are POST /v1/chat/completions, GET /v1/models and /services/NAME/...`;
     throw refused('unknownService', detail);
   }
 
@@ -196,6 +200,13 @@
   }
 }
 
+/** Answers a list of models in the shape that clients of chat completions read. */
+function sendModels(response: ServerResponse, names: readonly string[]): void {
+  const data = names.map((id) => ({ id, object: 'model', created: 0, owned_by: 'monsoonglade' }));
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.end(JSON.stringify({ object: 'list', data }));
+}
+
 /** Reads a body up to the limit. */
 async function readBody(request: IncomingMessage): Promise<string> {
   const pieces: Buffer[] = [];
--- a/src/router/RequestParser.ts
+++ b/src/router/RequestParser.ts
@@ -88,6 +88,20 @@
     return { request: { ...request, modelId: model.modelId, adapterId }, extras, maxTokens };
   }
 
+  /**
+   * Names the models that an organisation may call, adapters included.
+   * @param organisation - Who asks.
+   */
+  listModels(organisation: OrganisationConfiguration): string[] {
+    const names: string[] = [];
+    for (const { modelId, model, service } of this.catalogue.getModels()) {
+      if (model && service.organisations.includes(organisation.organisation)) {
+        names.push(modelId, ...model.adapters.map((adapter) => `${modelId}:${adapter.name}`));
+      }
+    }
+    return names;
+  }
+
   /**
    * Reads a call of a plain service.
    * @param call - What arrived.
--- a/standins/EngineStandIn.ts
+++ b/standins/EngineStandIn.ts
@@ -54,6 +54,8 @@
   overcommitCount = 0;
   crashCount = 0;
   cancelledCount = 0;
+  /** Salt that each prompt's cached prefix was to be kept under. */
+  readonly saltByPrompt = new Map<string, string>();
   /** Attempts at generation, by prompt. */
   readonly runCountByPrompt = new Map<string, number>();
   frozen = false;
@@ -120,7 +122,11 @@
       case '/control':
         return this.control(JSON.parse(body) as { frozen?: boolean; crash?: boolean });
       default:
-        return this.complete(JSON.parse(body) as CompletionRequest, response);
+        return this.complete(
+          JSON.parse(body) as CompletionRequest,
+          String(request.headers['x-cache-salt']),
+          response,
+        );
     }
   }
 
@@ -216,12 +222,14 @@
 
   private async complete(
     completion: CompletionRequest,
+    salt: string,
     response: ServerResponse,
   ): Promise<JsonReply | undefined> {
     const prompt = completion.messages.map((message) => message.content).join('\n');
     if (this.items.get(completion.model)?.state !== 'loaded') {
       return { status: 404, body: { error: 'modelNotLoaded' } };
     }
+    this.saltByPrompt.set(prompt, salt);
     this.runCountByPrompt.set(prompt, (this.runCountByPrompt.get(prompt) ?? 0) + 1);
     if (prompt.includes(CRASH_MARK)) {
       await sleep(this.options.tokenMs * 3);
--- a/test/process/wholePath.test.ts
+++ b/test/process/wholePath.test.ts
@@ -10,7 +10,8 @@
   let system: TestSystem;
 
   before(async () => {
-    system = await TestSystem.start({ engine: { slotCount: 64 } });
+    const shared = { service: 'shared', organisations: ['mosquitero', 'rimalia'] };
+    system = await TestSystem.start({ engine: { slotCount: 64 }, services: [{}, shared] });
   });
 
   after(() => system.stop());
@@ -47,6 +48,9 @@
     const expected = expectedTokens(MODEL, 'screens', 4).join('');
     expect(whole.choices[0]?.message.content).to.equal(expected);
     expect(streamed).to.equal(expected);
+    const listed = await client.models.list();
+    const names = ['quotes/base', 'quotes/base:salto', 'shared/base', 'shared/base:salto'];
+    expect(listed.data.map((model) => model.id).sort()).to.deep.equal(names);
   });
 
   it('serves an adapter', async () => {
@@ -54,6 +58,19 @@
     expect(streamedText(answer.text)).to.equal(expectedTokens('quotes/base:salto', 'in Salto', 5).join(''));
   });
 
+  it('keeps cached prompt prefixes of two organisations under different salts, and of one under the same', async () => {
+    const saltOf = async (token: string, router: string, prompt: string) => {
+      expect((await system.chat(router, prompt, { token, model: 'shared/base' })).status).to.equal(200);
+      return system.engines
+        .map((engine) => engine.saltByPrompt.get(prompt))
+        .find((salt) => salt !== undefined);
+    };
+    const first = await saltOf(TOKENS.mosquitero, 'router-1', 'first');
+    expect(first).to.match(/^[0-9a-f]{64}$/);
+    expect(await saltOf(TOKENS.mosquitero, 'router-2', 'second')).to.equal(first);
+    expect(await saltOf(TOKENS.rimalia, 'router-1', 'third')).to.not.equal(first);
+  });
+
   describe('bad input', () => {
     async function doTest(extra: ChatExtra, status: number, title: string): Promise<void> {
       const answer = await system.chat('router-1', 'p', extra);
