Answer a question for a server that its router has given up

Found by reading: a home dropped an abandoned request without an answer, so that the asking router's call, and with it the watch over its connection, stayed for ever. The new test timed out before and passes after.

--- a/src/home/HomeService.ts
+++ b/src/home/HomeService.ts
@@ -131,7 +131,9 @@
 
   /** @param params - Request that its router gave up while it waited or ran. */
   abandon(params: { readonly requestId: string; readonly modelId: string }): void {
+    const resolve = this.waitingReplies.get(params.requestId);
     this.waitingReplies.delete(params.requestId);
+    resolve?.({ kind: 'refused', reason: 'cancelled', detail: 'The request was given up.' });
     this.withHome(params.modelId, (home, nowMs) => home.requestAbandoned(params.requestId, nowMs));
   }
 
--- /dev/null
+++ b/test/home/HomeService.test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import { toModelId, toOrganisationId, toRequestId, toRouterId } from '../../src/domain/index.js';
+import { HomeService, PlacementReviewer } from '../../src/home/index.js';
+import { SystemClock } from '../../src/kernel/index.js';
+import { Catalogue, Membership, StateStore } from '../../src/state/index.js';
+import { AuditTrail, Log, Metrics } from '../../src/telemetry/index.js';
+import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
+import { MemoryObjectStore } from '../fakes/MemoryObjectStore.js';
+import { DEFAULT_SERVICE } from '../process/TestSystem.js';
+
+function createHomes(): HomeService {
+  const clock = new SystemClock();
+  const store = new MemoryObjectStore();
+  const state = new StateStore();
+  state.apply({
+    path: 'state/services/quotes',
+    value: DEFAULT_SERVICE,
+    version: 1,
+    deleted: false,
+    revision: 1,
+  });
+  const parts = {
+    clock,
+    store,
+    state,
+    catalogue: new Catalogue(state),
+    membership: new Membership(toRouterId('r0')),
+    dialer: new PeerDialer('r0', 'secret', clock, new TrafficMeter()),
+    audit: new AuditTrail(store, clock, 'r0'),
+    metrics: new Metrics(),
+    log: new Log('r0', () => undefined),
+  };
+  return new HomeService({ ...parts, reviewer: new PlacementReviewer(parts) });
+}
+
+describe('HomeService', () => {
+  describe('abandon', () => {
+    it('answers the question that still waits, so that nobody waits for it for ever', async () => {
+      const homes = createHomes();
+      const asked = homes.assign({
+        requestId: toRequestId('r1'),
+        organisationId: toOrganisationId('mosquitero'),
+        modelId: toModelId('quotes/base'),
+        requestClass: 'interactive',
+        remainingMs: 60_000,
+        fingerprint: 'f',
+        idempotent: true,
+        excludedServerIds: [],
+      });
+      homes.abandon({ requestId: 'r1', modelId: 'quotes/base' });
+      expect(await asked).to.include({ kind: 'refused', reason: 'cancelled' });
+    });
+  });
+});
