--- a/src/cli/commands/PublishCommand.ts
+++ b/src/cli/commands/PublishCommand.ts
@@ -46,13 +46,23 @@
       }
       const results: PublishResult[] = [];
       for (const change of changes) {
-        results.push(await publisher.apply(change, this.acceptCurrent));
+        const result = await publisher.apply(change, this.acceptCurrent);
+        results.push(result);
+        this.showProgress(result, results.length, changes.length);
+      }
+      if (this.json) {
+        this.print(results, []);
       }
-      this.print(results, results.map(describeResult));
       return exitCodeOf(results);
     });
   }
 
+  private showProgress(result: PublishResult, doneCount: number, totalCount: number): void {
+    if (!this.json) {
+      this.print(undefined, [`${doneCount}/${totalCount} ${describeResult(result)}`]);
+    }
+  }
+
   private async isConfirmed(changes: readonly PlannedChange[]): Promise<boolean> {
     if (this.yes || changes.every((change) => change.kind === 'unchanged')) {
       return true;
--- a/src/publish/Publisher.ts
+++ b/src/publish/Publisher.ts
@@ -6,6 +6,9 @@
 import type { CollectedFile } from './collectFiles.js';
 import { diffFields } from './diff.js';
 
+/** The hash of a token, which the audit trail leaves out. */
+const TOKEN_HASH = /[0-9a-f]{64}/g;
+
 /** What publishing one file would do. */
 export interface PlannedChange {
   readonly file: CollectedFile;
@@ -76,7 +79,7 @@
     this.audit.record(
       'configuration',
       change.file.path,
-      change.diff.join('; ') || change.kind,
+      change.diff.join('; ').replace(TOKEN_HASH, '(hash)') || change.kind,
       result.version,
     );
     return { change, outcome: 'published', version: result.version };
--- a/test/process/configuration.test.ts
+++ b/test/process/configuration.test.ts
@@ -85,10 +85,12 @@
     await knows('router-3', 'clearance-desk/clearance');
   });
 
-  it('appears in status and audit', async () => {
-    await publish();
+  it('appears in status and audit, which leaves out the hashes of tokens', async () => {
+    await cp('examples/organisations', join(folder, 'organisations'), { recursive: true });
+    await publish('--accept-current');
     await knows('router-1', 'clearance-desk/clearance');
     const audit = await system.runCli(['audit', '--kind', 'configuration', '--json']);
+    expect(audit.out).to.not.match(/[0-9a-f]{64}/);
     const subjects = (JSON.parse(audit.out) as { subject: string }[]).map((entry) => entry.subject);
     expect(subjects).to.include('state/services/clearance-desk');
     const urls = ['router-1', 'router-2', 'engine-1'].flatMap((id) => [
