Use one pause on the injected clock; serialise a body once; drop what nothing calls

A wait on the clock was spelled out in six places, one of them (placement offers) on the system's timers past the injected clock: kernel/pause serves all. Each write to the platform was serialised a second time to count its bytes. Two method names, a counter getter and an unused parameter had no caller; an async function had nothing to wait for. Behaviour as it was, no test's assertion touched.

--- a/measure/MeasuredFleet.ts
+++ b/measure/MeasuredFleet.ts
@@ -64,17 +64,14 @@
     for (const service of setup.services) {
       await measured.put(`state/services/${service.service}`, service);
     }
-    const { loadsPerSecond, concurrentLoads } = {
-      loadsPerSecond: setup.weightStore.readsPerSecond,
-      concurrentLoads: setup.weightStore.fullSpeedReads,
-    };
+    const { readsPerSecond, fullSpeedReads } = setup.weightStore;
     for (let index = 0; index < setup.engineCount; index++) {
       await measured.startEngine(index, setup);
     }
     for (let index = 0; index < setup.routerCount; index++) {
       const dataCentre = setup.dataCentres[index % setup.dataCentres.length] ?? '';
       await measured.fleet.startRouter(`router-${index + 1}`, dataCentre, {
-        weightStore: { loadsPerSecond, concurrentLoads },
+        weightStore: { loadsPerSecond: readsPerSecond, concurrentLoads: fullSpeedReads },
       });
     }
     await measured.whenPlaced(setup);
--- a/src/agent/AgentService.ts
+++ b/src/agent/AgentService.ts
@@ -1,5 +1,5 @@
 import type { Clock, Service } from '../kernel/index.js';
-import { Repeater } from '../kernel/index.js';
+import { pause, Repeater } from '../kernel/index.js';
 import {
   AGENT_METHODS,
   PLACEMENT_PREFIX,
@@ -92,9 +92,7 @@
     const { clock, runner } = this.parts;
     const endAtMs = clock.nowMs() + STOP_LINGER_MS;
     while (runner.attempts.hasUnacknowledged && clock.nowMs() < endAtMs) {
-      await new Promise<void>((resolve) => {
-        clock.schedule(STOP_POLL_MS, resolve);
-      });
+      await pause(clock, STOP_POLL_MS);
     }
   }
 
--- a/src/agent/AttemptRunner.ts
+++ b/src/agent/AttemptRunner.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../kernel/index.js';
+import { pause, type Clock } from '../kernel/index.js';
 import type { AnswerEnd, RefusalReason, RunParams, RunReply } from '../domain/index.js';
 import { ROUTER_METHODS } from '../domain/index.js';
 import type { Metrics } from '../telemetry/index.js';
@@ -190,9 +190,7 @@
       if (await this.residency.refresh()) {
         return this.residency.bootId !== bootIdBefore;
       }
-      await new Promise<void>((resolve) => {
-        this.clock.schedule(CRASH_CHECK_INTERVAL_MS, resolve);
-      });
+      await pause(this.clock, CRASH_CHECK_INTERVAL_MS);
     }
     return true;
   }
--- a/src/agent/LoadGate.ts
+++ b/src/agent/LoadGate.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../kernel/index.js';
+import { pause, type Clock } from '../kernel/index.js';
 import type { CacheTier, EngineOrder } from './decisions/index.js';
 
 /** Time given to the pacer to hand out a permit, in milliseconds; the load goes on without one after it. */
@@ -74,7 +74,7 @@
     const nowMs = this.clock.nowMs();
     const startAtMs = Math.max(nowMs, this.nextUnpacedAtMs);
     this.nextUnpacedAtMs = startAtMs + UNPACED_INTERVAL_MS;
-    await new Promise<void>((resolve) => this.clock.schedule(startAtMs - nowMs, resolve));
+    await pause(this.clock, startAtMs - nowMs);
     return FREE_PASS;
   }
 
--- a/src/domain/PeerMessages.ts
+++ b/src/domain/PeerMessages.ts
@@ -29,11 +29,9 @@
   release: 'home.release',
   claim: 'home.claim',
   recordOutcome: 'home.recordOutcome',
-  explain: 'home.explain',
   permit: 'pacer.permit',
   permitDone: 'pacer.done',
   pullConfiguration: 'configuration.pull',
-  quarantine: 'quarantine.add',
 } as const;
 
 /** An agent as it introduces itself. */
--- a/src/home/HomeService.ts
+++ b/src/home/HomeService.ts
@@ -1,5 +1,5 @@
 import type { Clock, Service } from '../kernel/index.js';
-import { Repeater } from '../kernel/index.js';
+import { pause, Repeater } from '../kernel/index.js';
 import {
   AGENT_METHODS,
   PLACEMENT_PREFIX,
@@ -13,8 +13,7 @@
   type WakeReply,
 } from '../domain/index.js';
 import type { ObjectStore } from '../platform/index.js';
-import type { Catalogue, CatalogueModel } from '../state/index.js';
-import type { Membership, StateStore } from '../state/index.js';
+import type { Catalogue, CatalogueModel, Membership, StateStore } from '../state/index.js';
 import type { AuditTrail, Log, Metrics } from '../telemetry/index.js';
 import type { PeerDialer } from '../transport/index.js';
 import { AgentLinks } from './AgentLinks.js';
@@ -99,9 +98,7 @@
   async stop(): Promise<void> {
     this.stopping = true;
     while (this.waitingReplies.size > 0) {
-      await new Promise<void>((resolve) => {
-        this.parts.clock.schedule(TICK_MS, resolve);
-      });
+      await pause(this.parts.clock, TICK_MS);
     }
     this.ticker.stop();
     this.reviews.stop();
--- a/src/home/PlacementReviewer.ts
+++ b/src/home/PlacementReviewer.ts
@@ -5,6 +5,7 @@
   type Placement,
   type PlacementOffer,
 } from '../domain/index.js';
+import { pause, type Clock } from '../kernel/index.js';
 import type { ObjectStore } from '../platform/index.js';
 import type { Catalogue, CatalogueModel } from '../state/index.js';
 import { rankByHash, type Membership, type StateStore } from '../state/index.js';
@@ -19,6 +20,7 @@
 
 /** What a reviewer is made of. */
 export interface PlacementReviewerParts {
+  readonly clock: Clock;
   readonly store: ObjectStore;
   readonly state: StateStore;
   readonly catalogue: Catalogue;
@@ -98,7 +100,7 @@
     if (address === undefined) {
       return undefined;
     }
-    const late = new Promise<undefined>((resolve) => setTimeout(() => resolve(undefined), OFFER_TIMEOUT_MS));
+    const late = pause(this.parts.clock, OFFER_TIMEOUT_MS).then(() => undefined);
     const asked = this.parts.dialer
       .connect(address)
       .then((connection) => connection.call<PlacementOffer>(AGENT_METHODS.offer, { modelId }))
--- /dev/null
+++ b/src/kernel/pause.ts
@@ -0,0 +1,12 @@
+import type { Clock } from './Clock.js';
+
+/**
+ * Resolves after a delay on an injected clock.
+ * @param clock - Source of timers.
+ * @param delayMs - The delay in milliseconds.
+ */
+export function pause(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.schedule(delayMs, resolve);
+  });
+}
--- a/src/platform/PlatformHttp.ts
+++ b/src/platform/PlatformHttp.ts
@@ -48,17 +48,17 @@
     waitMs = 0,
   ): Promise<PlatformAnswer> {
     this.callCountValue++;
+    const sentText = body === undefined ? undefined : JSON.stringify(body);
     try {
       const response = await request(`${this.baseUrl}${path}`, {
         method,
         dispatcher: this.agent,
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS + waitMs),
         headers: { authorization: `Bearer ${this.token}`, 'content-type': 'application/json' },
-        body: body === undefined ? undefined : JSON.stringify(body),
+        body: sentText,
       });
       const text = await response.body.text();
-      this.byteCountValue +=
-        path.length + text.length + (body === undefined ? 0 : JSON.stringify(body).length);
+      this.byteCountValue += path.length + text.length + (sentText?.length ?? 0);
       return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
     } catch {
       return { status: 0, body: undefined };
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Clock, Service } from '../kernel/index.js';
+import { pause, type Clock, type Service } from '../kernel/index.js';
 import {
   RefusedError,
   toRequestId,
@@ -67,9 +67,7 @@
   /** Lets the balancer notice, takes no more connections, and ends when every request has its answer. */
   async stop(): Promise<void> {
     this.stopping = true;
-    await new Promise<void>((resolve) => {
-      this.parts.clock.schedule(STOP_GRACE_MS, resolve);
-    });
+    await pause(this.parts.clock, STOP_GRACE_MS);
     const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.liveCount > 0) {
       await new Promise<void>((resolve) => this.idleListeners.push(resolve));
--- a/src/router/RequestFlow.ts
+++ b/src/router/RequestFlow.ts
@@ -284,7 +284,7 @@
       case 'complete':
         this.tracker.ranToEnd();
         this.parts.retryBudget.succeeded();
-        await this.keepOutcome(attemptId, target);
+        this.keepOutcome(attemptId, target);
         this.finish({ kind: 'complete', tokenCount: result.tokenCount, timing: this.timing() });
         return false;
       case 'didNotRun':
@@ -314,7 +314,7 @@
   }
 
   /** Keeps the outcome for repeats, without holding back the answer for long: repeats are refused until it is kept. */
-  private async keepOutcome(attemptId: AttemptId, target: AttemptTarget): Promise<void> {
+  private keepOutcome(attemptId: AttemptId, target: AttemptTarget): void {
     const outcome = this.sink.getOutcome();
     if (this.extras.claimShard === undefined || !outcome) {
       this.parts.attempts.acknowledge(target, attemptId);
--- a/src/state/StateWatcher.ts
+++ b/src/state/StateWatcher.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random, Service } from '../kernel/index.js';
+import { pause, type Clock, type Random, type Service } from '../kernel/index.js';
 import { ROUTER_METHODS, STATE_PREFIX } from '../domain/index.js';
 import type { InstanceList, ObjectStore } from '../platform/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
@@ -85,7 +85,7 @@
         retryMs = FIRST_RETRY_MS;
         continue;
       }
-      await this.pause(this.parts.random.jitterMs(retryMs));
+      await pause(this.parts.clock, this.parts.random.jitterMs(retryMs));
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
   }
@@ -97,7 +97,7 @@
         retryMs = FIRST_RETRY_MS;
         continue;
       }
-      await this.pause(this.parts.random.jitterMs(retryMs));
+      await pause(this.parts.clock, this.parts.random.jitterMs(retryMs));
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
   }
@@ -114,7 +114,7 @@
 
   private async pullForever(): Promise<void> {
     while (!this.stopped) {
-      await this.pause(this.parts.random.jitterMs(PULL_INTERVAL_MS));
+      await pause(this.parts.clock, this.parts.random.jitterMs(PULL_INTERVAL_MS));
       await this.pull();
     }
   }
@@ -160,12 +160,6 @@
       this.parts.log.stateChanged(isUp ? 'platform reachable' : 'platform unreachable');
     }
   }
-
-  private pause(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.parts.clock.schedule(delayMs, resolve);
-    });
-  }
 }
 
 /** Answer to a pull. */
--- a/src/telemetry/Metrics.ts
+++ b/src/telemetry/Metrics.ts
@@ -22,11 +22,6 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + amount);
   }
 
-  /** @param name - Counter to read; 0 when nothing was counted. */
-  counterOf(name: string): number {
-    return this.counters.get(name) ?? 0;
-  }
-
   /**
    * Registers a gauge, read whenever the metrics are exposed.
    * @param name - Name, without the common prefix.
--- a/test/process/TestSystem.ts
+++ b/test/process/TestSystem.ts
@@ -48,7 +48,7 @@
     const ordersUrl = `http://127.0.0.1:${orderCount > 0 ? await system.orders.start() : 0}`;
     await Promise.all([
       ...routers.map((id) => system.fleet.startRouter(id, 'salto')),
-      ...Array.from({ length: engineCount }, (_, index) => system.startEngine(index, options)),
+      ...Array.from({ length: engineCount }, (_, index) => system.startEngine(index)),
       ...Array.from({ length: orderCount }, (_, index) =>
         system.fleet.startAgent(`orders-${index + 1}`, `dc-${index}`, 'orders', {
           kind: 'plain',
@@ -192,7 +192,7 @@
     }
   }
 
-  private async startEngine(index: number, _options: SystemOptions): Promise<void> {
+  private async startEngine(index: number): Promise<void> {
     const port = await this.engines[index]!.start();
     const url = `http://127.0.0.1:${port}`;
     await this.fleet.startAgent(`engine-${index + 1}`, `dc-${index}`, 'engines', { kind: 'engine', url });
