--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
 ];
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**'] },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   prettier,
--- /dev/null
+++ b/src/direct/CallerServer.ts
@@ -0,0 +1,220 @@
+import { createHash } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { pause, type Clock, type Random, type Service } from '../kernel/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import { listenOrThrow, type ListenAddress } from '../transport/index.js';
+import { DirectFlow, type DirectFlowParts, type DirectRequest, type DirectSink } from './DirectFlow.js';
+import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
+import type { HeaderCodec } from './HeaderCodec.js';
+
+/** Limits until a configuration states its own. */
+const INITIAL_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 1024 * 1024,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+/** Largest head of a request that the parser takes, in bytes; the configured limit is checked below it. */
+const PARSER_HEADER_BYTES = 64 * 1024;
+/** When a caller should return that came before the configuration did, in milliseconds. */
+const STARTING_RETRY_MS = 500;
+/** Time for which a stopping router takes new connections, in milliseconds: the balancer needs two of its questions. */
+const STOP_LISTENING_AFTER_MS = 2_800;
+/** Part of the stop's grace time that is left for the end of the process, in milliseconds. */
+const STOP_RESERVE_MS = 500;
+/** Interval at which a stopping router looks whether it is idle, in milliseconds. */
+const STOP_POLL_MS = 50;
+
+/** What the server is made of. */
+export interface CallerServerParts {
+  readonly address: ListenAddress;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly view: FleetView;
+  readonly codec: HeaderCodec;
+  readonly flow: DirectFlowParts;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Time from the order to stop until the process is killed, in milliseconds. */
+  readonly stopGraceMs: number;
+}
+
+/** Answers callers over HTTP and hands their requests to flows. */
+export class CallerServer implements Service {
+  private readonly http: Server;
+  private readonly active = new Set<DirectFlow>();
+  private stopping = false;
+
+  /** @param parts - What the server is made of. */
+  constructor(private readonly parts: CallerServerParts) {
+    this.http = createServer({ maxHeaderSize: PARSER_HEADER_BYTES }, (request, response) =>
+      this.handle(request, response),
+    );
+    this.http.requestTimeout = 0;
+    this.http.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      parts.metrics.count('caller_protocol_errors');
+      if (socket.writable && error.code !== 'ECONNRESET') {
+        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+      } else {
+        socket.destroy();
+      }
+    });
+    this.applyLimits();
+  }
+
+  /** Whether the process is stopping. */
+  get isStopping(): boolean {
+    return this.stopping;
+  }
+
+  async start(): Promise<void> {
+    await listenOrThrow(this.http, this.parts.address, 'entry');
+    this.parts.log.stateChanged('callers accepted', { port: this.parts.address.port });
+  }
+
+  /** Serves what is there and what the balancer still sends, then closes. */
+  async stop(): Promise<void> {
+    const { clock, log, stopGraceMs } = this.parts;
+    this.stopping = true;
+    const startedAtMs = clock.nowMs();
+    const endsAtMs = startedAtMs + stopGraceMs - STOP_RESERVE_MS;
+    log.stateChanged('stopping', { activeCount: this.active.size });
+    await pause(clock, STOP_LISTENING_AFTER_MS);
+    const closed = new Promise((resolve) => this.http.close(resolve));
+    this.http.closeIdleConnections();
+    while (this.active.size > 0 && clock.nowMs() < endsAtMs) {
+      await pause(clock, STOP_POLL_MS);
+    }
+    log.stateChanged('stopped', {
+      activeCount: this.active.size,
+      tookMs: Math.round(clock.nowMs() - startedAtMs),
+    });
+    await Promise.race([closed, pause(clock, STOP_POLL_MS)]);
+    this.http.closeAllConnections();
+  }
+
+  /** Puts the configured limits into force. */
+  applyLimits(): void {
+    const limits = this.limits();
+    this.http.headersTimeout = limits.headerTimeoutMs;
+    this.http.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  private limits(): CallerLimits {
+    return this.parts.view.configuration?.callerLimits ?? INITIAL_LIMITS;
+  }
+
+  private handle(request: IncomingMessage, response: ServerResponse): void {
+    const receivedAtMs = this.parts.clock.nowMs();
+    if (this.stopping) {
+      response.shouldKeepAlive = false;
+    }
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      length += chunk.length;
+      if (length > this.limits().maxBodyBytes) {
+        request.removeAllListeners('data');
+        this.refuse(response, undefined, 413, 'the body is too large', undefined);
+      }
+    });
+    request.on('error', () => this.parts.metrics.count('caller_connections_broken'));
+    request.on('end', () => {
+      if (!response.headersSent && !response.destroyed) {
+        this.route(request, response, Buffer.concat(chunks), receivedAtMs);
+      }
+    });
+  }
+
+  private route(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+    receivedAtMs: number,
+  ): void {
+    const { view, codec, random } = this.parts;
+    const call = codec.decodeCall(request.headers);
+    const path = request.url ?? '/';
+    const method = request.method ?? 'GET';
+    if (!view.configuration) {
+      this.refuse(response, call?.requestId, 503, 'no configuration is known yet', STARTING_RETRY_MS);
+      return;
+    }
+    const route = view.routes.getRoute(request.headers.host ?? '', path);
+    const target = route && pickTarget(route, random.fraction());
+    if (!route || !target) {
+      this.refuse(response, call?.requestId, 404, 'no route takes this host and path', undefined);
+      return;
+    }
+    if (!call) {
+      this.refuse(response, undefined, 400, 'the request id is missing', undefined);
+      return;
+    }
+    const { serviceId } = target;
+    const fingerprint = fingerprintOf(method, path, call.model, body);
+    const directRequest = { call, route, serviceId, method, path, body, fingerprint, receivedAtMs };
+    this.run(directRequest, response);
+  }
+
+  private run(request: DirectRequest, response: ServerResponse): void {
+    const flow = new DirectFlow(this.parts.flow, request, this.sinkOf(request, response));
+    this.active.add(flow);
+    response.on('close', () => {
+      this.active.delete(flow);
+      flow.callerLeft();
+    });
+    flow.run().catch((error: unknown) => {
+      this.parts.log.degraded('flow failed', { requestId: request.call.requestId, error: String(error) });
+      flow.callerLeft();
+      response.destroy();
+    });
+  }
+
+  private sinkOf(request: DirectRequest, response: ServerResponse): DirectSink {
+    return {
+      sendWhole: (head, body) => {
+        response.writeHead(head.status, { ...head.headers, 'Content-Length': body.length });
+        response.end(body);
+      },
+      beginStream: (head) => {
+        response.writeHead(head.status, head.headers);
+      },
+      sendEvents: (bytes) => {
+        response.write(bytes);
+      },
+      endStream: () => {
+        response.end();
+      },
+      breakOff: () => {
+        response.destroy();
+      },
+      refuse: (status, detail, retryAfterMs) =>
+        this.refuse(response, request.call.requestId, status, detail, retryAfterMs),
+    };
+  }
+
+  private refuse(
+    response: ServerResponse,
+    requestId: string | undefined,
+    status: number,
+    detail: string,
+    retryAfterMs: number | undefined,
+  ): void {
+    this.parts.metrics.count(`refusals_${status}`);
+    this.parts.log.decided('request refused', { requestId: requestId ?? '', status, detail });
+    const body = JSON.stringify({ error: detail });
+    response.writeHead(status, {
+      ...this.parts.codec.encodeRefusal(requestId, retryAfterMs),
+      'Content-Type': 'application/json',
+      'Content-Length': Buffer.byteLength(body),
+    });
+    response.end(body);
+  }
+}
+
+/** Hashes what makes two requests equal. */
+function fingerprintOf(method: string, path: string, model: string | undefined, body: Buffer): string {
+  const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
+  return hash.update(body).digest('base64url');
+}
--- /dev/null
+++ b/src/direct/FleetSource.ts
@@ -0,0 +1,64 @@
+import type { ServerId } from '../domain/index.js';
+import type { ServerEntry } from './decisions/ServerEntry.js';
+import type { ServingConfiguration } from './decisions/ServingConfiguration.js';
+
+/** Why a call gave nothing. */
+export type SourceFailure =
+  /** The changes since the given revision are no longer known; list again. */
+  | { readonly kind: 'historyGone' }
+  | { readonly kind: 'unavailable'; readonly detail: string };
+
+/** All servers as of a revision. */
+export interface ServerListing {
+  readonly kind: 'listed';
+  readonly entries: readonly ServerEntry[];
+  /** Ids of entries that could not be read; they name no server to use. */
+  readonly unreadableIds: readonly ServerId[];
+  readonly revision: number;
+}
+
+/** A change of one server. */
+export type ServerChange =
+  | { readonly kind: 'present'; readonly entry: ServerEntry }
+  | { readonly kind: 'unreadable'; readonly serverId: ServerId }
+  | { readonly kind: 'gone'; readonly serverId: ServerId };
+
+/** Changes of servers up to a revision. */
+export interface ServerChanges {
+  readonly kind: 'changed';
+  readonly changes: readonly ServerChange[];
+  readonly revision: number;
+}
+
+/** The newest configuration, if it could be read, as of a revision. */
+export interface ConfigurationRead {
+  readonly kind: 'read';
+  readonly configuration: ServingConfiguration | undefined;
+  readonly revision: number;
+}
+
+/** Where the configuration and the list of backend servers come from. */
+export abstract class FleetSource {
+  /** Reads all servers. */
+  abstract listServers(): Promise<ServerListing | SourceFailure>;
+
+  /**
+   * Waits for changes of servers.
+   * @param revision - Revision up to which changes are known.
+   * @param waitMs - Longest wait in milliseconds.
+   */
+  abstract watchServers(revision: number, waitMs: number): Promise<ServerChanges | SourceFailure>;
+
+  /** Reads the newest configuration. */
+  abstract readConfiguration(): Promise<ConfigurationRead | SourceFailure>;
+
+  /**
+   * Waits for a newer configuration; none comes when nothing changed in time.
+   * @param revision - Revision up to which changes are known.
+   * @param waitMs - Longest wait in milliseconds.
+   */
+  abstract watchConfiguration(revision: number, waitMs: number): Promise<ConfigurationRead | SourceFailure>;
+
+  /** Ends all calls. */
+  abstract close(): void;
+}
--- /dev/null
+++ b/src/direct/FleetWatcher.ts
@@ -0,0 +1,205 @@
+import { pause, type Clock, type Random, type Service } from '../kernel/index.js';
+import { Repeater } from '../kernel/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import type { ConfigurationRead, FleetSource, ServerChanges, SourceFailure } from './FleetSource.js';
+import type { FleetView } from './decisions/index.js';
+
+/** Longest that one watch waits, in milliseconds: a connection that went silent is noticed within this and its time-out. */
+const WATCH_WAIT_MS = 2_000;
+/** First pause after a failed call, doubled up to the limit, in milliseconds. */
+const FIRST_RETRY_MS = 50;
+/** Longest pause after a failed call, in milliseconds; a returned store must be seen well within two seconds. */
+const MAX_RETRY_MS = 400;
+/** Interval at which lapsed servers are looked at, in milliseconds. */
+const EXPIRY_INTERVAL_MS = 100;
+
+/** What the watcher is made of. */
+export interface FleetWatcherParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly source: FleetSource;
+  readonly view: FleetView;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Keeps a router's view of the fleet current: one watch for the configuration, one for the servers. */
+export class FleetWatcher implements Service {
+  private readonly expiry: Repeater;
+  private readonly downSubjects = new Set<string>();
+  private readonly unreadable = new Set<string>();
+  private changeListener: () => void = () => undefined;
+  private stopped = false;
+
+  /** @param parts - What the watcher is made of. */
+  constructor(private readonly parts: FleetWatcherParts) {
+    this.expiry = new Repeater(parts.clock, EXPIRY_INTERVAL_MS, () => this.expire());
+  }
+
+  /** @param listener - Called after each change of the view. */
+  onChange(listener: () => void): void {
+    this.changeListener = listener;
+  }
+
+  start(): Promise<void> {
+    this.expiry.start();
+    void this.followServers();
+    void this.followConfiguration();
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.stopped = true;
+    this.expiry.stop();
+    this.parts.source.close();
+    return Promise.resolve();
+  }
+
+  private async followServers(): Promise<void> {
+    const { source } = this.parts;
+    let revision: number | undefined;
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.stopped) {
+      const result =
+        revision === undefined
+          ? await source.listServers()
+          : await source.watchServers(revision, WATCH_WAIT_MS);
+      if (result.kind === 'listed' || result.kind === 'changed') {
+        this.noteUp('servers');
+        this.applyServers(result);
+        revision = result.revision;
+        retryMs = FIRST_RETRY_MS;
+        continue;
+      }
+      if (result.kind === 'historyGone') {
+        revision = undefined;
+      }
+      retryMs = await this.backOff('servers', result, retryMs);
+    }
+  }
+
+  private async followConfiguration(): Promise<void> {
+    const { source } = this.parts;
+    let revision: number | undefined;
+    let retryMs = FIRST_RETRY_MS;
+    while (!this.stopped) {
+      const result =
+        revision === undefined
+          ? await source.readConfiguration()
+          : await source.watchConfiguration(revision, WATCH_WAIT_MS);
+      if (result.kind === 'read') {
+        this.noteUp('configuration');
+        this.applyConfiguration(result);
+        // An unwritten configuration may be of a kind that can't be watched yet, so it is read again instead.
+        revision = this.parts.view.configuration ? result.revision : undefined;
+        if (revision === undefined) {
+          await pause(this.parts.clock, MAX_RETRY_MS);
+        }
+        retryMs = FIRST_RETRY_MS;
+        continue;
+      }
+      if (result.kind === 'historyGone') {
+        revision = undefined;
+      }
+      retryMs = await this.backOff('configuration', result, retryMs);
+    }
+  }
+
+  private applyServers(result: ServerChanges | Awaited<ReturnType<FleetSource['listServers']>>): void {
+    const { view, clock } = this.parts;
+    const nowMs = clock.nowMs();
+    if (result.kind === 'listed') {
+      view.applyList(result.entries, nowMs);
+      for (const serverId of result.unreadableIds) {
+        this.noteUnreadable(serverId);
+      }
+    } else if (result.kind === 'changed') {
+      for (const change of result.changes) {
+        this.applyChange(change, nowMs);
+      }
+      if (result.changes.length === 0) {
+        return;
+      }
+    }
+    this.changeListener();
+  }
+
+  private applyChange(change: ServerChanges['changes'][number], nowMs: number): void {
+    const { view, log } = this.parts;
+    switch (change.kind) {
+      case 'present': {
+        const before = view.getEntry(change.entry.serverId);
+        view.applyEntry(change.entry);
+        if (before?.isLeaving !== change.entry.isLeaving) {
+          log.stateChanged(change.entry.isLeaving ? 'server leaving' : 'server ready', {
+            serverId: change.entry.serverId,
+            address: change.entry.address,
+          });
+        }
+        return;
+      }
+      case 'unreadable':
+        this.noteUnreadable(change.serverId);
+        return;
+      case 'gone':
+        view.removeEntry(change.serverId, nowMs);
+        log.stateChanged('server no longer listed', { serverId: change.serverId });
+        return;
+    }
+  }
+
+  private applyConfiguration(result: ConfigurationRead): void {
+    const { configuration } = result;
+    if (configuration && this.parts.view.applyConfiguration(configuration)) {
+      this.parts.log.stateChanged('configuration in force', {
+        version: configuration.version,
+        routeCount: configuration.routes.length,
+      });
+      this.changeListener();
+    }
+  }
+
+  private noteUnreadable(serverId: string): void {
+    this.parts.metrics.count('unreadable_server_entries');
+    if (!this.unreadable.has(serverId)) {
+      this.unreadable.add(serverId);
+      this.parts.log.degraded('server entry cannot be read', { serverId });
+    }
+  }
+
+  private noteUp(subject: string): void {
+    const { view, clock, log } = this.parts;
+    if (this.downSubjects.delete(subject)) {
+      log.stateChanged('platform store answers again', { subject });
+    }
+    if (this.downSubjects.size === 0) {
+      view.noteStoreAnswered(clock.nowMs());
+    }
+  }
+
+  private async backOff(subject: string, failure: SourceFailure, retryMs: number): Promise<number> {
+    const { view, clock, log, metrics, random } = this.parts;
+    metrics.count('platform_failures');
+    if (failure.kind === 'historyGone') {
+      log.stateChanged('platform store forgot its history', { subject });
+      return FIRST_RETRY_MS;
+    }
+    view.noteStoreLost(clock.nowMs());
+    if (!this.downSubjects.has(subject)) {
+      this.downSubjects.add(subject);
+      log.degraded('platform store does not answer', { subject, detail: failure.detail });
+    }
+    await pause(clock, random.jitterMs(retryMs));
+    return Math.min(MAX_RETRY_MS, retryMs * 2);
+  }
+
+  private expire(): void {
+    const gone = this.parts.view.expire(this.parts.clock.nowMs());
+    for (const serverId of gone) {
+      this.parts.log.stateChanged('lapsed server given up', { serverId });
+    }
+    if (gone.length > 0) {
+      this.changeListener();
+    }
+  }
+}
--- /dev/null
+++ b/src/direct/ModelDesk.ts
@@ -0,0 +1,262 @@
+import type { Clock, Service } from '../kernel/index.js';
+import { Repeater } from '../kernel/index.js';
+import type { ServiceId } from '../domain/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import type { AgentLinks } from './AgentLinks.js';
+import {
+  choosePlacement,
+  getHeldModel,
+  readyOnTheWayMs,
+  type FleetView,
+  type KnownServer,
+  type PlacementNeed,
+  type ServerChooser,
+} from './decisions/index.js';
+
+/** Interval at which models that requests wait for are looked at, in milliseconds. */
+const TICK_MS = 100;
+/** Interval at which a wish is repeated, in milliseconds; agents forget it after three. */
+const REPEAT_MS = 500;
+/** Interval at which the replicas of live models are looked at, in milliseconds. */
+const REPLICA_INTERVAL_MS = 250;
+/** Time after its last live request for which a model keeps its replicas, in milliseconds. */
+const LIVE_USE_MS = 2_000;
+/** Fewest replicas of a model in live use, so that the loss of one server leaves the others. */
+const MIN_LIVE_REPLICAS = 3;
+/** Mean load of a model's servers, as a share of their slots, above which another replica is loaded. */
+const REPLICA_LOAD = 0.45;
+/** Pause between two new replicas of one model, in milliseconds: a load from disk shows in the load by then. */
+const REPLICA_PAUSE_MS = 1_500;
+
+/** What the desk is made of. */
+export interface ModelDeskParts {
+  readonly clock: Clock;
+  readonly view: FleetView;
+  readonly chooser: ServerChooser;
+  readonly links: AgentLinks;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** What a request waits for. */
+export interface ModelWait {
+  readonly requestId: string;
+  readonly serviceId: ServiceId;
+  readonly model: string;
+  readonly isInteractive: boolean;
+  /** When waiting no longer makes sense. */
+  readonly untilMs: number;
+}
+
+/** How a wait ended. */
+export type WaitResult =
+  | { readonly kind: 'ready' }
+  /** The model can't be ready in time; it may be after the given time. */
+  | { readonly kind: 'tooLate'; readonly readyInMs: number }
+  /** No server can take the model. */
+  | { readonly kind: 'noPlace' };
+
+/** A model that requests wait for. */
+interface WaitedModel {
+  readonly need: PlacementNeed;
+  readonly serviceId: ServiceId;
+  readonly waiters: Map<string, { wait: ModelWait; resolve: (result: WaitResult) => void }>;
+  wantedAtMs: number;
+  wantedAddress: string | undefined;
+}
+
+/** Live use of a model at this router. */
+interface LiveUse {
+  readonly serviceId: ServiceId;
+  usedAtMs: number;
+  replicaWantedAtMs: number;
+}
+
+/** Gets models loaded that requests wait for, and keeps enough replicas of those in live use. */
+export class ModelDesk implements Service {
+  private readonly waited = new Map<string, WaitedModel>();
+  private readonly liveUses = new Map<string, LiveUse>();
+  private readonly ticker: Repeater;
+  private readonly replicaTicker: Repeater;
+
+  /** @param parts - What the desk is made of. */
+  constructor(private readonly parts: ModelDeskParts) {
+    this.ticker = new Repeater(parts.clock, TICK_MS, () => this.reviewWaits());
+    this.replicaTicker = new Repeater(parts.clock, REPLICA_INTERVAL_MS, () => this.reviewReplicas());
+  }
+
+  start(): Promise<void> {
+    this.ticker.start();
+    this.replicaTicker.start();
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.ticker.stop();
+    this.replicaTicker.stop();
+    return Promise.resolve();
+  }
+
+  /**
+   * Notes a live request for a model.
+   * @param serviceId - Service of the model.
+   * @param model - The model.
+   */
+  noteLiveUse(serviceId: ServiceId, model: string): void {
+    const nowMs = this.parts.clock.nowMs();
+    const use = this.liveUses.get(model);
+    if (use) {
+      use.usedAtMs = nowMs;
+    } else {
+      this.liveUses.set(model, { serviceId, usedAtMs: nowMs, replicaWantedAtMs: -Infinity });
+    }
+  }
+
+  /**
+   * Waits until a server holds a model; refuses at once when that can't be in time.
+   * @param wait - What is waited for.
+   */
+  waitFor(wait: ModelWait): Promise<WaitResult> {
+    const engine = this.parts.view.configuration?.services.get(wait.serviceId)?.engine;
+    const footprint = engine?.models.get(wait.model);
+    if (!footprint) {
+      return Promise.resolve({ kind: 'noPlace' });
+    }
+    return new Promise((resolve) => {
+      let waited = this.waited.get(wait.model);
+      if (!waited) {
+        const { model, serviceId, isInteractive } = wait;
+        const need = { model, footprint, isInteractive };
+        waited = { need, serviceId, waiters: new Map(), wantedAtMs: -Infinity, wantedAddress: undefined };
+        this.waited.set(model, waited);
+      }
+      waited.waiters.set(wait.requestId, { wait, resolve });
+      this.review(waited);
+    });
+  }
+
+  /**
+   * Ends a wait, since its request ended otherwise.
+   * @param model - The model.
+   * @param requestId - The request.
+   */
+  stopWaiting(model: string, requestId: string): void {
+    const waited = this.waited.get(model);
+    waited?.waiters.delete(requestId);
+    if (waited?.waiters.size === 0) {
+      this.waited.delete(model);
+    }
+  }
+
+  /** Looks at all waits again, after the view changed. */
+  reviewWaits(): void {
+    for (const waited of [...this.waited.values()]) {
+      this.review(waited);
+    }
+  }
+
+  private review(waited: WaitedModel): void {
+    const { clock } = this.parts;
+    const nowMs = clock.nowMs();
+    const servers = this.serversOf(waited.serviceId, nowMs);
+    if (servers.some((server) => getHeldModel(server, waited.need.model))) {
+      this.endAll(waited, { kind: 'ready' });
+      return;
+    }
+    const readyInMs = this.arrange(waited, servers, nowMs);
+    for (const [requestId, { wait, resolve }] of [...waited.waiters]) {
+      if (nowMs + (readyInMs ?? 0) >= wait.untilMs) {
+        waited.waiters.delete(requestId);
+        resolve(readyInMs === undefined ? { kind: 'noPlace' } : { kind: 'tooLate', readyInMs });
+      }
+    }
+    if (waited.waiters.size === 0) {
+      this.waited.delete(waited.need.model);
+    }
+  }
+
+  /** Sees to it that some agent loads the model; gives the time until it is ready where that is known. */
+  private arrange(waited: WaitedModel, servers: readonly KnownServer[], nowMs: number): number | undefined {
+    const { need } = waited;
+    const onTheWayMs = readyOnTheWayMs(need, servers);
+    if (onTheWayMs !== undefined) {
+      this.repeatWant(waited, nowMs);
+      return onTheWayMs;
+    }
+    if (nowMs - waited.wantedAtMs < REPEAT_MS) {
+      return waited.wantedAddress === undefined ? undefined : 0;
+    }
+    const choice = choosePlacement(need, servers);
+    waited.wantedAtMs = nowMs;
+    waited.wantedAddress = choice?.server.entry.address;
+    if (!choice) {
+      return undefined;
+    }
+    this.parts.links.want(choice.server.entry.address, need.model, need.isInteractive);
+    this.parts.log.decided('model wanted', {
+      model: need.model,
+      address: choice.server.entry.address,
+      readyInMs: choice.readyInMs,
+      waitingCount: waited.waiters.size,
+    });
+    return choice.readyInMs;
+  }
+
+  private repeatWant(waited: WaitedModel, nowMs: number): void {
+    if (waited.wantedAddress !== undefined && nowMs - waited.wantedAtMs >= REPEAT_MS) {
+      waited.wantedAtMs = nowMs;
+      this.parts.links.want(waited.wantedAddress, waited.need.model, waited.need.isInteractive);
+    }
+  }
+
+  private endAll(waited: WaitedModel, result: WaitResult): void {
+    this.waited.delete(waited.need.model);
+    for (const { resolve } of waited.waiters.values()) {
+      resolve(result);
+    }
+  }
+
+  private reviewReplicas(): void {
+    const nowMs = this.parts.clock.nowMs();
+    for (const [model, use] of this.liveUses) {
+      if (nowMs - use.usedAtMs > LIVE_USE_MS) {
+        this.liveUses.delete(model);
+      } else if (nowMs - use.replicaWantedAtMs >= REPLICA_PAUSE_MS) {
+        this.reviewReplicasOf(model, use, nowMs);
+      }
+    }
+  }
+
+  private reviewReplicasOf(model: string, use: LiveUse, nowMs: number): void {
+    const { view, chooser, links, log } = this.parts;
+    const footprint = view.configuration?.services.get(use.serviceId)?.engine?.models.get(model);
+    const servers = this.serversOf(use.serviceId, nowMs);
+    const need = footprint && { model, footprint, isInteractive: true };
+    if (!need || readyOnTheWayMs(need, servers) !== undefined) {
+      return;
+    }
+    const holders = servers.filter((server) => getHeldModel(server, model));
+    let load = 0;
+    for (const holder of holders) {
+      load += chooser.loadOf(holder) / holders.length;
+    }
+    if (holders.length >= MIN_LIVE_REPLICAS && load < REPLICA_LOAD) {
+      return;
+    }
+    const choice = choosePlacement(need, servers);
+    if (choice) {
+      use.replicaWantedAtMs = nowMs;
+      links.want(choice.server.entry.address, model, true);
+      log.decided('replica wanted', {
+        model,
+        address: choice.server.entry.address,
+        replicaCount: holders.length,
+        load,
+      });
+    }
+  }
+
+  private serversOf(serviceId: ServiceId, nowMs: number): KnownServer[] {
+    return [...this.parts.view.getReadyServers(serviceId, nowMs)];
+  }
+}
--- /dev/null
+++ b/src/direct/ReadinessServer.ts
@@ -0,0 +1,31 @@
+import { createServer, type Server } from 'node:http';
+import type { Service } from '../kernel/index.js';
+import { listenOrThrow, type ListenAddress } from '../transport/index.js';
+
+/** Tells the balancer whether this instance takes callers. */
+export class ReadinessServer implements Service {
+  private readonly http: Server;
+
+  /**
+   * @param address - Where the balancer asks.
+   * @param isReady - Whether this instance takes callers.
+   */
+  constructor(
+    private readonly address: ListenAddress,
+    isReady: () => boolean,
+  ) {
+    this.http = createServer((_request, response) => {
+      response.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 }).end();
+    });
+  }
+
+  async start(): Promise<void> {
+    await listenOrThrow(this.http, this.address, 'readiness');
+  }
+
+  stop(): Promise<void> {
+    this.http.closeAllConnections();
+    this.http.close();
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -0,0 +1,342 @@
+import type { EngineReport, HeldModel } from './ServerEntry.js';
+import type { ModelFootprint } from './ServingConfiguration.js';
+
+/** Time after which a wish for a model that no router repeats is dropped, in milliseconds; they repeat each half second. */
+const WANT_LIFETIME_MS = 1_500;
+/** Time after its last live request for which a model is not given up for batch work, in milliseconds. */
+const INTERACTIVE_HOLD_MS = 3_000;
+/** Time after a load for which a model is kept for those who waited for it, in milliseconds. */
+const FRESH_HOLD_MS = 700;
+/** Time that a wish waits for an idle model to give up before a running one has to end its runs, in milliseconds. */
+const BUSY_VICTIM_AFTER_MS = 1_500;
+
+/** What an engine may hold. */
+export interface EngineCapacity {
+  readonly configurationVersion: number;
+  readonly weightsMb: number;
+  readonly adapterSlotCount: number;
+  readonly models: ReadonlyMap<string, ModelFootprint>;
+}
+
+/** Order that is due. */
+export interface DueOrder {
+  readonly kind: 'load' | 'unload';
+  readonly model: string;
+  readonly adapter?: string;
+}
+
+/** A router's wish for a model. */
+interface Want {
+  readonly sinceMs: number;
+  askedAtMs: number;
+  isInteractive: boolean;
+}
+
+/** Use of one model. */
+interface Usage {
+  runningCount: number;
+  lastUsedAtMs: number;
+  lastInteractiveAtMs: number;
+  loadedAtMs: number;
+}
+
+/**
+ * Decides what one engine loads and unloads next.
+ *
+ * An order is only due while the engine carries out no other, and each is bound to the state that it was decided on, so
+ * what the engine holds never exceeds its capacity.
+ */
+export class ResidencyPlanner {
+  private readonly wants = new Map<string, Want>();
+  private readonly usage = new Map<string, Usage>();
+  private readonly adapterUsedAtMs = new Map<string, number>();
+  private capacity: EngineCapacity | undefined;
+  private report: EngineReport | undefined;
+
+  /** Latest state of the engine. */
+  get engine(): EngineReport | undefined {
+    return this.report;
+  }
+
+  /** Models that are wanted and not held, first one first. */
+  get queuedModels(): string[] {
+    return this.rankedWants().map(([model]) => model);
+  }
+
+  /** @param capacity - What the engine may hold; an older configuration's is ignored. */
+  setCapacity(capacity: EngineCapacity): void {
+    if (!this.capacity || capacity.configurationVersion >= this.capacity.configurationVersion) {
+      this.capacity = capacity;
+    }
+  }
+
+  /**
+   * Takes the engine's state.
+   * @param report - The state.
+   * @param nowMs - Time now.
+   */
+  applyReport(report: EngineReport, nowMs: number): void {
+    if (this.report && this.report.bornAtMs !== report.bornAtMs) {
+      this.usage.clear();
+    }
+    const heldBefore = new Set(this.report?.heldModels.map((held) => held.name));
+    this.report = report;
+    for (const held of report.heldModels) {
+      if (!heldBefore.has(held.name)) {
+        this.usageOf(held.name).loadedAtMs = nowMs;
+      }
+      this.wants.delete(held.name);
+    }
+  }
+
+  /**
+   * Notes that a router wants a model.
+   * @param model - The model.
+   * @param isInteractive - Whether callers wait for it live.
+   * @param nowMs - Time now.
+   */
+  want(model: string, isInteractive: boolean, nowMs: number): void {
+    if (this.capacity?.models.has(model) !== true || this.holds(model)) {
+      return;
+    }
+    const existing = this.wants.get(model);
+    if (existing) {
+      existing.askedAtMs = nowMs;
+      existing.isInteractive ||= isInteractive;
+    } else {
+      this.wants.set(model, { sinceMs: nowMs, askedAtMs: nowMs, isInteractive });
+    }
+  }
+
+  /**
+   * Notes that a request began on a model.
+   * @param model - The model.
+   * @param isInteractive - Whether its caller waits live.
+   * @param nowMs - Time now.
+   */
+  requestStarted(model: string, isInteractive: boolean, nowMs: number): void {
+    const usage = this.usageOf(model);
+    usage.runningCount++;
+    this.touch(usage, isInteractive, nowMs);
+  }
+
+  /**
+   * Notes that a request ended on a model.
+   * @param model - The model.
+   * @param isInteractive - Whether its caller waited live.
+   * @param nowMs - Time now.
+   */
+  requestEnded(model: string, isInteractive: boolean, nowMs: number): void {
+    const usage = this.usageOf(model);
+    usage.runningCount = Math.max(0, usage.runningCount - 1);
+    this.touch(usage, isInteractive, nowMs);
+  }
+
+  /**
+   * Drops wishes that are no longer repeated.
+   * @param nowMs - Time now.
+   */
+  expire(nowMs: number): void {
+    for (const [model, want] of this.wants) {
+      if (nowMs - want.askedAtMs > WANT_LIFETIME_MS) {
+        this.wants.delete(model);
+      }
+    }
+  }
+
+  /**
+   * Gives the order for a model that is due now.
+   * @param nowMs - Time now.
+   */
+  getDueOrder(nowMs: number): DueOrder | undefined {
+    if (!this.report || !this.capacity || this.report.isBusy) {
+      return undefined;
+    }
+    this.expire(nowMs);
+    for (const [model, want] of this.rankedWants()) {
+      const order = this.orderFor(model, want, nowMs);
+      if (order) {
+        return order;
+      }
+    }
+    return undefined;
+  }
+
+  /**
+   * Gives the order that brings an adapter closer, or undefined when nothing can be done now.
+   * @param model - Model that the engine holds.
+   * @param adapter - Adapter that it lacks.
+   * @param nowMs - Time now.
+   */
+  getAdapterOrder(model: string, adapter: string, nowMs: number): DueOrder | undefined {
+    const { report, capacity } = this;
+    const footprint = capacity?.models.get(model);
+    if (!report || !capacity || !footprint || !this.holds(model)) {
+      return undefined;
+    }
+    this.adapterUsedAtMs.set(`${model}/${adapter}`, nowMs);
+    const placesUsed = countAdapters(report);
+    if (placesUsed < capacity.adapterSlotCount && footprint.adapterMb <= this.freeMb()) {
+      return { kind: 'load', model, adapter };
+    }
+    const victim = this.leastRecentAdapter(report, `${model}/${adapter}`);
+    return victim && { kind: 'unload', model: victim.model, adapter: victim.adapter };
+  }
+
+  /**
+   * Notes that a request uses an adapter.
+   * @param model - Its model.
+   * @param adapter - The adapter.
+   * @param nowMs - Time now.
+   */
+  adapterUsed(model: string, adapter: string, nowMs: number): void {
+    this.adapterUsedAtMs.set(`${model}/${adapter}`, nowMs);
+  }
+
+  /**
+   * Whether the engine holds a model.
+   * @param model - The model.
+   */
+  holds(model: string): boolean {
+    return this.report?.heldModels.some((held) => held.name === model) ?? false;
+  }
+
+  /**
+   * Memory that is free or held by models that batch work may push out now, in MB.
+   * @param nowMs - Time now.
+   */
+  reclaimableMb(nowMs: number): number {
+    let reclaimable = this.freeMb();
+    for (const held of this.report?.heldModels ?? []) {
+      if (this.mayPushOut(held.name, false, nowMs)) {
+        reclaimable += this.sizeOf(held);
+      }
+    }
+    return reclaimable;
+  }
+
+  private rankedWants(): [string, Want][] {
+    return [...this.wants].sort(([, left], [, right]) =>
+      left.isInteractive === right.isInteractive
+        ? left.sinceMs - right.sinceMs
+        : Number(right.isInteractive) - Number(left.isInteractive),
+    );
+  }
+
+  private orderFor(model: string, want: Want, nowMs: number): DueOrder | undefined {
+    const footprint = this.capacity?.models.get(model);
+    if (!footprint) {
+      return undefined;
+    }
+    if (footprint.weightsMb <= this.freeMb()) {
+      return { kind: 'load', model };
+    }
+    const mayWaitForRuns = nowMs - want.sinceMs > BUSY_VICTIM_AFTER_MS;
+    const victims = this.victimsFor(footprint.weightsMb, want.isInteractive, mayWaitForRuns, nowMs);
+    const first = victims?.[0];
+    return first === undefined ? undefined : { kind: 'unload', model: first };
+  }
+
+  /** Models that must go to make room, least recently used first; undefined when room can't be made. */
+  private victimsFor(
+    neededMb: number,
+    isInteractive: boolean,
+    mayWaitForRuns: boolean,
+    nowMs: number,
+  ): string[] | undefined {
+    const candidates = (this.report?.heldModels ?? [])
+      .filter(({ name }) => this.mayPushOut(name, isInteractive, nowMs))
+      .filter(({ name }) => mayWaitForRuns || this.usageOf(name).runningCount === 0)
+      .sort((left, right) => this.keepValue(left.name) - this.keepValue(right.name));
+    let freeMb = this.freeMb();
+    const victims: string[] = [];
+    for (const candidate of candidates) {
+      if (freeMb >= neededMb) {
+        break;
+      }
+      victims.push(candidate.name);
+      freeMb += this.sizeOf(candidate);
+    }
+    return freeMb >= neededMb ? victims : undefined;
+  }
+
+  private mayPushOut(model: string, isForInteractive: boolean, nowMs: number): boolean {
+    const usage = this.usageOf(model);
+    if (nowMs - usage.loadedAtMs < FRESH_HOLD_MS) {
+      return false;
+    }
+    const isLive = nowMs - usage.lastInteractiveAtMs < INTERACTIVE_HOLD_MS;
+    return !isLive || (isForInteractive && usage.runningCount === 0 && nowMs - usage.lastUsedAtMs > 1_000);
+  }
+
+  /** Rank for keeping: running models last, then the most recently used. */
+  private keepValue(model: string): number {
+    const usage = this.usageOf(model);
+    return (usage.runningCount > 0 ? 1e15 : 0) + Math.max(usage.lastUsedAtMs, usage.loadedAtMs);
+  }
+
+  private leastRecentAdapter(
+    report: EngineReport,
+    wantedKey: string,
+  ): { model: string; adapter: string } | undefined {
+    let best: { model: string; adapter: string } | undefined;
+    let bestUsedAtMs = Infinity;
+    for (const { name, adapters } of report.heldModels) {
+      for (const adapter of adapters) {
+        const key = `${name}/${adapter}`;
+        const usedAtMs = this.adapterUsedAtMs.get(key) ?? 0;
+        if (key !== wantedKey && usedAtMs < bestUsedAtMs) {
+          best = { model: name, adapter };
+          bestUsedAtMs = usedAtMs;
+        }
+      }
+    }
+    return best;
+  }
+
+  private freeMb(): number {
+    let free = this.capacity?.weightsMb ?? 0;
+    for (const held of this.report?.heldModels ?? []) {
+      free -= this.sizeOf(held);
+    }
+    for (const coming of this.report?.comingAdapters ?? []) {
+      free -= this.capacity?.models.get(coming.split('/')[0] ?? '')?.adapterMb ?? 0;
+    }
+    return free;
+  }
+
+  private sizeOf(held: HeldModel): number {
+    const footprint = this.capacity?.models.get(held.name);
+    // A model of unknown size leaves no room for another.
+    return footprint ? footprint.weightsMb + held.adapters.length * footprint.adapterMb : Infinity;
+  }
+
+  private usageOf(model: string): Usage {
+    let usage = this.usage.get(model);
+    if (!usage) {
+      usage = {
+        runningCount: 0,
+        lastUsedAtMs: -Infinity,
+        lastInteractiveAtMs: -Infinity,
+        loadedAtMs: -Infinity,
+      };
+      this.usage.set(model, usage);
+    }
+    return usage;
+  }
+
+  private touch(usage: Usage, isInteractive: boolean, nowMs: number): void {
+    usage.lastUsedAtMs = nowMs;
+    if (isInteractive) {
+      usage.lastInteractiveAtMs = nowMs;
+    }
+  }
+}
+
+function countAdapters(report: EngineReport): number {
+  let count = report.comingAdapters.length;
+  for (const held of report.heldModels) {
+    count += held.adapters.length;
+  }
+  return count;
+}
--- a/src/kernel/SystemClock.ts
+++ b/src/kernel/SystemClock.ts
@@ -3,10 +3,10 @@
 /** Longest delay that the runtime's timers take, in milliseconds. */
 const MAX_TIMER_DELAY_MS = 2 ** 31 - 1;
 
-/** Clock of the operating system. */
+/** Steady clock: it starts at the time of day and is not moved by changes of that. */
 export class SystemClock implements Clock {
   nowMs(): number {
-    return Date.now();
+    return performance.timeOrigin + performance.now();
   }
 
   schedule(delayMs: number, callback: () => void): Timer {
--- a/src/telemetry/Log.ts
+++ b/src/telemetry/Log.ts
@@ -33,4 +33,13 @@
   degraded(change: string, fields: Readonly<Record<string, string | number | boolean>> = {}): void {
     this.logger.warn(fields, change);
   }
+
+  /**
+   * Logs a decision that touches a request or an engine.
+   * @param decision - What was decided or found, in a few words.
+   * @param fields - What it rests on and what came of it; never secrets or callers' text.
+   */
+  decided(decision: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.logger.info(fields, decision);
+  }
 }
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,3 +1,5 @@
 export * from './Metrics.js';
+export * from './MetricsServer.js';
 export * from './Log.js';
+export * from './BoundedOutput.js';
 export * from './AuditTrail.js';
