--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -18,6 +18,7 @@
 } from '../direct/index.js';
 import { Kernel, Random, SystemClock } from '../kernel/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
+import { NAMES } from './serviceNames.js';
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
 
 /** What both kinds of process need. */
@@ -33,8 +34,8 @@
   readonly callerAddress: ListenAddress;
   readonly readinessAddress: ListenAddress;
   readonly agentPort: number;
-  readonly stopGraceMs: number;
-  readonly repeatBound: RepeatBound;
+  readonly getStopGraceMs: () => number;
+  readonly getRepeatBound: () => RepeatBound;
   readonly source: FleetSource;
   readonly codec: HeaderCodec;
 }
@@ -62,7 +63,7 @@
   const watcher = new FleetWatcher({ clock, random, source, view, log, metrics });
   const allowances = new Map<ServiceId, RepeatAllowance>();
   const allowanceOf = (serviceId: ServiceId) => {
-    const allowance = allowances.get(serviceId) ?? new RepeatAllowance(parts.repeatBound);
+    const allowance = allowances.get(serviceId) ?? new RepeatAllowance(parts.getRepeatBound);
     allowances.set(serviceId, allowance);
     return allowance;
   };
@@ -76,7 +77,7 @@
     flow: { clock, view, chooser, desk, links, codec, suspects, log, metrics, allowanceOf },
     log,
     metrics,
-    stopGraceMs: parts.stopGraceMs,
+    getStopGraceMs: parts.getStopGraceMs,
   });
   const isReady = () => view.isComplete && !callers.isStopping;
   watcher.onChange(() => {
@@ -114,7 +115,7 @@
   const clock = new SystemClock();
   const random = new Random(randomBytes(4).readInt32LE());
   const output = new BoundedOutput(clock);
-  const log = new Log(parts.instanceId, (line) => output.write(line));
+  const log = kernel.register(NAMES.log, new Log(parts.instanceId, (line) => output.write(line)));
   const metrics = new Metrics();
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
   void kernel.start(new MetricsServer(parts.metricsAddress, metrics));
--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -32,6 +32,11 @@
 /** Head of an answer. */
 export interface AttemptHead {
   readonly status: number;
+  /**
+   * Whether the answer states its own length. The end of one that doesn't may be the server's failure, so it is passed
+   * on without a length too.
+   */
+  readonly isFramed: boolean;
   readonly headers: OutgoingHttpHeaders;
 }
 
@@ -159,7 +164,9 @@
       this.break('the answer is not signed or belongs to another request');
       return;
     }
-    const head: AttemptHead = { status, headers: answer.forwarded };
+    const isFramed =
+      response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
+    const head: AttemptHead = { status, isFramed, headers: answer.forwarded };
     const isStream = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
     if (isStream && status < 300) {
       this.readStream(response, head);
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -5,6 +5,7 @@
 import { listenOrThrow, type ListenAddress } from '../transport/index.js';
 import { DirectFlow, type DirectFlowParts, type DirectRequest, type DirectSink } from './DirectFlow.js';
 import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
+import type { AttemptHead } from './BackendAttempt.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 
 /** Limits until a configuration states its own. */
@@ -35,8 +36,8 @@
   readonly flow: DirectFlowParts;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** Time from the order to stop until the process is killed, in milliseconds. */
-  readonly stopGraceMs: number;
+  /** Gives the time from the order to stop until the process is killed, in milliseconds. */
+  readonly getStopGraceMs: () => number;
 }
 
 /** Answers callers over HTTP and hands their requests to flows. */
@@ -74,10 +75,10 @@
 
   /** Serves what is there and what the balancer still sends, then closes. */
   async stop(): Promise<void> {
-    const { clock, log, stopGraceMs } = this.parts;
+    const { clock, log } = this.parts;
     this.stopping = true;
     const startedAtMs = clock.nowMs();
-    const endsAtMs = startedAtMs + stopGraceMs - STOP_RESERVE_MS;
+    const endsAtMs = startedAtMs + this.parts.getStopGraceMs() - STOP_RESERVE_MS;
     log.stateChanged('stopping', { activeCount: this.active.size });
     await pause(clock, STOP_LISTENING_AFTER_MS);
     const closed = new Promise((resolve) => this.http.close(resolve));
@@ -174,12 +175,10 @@
   private sinkOf(request: DirectRequest, response: ServerResponse): DirectSink {
     return {
       sendWhole: (head, body) => {
-        response.writeHead(head.status, { ...head.headers, 'Content-Length': body.length });
+        beginAnswer(response, head, body.length);
         response.end(body);
       },
-      beginStream: (head) => {
-        response.writeHead(head.status, head.headers);
-      },
+      beginStream: (head) => beginAnswer(response, head, undefined),
       sendEvents: (bytes) => {
         response.write(bytes);
       },
@@ -213,6 +212,19 @@
   }
 }
 
+/** Begins an answer: with its length where it is certain, in chunks while it grows, or ended by the connection alone. */
+function beginAnswer(response: ServerResponse, head: AttemptHead, length: number | undefined): void {
+  if (!head.isFramed) {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    response.writeHead(head.status, head.headers);
+  } else if (length === undefined) {
+    response.writeHead(head.status, head.headers);
+  } else {
+    response.writeHead(head.status, { ...head.headers, 'Content-Length': length });
+  }
+}
+
 /** Hashes what makes two requests equal. */
 function fingerprintOf(method: string, path: string, model: string | undefined, body: Buffer): string {
   const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
--- a/src/direct/decisions/RepeatAllowance.ts
+++ b/src/direct/decisions/RepeatAllowance.ts
@@ -18,8 +18,8 @@
   private readonly repeatCounts = new Array<number>(BUCKET_COUNT).fill(0);
   private bucket = 0;
 
-  /** @param bound - Bound for all routers together. */
-  constructor(private readonly bound: RepeatBound) {}
+  /** @param getBound - Gives the bound for all routers together. */
+  constructor(private readonly getBound: () => RepeatBound) {}
 
   /**
    * Notes a request for the service.
@@ -37,7 +37,7 @@
    */
   tryTake(nowMs: number, routerCount: number): boolean {
     this.advance(nowMs);
-    const { ratio, slack } = this.bound;
+    const { ratio, slack } = this.getBound();
     const allowed = USED_SHARE * (ratio * sum(this.firstCounts) + slack / Math.max(1, routerCount));
     if (sum(this.repeatCounts) + 1 > allowed) {
       return false;
@@ -47,7 +47,7 @@
   }
 
   private advance(nowMs: number): void {
-    const bucket = Math.floor(nowMs / (this.bound.windowMs / BUCKET_COUNT));
+    const bucket = Math.floor(nowMs / (this.getBound().windowMs / BUCKET_COUNT));
     const steps = Math.min(BUCKET_COUNT, bucket - this.bucket);
     for (let step = 1; step <= steps; step++) {
       const index = (bucket - steps + step) % BUCKET_COUNT;
