Retire a model before it is dropped; choose places by what is lost; bound waits by the caller's patience

Cause: agents ordered unloads of models with runs (up to 6 s of a busy engine), queued wishes they had no room for, and batch requests waited past the time at which their callers leave.

--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '../kernel/index.js';
+import { pause, type Clock, type Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentLinks } from './AgentLinks.js';
@@ -28,11 +28,21 @@
 /** Silence in a stream after which it is resumed elsewhere, as a multiple of its longest pause. */
 const SILENT_GAPS = 5;
 /** Time before the deadline at which waiting for a model ends, in milliseconds: a first event needs about so long. */
-const SERVICE_RESERVE_MS = 700;
+const SERVICE_RESERVE_MS = 300;
+/** Callers give a stream up that has not begun after the longest of these: a time in milliseconds, */
+const MIN_PATIENCE_MS = 2_000;
+/** a multiple of its latency target, */
+const PATIENCE_TARGETS = 4;
+/** and a multiple of its longest pause. */
+const PATIENCE_GAPS = 8;
+/** Time after which servers that did not take a request are asked again, in milliseconds. */
+const SERVER_PAUSE_MS = 120;
 /** Time after which a caller should return when nothing better is known, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** Time that an attempt needs at least to be worth sending, in milliseconds. */
 const MIN_ATTEMPT_MS = 20;
+/** Status by which an engine says that it does not hold what the request needs. */
+const STATUS_MISDIRECTED = 421;
 /** Least urgent rank that engines know. */
 const MAX_URGENCY = 9;
 
@@ -169,16 +179,18 @@
   private async waitForServer(): Promise<boolean> {
     const { call, serviceId } = this.request;
     const { desk } = this.parts;
-    if (call.model === undefined || this.hasBegun) {
-      this.giveUp('no server takes the request');
+    if (this.hasBegun) {
+      this.giveUp('no server takes the rest of the stream');
       return false;
     }
+    if (call.model === undefined) {
+      return this.pauseForServers(this.endsAtMs - SERVICE_RESERVE_MS);
+    }
     const { model, requestId } = call;
+    const untilMs = this.waitsUntilMs();
     if (this.excluded.size > 0) {
-      this.giveUp('the servers that hold the model did not take the request');
-      return false;
+      return this.pauseForServers(untilMs);
     }
-    const untilMs = this.endsAtMs - SERVICE_RESERVE_MS;
     const result = await desk.waitFor({ requestId, serviceId, model, isInteractive: this.isLive, untilMs });
     if (this.settled) {
       return false;
@@ -195,6 +207,29 @@
     }
   }
 
+  /** Gives the servers that did not take the request a moment; false when there is no time for it. */
+  private async pauseForServers(untilMs: number): Promise<boolean> {
+    const { clock } = this.parts;
+    if (this.sendCount >= MAX_SENDS || clock.nowMs() + SERVER_PAUSE_MS >= untilMs || this.runCount > 0) {
+      this.giveUp('the servers did not take the request');
+      return false;
+    }
+    await pause(clock, SERVER_PAUSE_MS);
+    this.excluded.clear();
+    return !this.settled;
+  }
+
+  /** When waiting for a server no longer makes sense: the caller gives a stream up that doesn't begin. */
+  private waitsUntilMs(): number {
+    const { route, receivedAtMs } = this.request;
+    const patienceMs = Math.max(
+      MIN_PATIENCE_MS,
+      PATIENCE_TARGETS * route.latencyTargetMs,
+      PATIENCE_GAPS * (route.maxGapMs ?? 0),
+    );
+    return Math.min(this.endsAtMs, receivedAtMs + patienceMs) - SERVICE_RESERVE_MS;
+  }
+
   private async hasAdapter(server: KnownServer, model: string, adapter: string): Promise<boolean> {
     if (getHeldModel(server, model)?.adapters.includes(adapter) === true) {
       return true;
@@ -270,9 +305,11 @@
         this.takeAnswer(end, serverId);
         return;
       case 'unreachable':
-      case 'notRun':
         this.excluded.add(serverId);
         return;
+      case 'notRun':
+        this.takeRejection(end, serverId);
+        return;
       case 'broken':
         this.takeBreak(end, serverId);
         return;
@@ -281,6 +318,16 @@
     }
   }
 
+  private takeRejection(end: AttemptEnd & { kind: 'notRun' }, serverId: ServerId): void {
+    const { model } = this.request.call;
+    const isModelMissing = end.status === STATUS_MISDIRECTED && !end.isOtherServer;
+    if (model !== undefined && isModelMissing) {
+      this.parts.view.noteModelRefused(serverId, model, this.parts.clock.nowMs());
+    } else {
+      this.excluded.add(serverId);
+    }
+  }
+
   private takeAnswer(end: AttemptEnd & { kind: 'answered' }, serverId: ServerId): void {
     this.runCount++;
     if (end.head.status >= 500 && this.mayRunAgain() && this.hasOtherServer(serverId)) {
--- a/src/direct/EngineKeeper.ts
+++ b/src/direct/EngineKeeper.ts
@@ -54,6 +54,7 @@
   private loadingModel: string | undefined;
   private reportedAtMs = -Infinity;
   private reported: EngineReport | undefined;
+  private reportedPlan = '';
   private isEngineUp = true;
   private wake: () => void = () => undefined;
   private stopped = false;
@@ -95,7 +96,9 @@
         await this.exclusively(() => this.carryOut(order));
       }
       this.reportIfDue();
-      const intervalMs = this.planner.engine?.isBusy ? BUSY_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
+      const wantedCount = this.planner.queuedModels.length;
+      const isActive = wantedCount > 0 || this.planner.engine?.isBusy === true;
+      const intervalMs = isActive ? BUSY_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
       await Promise.race([
         pause(this.parts.clock, intervalMs),
         new Promise<void>((resolve) => {
@@ -207,7 +210,7 @@
       if (state === 'ready' || state === 'modelGone') {
         return { isReady: state === 'ready' };
       }
-      if (state === 'absent') {
+      if (state === 'absent' && this.planner.engine?.isBusy !== true) {
         await this.exclusively(() => this.orderAdapter(model, adapter));
       } else {
         await pause(clock, ADAPTER_POLL_MS);
@@ -256,11 +259,20 @@
   private reportIfDue(): void {
     const engine = this.planner.engine;
     const isOld = this.parts.clock.nowMs() - this.reportedAtMs >= REPORT_INTERVAL_MS;
-    if (engine && (isOld || !this.reported || hasChanged(this.reported, engine))) {
+    const plan = this.describePlan();
+    if (engine && (isOld || plan !== this.reportedPlan || !this.reported || hasChanged(this.reported, engine))) {
+      this.reportedPlan = plan;
       this.report();
     }
   }
 
+  /** What routers must know at once: which models take requests and which are on their way. */
+  private describePlan(): string {
+    const held = this.planner.engine?.heldModels ?? [];
+    const taking = held.filter(({ name }) => this.planner.takesRequests(name)).map(({ name }) => name);
+    return [...taking, '|', ...this.planner.queuedModels].join(' ');
+  }
+
   private report(): void {
     const engine = this.planner.engine;
     if (!engine || !this.isEngineUp) {
@@ -273,7 +285,8 @@
       address: this.parts.engineAddress,
       loadingModel: this.loadingModel,
       queuedModels: this.planner.queuedModels,
-      reclaimableMb: this.planner.reclaimableMb(this.reportedAtMs),
+      heldModels: engine.heldModels.filter(({ name }) => this.planner.takesRequests(name)),
+      uses: this.planner.getUses(this.reportedAtMs),
       routerCount: this.followers.size,
       crashCounts: Object.fromEntries(this.crashCounts),
     };
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -7,6 +7,7 @@
   choosePlacement,
   getHeldModel,
   readyOnTheWayMs,
+  type EngineProfile,
   type FleetView,
   type KnownServer,
   type PlacementNeed,
@@ -22,7 +23,7 @@
 /** Time after its last live request for which a model keeps its replicas, in milliseconds. */
 const LIVE_USE_MS = 2_000;
 /** Fewest replicas of a model in live use, so that the loss of one server leaves the others. */
-const MIN_LIVE_REPLICAS = 3;
+const MIN_LIVE_REPLICAS = 2;
 /** Mean load of a model's servers, as a share of their slots, above which another replica is loaded. */
 const REPLICA_LOAD = 0.45;
 /** Pause between two new replicas of one model, in milliseconds: a load from disk shows in the load by then. */
@@ -117,8 +118,7 @@
    * @param wait - What is waited for.
    */
   waitFor(wait: ModelWait): Promise<WaitResult> {
-    const engine = this.parts.view.configuration?.services.get(wait.serviceId)?.engine;
-    const footprint = engine?.models.get(wait.model);
+    const footprint = this.profileOf(wait.serviceId)?.models.get(wait.model);
     if (!footprint) {
       return Promise.resolve({ kind: 'noPlace' });
     }
@@ -186,7 +186,8 @@
     if (nowMs - waited.wantedAtMs < REPEAT_MS) {
       return waited.wantedAddress === undefined ? undefined : 0;
     }
-    const choice = choosePlacement(need, servers);
+    const profile = this.profileOf(waited.serviceId);
+    const choice = profile && choosePlacement(need, servers, profile);
     waited.wantedAtMs = nowMs;
     waited.wantedAddress = choice?.server.entry.address;
     if (!choice) {
@@ -228,11 +229,12 @@
   }
 
   private reviewReplicasOf(model: string, use: LiveUse, nowMs: number): void {
-    const { view, chooser, links, log } = this.parts;
-    const footprint = view.configuration?.services.get(use.serviceId)?.engine?.models.get(model);
+    const { chooser, links, log } = this.parts;
+    const profile = this.profileOf(use.serviceId);
+    const footprint = profile?.models.get(model);
     const servers = this.serversOf(use.serviceId, nowMs);
     const need = footprint && { model, footprint, isInteractive: true };
-    if (!need || readyOnTheWayMs(need, servers) !== undefined) {
+    if (!profile || !need || readyOnTheWayMs(need, servers) !== undefined) {
       return;
     }
     const holders = servers.filter((server) => getHeldModel(server, model));
@@ -243,7 +245,7 @@
     if (holders.length >= MIN_LIVE_REPLICAS && load < REPLICA_LOAD) {
       return;
     }
-    const choice = choosePlacement(need, servers);
+    const choice = choosePlacement(need, servers, profile);
     if (choice) {
       use.replicaWantedAtMs = nowMs;
       links.want(choice.server.entry.address, model, true);
@@ -256,6 +258,10 @@
     }
   }
 
+  private profileOf(serviceId: ServiceId): EngineProfile | undefined {
+    return this.parts.view.configuration?.services.get(serviceId)?.engine;
+  }
+
   private serversOf(serviceId: ServiceId, nowMs: number): KnownServer[] {
     return [...this.parts.view.getReadyServers(serviceId, nowMs)];
   }
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -10,10 +10,14 @@
 const LAPSE_GRACE_MS = 2_000;
 /** Time after which an agent's report no longer counts, in milliseconds; agents report four times in it. */
 const REPORT_LIFETIME_MS = 2_500;
+/** Time for which a server that refused a model is taken not to hold it, in milliseconds; a report comes before. */
+const REFUSAL_LIFETIME_MS = 400;
 
 /** A backend server with what is known of it from all sources. */
 export interface KnownServer {
   readonly entry: ServerEntry;
+  /** Models that it holds: its agent's word goes before the platform's list, which lags. */
+  readonly heldModels: readonly HeldModel[];
   /** Latest report of its agent, while it is current. */
   readonly report: AgentReport | undefined;
   /** When the report came. */
@@ -26,6 +30,8 @@
   private readonly reports = new Map<string, { report: AgentReport; atMs: number }>();
   /** Servers that lapsed around an outage, and when they are given up. */
   private readonly lapsedUntilMs = new Map<ServerId, number>();
+  /** Until when a server is taken not to hold a model, by server and model. */
+  private readonly refusedUntilMs = new Map<string, number>();
   private current: ServingConfiguration | undefined;
   private table = new RouteTable([]);
   private hasListed = false;
@@ -144,6 +150,16 @@
     this.reports.set(report.address, { report, atMs: nowMs });
   }
 
+  /**
+   * Notes that a server refused a request since it does not hold the model.
+   * @param serverId - The server.
+   * @param model - The model.
+   * @param nowMs - Time now.
+   */
+  noteModelRefused(serverId: ServerId, model: string, nowMs: number): void {
+    this.refusedUntilMs.set(`${serverId}|${model}`, nowMs + REFUSAL_LIFETIME_MS);
+  }
+
   /** @param address - Engine whose agent is no longer connected. */
   dropReport(address: string): void {
     this.reports.delete(address);
@@ -199,25 +215,38 @@
       latest !== undefined &&
       nowMs - latest.atMs < REPORT_LIFETIME_MS &&
       latest.report.bornAtMs >= entry.bornAtMs;
-    return { entry, report: isCurrent ? latest.report : undefined, reportedAtMs: latest?.atMs ?? -Infinity };
+    const report = isCurrent ? latest.report : undefined;
+    const heldModels = this.withoutRefused(entry.serverId, report?.heldModels ?? entry.heldModels, nowMs);
+    return { entry, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
+  }
+
+  private withoutRefused(
+    serverId: ServerId,
+    heldModels: readonly HeldModel[],
+    nowMs: number,
+  ): readonly HeldModel[] {
+    if (this.refusedUntilMs.size === 0) {
+      return heldModels;
+    }
+    return heldModels.filter(({ name }) => {
+      const key = `${serverId}|${name}`;
+      const untilMs = this.refusedUntilMs.get(key);
+      if (untilMs !== undefined && nowMs >= untilMs) {
+        this.refusedUntilMs.delete(key);
+        return true;
+      }
+      return untilMs === undefined;
+    });
   }
 }
 
-/**
- * Models that a server holds: its agent's word goes before the platform's list, which lags.
- * @param server - The server.
- */
-export function heldModelsOf(server: KnownServer): readonly HeldModel[] {
-  return server.report?.heldModels ?? server.entry.heldModels;
-}
-
 /**
  * Finds a model on a server.
  * @param server - The server.
  * @param model - Name of the model.
  */
 export function getHeldModel(server: KnownServer, model: string): HeldModel | undefined {
-  for (const held of heldModelsOf(server)) {
+  for (const held of server.heldModels) {
     if (held.name === model) {
       return held;
     }
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -1,7 +1,8 @@
 import { murmur } from './rendezvous.js';
 import type { KnownServer } from './FleetView.js';
 import { getHeldModel } from './FleetView.js';
-import type { ModelFootprint } from './ServingConfiguration.js';
+import type { ModelUse } from './ServerEntry.js';
+import type { EngineProfile, ModelFootprint } from './ServingConfiguration.js';
 
 /** Loads from the weight store that run at once at full speed on the deployments served; more slow each other down. */
 const STORE_LOADS_AT_ONCE = 4;
@@ -9,10 +10,18 @@
 const BUSY_MS = 500;
 /** Time that one more model in an agent's queue takes, in milliseconds: an unload and a load from disk. */
 const QUEUED_MODEL_MS = 1_200;
+/** Time to drop an idle model, in milliseconds. */
+const UNLOAD_MS = 100;
+/** Time until a model that is in use can be dropped, in milliseconds: half of a common run for each that runs. */
+const RUN_MS = 600;
+/** Time after its last request up to which giving up a model counts as a loss, in milliseconds. */
+const RECENT_USE_MS = 4_000;
+/** Loss of a model that was used a moment ago, in milliseconds of waiting: it must probably be loaded again. */
+const RECENT_USE_LOSS_MS = 600;
 /** Time that live requests on a server count for when a batch model looks for a place, in milliseconds. */
 const LIVE_LOAD_MS = 400;
 /** Time that ties are broken by, in milliseconds; all routers break them the same way. */
-const TIE_MS = 150;
+const TIE_MS = 100;
 
 /** Where a model is to be loaded. */
 export interface PlacementChoice {
@@ -35,10 +44,12 @@
  * same agent for it.
  * @param need - What needs a place.
  * @param servers - Servers of the service that take work.
+ * @param profile - What their engines hold at most.
  */
 export function choosePlacement(
   need: PlacementNeed,
   servers: readonly KnownServer[],
+  profile: EngineProfile,
 ): PlacementChoice | undefined {
   const mayUseStore = need.isInteractive || countStoreLoads(servers) < STORE_LOADS_AT_ONCE;
   let best: PlacementChoice | undefined;
@@ -52,11 +63,12 @@
     if (loadMs === need.footprint.storeLoadMs && !mayUseStore) {
       continue;
     }
-    if (!need.isInteractive && report.reclaimableMb < need.footprint.weightsMb) {
+    const roomMs = makeRoomMs(need, server, profile);
+    if (roomMs === undefined) {
       continue;
     }
-    const readyInMs =
-      loadMs + (report.isBusy ? BUSY_MS : 0) + report.queuedModels.length * QUEUED_MODEL_MS;
+    const queueMs = (report.isBusy ? BUSY_MS : 0) + report.queuedModels.length * QUEUED_MODEL_MS;
+    const readyInMs = loadMs + queueMs + roomMs;
     const liveShare = report.runningCount / Math.max(1, server.entry.slotCount);
     const scoreMs = readyInMs + LIVE_LOAD_MS * liveShare + TIE_MS * murmur(need.model, server.entry.serverId);
     if (scoreMs < bestScoreMs) {
@@ -111,3 +123,38 @@
   }
   return count;
 }
+
+/** Time and loss of making room for a model, in milliseconds; undefined where there is none to be made. */
+function makeRoomMs(need: PlacementNeed, server: KnownServer, profile: EngineProfile): number | undefined {
+  const { report } = server;
+  let freeMb = profile.weightsMb;
+  const lossesMs: { lossMs: number; sizeMb: number }[] = [];
+  for (const { name, adapters } of report?.heldModels ?? []) {
+    const footprint = profile.models.get(name);
+    if (!footprint) {
+      return undefined;
+    }
+    const sizeMb = footprint.weightsMb + adapters.length * footprint.adapterMb;
+    freeMb -= sizeMb;
+    const use = report?.uses[name];
+    if (use && (!use.isProtected || (need.isInteractive && use.runningCount === 0))) {
+      lossesMs.push({ lossMs: lossMs(use), sizeMb });
+    }
+  }
+  lossesMs.sort((left, right) => left.lossMs - right.lossMs);
+  let roomMs = 0;
+  for (const { lossMs: victimLossMs, sizeMb } of lossesMs) {
+    if (freeMb >= need.footprint.weightsMb) {
+      break;
+    }
+    freeMb += sizeMb;
+    roomMs += UNLOAD_MS + victimLossMs;
+  }
+  return freeMb >= need.footprint.weightsMb ? roomMs : undefined;
+}
+
+/** What giving up a model costs, in milliseconds of waiting. */
+export function lossMs(use: ModelUse): number {
+  const recency = Math.max(0, 1 - use.idleForMs / RECENT_USE_MS);
+  return use.runningCount * RUN_MS + recency * RECENT_USE_LOSS_MS + (use.isProtected ? RECENT_USE_LOSS_MS : 0);
+}
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -1,4 +1,5 @@
-import type { EngineReport, HeldModel } from './ServerEntry.js';
+import { lossMs } from './ModelPlacement.js';
+import type { EngineReport, HeldModel, ModelUse } from './ServerEntry.js';
 import type { ModelFootprint } from './ServingConfiguration.js';
 
 /** Time after which a wish for a model that no router repeats is dropped, in milliseconds; they repeat each half second. */
@@ -7,8 +8,14 @@
 const INTERACTIVE_HOLD_MS = 3_000;
 /** Time after a load for which a model is kept for those who waited for it, in milliseconds. */
 const FRESH_HOLD_MS = 700;
-/** Time that a wish waits for an idle model to give up before a running one has to end its runs, in milliseconds. */
-const BUSY_VICTIM_AFTER_MS = 1_500;
+/** Time for which a wish may stay without room before it is dropped, so that another agent is asked, in milliseconds. */
+const ROOM_TIMEOUT_MS = 300;
+/** Time that a model which takes no new requests has to end its runs before it is dropped anyway, in milliseconds. */
+const RETIRE_TIMEOUT_MS = 2_500;
+/** What a model that already takes no new requests is cheaper by as a victim, in milliseconds of waiting. */
+const RETIRING_BONUS_MS = 1_000;
+/** Longest idle time that is told apart, in milliseconds. */
+const MAX_IDLE_MS = 1_000_000;
 
 /** What an engine may hold. */
 export interface EngineCapacity {
@@ -30,6 +37,8 @@
   readonly sinceMs: number;
   askedAtMs: number;
   isInteractive: boolean;
+  /** Since when there has been no room to be made for it. */
+  withoutRoomSinceMs: number | undefined;
 }
 
 /** Use of one model. */
@@ -50,6 +59,8 @@
   private readonly wants = new Map<string, Want>();
   private readonly usage = new Map<string, Usage>();
   private readonly adapterUsedAtMs = new Map<string, number>();
+  /** Models that take no new requests, since they are to be dropped, and since when. */
+  private readonly retiringSinceMs = new Map<string, number>();
   private capacity: EngineCapacity | undefined;
   private report: EngineReport | undefined;
 
@@ -79,6 +90,11 @@
     if (this.report && this.report.bornAtMs !== report.bornAtMs) {
       this.usage.clear();
     }
+    for (const model of this.retiringSinceMs.keys()) {
+      if (!report.heldModels.some(({ name }) => name === model)) {
+        this.retiringSinceMs.delete(model);
+      }
+    }
     const heldBefore = new Set(this.report?.heldModels.map((held) => held.name));
     this.report = report;
     for (const held of report.heldModels) {
@@ -104,7 +120,12 @@
       existing.askedAtMs = nowMs;
       existing.isInteractive ||= isInteractive;
     } else {
-      this.wants.set(model, { sinceMs: nowMs, askedAtMs: nowMs, isInteractive });
+      this.wants.set(model, {
+        sinceMs: nowMs,
+        askedAtMs: nowMs,
+        isInteractive,
+        withoutRoomSinceMs: undefined,
+      });
     }
   }
 
@@ -153,6 +174,9 @@
       return undefined;
     }
     this.expire(nowMs);
+    if (this.wants.size === 0) {
+      this.retiringSinceMs.clear();
+    }
     for (const [model, want] of this.rankedWants()) {
       const order = this.orderFor(model, want, nowMs);
       if (order) {
@@ -162,6 +186,28 @@
     return undefined;
   }
 
+  /**
+   * Whether a model takes new requests.
+   * @param model - The model.
+   */
+  takesRequests(model: string): boolean {
+    return !this.retiringSinceMs.has(model);
+  }
+
+  /**
+   * Describes the use of the models that are held and take new requests.
+   * @param nowMs - Time now.
+   */
+  getUses(nowMs: number): Record<string, ModelUse> {
+    const uses: Record<string, ModelUse> = {};
+    for (const { name } of this.report?.heldModels ?? []) {
+      if (this.takesRequests(name)) {
+        uses[name] = this.describeUse(name, nowMs);
+      }
+    }
+    return uses;
+  }
+
   /**
    * Gives the order that brings an adapter closer, or undefined when nothing can be done now.
    * @param model - Model that the engine holds.
@@ -201,20 +247,6 @@
     return this.report?.heldModels.some((held) => held.name === model) ?? false;
   }
 
-  /**
-   * Memory that is free or held by models that batch work may push out now, in MB.
-   * @param nowMs - Time now.
-   */
-  reclaimableMb(nowMs: number): number {
-    let reclaimable = this.freeMb();
-    for (const held of this.report?.heldModels ?? []) {
-      if (this.mayPushOut(held.name, false, nowMs)) {
-        reclaimable += this.sizeOf(held);
-      }
-    }
-    return reclaimable;
-  }
-
   private rankedWants(): [string, Want][] {
     return [...this.wants].sort(([, left], [, right]) =>
       left.isInteractive === right.isInteractive
@@ -231,23 +263,39 @@
     if (footprint.weightsMb <= this.freeMb()) {
       return { kind: 'load', model };
     }
-    const mayWaitForRuns = nowMs - want.sinceMs > BUSY_VICTIM_AFTER_MS;
-    const victims = this.victimsFor(footprint.weightsMb, want.isInteractive, mayWaitForRuns, nowMs);
-    const first = victims?.[0];
-    return first === undefined ? undefined : { kind: 'unload', model: first };
+    const victims = this.victimsFor(footprint.weightsMb, want.isInteractive, nowMs);
+    if (!victims) {
+      want.withoutRoomSinceMs ??= nowMs;
+      if (nowMs - want.withoutRoomSinceMs > ROOM_TIMEOUT_MS) {
+        this.wants.delete(model);
+      }
+      return undefined;
+    }
+    want.withoutRoomSinceMs = undefined;
+    for (const victim of victims) {
+      const sinceMs = this.retiringSinceMs.get(victim) ?? nowMs;
+      this.retiringSinceMs.set(victim, sinceMs);
+      const isRunning = this.usageOf(victim).runningCount > 0;
+      // One report reaches the routers before the order does, so that no request meets the unload.
+      if (nowMs > sinceMs && (!isRunning || nowMs - sinceMs > RETIRE_TIMEOUT_MS)) {
+        return { kind: 'unload', model: victim };
+      }
+    }
+    return undefined;
   }
 
-  /** Models that must go to make room, least recently used first; undefined when room can't be made. */
-  private victimsFor(
-    neededMb: number,
-    isInteractive: boolean,
-    mayWaitForRuns: boolean,
-    nowMs: number,
-  ): string[] | undefined {
-    const candidates = (this.report?.heldModels ?? [])
-      .filter(({ name }) => this.mayPushOut(name, isInteractive, nowMs))
-      .filter(({ name }) => mayWaitForRuns || this.usageOf(name).runningCount === 0)
-      .sort((left, right) => this.keepValue(left.name) - this.keepValue(right.name));
+  /** Models that must go to make room, those that cost least first; undefined when room can't be made. */
+  private victimsFor(neededMb: number, isInteractive: boolean, nowMs: number): string[] | undefined {
+    const candidates: { name: string; sizeMb: number; lossMs: number }[] = [];
+    for (const held of this.report?.heldModels ?? []) {
+      const use = this.describeUse(held.name, nowMs);
+      const isRetiring = this.retiringSinceMs.has(held.name);
+      if (!use.isProtected || isRetiring || (isInteractive && use.runningCount === 0)) {
+        const loss = lossMs(use) - (isRetiring ? RETIRING_BONUS_MS : 0);
+        candidates.push({ name: held.name, sizeMb: this.sizeOf(held), lossMs: loss });
+      }
+    }
+    candidates.sort((left, right) => left.lossMs - right.lossMs);
     let freeMb = this.freeMb();
     const victims: string[] = [];
     for (const candidate of candidates) {
@@ -255,24 +303,21 @@
         break;
       }
       victims.push(candidate.name);
-      freeMb += this.sizeOf(candidate);
+      freeMb += candidate.sizeMb;
     }
     return freeMb >= neededMb ? victims : undefined;
   }
 
-  private mayPushOut(model: string, isForInteractive: boolean, nowMs: number): boolean {
+  private describeUse(model: string, nowMs: number): ModelUse {
     const usage = this.usageOf(model);
-    if (nowMs - usage.loadedAtMs < FRESH_HOLD_MS) {
-      return false;
-    }
     const isLive = nowMs - usage.lastInteractiveAtMs < INTERACTIVE_HOLD_MS;
-    return !isLive || (isForInteractive && usage.runningCount === 0 && nowMs - usage.lastUsedAtMs > 1_000);
-  }
-
-  /** Rank for keeping: running models last, then the most recently used. */
-  private keepValue(model: string): number {
-    const usage = this.usageOf(model);
-    return (usage.runningCount > 0 ? 1e15 : 0) + Math.max(usage.lastUsedAtMs, usage.loadedAtMs);
+    const isFresh = nowMs - usage.loadedAtMs < FRESH_HOLD_MS;
+    const usedAtMs = Math.max(usage.lastUsedAtMs, usage.loadedAtMs);
+    return {
+      runningCount: usage.runningCount,
+      idleForMs: Math.min(MAX_IDLE_MS, nowMs - usedAtMs),
+      isProtected: isLive || isFresh,
+    };
   }
 
   private leastRecentAdapter(
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -12,6 +12,8 @@
 const REMOTE_PENALTY = 0.04;
 /** Load that a missing adapter counts for: it must be loaded first and takes a place. */
 const ADAPTER_PENALTY = 0.15;
+/** The same where a model is being loaded: adapters can't be until that is over. */
+const BUSY_ADAPTER_PENALTY = 1;
 /** Weight of a new measurement in a server's typical latency. */
 const LATENCY_WEIGHT = 0.2;
 /** Load that a latency of twice the fastest server's counts for. */
@@ -65,7 +67,8 @@
         continue;
       }
       const lacksAdapter = need.adapter !== undefined && held?.adapters.includes(need.adapter) !== true;
-      const score = this.scoreOf(server, nowMs) + (lacksAdapter ? ADAPTER_PENALTY : 0);
+      const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
+      const score = this.scoreOf(server, nowMs) + (lacksAdapter ? adapterPenalty : 0);
       if (score < bestScore) {
         best = server;
         bestScore = score;
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -43,16 +43,26 @@
   readonly modelsOnDisk: readonly string[];
 }
 
+/** Use of a model that an engine holds. */
+export interface ModelUse {
+  /** Requests that run on it. */
+  readonly runningCount: number;
+  /** Time since its last request began or ended, in milliseconds. */
+  readonly idleForMs: number;
+  /** Whether batch work must leave it alone: callers use it live, or others wait for it. */
+  readonly isProtected: boolean;
+}
+
 /** What an agent tells routers about its engine. */
 export interface AgentReport extends EngineReport {
   /** Host and port of the engine. */
   readonly address: string;
+  /** Use of each model that the engine holds and that takes new requests. */
+  readonly uses: Readonly<Record<string, ModelUse>>;
   /** Model that is being loaded. */
   readonly loadingModel?: string;
   /** Models that are to be loaded after it, first one first. */
   readonly queuedModels: readonly string[];
-  /** Memory that is free or that batch work may take over now, in MB. */
-  readonly reclaimableMb: number;
   /** Routers that are connected to the agent. */
   readonly routerCount: number;
   /** Fingerprints of requests that crashed servers, and how often, as the agent was told. */
