--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -41,8 +41,6 @@
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** Time that an attempt needs at least to be worth sending, in milliseconds. */
 const MIN_ATTEMPT_MS = 20;
-/** Status by which an engine says that it does not hold what the request needs. */
-const STATUS_MISDIRECTED = 421;
 /** Least urgent rank that engines know. */
 const MAX_URGENCY = 9;
 
@@ -320,8 +318,7 @@
 
   private takeRejection(end: AttemptEnd & { kind: 'notRun' }, serverId: ServerId): void {
     const { model } = this.request.call;
-    const isModelMissing = end.status === STATUS_MISDIRECTED && !end.isOtherServer;
-    if (model !== undefined && isModelMissing) {
+    if (model !== undefined && !end.isOtherServer) {
       this.parts.view.noteModelRefused(serverId, model, this.parts.clock.nowMs());
     } else {
       this.excluded.add(serverId);
--- a/src/direct/EngineKeeper.ts
+++ b/src/direct/EngineKeeper.ts
@@ -52,6 +52,7 @@
   private readonly crashCounts = new Map<string, number>();
   private ordering: Promise<unknown> = Promise.resolve();
   private loadingModel: string | undefined;
+  private loadingSinceMs = 0;
   private reportedAtMs = -Infinity;
   private reported: EngineReport | undefined;
   private reportedPlan = '';
@@ -146,6 +147,10 @@
     });
     if (answer === 'accepted' && order.kind === 'load' && order.adapter === undefined) {
       this.loadingModel = order.model;
+      this.loadingSinceMs = this.parts.clock.nowMs();
+    }
+    if (answer === 'accepted' && order.kind === 'unload' && order.adapter === undefined) {
+      this.planner.noteUnloading(order.model);
     }
     await this.readEngine();
     return answer;
@@ -284,6 +289,7 @@
       ...engine,
       address: this.parts.engineAddress,
       loadingModel: this.loadingModel,
+      loadingForMs: this.reportedAtMs - this.loadingSinceMs,
       queuedModels: this.planner.queuedModels,
       heldModels: engine.heldModels.filter(({ name }) => this.planner.takesRequests(name)),
       uses: this.planner.getUses(this.reportedAtMs),
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -6,6 +6,8 @@
 
 /** Longest that one watch waits, in milliseconds: a connection that went silent is noticed within this and its time-out. */
 const WATCH_WAIT_MS = 2_000;
+/** Pause after changes of servers, in milliseconds, so that many of them cost one call: agents tell faster of models. */
+const GATHER_MS = 400;
 /** First pause after a failed call, doubled up to the limit, in milliseconds. */
 const FIRST_RETRY_MS = 50;
 /** Longest pause after a failed call, in milliseconds; a returned store must be seen well within two seconds. */
@@ -69,6 +71,9 @@
         this.applyServers(result);
         revision = result.revision;
         retryMs = FIRST_RETRY_MS;
+        if (result.kind === 'changed' && result.changes.length > 0) {
+          await pause(this.parts.clock, GATHER_MS);
+        }
         continue;
       }
       if (result.kind === 'historyGone') {
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -5,6 +5,7 @@
 import type { AgentLinks } from './AgentLinks.js';
 import {
   choosePlacement,
+  findModelsOnlyInStore,
   getHeldModel,
   readyOnTheWayMs,
   type EngineProfile,
@@ -29,6 +30,9 @@
 /** Pause between two new replicas of one model, in milliseconds: a load from disk shows in the load by then. */
 const REPLICA_PAUSE_MS = 1_500;
 
+/** Pause after models were fetched ahead, in milliseconds: reports show by then which agent loads what. */
+const FETCH_PAUSE_MS = 600;
+
 /** What the desk is made of. */
 export interface ModelDeskParts {
   readonly clock: Clock;
@@ -77,6 +81,7 @@
 export class ModelDesk implements Service {
   private readonly waited = new Map<string, WaitedModel>();
   private readonly liveUses = new Map<string, LiveUse>();
+  private fetchedAtMs = -Infinity;
   private readonly ticker: Repeater;
   private readonly replicaTicker: Repeater;
 
@@ -219,6 +224,9 @@
 
   private reviewReplicas(): void {
     const nowMs = this.parts.clock.nowMs();
+    if (nowMs - this.fetchedAtMs >= FETCH_PAUSE_MS) {
+      this.fetchMissing(nowMs);
+    }
     for (const [model, use] of this.liveUses) {
       if (nowMs - use.usedAtMs > LIVE_USE_MS) {
         this.liveUses.delete(model);
@@ -228,6 +236,29 @@
     }
   }
 
+  /** Has models loaded that lie in the weight store alone, so that the first request for one finds it on a disk. */
+  private fetchMissing(nowMs: number): void {
+    const { view, links, log } = this.parts;
+    for (const { serviceId, engine } of view.configuration?.services.values() ?? []) {
+      const servers = engine ? this.serversOf(serviceId, nowMs) : [];
+      if (!engine || servers.length === 0) {
+        continue;
+      }
+      const asked = new Set<string>();
+      for (const model of findModelsOnlyInStore(servers, engine)) {
+        const footprint = engine.models.get(model);
+        const others = servers.filter((server) => !asked.has(server.entry.address));
+        const choice = footprint && choosePlacement({ model, footprint, isInteractive: false }, others, engine);
+        if (choice) {
+          asked.add(choice.server.entry.address);
+          this.fetchedAtMs = nowMs;
+          links.want(choice.server.entry.address, model, false);
+          log.decided('model fetched ahead', { model, address: choice.server.entry.address });
+        }
+      }
+    }
+  }
+
   private reviewReplicasOf(model: string, use: LiveUse, nowMs: number): void {
     const { chooser, links, log } = this.parts;
     const profile = this.profileOf(use.serviceId);
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -1,7 +1,7 @@
 import { murmur } from './rendezvous.js';
 import type { KnownServer } from './FleetView.js';
 import { getHeldModel } from './FleetView.js';
-import type { ModelUse } from './ServerEntry.js';
+import type { AgentReport, ModelUse } from './ServerEntry.js';
 import type { EngineProfile, ModelFootprint } from './ServingConfiguration.js';
 
 /** Loads from the weight store that run at once at full speed on the deployments served; more slow each other down. */
@@ -20,6 +20,10 @@
 const RECENT_USE_LOSS_MS = 600;
 /** Time that live requests on a server count for when a batch model looks for a place, in milliseconds. */
 const LIVE_LOAD_MS = 400;
+/** Time that a load counts for on a server whose live models have adapters, in milliseconds: it holds adapters up. */
+const HELD_UP_ADAPTERS_MS = 1_500;
+/** Time that a load still takes which should be over, in milliseconds. */
+const ALMOST_DONE_MS = 200;
 /** Time that ties are broken by, in milliseconds; all routers break them the same way. */
 const TIE_MS = 100;
 
@@ -70,7 +74,9 @@
     const queueMs = (report.isBusy ? BUSY_MS : 0) + report.queuedModels.length * QUEUED_MODEL_MS;
     const readyInMs = loadMs + queueMs + roomMs;
     const liveShare = report.runningCount / Math.max(1, server.entry.slotCount);
-    const scoreMs = readyInMs + LIVE_LOAD_MS * liveShare + TIE_MS * murmur(need.model, server.entry.serverId);
+    const heldUpMs = servesAdapters(report) ? HELD_UP_ADAPTERS_MS : 0;
+    const scoreMs =
+      readyInMs + heldUpMs + LIVE_LOAD_MS * liveShare + TIE_MS * murmur(need.model, server.entry.serverId);
     if (scoreMs < bestScoreMs) {
       best = { server, readyInMs };
       bestScoreMs = scoreMs;
@@ -90,8 +96,10 @@
     const { report } = server;
     const queueIndex = report?.queuedModels.indexOf(need.model) ?? -1;
     const isLoading = report?.loadingModel === need.model;
-    if (isLoading || queueIndex >= 0) {
-      const readyMs = loadTimeMs(need, server) + Math.max(0, queueIndex) * QUEUED_MODEL_MS;
+    if (report && (isLoading || queueIndex >= 0)) {
+      const doneMs = isLoading ? report.loadingForMs : 0;
+      const leftMs = Math.max(ALMOST_DONE_MS, loadTimeMs(need, server) - doneMs);
+      const readyMs = leftMs + Math.max(0, queueIndex) * QUEUED_MODEL_MS;
       bestMs = Math.min(bestMs ?? Infinity, readyMs);
     }
   }
@@ -112,6 +120,41 @@
   return source.modelsOnDisk.includes(model) ? footprint.diskLoadMs : footprint.storeLoadMs;
 }
 
+/** Whether live requests use adapters there. */
+function servesAdapters(report: AgentReport): boolean {
+  for (const { name, adapters } of report.heldModels) {
+    if (adapters.length > 0 && report.uses[name]?.isProtected === true) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/**
+ * Finds models that no server can load from its own memory or disk, as long as few loads from the store are under way.
+ * @param servers - Servers of the service that take work.
+ * @param profile - What their engines hold at most.
+ */
+export function findModelsOnlyInStore(servers: readonly KnownServer[], profile: EngineProfile): string[] {
+  const atHand = new Set<string>();
+  for (const server of servers) {
+    const { report } = server;
+    if (!report) {
+      // What this server has is not known, so nothing can be said.
+      return [];
+    }
+    for (const model of [...report.modelsOnDisk, ...report.modelsInMemory, ...report.queuedModels]) {
+      atHand.add(model);
+    }
+    for (const { name } of server.heldModels) {
+      atHand.add(name);
+    }
+    atHand.add(report.loadingModel ?? '');
+  }
+  const missing = [...profile.models.keys()].filter((model) => !atHand.has(model));
+  return missing.slice(0, Math.max(0, STORE_LOADS_AT_ONCE - countStoreLoads(servers)));
+}
+
 /** Loads from the weight store that are under way. */
 function countStoreLoads(servers: readonly KnownServer[]): number {
   let count = 0;
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -61,6 +61,8 @@
   private readonly adapterUsedAtMs = new Map<string, number>();
   /** Models that take no new requests, since they are to be dropped, and since when. */
   private readonly retiringSinceMs = new Map<string, number>();
+  /** Model whose unload the engine has accepted. */
+  private unloadingModel: string | undefined;
   private capacity: EngineCapacity | undefined;
   private report: EngineReport | undefined;
 
@@ -90,6 +92,9 @@
     if (this.report && this.report.bornAtMs !== report.bornAtMs) {
       this.usage.clear();
     }
+    if (!report.isBusy) {
+      this.unloadingModel = undefined;
+    }
     for (const model of this.retiringSinceMs.keys()) {
       if (!report.heldModels.some(({ name }) => name === model)) {
         this.retiringSinceMs.delete(model);
@@ -186,12 +191,17 @@
     return undefined;
   }
 
+  /** @param model - Model whose unload the engine has accepted. */
+  noteUnloading(model: string): void {
+    this.unloadingModel = model;
+  }
+
   /**
    * Whether a model takes new requests.
    * @param model - The model.
    */
   takesRequests(model: string): boolean {
-    return !this.retiringSinceMs.has(model);
+    return model !== this.unloadingModel && !this.retiringSinceMs.has(model);
   }
 
   /**
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -61,6 +61,8 @@
   readonly uses: Readonly<Record<string, ModelUse>>;
   /** Model that is being loaded. */
   readonly loadingModel?: string;
+  /** Time since its load began, in milliseconds. */
+  readonly loadingForMs: number;
   /** Models that are to be loaded after it, first one first. */
   readonly queuedModels: readonly string[];
   /** Routers that are connected to the agent. */
