--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -105,6 +105,8 @@
   /** Failure that a server answered, delivered when nothing better comes. */
   private fallback: { head: AttemptHead; body: Buffer } | undefined;
   private latencyMs: number | undefined;
+  private lastEventAtMs: number | undefined;
+  private longestPauseMs = 0;
 
   /**
    * @param parts - What flows are made of.
@@ -126,6 +128,7 @@
   /** Runs the request; resolves when its answer has been given. */
   async run(): Promise<void> {
     this.parts.allowanceOf(this.request.serviceId).noteRequest(this.parts.clock.nowMs());
+    this.parts.desk.noteTraffic();
     if (this.isLive && this.request.call.model !== undefined) {
       this.parts.desk.noteLiveUse(this.request.serviceId, this.request.call.model);
     }
@@ -157,7 +160,8 @@
         return undefined;
       }
       const { model, adapter } = call;
-      const need = { serviceId, model, adapter, excludedServerIds: this.excluded };
+      const isLive = this.isLive && model !== undefined;
+      const need = { serviceId, model, adapter, isLive, excludedServerIds: this.excluded };
       const server = this.parts.chooser.getServer(need, this.parts.clock.nowMs());
       if (!server) {
         if (!(await this.waitForServer())) {
@@ -363,7 +367,10 @@
     if (this.settled) {
       return;
     }
-    this.latencyMs ??= this.parts.clock.nowMs() - this.request.receivedAtMs;
+    const nowMs = this.parts.clock.nowMs();
+    this.latencyMs ??= nowMs - this.request.receivedAtMs;
+    this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - (this.lastEventAtMs ?? nowMs));
+    this.lastEventAtMs = nowMs;
     this.lastEventId = events.lastEventId ?? this.lastEventId;
     this.sink.sendEvents(events.bytes);
   }
@@ -398,6 +405,7 @@
       serviceId,
       model: call.model,
       adapter: call.adapter,
+      isLive: false,
       excludedServerIds: new Set([...this.excluded, serverId]),
     };
     return this.parts.chooser.getServer(need, this.parts.clock.nowMs()) !== undefined;
@@ -483,6 +491,7 @@
       tookMs: Math.round(tookMs),
       sendCount: this.sendCount,
       firstPieceMs: Math.round(this.latencyMs ?? -1),
+      longestPauseMs: Math.round(this.longestPauseMs),
       model: call.model ?? '',
     });
   }
--- a/src/direct/EngineKeeper.ts
+++ b/src/direct/EngineKeeper.ts
@@ -123,6 +123,14 @@
     if (!report) {
       return;
     }
+    if (this.planner.engine?.bornAtMs !== report.bornAtMs) {
+      log.stateChanged('engine found', {
+        bornAtMs: report.bornAtMs,
+        held: report.heldModels.map(({ name }) => name).join(' '),
+        inMemory: report.modelsInMemory.join(' '),
+        onDisk: report.modelsOnDisk.join(' '),
+      });
+    }
     this.planner.applyReport(report, clock.nowMs());
     if (!report.isBusy) {
       this.loadingModel = undefined;
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -5,12 +5,13 @@
 import type { AgentLinks } from './AgentLinks.js';
 import {
   choosePlacement,
-  findModelsOnlyInStore,
+  findScarceModels,
   getHeldModel,
   readyOnTheWayMs,
   type EngineProfile,
   type FleetView,
   type KnownServer,
+  type ModelFootprint,
   type PlacementNeed,
   type ServerChooser,
 } from './decisions/index.js';
@@ -21,6 +22,12 @@
 const REPEAT_MS = 500;
 /** Interval at which the replicas of live models are looked at, in milliseconds. */
 const REPLICA_INTERVAL_MS = 250;
+/** Time for which a model waits for an idle place before it may also go to a busy engine, in milliseconds. */
+const IDLE_PLACE_MS = 300;
+/** Time until a load begins that is accepted after that, in milliseconds: one order or run is waited for. */
+const SHORT_START_MS = 1_000;
+/** Time after which any place is taken, in milliseconds. */
+const ANY_PLACE_AFTER_MS = 2_000;
 /** Time after its last live request for which a model keeps its replicas, in milliseconds. */
 const LIVE_USE_MS = 2_000;
 /** Fewest replicas of a model in live use, so that the loss of one server leaves the others. */
@@ -32,6 +39,8 @@
 
 /** Pause after models were fetched ahead, in milliseconds: reports show by then which agent loads what. */
 const FETCH_PAUSE_MS = 600;
+/** Servers that should have each model on their disk, brought about as long as no requests come. */
+const IDLE_COPIES = 2;
 
 /** What the desk is made of. */
 export interface ModelDeskParts {
@@ -63,8 +72,11 @@
 
 /** A model that requests wait for. */
 interface WaitedModel {
-  readonly need: PlacementNeed;
+  readonly model: string;
+  readonly footprint: ModelFootprint;
+  readonly isInteractive: boolean;
   readonly serviceId: ServiceId;
+  readonly sinceMs: number;
   readonly waiters: Map<string, { wait: ModelWait; resolve: (result: WaitResult) => void }>;
   wantedAtMs: number;
   wantedAddress: string | undefined;
@@ -82,6 +94,7 @@
   private readonly waited = new Map<string, WaitedModel>();
   private readonly liveUses = new Map<string, LiveUse>();
   private fetchedAtMs = -Infinity;
+  private hasTraffic = false;
   private readonly ticker: Repeater;
   private readonly replicaTicker: Repeater;
 
@@ -103,6 +116,11 @@
     return Promise.resolve();
   }
 
+  /** Notes that requests come. */
+  noteTraffic(): void {
+    this.hasTraffic = true;
+  }
+
   /**
    * Notes a live request for a model.
    * @param serviceId - Service of the model.
@@ -131,8 +149,16 @@
       let waited = this.waited.get(wait.model);
       if (!waited) {
         const { model, serviceId, isInteractive } = wait;
-        const need = { model, footprint, isInteractive };
-        waited = { need, serviceId, waiters: new Map(), wantedAtMs: -Infinity, wantedAddress: undefined };
+        waited = {
+          model,
+          footprint,
+          isInteractive,
+          serviceId,
+          sinceMs: this.parts.clock.nowMs(),
+          waiters: new Map(),
+          wantedAtMs: -Infinity,
+          wantedAddress: undefined,
+        };
         this.waited.set(model, waited);
       }
       waited.waiters.set(wait.requestId, { wait, resolve });
@@ -164,7 +190,7 @@
     const { clock } = this.parts;
     const nowMs = clock.nowMs();
     const servers = this.serversOf(waited.serviceId, nowMs);
-    if (servers.some((server) => getHeldModel(server, waited.need.model))) {
+    if (servers.some((server) => getHeldModel(server, waited.model))) {
       this.endAll(waited, { kind: 'ready' });
       return;
     }
@@ -176,20 +202,20 @@
       }
     }
     if (waited.waiters.size === 0) {
-      this.waited.delete(waited.need.model);
+      this.waited.delete(waited.model);
     }
   }
 
   /** Sees to it that some agent loads the model; gives the time until it is ready where that is known. */
   private arrange(waited: WaitedModel, servers: readonly KnownServer[], nowMs: number): number | undefined {
-    const { need } = waited;
+    const need = toNeed(waited, nowMs);
     const onTheWayMs = readyOnTheWayMs(need, servers);
     if (onTheWayMs !== undefined) {
       this.repeatWant(waited, nowMs);
       return onTheWayMs;
     }
-    if (nowMs - waited.wantedAtMs < REPEAT_MS) {
-      return waited.wantedAddress === undefined ? undefined : 0;
+    if (waited.wantedAddress !== undefined && nowMs - waited.wantedAtMs < REPEAT_MS) {
+      return undefined;
     }
     const profile = this.profileOf(waited.serviceId);
     const choice = profile && choosePlacement(need, servers, profile);
@@ -211,12 +237,12 @@
   private repeatWant(waited: WaitedModel, nowMs: number): void {
     if (waited.wantedAddress !== undefined && nowMs - waited.wantedAtMs >= REPEAT_MS) {
       waited.wantedAtMs = nowMs;
-      this.parts.links.want(waited.wantedAddress, waited.need.model, waited.need.isInteractive);
+      this.parts.links.want(waited.wantedAddress, waited.model, waited.isInteractive);
     }
   }
 
   private endAll(waited: WaitedModel, result: WaitResult): void {
-    this.waited.delete(waited.need.model);
+    this.waited.delete(waited.model);
     for (const { resolve } of waited.waiters.values()) {
       resolve(result);
     }
@@ -239,16 +265,18 @@
   /** Has models loaded that lie in the weight store alone, so that the first request for one finds it on a disk. */
   private fetchMissing(nowMs: number): void {
     const { view, links, log } = this.parts;
+    const wantedCopies = this.hasTraffic ? 1 : IDLE_COPIES;
     for (const { serviceId, engine } of view.configuration?.services.values() ?? []) {
       const servers = engine ? this.serversOf(serviceId, nowMs) : [];
       if (!engine || servers.length === 0) {
         continue;
       }
       const asked = new Set<string>();
-      for (const model of findModelsOnlyInStore(servers, engine)) {
+      for (const model of findScarceModels(servers, engine, wantedCopies)) {
         const footprint = engine.models.get(model);
         const others = servers.filter((server) => !asked.has(server.entry.address));
-        const choice = footprint && choosePlacement({ model, footprint, isInteractive: false }, others, engine);
+        const need = footprint && { model, footprint, isInteractive: false, maxStartMs: 0, mayFetchCopy: true };
+        const choice = need && choosePlacement(need, others, engine);
         if (choice) {
           asked.add(choice.server.entry.address);
           this.fetchedAtMs = nowMs;
@@ -264,7 +292,7 @@
     const profile = this.profileOf(use.serviceId);
     const footprint = profile?.models.get(model);
     const servers = this.serversOf(use.serviceId, nowMs);
-    const need = footprint && { model, footprint, isInteractive: true };
+    const need = footprint && { model, footprint, isInteractive: true, maxStartMs: Infinity, mayFetchCopy: true };
     if (!profile || !need || readyOnTheWayMs(need, servers) !== undefined) {
       return;
     }
@@ -297,3 +325,14 @@
     return [...this.parts.view.getReadyServers(serviceId, nowMs)];
   }
 }
+
+/** Describes what a model needs that requests have waited for. */
+function toNeed(waited: WaitedModel, nowMs: number): PlacementNeed {
+  const { model, footprint, isInteractive } = waited;
+  const waitedMs = nowMs - waited.sinceMs;
+  let maxStartMs = Infinity;
+  if (!isInteractive && waitedMs < ANY_PLACE_AFTER_MS) {
+    maxStartMs = waitedMs < IDLE_PLACE_MS ? 0 : SHORT_START_MS;
+  }
+  return { model, footprint, isInteractive, maxStartMs, mayFetchCopy: waitedMs >= ANY_PLACE_AFTER_MS };
+}
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,4 +1,5 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
+import { rankPlaces } from './rendezvous.js';
 import { RouteTable } from './RouteTable.js';
 import type { AgentReport, HeldModel, ServerEntry } from './ServerEntry.js';
 import type { ServingConfiguration } from './ServingConfiguration.js';
@@ -16,6 +17,8 @@
 /** A backend server with what is known of it from all sources. */
 export interface KnownServer {
   readonly entry: ServerEntry;
+  /** Place among the servers of its service, the same for all routers; live work goes to the first ones. */
+  readonly rank: number;
   /** Models that it holds: its agent's word goes before the platform's list, which lags. */
   readonly heldModels: readonly HeldModel[];
   /** Latest report of its agent, while it is current. */
@@ -32,6 +35,8 @@
   private readonly lapsedUntilMs = new Map<ServerId, number>();
   /** Until when a server is taken not to hold a model, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
+  /** Ranks of servers, computed again after the list changed. */
+  private ranks: Map<string, number> | undefined;
   private current: ServingConfiguration | undefined;
   private table = new RouteTable([]);
   private hasListed = false;
@@ -89,6 +94,7 @@
   applyEntry(entry: ServerEntry): void {
     this.lapsedUntilMs.delete(entry.serverId);
     this.servers.set(entry.serverId, entry);
+    this.ranks = undefined;
   }
 
   /**
@@ -104,6 +110,7 @@
     const graceEndsAtMs = this.storeBackAtMs + LAPSE_GRACE_MS;
     if (nowMs >= graceEndsAtMs || entry.isLeaving) {
       this.servers.delete(serverId);
+      this.ranks = undefined;
       this.lapsedUntilMs.delete(serverId);
       return;
     }
@@ -135,6 +142,7 @@
       if (nowMs >= untilMs) {
         this.lapsedUntilMs.delete(serverId);
         this.servers.delete(serverId);
+        this.ranks = undefined;
         gone.push(serverId);
       }
     }
@@ -217,7 +225,27 @@
       latest.report.bornAtMs >= entry.bornAtMs;
     const report = isCurrent ? latest.report : undefined;
     const heldModels = this.withoutRefused(entry.serverId, report?.heldModels ?? entry.heldModels, nowMs);
-    return { entry, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
+    const rank = this.getRanks().get(entry.serverId) ?? 0;
+    return { entry, rank, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
+  }
+
+  private getRanks(): Map<string, number> {
+    if (!this.ranks) {
+      this.ranks = new Map();
+      const entriesByService = new Map<ServiceId, { id: string; dataCentre: string }[]>();
+      for (const { serviceId, serverId, dataCentre, isLeaving } of this.servers.values()) {
+        if (!isLeaving) {
+          const entries = entriesByService.get(serviceId) ?? [];
+          entriesByService.set(serviceId, [...entries, { id: serverId, dataCentre }]);
+        }
+      }
+      for (const entries of entriesByService.values()) {
+        for (const [serverId, rank] of rankPlaces(entries)) {
+          this.ranks.set(serverId, rank);
+        }
+      }
+    }
+    return this.ranks;
   }
 
   private withoutRefused(
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -8,8 +8,8 @@
 const STORE_LOADS_AT_ONCE = 4;
 /** Time that an order under way still takes, in milliseconds, where nothing better is known: half a load from disk. */
 const BUSY_MS = 500;
-/** Time that one more model in an agent's queue takes, in milliseconds: an unload and a load from disk. */
-const QUEUED_MODEL_MS = 1_200;
+/** Time that one more model in an agent's queue takes, in milliseconds: those that run end, an unload and a load from disk. */
+const QUEUED_MODEL_MS = 2_000;
 /** Time to drop an idle model, in milliseconds. */
 const UNLOAD_MS = 100;
 /** Time until a model that is in use can be dropped, in milliseconds: half of a common run for each that runs. */
@@ -21,7 +21,9 @@
 /** Time that live requests on a server count for when a batch model looks for a place, in milliseconds. */
 const LIVE_LOAD_MS = 400;
 /** Time that a load counts for on a server whose live models have adapters, in milliseconds: it holds adapters up. */
-const HELD_UP_ADAPTERS_MS = 1_500;
+const HELD_UP_ADAPTERS_MS = 400;
+/** Time that each rank counts for, in milliseconds: live models gather on the first servers, others on the last. */
+const RANK_MS = 20;
 /** Time that a load still takes which should be over, in milliseconds. */
 const ALMOST_DONE_MS = 200;
 /** Time that ties are broken by, in milliseconds; all routers break them the same way. */
@@ -39,6 +41,13 @@
   readonly model: string;
   readonly footprint: ModelFootprint;
   readonly isInteractive: boolean;
+  /**
+   * Longest time until the load may begin, in milliseconds. While it is 0 the model goes only where a place is idle, and
+   * stays unbound otherwise, so that it gets whichever place is idle first.
+   */
+  readonly maxStartMs: number;
+  /** Whether it may be loaded from the weight store although some server has it on its disk. */
+  readonly mayFetchCopy: boolean;
 }
 
 /**
@@ -55,7 +64,10 @@
   servers: readonly KnownServer[],
   profile: EngineProfile,
 ): PlacementChoice | undefined {
-  const mayUseStore = need.isInteractive || countStoreLoads(servers) < STORE_LOADS_AT_ONCE;
+  const isAtHand = servers.some((server) => loadTimeMs(need, server) < need.footprint.storeLoadMs);
+  const mayUseStore =
+    need.isInteractive ||
+    ((!isAtHand || need.mayFetchCopy) && countStoreLoads(servers) < STORE_LOADS_AT_ONCE);
   let best: PlacementChoice | undefined;
   let bestScoreMs = Infinity;
   for (const server of servers) {
@@ -67,16 +79,24 @@
     if (loadMs === need.footprint.storeLoadMs && !mayUseStore) {
       continue;
     }
-    const roomMs = makeRoomMs(need, server, profile);
-    if (roomMs === undefined) {
+    const room = makeRoom(need, server, profile);
+    if (!room) {
       continue;
     }
-    const queueMs = (report.isBusy ? BUSY_MS : 0) + report.queuedModels.length * QUEUED_MODEL_MS;
-    const readyInMs = loadMs + queueMs + roomMs;
+    const startMs =
+      (report.isBusy ? BUSY_MS : 0) + report.queuedModels.length * QUEUED_MODEL_MS + room.startMs;
+    if (startMs > need.maxStartMs) {
+      continue;
+    }
+    const readyInMs = loadMs + startMs + UNLOAD_MS;
     const liveShare = report.runningCount / Math.max(1, server.entry.slotCount);
     const heldUpMs = servesAdapters(report) ? HELD_UP_ADAPTERS_MS : 0;
+    const rank = need.isInteractive ? server.rank : servers.length - server.rank;
     const scoreMs =
-      readyInMs + heldUpMs + LIVE_LOAD_MS * liveShare + TIE_MS * murmur(need.model, server.entry.serverId);
+      readyInMs +
+      room.lossMs +
+      heldUpMs +
+      RANK_MS * rank + LIVE_LOAD_MS * liveShare + TIE_MS * murmur(need.model, server.entry.serverId);
     if (scoreMs < bestScoreMs) {
       best = { server, readyInMs };
       bestScoreMs = scoreMs;
@@ -131,30 +151,42 @@
 }
 
 /**
- * Finds models that no server can load from its own memory or disk, as long as few loads from the store are under way.
+ * Finds models that few servers can load from their own disk, as long as few loads from the store are under way.
  * @param servers - Servers of the service that take work.
  * @param profile - What their engines hold at most.
+ * @param wantedCopies - Servers that should have each model.
  */
-export function findModelsOnlyInStore(servers: readonly KnownServer[], profile: EngineProfile): string[] {
-  const atHand = new Set<string>();
-  for (const server of servers) {
-    const { report } = server;
+export function findScarceModels(
+  servers: readonly KnownServer[],
+  profile: EngineProfile,
+  wantedCopies: number,
+): string[] {
+  const copies = new Map<string, number>();
+  for (const { report } of servers) {
     if (!report) {
       // What this server has is not known, so nothing can be said.
       return [];
     }
-    for (const model of [...report.modelsOnDisk, ...report.modelsInMemory, ...report.queuedModels]) {
-      atHand.add(model);
-    }
-    for (const { name } of server.heldModels) {
-      atHand.add(name);
-    }
+    const atHand = new Set([...report.modelsOnDisk, ...report.modelsInMemory, ...report.queuedModels]);
     atHand.add(report.loadingModel ?? '');
+    for (const model of atHand) {
+      copies.set(model, (copies.get(model) ?? 0) + 1);
+    }
   }
-  const missing = [...profile.models.keys()].filter((model) => !atHand.has(model));
+  const missing = [...profile.models.keys()].filter((model) => (copies.get(model) ?? 0) < wantedCopies);
+  // Only live requests name adapters, and those can't wait for the store.
+  missing.sort(
+    (left, right) =>
+      (copies.get(left) ?? 0) - (copies.get(right) ?? 0) ||
+      adapterCountOf(profile, right) - adapterCountOf(profile, left),
+  );
   return missing.slice(0, Math.max(0, STORE_LOADS_AT_ONCE - countStoreLoads(servers)));
 }
 
+function adapterCountOf(profile: EngineProfile, model: string): number {
+  return profile.models.get(model)?.adapterCount ?? 0;
+}
+
 /** Loads from the weight store that are under way. */
 function countStoreLoads(servers: readonly KnownServer[]): number {
   let count = 0;
@@ -167,11 +199,19 @@
   return count;
 }
 
-/** Time and loss of making room for a model, in milliseconds; undefined where there is none to be made. */
-function makeRoomMs(need: PlacementNeed, server: KnownServer, profile: EngineProfile): number | undefined {
+/** What it takes to make room for a model. */
+interface Room {
+  /** Time until those that must go have ended their runs, in milliseconds. */
+  readonly startMs: number;
+  /** What giving them up costs, in milliseconds of waiting. */
+  readonly lossMs: number;
+}
+
+/** Finds out what it takes to make room for a model; undefined where there is none to be made. */
+function makeRoom(need: PlacementNeed, server: KnownServer, profile: EngineProfile): Room | undefined {
   const { report } = server;
   let freeMb = profile.weightsMb;
-  const lossesMs: { lossMs: number; sizeMb: number }[] = [];
+  const victims: { use: ModelUse; sizeMb: number }[] = [];
   for (const { name, adapters } of report?.heldModels ?? []) {
     const footprint = profile.models.get(name);
     if (!footprint) {
@@ -181,19 +221,21 @@
     freeMb -= sizeMb;
     const use = report?.uses[name];
     if (use && (!use.isProtected || (need.isInteractive && use.runningCount === 0))) {
-      lossesMs.push({ lossMs: lossMs(use), sizeMb });
+      victims.push({ use, sizeMb });
     }
   }
-  lossesMs.sort((left, right) => left.lossMs - right.lossMs);
-  let roomMs = 0;
-  for (const { lossMs: victimLossMs, sizeMb } of lossesMs) {
+  victims.sort((left, right) => lossMs(left.use) - lossMs(right.use));
+  let startMs = 0;
+  let totalLossMs = 0;
+  for (const { use, sizeMb } of victims) {
     if (freeMb >= need.footprint.weightsMb) {
       break;
     }
     freeMb += sizeMb;
-    roomMs += UNLOAD_MS + victimLossMs;
+    startMs = Math.max(startMs, use.runningCount * RUN_MS);
+    totalLossMs += lossMs(use);
   }
-  return freeMb >= need.footprint.weightsMb ? roomMs : undefined;
+  return freeMb >= need.footprint.weightsMb ? { startMs, lossMs: totalLossMs } : undefined;
 }
 
 /** What giving up a model costs, in milliseconds of waiting. */
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -7,7 +7,7 @@
 /** Time after its last live request for which a model is not given up for batch work, in milliseconds. */
 const INTERACTIVE_HOLD_MS = 3_000;
 /** Time after a load for which a model is kept for those who waited for it, in milliseconds. */
-const FRESH_HOLD_MS = 700;
+const FRESH_HOLD_MS = 300;
 /** Time for which a wish may stay without room before it is dropped, so that another agent is asked, in milliseconds. */
 const ROOM_TIMEOUT_MS = 300;
 /** Time that a model which takes no new requests has to end its runs before it is dropped anyway, in milliseconds. */
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -14,6 +14,11 @@
 const ADAPTER_PENALTY = 0.15;
 /** The same where a model is being loaded: adapters can't be until that is over. */
 const BUSY_ADAPTER_PENALTY = 1;
+/**
+ * Load that each rank counts for when a live request looks for a server: live work stays on few servers, the others are
+ * left for models that come and go.
+ */
+const RANK_PENALTY = 0.02;
 /** Weight of a new measurement in a server's typical latency. */
 const LATENCY_WEIGHT = 0.2;
 /** Load that a latency of twice the fastest server's counts for. */
@@ -32,6 +37,8 @@
   readonly serviceId: ServiceId;
   readonly model?: string;
   readonly adapter?: string;
+  /** Whether the caller waits live for a model. */
+  readonly isLive: boolean;
   readonly excludedServerIds: ReadonlySet<ServerId>;
 }
 
@@ -68,7 +75,8 @@
       }
       const lacksAdapter = need.adapter !== undefined && held?.adapters.includes(need.adapter) !== true;
       const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
-      const score = this.scoreOf(server, nowMs) + (lacksAdapter ? adapterPenalty : 0);
+      const rankPenalty = need.isLive ? RANK_PENALTY * server.rank : 0;
+      const score = this.scoreOf(server, nowMs) + rankPenalty + (lacksAdapter ? adapterPenalty : 0);
       if (score < bestScore) {
         best = server;
         bestScore = score;
--- a/src/direct/decisions/ServingConfiguration.ts
+++ b/src/direct/decisions/ServingConfiguration.ts
@@ -33,6 +33,7 @@
 export interface ModelFootprint {
   readonly weightsMb: number;
   readonly adapterMb: number;
+  readonly adapterCount: number;
   /** Time to load from the weight store, in milliseconds. */
   readonly storeLoadMs: number;
   /** Time to load from the server's own disk, in milliseconds. */
