--- a/src/direct/AgentLinks.ts
+++ b/src/direct/AgentLinks.ts
@@ -9,6 +9,7 @@
   toFollowParams,
   type EngineReportParams,
   type EnsureAdapterReply,
+  type WantModelParams,
 } from './messages.js';
 
 /** Interval at which missing connections are opened, in milliseconds. */
@@ -83,9 +84,11 @@
    * @param address - Engine of the agent.
    * @param model - The model.
    * @param isInteractive - Whether callers wait for it live.
+   * @param keptModels - Models that must not make room for it.
    */
-  want(address: string, model: string, isInteractive: boolean): void {
-    this.links.get(address)?.connection.notify(RESIDENCY_METHODS.want, { model, isInteractive });
+  want(address: string, model: string, isInteractive: boolean, keptModels: readonly string[] = []): void {
+    const params: WantModelParams = { model, isInteractive, keptModels };
+    this.links.get(address)?.connection.notify(RESIDENCY_METHODS.want, params);
   }
 
   /**
--- a/src/direct/EngineKeeper.ts
+++ b/src/direct/EngineKeeper.ts
@@ -192,8 +192,8 @@
     this.parts.log.stateChanged('router disconnected', { router: from.peerName });
   }
 
-  private want({ model, isInteractive }: WantModelParams): void {
-    this.planner.want(model, isInteractive, this.parts.clock.nowMs());
+  private want({ model, isInteractive, keptModels }: WantModelParams): void {
+    this.planner.want(model, isInteractive, this.parts.clock.nowMs(), keptModels);
     this.wake();
   }
 
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -280,7 +280,7 @@
         if (choice) {
           asked.add(choice.server.entry.address);
           this.fetchedAtMs = nowMs;
-          links.want(choice.server.entry.address, model, false);
+          links.want(choice.server.entry.address, model, false, replicatedModels(servers));
           log.decided('model fetched ahead', { model, address: choice.server.entry.address });
         }
       }
@@ -336,3 +336,14 @@
   }
   return { model, footprint, isInteractive, maxStartMs, mayFetchCopy: waitedMs >= ANY_PLACE_AFTER_MS };
 }
+
+/** Models that several servers hold: those that are asked for most, also before the first request has come. */
+function replicatedModels(servers: readonly KnownServer[]): string[] {
+  const holderCounts = new Map<string, number>();
+  for (const { heldModels } of servers) {
+    for (const { name } of heldModels) {
+      holderCounts.set(name, (holderCounts.get(name) ?? 0) + 1);
+    }
+  }
+  return [...holderCounts].filter(([, count]) => count > 1).map(([model]) => model);
+}
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -37,6 +37,7 @@
   readonly sinceMs: number;
   askedAtMs: number;
   isInteractive: boolean;
+  keptModels: readonly string[];
   /** Since when there has been no room to be made for it. */
   withoutRoomSinceMs: number | undefined;
 }
@@ -115,8 +116,9 @@
    * @param model - The model.
    * @param isInteractive - Whether callers wait for it live.
    * @param nowMs - Time now.
+   * @param keptModels - Models that must not make room for it.
    */
-  want(model: string, isInteractive: boolean, nowMs: number): void {
+  want(model: string, isInteractive: boolean, nowMs: number, keptModels: readonly string[] = []): void {
     if (this.capacity?.models.has(model) !== true || this.holds(model)) {
       return;
     }
@@ -124,11 +126,13 @@
     if (existing) {
       existing.askedAtMs = nowMs;
       existing.isInteractive ||= isInteractive;
+      existing.keptModels = keptModels;
     } else {
       this.wants.set(model, {
         sinceMs: nowMs,
         askedAtMs: nowMs,
         isInteractive,
+        keptModels,
         withoutRoomSinceMs: undefined,
       });
     }
@@ -273,7 +277,7 @@
     if (footprint.weightsMb <= this.freeMb()) {
       return { kind: 'load', model };
     }
-    const victims = this.victimsFor(footprint.weightsMb, want.isInteractive, nowMs);
+    const victims = this.victimsFor(footprint.weightsMb, want, nowMs);
     if (!victims) {
       want.withoutRoomSinceMs ??= nowMs;
       if (nowMs - want.withoutRoomSinceMs > ROOM_TIMEOUT_MS) {
@@ -295,12 +299,15 @@
   }
 
   /** Models that must go to make room, those that cost least first; undefined when room can't be made. */
-  private victimsFor(neededMb: number, isInteractive: boolean, nowMs: number): string[] | undefined {
+  private victimsFor(neededMb: number, want: Want, nowMs: number): string[] | undefined {
     const candidates: { name: string; sizeMb: number; lossMs: number }[] = [];
     for (const held of this.report?.heldModels ?? []) {
       const use = this.describeUse(held.name, nowMs);
       const isRetiring = this.retiringSinceMs.has(held.name);
-      if (!use.isProtected || isRetiring || (isInteractive && use.runningCount === 0)) {
+      if (want.keptModels.includes(held.name)) {
+        continue;
+      }
+      if (!use.isProtected || isRetiring || (want.isInteractive && use.runningCount === 0)) {
         const loss = lossMs(use) - (isRetiring ? RETIRING_BONUS_MS : 0);
         candidates.push({ name: held.name, sizeMb: this.sizeOf(held), lossMs: loss });
       }
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -25,6 +25,8 @@
 export interface WantModelParams {
   readonly model: string;
   readonly isInteractive: boolean;
+  /** Models that must not make room for it. */
+  readonly keptModels: readonly string[];
 }
 
 /** Tells an agent that a request on a model began or ended at its engine. */
