--- /dev/null
+++ b/test/direct/decisions/FleetView.test.ts
@@ -0,0 +1,113 @@
+import { expect } from 'chai';
+import { toServerId } from '../../../src/domain/index.js';
+import { FleetView, getHeldModel } from '../../../src/direct/index.js';
+import { ENGINES, held, makeConfiguration, makeEntry, makeReport, makeRoute } from '../fleetFixtures.js';
+
+const X = toServerId('x');
+
+function readyIds(view: FleetView, nowMs: number): string[] {
+  return [...view.getReadyServers(ENGINES, nowMs)].map((server) => server.entry.serverId);
+}
+
+describe('FleetView', () => {
+  describe('applyConfiguration', () => {
+    it('never goes back to an older version', () => {
+      const view = new FleetView();
+      expect(view.applyConfiguration(makeConfiguration(7, [makeRoute()]))).to.equal(true);
+      expect(view.applyConfiguration(makeConfiguration(5))).to.equal(false);
+      expect(view.applyConfiguration(makeConfiguration(7))).to.equal(false);
+      expect(view.configuration?.version).to.equal(7);
+      expect(view.routes.getRoute('a.example', '/drafts/x')?.name).to.equal('drafts');
+    });
+  });
+
+  describe('removeEntry', () => {
+    it('drops a server at once while the store is well', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x')], 0);
+      view.removeEntry(X, 10);
+      expect(readyIds(view, 10)).to.deep.equal([]);
+    });
+
+    it('keeps a server that lapsed in an outage for two seconds after it, unless it is listed again', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x'), makeEntry('y')], 0);
+      view.noteStoreLost(1_000);
+      view.noteStoreAnswered(6_000);
+      view.removeEntry(X, 6_000);
+      view.removeEntry(toServerId('y'), 6_000);
+      expect(readyIds(view, 7_000)).to.have.members(['x', 'y']);
+      view.applyEntry(makeEntry('x'));
+      expect(view.expire(8_000)).to.deep.equal(['y']);
+      expect(readyIds(view, 8_000)).to.deep.equal(['x']);
+    });
+
+    it('drops a leaving server at once, also after an outage', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x', { isLeaving: true })], 0);
+      view.noteStoreLost(1_000);
+      view.noteStoreAnswered(6_000);
+      view.removeEntry(X, 6_000);
+      expect(view.getEntry(X)).to.equal(undefined);
+    });
+
+    it('gives lapsed servers that a list does not name the same time', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x')], 0);
+      view.noteStoreLost(1_000);
+      view.noteStoreAnswered(6_000);
+      view.applyList([], 6_000);
+      expect(readyIds(view, 7_000)).to.deep.equal(['x']);
+      view.expire(8_000);
+      expect(readyIds(view, 8_000)).to.deep.equal([]);
+    });
+  });
+
+  describe('getReadyServers', () => {
+    it('leaves out servers that leave', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x')], 0);
+      view.applyEntry(makeEntry('x', { isLeaving: true }));
+      expect(readyIds(view, 1)).to.deep.equal([]);
+    });
+
+    function heldNames(view: FleetView, nowMs: number): string[] {
+      const names: string[] = [];
+      for (const server of view.getReadyServers(ENGINES, nowMs)) {
+        names.push(...server.heldModels.map(({ name }) => name));
+      }
+      return names;
+    }
+
+    it("takes an agent's report before the list, as long as it is current and of the same start", () => {
+      const view = new FleetView();
+      const entry = makeEntry('x', { heldModels: [held('a')], bornAtMs: 5 });
+      view.applyList([entry], 0);
+      view.applyReport(makeReport(entry, { heldModels: [held('b')] }), 1_000);
+      expect(heldNames(view, 1_100)).to.deep.equal(['b']);
+      expect(heldNames(view, 9_000)).to.deep.equal(['a']);
+      view.applyReport(makeReport(entry, { heldModels: [held('b')], bornAtMs: 4 }), 9_000);
+      expect(heldNames(view, 9_001)).to.deep.equal(['a']);
+    });
+
+    it('forgets a model that a server refused for a moment', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x', { heldModels: [held('a')] })], 0);
+      view.noteModelRefused(X, 'a', 100);
+      expect(heldNames(view, 200)).to.deep.equal([]);
+      expect(heldNames(view, 600)).to.deep.equal(['a']);
+      const [server] = [...view.getReadyServers(ENGINES, 600)];
+      expect(server && getHeldModel(server, 'a')?.name).to.equal('a');
+    });
+  });
+
+  describe('getCrashCount', () => {
+    it('takes the largest count that an agent was told', () => {
+      const view = new FleetView();
+      view.applyReport(makeReport(makeEntry('x'), { crashCounts: { f: 1 } }), 0);
+      view.applyReport(makeReport(makeEntry('longer'), { crashCounts: { f: 2 } }), 0);
+      expect(view.getCrashCount('f')).to.equal(2);
+      expect(view.getCrashCount('g')).to.equal(0);
+    });
+  });
+});
--- /dev/null
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -0,0 +1,103 @@
+import { expect } from 'chai';
+import {
+  choosePlacement,
+  findScarceModels,
+  FleetView,
+  readyOnTheWayMs,
+  type AgentReport,
+  type KnownServer,
+  type PlacementNeed,
+} from '../../../src/direct/index.js';
+import { ENGINES, held, makeEntry, makeProfile, makeReport } from '../fleetFixtures.js';
+
+const PROFILE = makeProfile();
+
+/** Servers x, xx, xxx ... with the given reports; each holds b and c. */
+function makeServers(reports: readonly Partial<AgentReport>[]): KnownServer[] {
+  const view = new FleetView();
+  const entries = reports.map((_, index) =>
+    makeEntry('x'.repeat(index + 1), { heldModels: [held('b'), held('c')] }),
+  );
+  view.applyList(entries, 0);
+  for (const [index, report] of reports.entries()) {
+    const entry = entries[index];
+    if (entry) {
+      view.applyReport(makeReport(entry, report), 0);
+    }
+  }
+  return [...view.getReadyServers(ENGINES, 0)];
+}
+
+function makeNeed(overrides: Partial<PlacementNeed> = {}): PlacementNeed {
+  const footprint = PROFILE.models.get('a');
+  if (!footprint) {
+    throw new Error('The profile has no model a.');
+  }
+  return { model: 'a', footprint, isInteractive: false, maxStartMs: 0, mayFetchCopy: false, ...overrides };
+}
+
+describe('choosePlacement', () => {
+  function doTest(
+    reports: readonly Partial<AgentReport>[],
+    overrides: Partial<PlacementNeed>,
+    expected: string | undefined,
+  ) {
+    const choice = choosePlacement(makeNeed(overrides), makeServers(reports), PROFILE);
+    expect(choice?.server.entry.serverId).to.equal(expected);
+  }
+
+  it('takes the server that has the weights on its disk', () => doTest([{}, { modelsOnDisk: ['a'] }], {}, 'xx'));
+
+  it('waits for a busy server with the weights rather than fetch them again', () =>
+    doTest([{}, { modelsOnDisk: ['a'], isBusy: true }], {}, undefined));
+
+  it('goes to a busy server when that was waited for', () =>
+    doTest([{}, { modelsOnDisk: ['a'], isBusy: true }], { maxStartMs: 1_000 }, 'xx'));
+
+  it('fetches weights that no server has', () => doTest([{}], {}, 'x'));
+
+  it('fetches no more than four models at once for work that can wait', () => {
+    const loading = { isBusy: true, loadingModel: 'd' };
+    doTest([loading, loading, loading, loading, {}], {}, undefined);
+    doTest([loading, loading, loading, loading, {}], { isInteractive: true }, 'xxxxx');
+  });
+
+  it('leaves protected models alone', () => {
+    const live = { runningCount: 1, idleForMs: 0, isProtected: true };
+    doTest([{ modelsOnDisk: ['a'], uses: { b: live, c: live } }], { maxStartMs: Infinity }, undefined);
+  });
+
+  it('prefers the place whose model was not used for long', () => {
+    const recent = { runningCount: 0, idleForMs: 0, isProtected: false };
+    const reports = [
+      { modelsOnDisk: ['a'], uses: { b: recent, c: recent } },
+      { modelsOnDisk: ['a'] },
+    ];
+    doTest(reports, {}, 'xx');
+  });
+
+  it('uses no server whose agent is silent', () => {
+    const view = new FleetView();
+    view.applyList([makeEntry('x', { modelsOnDisk: ['a'] })], 0);
+    expect(choosePlacement(makeNeed(), [...view.getReadyServers(ENGINES, 0)], PROFILE)).to.equal(undefined);
+  });
+});
+
+describe('readyOnTheWayMs', () => {
+  it('counts a load under way down', () => {
+    const servers = makeServers([{ loadingModel: 'a', loadingForMs: 5_000, isBusy: true }]);
+    expect(readyOnTheWayMs(makeNeed(), servers)).to.equal(1_000);
+  });
+
+  it('is undefined when nobody loads the model', () => {
+    expect(readyOnTheWayMs(makeNeed(), makeServers([{}]))).to.equal(undefined);
+  });
+});
+
+describe('findScarceModels', () => {
+  it('names models on fewer disks than wanted, those on none first', () => {
+    const servers = makeServers([{ modelsOnDisk: ['b', 'c'] }, { modelsOnDisk: ['b'] }]);
+    expect(findScarceModels(servers, PROFILE, 1)).to.deep.equal(['a', 'd']);
+    expect(findScarceModels(servers, PROFILE, 2)).to.deep.equal(['a', 'd', 'c']);
+  });
+});
--- /dev/null
+++ b/test/direct/decisions/ResidencyPlanner.test.ts
@@ -0,0 +1,213 @@
+import { expect } from 'chai';
+import * as fc from 'fast-check';
+import { ResidencyPlanner, type DueOrder, type EngineReport, type HeldModel } from '../../../src/direct/index.js';
+import { held, makeProfile } from '../fleetFixtures.js';
+
+const PROFILE = makeProfile();
+const CAPACITY = { ...PROFILE, configurationVersion: 1 };
+
+/** Engine that carries out orders bound to its state, some of them late. */
+class ModelEngine {
+  heldModels: HeldModel[] = [];
+  orderCount = 0;
+  busyWith: DueOrder | undefined;
+  /** Orders without an answer that may still arrive. */
+  readonly late: { order: DueOrder; expectedOrderCount: number }[] = [];
+
+  accept(order: DueOrder, expectedOrderCount: number): void {
+    if (expectedOrderCount !== this.orderCount || this.busyWith) {
+      return;
+    }
+    this.orderCount++;
+    if (order.adapter === undefined) {
+      this.busyWith = order;
+    } else {
+      this.carryOut(order);
+    }
+  }
+
+  finish(): void {
+    if (this.busyWith) {
+      this.carryOut(this.busyWith);
+      this.busyWith = undefined;
+    }
+  }
+
+  /** Memory in use, with what is being loaded. */
+  get usedMb(): number {
+    let used = this.busyWith?.kind === 'load' ? 100 : 0;
+    for (const model of this.heldModels) {
+      used += 100 + model.adapters.length;
+    }
+    return used;
+  }
+
+  get adapterCount(): number {
+    return this.heldModels.reduce((count, model) => count + model.adapters.length, 0);
+  }
+
+  report(): EngineReport {
+    return {
+      bornAtMs: 1,
+      heldModels: this.heldModels,
+      comingAdapters: [],
+      isBusy: this.busyWith !== undefined,
+      orderCount: this.orderCount,
+      waitingCount: 0,
+      runningCount: 0,
+      usedCacheTokens: 0,
+      cacheTokens: 1,
+      modelsInMemory: [],
+      modelsOnDisk: [],
+    };
+  }
+
+  private carryOut({ kind, model, adapter }: DueOrder): void {
+    const others = this.heldModels.filter(({ name }) => name !== model);
+    const existing = this.heldModels.find(({ name }) => name === model);
+    if (adapter === undefined) {
+      this.heldModels = kind === 'load' ? [...others, held(model)] : others;
+    } else if (existing) {
+      const adapters = existing.adapters.filter((name) => name !== adapter);
+      this.heldModels = [...others, held(model, kind === 'load' ? [...adapters, adapter] : adapters)];
+    }
+  }
+}
+
+function makePlanner(heldModels: readonly HeldModel[], nowMs = 0): ResidencyPlanner {
+  const planner = new ResidencyPlanner();
+  planner.setCapacity(CAPACITY);
+  planner.applyReport({ ...new ModelEngine().report(), heldModels }, nowMs);
+  return planner;
+}
+
+describe('ResidencyPlanner', () => {
+  describe('getDueOrder', () => {
+    it('loads a wanted model where there is room', () => {
+      const planner = makePlanner([held('b')]);
+      planner.want('a', false, 0);
+      expect(planner.getDueOrder(1)).to.deep.equal({ kind: 'load', model: 'a' });
+    });
+
+    it('tells routers of a victim before it is dropped', () => {
+      const planner = makePlanner([held('b'), held('c')]);
+      planner.want('a', false, 1_000);
+      expect(planner.getDueOrder(1_000)).to.equal(undefined);
+      expect(planner.takesRequests('b') && planner.takesRequests('c')).to.equal(false);
+      expect(planner.getDueOrder(1_050)?.kind).to.equal('unload');
+    });
+
+    it('waits for the runs of a victim, but not for ever', () => {
+      const planner = makePlanner([held('b')]);
+      const big = makeProfile(['a', 'b']);
+      planner.setCapacity({ ...big, weightsMb: 150, configurationVersion: 2 });
+      planner.requestStarted('b', false, 1_000);
+      planner.want('a', false, 1_000);
+      planner.getDueOrder(1_000);
+      planner.want('a', false, 2_400);
+      expect(planner.getDueOrder(2_400)).to.equal(undefined);
+      planner.want('a', false, 3_800);
+      expect(planner.getDueOrder(3_800)).to.deep.equal({ kind: 'unload', model: 'b' });
+    });
+
+    it('leaves models in live use to live requests', () => {
+      const planner = makePlanner([held('b'), held('c')]);
+      planner.requestStarted('b', true, 1_000);
+      planner.requestStarted('c', true, 1_000);
+      planner.want('a', false, 1_000);
+      planner.getDueOrder(1_000);
+      planner.getDueOrder(1_100);
+      expect(planner.getDueOrder(1_400)).to.equal(undefined);
+      expect(planner.queuedModels).to.deep.equal([]);
+    });
+
+    it('never drops a model that must be kept', () => {
+      const planner = makePlanner([held('b'), held('c')]);
+      planner.want('a', false, 1_000, ['b']);
+      planner.getDueOrder(1_000);
+      expect(planner.getDueOrder(1_050)).to.deep.equal({ kind: 'unload', model: 'c' });
+    });
+
+    it('takes live wishes first and forgets those that are not repeated', () => {
+      const planner = makePlanner([]);
+      planner.want('a', false, 0);
+      planner.want('b', true, 10);
+      expect(planner.queuedModels).to.deep.equal(['b', 'a']);
+      planner.expire(1_505);
+      expect(planner.queuedModels).to.deep.equal(['b']);
+    });
+
+    it('orders nothing while the engine is busy, and nothing of unknown size', () => {
+      const planner = makePlanner([held('b')]);
+      planner.want('unknown', false, 0);
+      expect(planner.getDueOrder(0)).to.equal(undefined);
+      planner.want('a', false, 0);
+      planner.applyReport({ ...new ModelEngine().report(), isBusy: true }, 0);
+      expect(planner.getDueOrder(0)).to.equal(undefined);
+    });
+  });
+
+  describe('getAdapterOrder', () => {
+    it('gives up the adapter that was not used for longest', () => {
+      const planner = makePlanner([held('a', ['a1', 'a2'])]);
+      planner.adapterUsed('a', 'a1', 10);
+      planner.adapterUsed('a', 'a2', 5);
+      expect(planner.getAdapterOrder('a', 'a3', 20)).to.deep.equal({ kind: 'unload', model: 'a', adapter: 'a2' });
+    });
+
+    it('does nothing for a model that is not held', () => {
+      expect(makePlanner([]).getAdapterOrder('a', 'a1', 0)).to.equal(undefined);
+    });
+  });
+
+  it('never orders more than the engine holds, whatever is late or lost', () => {
+    const models = ['a', 'b', 'c', 'd'];
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('want' as const), model: fc.constantFrom(...models), live: fc.boolean() }),
+      fc.record({ kind: fc.constant('adapter' as const), model: fc.constantFrom(...models), index: fc.nat(3) }),
+      fc.record({ kind: fc.constant('order' as const), isLost: fc.boolean() }),
+      fc.record({ kind: fc.constantFrom('late' as const, 'finish' as const, 'report' as const) }),
+    );
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+        const engine = new ModelEngine();
+        const planner = new ResidencyPlanner();
+        planner.setCapacity(CAPACITY);
+        planner.applyReport(engine.report(), 0);
+        let nowMs = 0;
+        const send = (order: DueOrder | undefined, isLost: boolean) => {
+          const expectedOrderCount = planner.engine?.orderCount;
+          if (order && expectedOrderCount !== undefined) {
+            if (isLost) {
+              engine.late.push({ order, expectedOrderCount });
+            } else {
+              engine.accept(order, expectedOrderCount);
+            }
+          }
+        };
+        for (const next of steps) {
+          nowMs += 400;
+          if (next.kind === 'want') {
+            planner.want(next.model, next.live, nowMs);
+          } else if (next.kind === 'adapter') {
+            send(planner.getAdapterOrder(next.model, `a${next.index}`, nowMs), false);
+          } else if (next.kind === 'order') {
+            send(planner.getDueOrder(nowMs), next.isLost);
+          } else if (next.kind === 'late') {
+            const late = engine.late.shift();
+            if (late) {
+              engine.accept(late.order, late.expectedOrderCount);
+            }
+          } else if (next.kind === 'finish') {
+            engine.finish();
+          } else {
+            planner.applyReport(engine.report(), nowMs);
+          }
+          expect(engine.usedMb).to.be.at.most(CAPACITY.weightsMb);
+          expect(engine.adapterCount).to.be.at.most(CAPACITY.adapterSlotCount);
+        }
+      }),
+      { numRuns: 2_000, seed: 1 },
+    );
+  });
+});
--- /dev/null
+++ b/test/platform/codecs.test.ts
@@ -0,0 +1,235 @@
+import { expect } from 'chai';
+import { toServerId } from '../../src/domain/index.js';
+import { decodeConfiguration } from '../../platform/configurationCodec.js';
+import { decodeNodeSettings } from '../../platform/NodeSettings.js';
+import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
+import { decodeEngineReport, decodeServerEntry } from '../../platform/serverCodec.js';
+
+const ENTRY = {
+  Service: 'svc',
+  Address: '10.0.0.1:80',
+  Zone: 'north',
+  Slots: 48,
+  State: 'ready',
+  ColdLeftMs: 0,
+  born: 12,
+  Models: [{ Name: 'm', Version: 1, Adapters: ['a1'] }],
+  AtHand: { InMemory: ['m'], OnDisk: ['m', 'n'] },
+};
+
+describe('decodeServerEntry', () => {
+  it('decodes an entry', () => {
+    expect(decodeServerEntry('i-1', ENTRY)).to.deep.equal({
+      serverId: 'i-1',
+      serviceId: 'svc',
+      address: '10.0.0.1:80',
+      dataCentre: 'north',
+      slotCount: 48,
+      isLeaving: false,
+      bornAtMs: 12,
+      heldModels: [{ name: 'm', adapters: ['a1'] }],
+      modelsInMemory: ['m'],
+      modelsOnDisk: ['m', 'n'],
+    });
+    expect(decodeServerEntry('i-1', { ...ENTRY, State: 'draining' })?.isLeaving).to.equal(true);
+  });
+
+  it('names no server for what others wrote', () => {
+    const junk: unknown[] = [
+      null,
+      'text',
+      [],
+      { ...ENTRY, State: 'odd' },
+      { ...ENTRY, Address: 5 },
+      { ...ENTRY, Slots: '48' },
+      { ...ENTRY, Service: undefined },
+      { ...ENTRY, born: 1.5 },
+      { ...ENTRY, Models: 'm' },
+    ];
+    for (const value of junk) {
+      expect(decodeServerEntry('i-1', value)).to.equal(undefined);
+    }
+  });
+});
+
+describe('decodeEngineReport', () => {
+  it('decodes a report', () => {
+    const report = decodeEngineReport({
+      Stage: 'mixed',
+      Models: ENTRY.Models,
+      Coming: ['m/a2@3'],
+      Busy: true,
+      Sequence: 4,
+      QueueDepth: 1,
+      InFlight: 12,
+      KvUsed: 41_000,
+      KvTotal: 90_000,
+      AtHand: ENTRY.AtHand,
+      born: 12,
+    });
+    expect(report?.orderCount).to.equal(4);
+    expect(report?.comingAdapters).to.deep.equal(['m/a2']);
+    expect(report?.isBusy).to.equal(true);
+    expect(report?.usedCacheTokens).to.equal(41_000);
+  });
+
+  it('is undefined for what is no report', () => expect(decodeEngineReport({})).to.equal(undefined));
+});
+
+describe('decodeConfiguration', () => {
+  const configuration = {
+    Version: 7,
+    Routes: [
+      {
+        Name: 'r',
+        Hostname: 'h.example',
+        PathPrefix: '/p/',
+        Kind: 'stream',
+        TimeoutMs: 12_000,
+        TargetLatencyMs: 500,
+        Priority: 2,
+        TrafficSplit: [
+          { Service: 's', Weight: 90 },
+          { Service: 't', Weight: 10 },
+        ],
+        MaxAttempts: 2,
+        CanResume: true,
+        GapAimMs: 150,
+      },
+    ],
+    Services: [
+      {
+        Name: 's',
+        MaxConns: 300,
+        Engine: {
+          Slots: 48,
+          WeightsMb: 200_000,
+          AdapterSlots: 8,
+          LoadsPerS: 2.9,
+          Models: [{ Name: 'm', WeightsMb: 42_700, LoadS: 6, Adapters: 37, AdapterMb: 66, WarmS: 0.44, DiskS: 0.68 }],
+        },
+      },
+      { Name: 't', MaxConns: 110 },
+    ],
+    Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 4_194_304, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
+  };
+
+  it('decodes routes, engines and limits', () => {
+    const decoded = decodeConfiguration(configuration);
+    expect(decoded?.routes[0]?.targets.map(({ weight }) => weight)).to.deep.equal([90, 10]);
+    const engine = [...(decoded?.services.values() ?? [])][0]?.engine;
+    expect(engine?.weightsMb).to.equal(200_000);
+    expect(engine?.models.get('m')).to.deep.equal({
+      weightsMb: 42_700,
+      adapterMb: 66,
+      adapterCount: 37,
+      storeLoadMs: 6_000,
+      diskLoadMs: 680,
+      memoryLoadMs: 440,
+    });
+    expect(decoded?.callerLimits.idleTimeoutMs).to.equal(15_000);
+  });
+
+  it('is undefined for what is no configuration', () =>
+    expect(decodeConfiguration({ ...configuration, Routes: 'none' })).to.equal(undefined));
+});
+
+describe('decodeNodeSettings', () => {
+  const file = {
+    NodeName: 'front-1',
+    Ip: '10.0.0.1',
+    Zone: 'north',
+    Listen: { Front: '10.0.0.1:81', Ready: '10.0.0.1:82' },
+    InternalPorts: [7380, 7395],
+    Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 56, BudgetWindowS: 10, GraceS: 8 },
+    Platform: { Address: '10.0.0.9:83' },
+    SomethingNew: 1,
+  };
+
+  it('decodes the fields that are used and ignores others', () => {
+    const settings = decodeNodeSettings(JSON.stringify(file), 'node.json');
+    expect(settings.callerAddress).to.deep.equal({ host: '10.0.0.1', port: 81 });
+    expect(settings.repeatBound).to.deep.equal({ ratio: 0.2, slack: 56, windowMs: 10_000 });
+    expect(settings.engineAddress).to.equal(undefined);
+  });
+
+  it('names the file and the field that is wrong', () => {
+    const wrong = JSON.stringify({ ...file, Platform: { Address: 'store' } });
+    expect(() => decodeNodeSettings(wrong, 'node.json')).to.throw('node.json: Platform.Address: an IPv4 address');
+    expect(() => decodeNodeSettings('{', 'node.json')).to.throw('node.json: is not JSON');
+  });
+});
+
+describe('PlatformHeaderCodec', () => {
+  const codec = new PlatformHeaderCodec();
+  const serverId = toServerId('i-1');
+
+  it('passes on the end-to-end headers of a caller and none that are for the system to set', () => {
+    const call = codec.decodeCall({
+      host: 'h.example',
+      'request-id': 'r1',
+      model: 'm/a3',
+      'token-count': '1460,80',
+      'deadline-ms': '12000',
+      'last-event-id': '12',
+      connection: 'keep-alive, x-hop',
+      'x-hop': '1',
+      'x-own': '2',
+      'transfer-encoding': 'chunked',
+      'expect-instance': 'i-9',
+      'request-urgency': '0',
+      hold: 'h',
+      'pin-ms': '1',
+      'kv-backup': 'k',
+      'kv-from': 'k',
+    });
+    expect(call?.model).to.equal('m');
+    expect(call?.adapter).to.equal('a3');
+    expect(call?.promptTokens).to.equal(1_460);
+    expect(call?.deadlineMs).to.equal(12_000);
+    expect(call && codec.encodeAttempt(call, { serverId, remainingMs: 99.7, urgency: 2 })).to.deep.equal({
+      host: 'h.example',
+      'request-id': 'r1',
+      model: 'm/a3',
+      'token-count': '1460,80',
+      'last-event-id': '12',
+      'x-own': '2',
+      'Deadline-Ms': '99',
+      'Expect-Instance': 'i-1',
+      'Request-Urgency': '2',
+    });
+  });
+
+  it('needs a request id', () => expect(codec.decodeCall({ host: 'h' })).to.equal(undefined));
+
+  it('goes on after the last event that was delivered', () => {
+    const call = codec.decodeCall({ 'request-id': 'r1', 'last-event-id': '3' });
+    const headers = call && codec.encodeAttempt(call, { serverId, remainingMs: 5, lastEventId: '7' });
+    expect(headers?.['last-event-id']).to.equal('7');
+  });
+
+  it('takes only a statement of the server for a request that did not run', () => {
+    const doTest = (status: number, headers: Record<string, string>, expected: boolean) =>
+      expect(codec.decodeAnswer(status, headers, 'r1', serverId).isNotRun).to.equal(expected);
+    doTest(503, { 'not-run': '1' }, true);
+    doTest(421, { 'instance-id': 'i-2' }, true);
+    doTest(503, {}, false);
+    doTest(500, { 'not-run': '1' }, false);
+    doTest(503, { 'not-run': '1', 'request-id': 'other' }, false);
+  });
+
+  it('takes an answer for genuine only with signature, own id and plain body', () => {
+    const genuine = { 'response-stamp': 's', 'request-id': 'r1' };
+    const doTest = (headers: Record<string, string>, expected: boolean) =>
+      expect(codec.decodeAnswer(200, headers, 'r1', serverId).isGenuine).to.equal(expected);
+    doTest(genuine, true);
+    doTest({ 'request-id': 'r1' }, false);
+    doTest({ ...genuine, 'request-id': 'r2' }, false);
+    doTest({ ...genuine, 'content-encoding': 'gzip' }, false);
+  });
+
+  it('says in seconds when to return', () => {
+    expect(codec.encodeRefusal('r1', 1_500)).to.deep.equal({ 'Request-Id': 'r1', 'Retry-After': '1.500' });
+    expect(codec.encodeRefusal(undefined, undefined)).to.deep.equal({});
+  });
+});
--- /dev/null
+++ b/test/telemetry/BoundedOutput.test.ts
@@ -0,0 +1,36 @@
+import { expect } from 'chai';
+import { BoundedOutput } from '../../src/telemetry/index.js';
+import { ManualClock } from '../fakes/ManualClock.js';
+
+describe('BoundedOutput', () => {
+  describe('write', () => {
+    it('writes lines together, drops what exceeds the rate and says how many', () => {
+      const clock = new ManualClock();
+      const texts: string[] = [];
+      const output = new BoundedOutput(clock, (text, done) => {
+        texts.push(text);
+        done();
+      });
+      for (let line = 0; line < 700; line++) {
+        output.write(`line ${line}`);
+      }
+      clock.advance(20);
+      const lines = texts.join('').trimEnd().split('\n');
+      expect(lines.length).to.equal(601);
+      expect(lines.at(-1)).to.equal('{"message":"log lines dropped","count":100}');
+      expect(output.droppedCount).to.equal(100);
+    });
+
+    it('keeps a bounded amount while the reader is stuck', () => {
+      const clock = new ManualClock();
+      const output = new BoundedOutput(clock, () => undefined);
+      for (let second = 0; second < 20; second++) {
+        clock.advance(1_000);
+        for (let line = 0; line < 300; line++) {
+          output.write('x'.repeat(200));
+        }
+      }
+      expect(output.droppedCount).to.be.greaterThan(3_000);
+    });
+  });
+});
