--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -243,7 +243,7 @@
     const { clock, codec, chooser, log } = this.parts;
     const { call, route, method, path, body } = this.request;
     const { serverId, address } = server.entry;
-    const { firstPieceTimeoutMs, gapTimeoutMs } = this.silenceLimits();
+    const { firstPieceTimeoutMs, gapTimeoutMs } = this.silenceLimits(serverId);
     const attempt = new BackendAttempt(
       clock,
       codec,
@@ -392,9 +392,7 @@
       return false;
     }
     const { view, clock, metrics } = this.parts;
-    const isTaken = this.parts
-      .allowanceOf(this.request.serviceId)
-      .tryTake(clock.nowMs(), view.routerCount);
+    const isTaken = this.parts.allowanceOf(this.request.serviceId).tryTake(clock.nowMs(), view.routerCount);
     metrics.count(isTaken ? 'repeats' : 'repeats_refused');
     return isTaken;
   }
@@ -411,9 +409,11 @@
     return this.parts.chooser.getServer(need, this.parts.clock.nowMs()) !== undefined;
   }
 
-  private silenceLimits(): { firstPieceTimeoutMs?: number; gapTimeoutMs?: number } {
+  /** How long a server may be silent before the request goes to another; without another it is waited for. */
+  private silenceLimits(serverId: ServerId): { firstPieceTimeoutMs?: number; gapTimeoutMs?: number } {
     const { route } = this.request;
-    if (!isRepeatable(route) || this.runCount + 1 >= route.maxAttempts) {
+    const mayRepeat = isRepeatable(route) && this.runCount + 1 < route.maxAttempts;
+    if (!mayRepeat || !this.hasOtherServer(serverId)) {
       return {};
     }
     return {
--- a/src/direct/EngineKeeper.ts
+++ b/src/direct/EngineKeeper.ts
@@ -273,7 +273,10 @@
     const engine = this.planner.engine;
     const isOld = this.parts.clock.nowMs() - this.reportedAtMs >= REPORT_INTERVAL_MS;
     const plan = this.describePlan();
-    if (engine && (isOld || plan !== this.reportedPlan || !this.reported || hasChanged(this.reported, engine))) {
+    if (
+      engine &&
+      (isOld || plan !== this.reportedPlan || !this.reported || hasChanged(this.reported, engine))
+    ) {
       this.reportedPlan = plan;
       this.report();
     }
--- a/src/direct/FleetSource.ts
+++ b/src/direct/FleetSource.ts
@@ -5,8 +5,7 @@
 /** Why a call gave nothing. */
 export type SourceFailure =
   /** The changes since the given revision are no longer known; list again. */
-  | { readonly kind: 'historyGone' }
-  | { readonly kind: 'unavailable'; readonly detail: string };
+  { readonly kind: 'historyGone' } | { readonly kind: 'unavailable'; readonly detail: string };
 
 /** All servers as of a revision. */
 export interface ServerListing {
--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -73,5 +73,8 @@
    * @param requestId - Request that is refused.
    * @param retryAfterMs - When asking again makes sense, in milliseconds; absent where it never does.
    */
-  abstract encodeRefusal(requestId: string | undefined, retryAfterMs: number | undefined): OutgoingHttpHeaders;
+  abstract encodeRefusal(
+    requestId: string | undefined,
+    retryAfterMs: number | undefined,
+  ): OutgoingHttpHeaders;
 }
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -275,7 +275,13 @@
       for (const model of findScarceModels(servers, engine, wantedCopies)) {
         const footprint = engine.models.get(model);
         const others = servers.filter((server) => !asked.has(server.entry.address));
-        const need = footprint && { model, footprint, isInteractive: false, maxStartMs: 0, mayFetchCopy: true };
+        const need = footprint && {
+          model,
+          footprint,
+          isInteractive: false,
+          maxStartMs: 0,
+          mayFetchCopy: true,
+        };
         const choice = need && choosePlacement(need, others, engine);
         if (choice) {
           asked.add(choice.server.entry.address);
@@ -292,7 +298,13 @@
     const profile = this.profileOf(use.serviceId);
     const footprint = profile?.models.get(model);
     const servers = this.serversOf(use.serviceId, nowMs);
-    const need = footprint && { model, footprint, isInteractive: true, maxStartMs: Infinity, mayFetchCopy: true };
+    const need = footprint && {
+      model,
+      footprint,
+      isInteractive: true,
+      maxStartMs: Infinity,
+      mayFetchCopy: true,
+    };
     if (!profile || !need || readyOnTheWayMs(need, servers) !== undefined) {
       return;
     }
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -96,7 +96,9 @@
       readyInMs +
       room.lossMs +
       heldUpMs +
-      RANK_MS * rank + LIVE_LOAD_MS * liveShare + TIE_MS * murmur(need.model, server.entry.serverId);
+      RANK_MS * rank +
+      LIVE_LOAD_MS * liveShare +
+      TIE_MS * murmur(need.model, server.entry.serverId);
     if (scoreMs < bestScoreMs) {
       best = { server, readyInMs };
       bestScoreMs = scoreMs;
@@ -241,5 +243,7 @@
 /** What giving up a model costs, in milliseconds of waiting. */
 export function lossMs(use: ModelUse): number {
   const recency = Math.max(0, 1 - use.idleForMs / RECENT_USE_MS);
-  return use.runningCount * RUN_MS + recency * RECENT_USE_LOSS_MS + (use.isProtected ? RECENT_USE_LOSS_MS : 0);
+  return (
+    use.runningCount * RUN_MS + recency * RECENT_USE_LOSS_MS + (use.isProtected ? RECENT_USE_LOSS_MS : 0)
+  );
 }
--- a/src/telemetry/BoundedOutput.ts
+++ b/src/telemetry/BoundedOutput.ts
@@ -63,7 +63,9 @@
 
   private flush(): void {
     if (this.dropped > this.announced) {
-      this.pending.push(JSON.stringify({ message: 'log lines dropped', count: this.dropped - this.announced }));
+      this.pending.push(
+        JSON.stringify({ message: 'log lines dropped', count: this.dropped - this.announced }),
+      );
       this.announced = this.dropped;
     }
     const text = `${this.pending.join('\n')}\n`;
--- /dev/null
+++ b/test/direct/DirectRouter.test.ts
@@ -0,0 +1,399 @@
+import { expect } from 'chai';
+import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer as createSocketServer, type AddressInfo, type Server as SocketServer } from 'node:net';
+import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
+import { toDataCentreId } from '../../src/domain/index.js';
+import {
+  AgentLinks,
+  CallerServer,
+  CrashSuspects,
+  FleetView,
+  ModelDesk,
+  RepeatAllowance,
+  ServerChooser,
+  type Route,
+} from '../../src/direct/index.js';
+import { pause, Random, SystemClock } from '../../src/kernel/index.js';
+import { Log, Metrics } from '../../src/telemetry/index.js';
+import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
+import { ENGINES, held, makeConfiguration, makeEntry, makeRoute, ORDERS } from './fleetFixtures.js';
+
+const BOUND = { ratio: 0.2, slack: 50, windowMs: 10_000 };
+const CLOCK = new SystemClock();
+
+/** What a caller got. */
+interface CallerGot {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly text: string;
+  readonly isWhole: boolean;
+}
+
+type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
+
+/** A router in this process and backend servers that tests script. */
+class Bench {
+  readonly view = new FleetView();
+  readonly seen: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
+  private readonly servers: (Server | SocketServer)[] = [];
+  private router: CallerServer | undefined;
+  private desk: ModelDesk | undefined;
+  private port = 0;
+
+  async addServer(id: string, handler: Handler, serviceId = ENGINES): Promise<void> {
+    const server = createServer((incoming, response) => {
+      let body = '';
+      incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
+      incoming.on('end', () => {
+        this.seen.push({ server: id, headers: incoming.headers, body });
+        handler(incoming, response, body);
+      });
+    });
+    await this.listen(server, id, serviceId);
+  }
+
+  /** Adds a server that answers any request with fixed bytes and then ends or resets the connection. */
+  async addRawServer(id: string, text: (requestId: string) => string, isReset: boolean): Promise<void> {
+    const server = createSocketServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', (chunk) => {
+        const requestId = /request-id: (\S+)/i.exec(chunk.toString())?.[1] ?? '';
+        this.seen.push({ server: id, headers: {}, body: '' });
+        socket.write(text(requestId));
+        setTimeout(() => (isReset ? socket.resetAndDestroy() : socket.end()), 20);
+      });
+    });
+    await this.listen(server, id, ENGINES);
+  }
+
+  async start(routes: readonly Route[], knowsConfiguration = true): Promise<void> {
+    const { view } = this;
+    if (knowsConfiguration) {
+      view.applyConfiguration(makeConfiguration(1, routes));
+    }
+    const log = new Log('test', () => undefined);
+    const metrics = new Metrics();
+    const codec = new PlatformHeaderCodec();
+    const dialer = new PeerDialer('test', '', CLOCK, new TrafficMeter());
+    const links = new AgentLinks({ clock: CLOCK, dialer, view, peerPort: 1, log });
+    const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
+    const desk = new ModelDesk({ clock: CLOCK, view, chooser, links, log, metrics });
+    const allowance = new RepeatAllowance(() => BOUND);
+    const suspects = new CrashSuspects();
+    const allowanceOf = () => allowance;
+    this.port = await freePort();
+    this.desk = desk;
+    this.router = new CallerServer({
+      address: { host: '127.0.0.1', port: this.port },
+      clock: CLOCK,
+      random: new Random(1),
+      view,
+      codec,
+      flow: { clock: CLOCK, view, chooser, desk, links, codec, suspects, log, metrics, allowanceOf },
+      log,
+      metrics,
+      getStopGraceMs: () => 8_000,
+    });
+    await desk.start();
+    await this.router.start();
+  }
+
+  /** Sends a request; `leaveAfterMs` closes its connection early. */
+  call(
+    path: string,
+    headers: Record<string, string> = {},
+    body = 'x',
+    leaveAfterMs?: number,
+  ): Promise<CallerGot> {
+    return new Promise((resolve, reject) => {
+      const outgoing = request({
+        host: '127.0.0.1',
+        port: this.port,
+        method: 'POST',
+        path,
+        agent: false,
+        headers: { host: 'a.example', 'request-id': 'r1', 'content-length': String(body.length), ...headers },
+      });
+      outgoing.on('error', reject);
+      outgoing.on('response', (response) => {
+        let text = '';
+        response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          const { statusCode, headers: answered, complete } = response;
+          resolve({ status: statusCode ?? 0, headers: answered, text, isWhole: complete });
+        });
+      });
+      outgoing.end(body);
+      if (leaveAfterMs !== undefined) {
+        setTimeout(() => outgoing.destroy(), leaveAfterMs);
+      }
+    });
+  }
+
+  stopRouter(): Promise<void> {
+    return this.router?.stop() ?? Promise.resolve();
+  }
+
+  async close(): Promise<void> {
+    await this.desk?.stop();
+    await Promise.race([this.router?.stop(), pause(CLOCK, 10)]);
+    for (const server of this.servers) {
+      server.close();
+      if ('closeAllConnections' in server) {
+        server.closeAllConnections();
+      }
+    }
+  }
+
+  private async listen(server: Server | SocketServer, id: string, serviceId: typeof ENGINES): Promise<void> {
+    this.servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const heldModels = serviceId === ENGINES ? [held('a')] : [];
+    this.view.applyEntry(makeEntry(id, { address: `127.0.0.1:${port}`, serviceId, heldModels }));
+  }
+}
+
+async function freePort(): Promise<number> {
+  const probe = createSocketServer();
+  await new Promise<void>((resolve) => {
+    probe.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = probe.address() as AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  return port;
+}
+
+function stamped(incoming: IncomingMessage, contentType = 'application/json'): Record<string, string> {
+  return {
+    'request-id': String(incoming.headers['request-id']),
+    'response-stamp': 's',
+    'content-type': contentType,
+  };
+}
+
+const STREAM = 'text/event-stream';
+const answer =
+  (text: string, status = 200): Handler =>
+  (incoming, response) => {
+    response.writeHead(status, stamped(incoming)).end(text);
+  };
+const refuseNotRun =
+  (status: number): Handler =>
+  (_incoming, response) => {
+    response.writeHead(status, { 'not-run': '1' }).end();
+  };
+const never: Handler = () => undefined;
+
+describe('CallerServer', function () {
+  this.timeout(20_000);
+  let bench: Bench;
+  beforeEach(() => {
+    bench = new Bench();
+  });
+  afterEach(() => bench.close());
+
+  const plain = makeRoute({
+    pathPrefix: '/plain/',
+    kind: 'idempotent',
+    isResumable: false,
+    targets: [{ serviceId: ORDERS, weight: 1 }],
+    timeoutMs: 900,
+    latencyTargetMs: 150,
+  });
+  const once = {
+    ...plain,
+    name: 'once',
+    pathPrefix: '/once/',
+    kind: 'nonIdempotent' as const,
+    maxAttempts: 1,
+  };
+
+  describe('plain services', () => {
+    it('passes the answer on unchanged, with the time left and the expected server', async () => {
+      await bench.addServer('p', answer('{"ok":1}', 201), ORDERS);
+      await bench.start([plain]);
+      const got = await bench.call('/plain/x?y=1', { 'deadline-ms': '500', 'request-urgency': '0' }, 'body');
+      expect([got.status, got.text, got.headers['response-stamp']]).to.deep.equal([201, '{"ok":1}', 's']);
+      const [seen] = bench.seen;
+      expect(seen?.body).to.equal('body');
+      expect(Number(seen?.headers['deadline-ms'])).to.be.within(300, 500);
+      expect(seen?.headers['expect-instance']).to.equal('p');
+      expect(seen?.headers['request-urgency']).to.equal(undefined);
+    });
+
+    it('tries another server after a failure, and delivers the failure when both fail', async () => {
+      await bench.addServer('p', answer('one', 500), ORDERS);
+      await bench.addServer('q', answer('two', 500), ORDERS);
+      await bench.start([plain]);
+      const got = await bench.call('/plain/x');
+      expect(got.status).to.equal(500);
+      expect(bench.seen.map(({ server }) => server)).to.have.members(['p', 'q']);
+    });
+
+    it('never sends a request that may not be repeated after it may have run', async () => {
+      await bench.addServer('p', (incoming) => incoming.socket.destroy(), ORDERS);
+      await bench.addServer('q', (incoming) => incoming.socket.destroy(), ORDERS);
+      await bench.start([once]);
+      expect((await bench.call('/once/x')).status).to.equal(502);
+      expect(bench.seen.length).to.equal(1);
+    });
+
+    it('sends it again after a server stated that it did not run', async () => {
+      await bench.addServer('p', refuseNotRun(503), ORDERS);
+      await bench.addServer('q', answer('done'), ORDERS);
+      await bench.start([once]);
+      expect((await bench.call('/once/x')).text).to.equal('done');
+    });
+
+    it('promises that a request did not run when no server took it', async () => {
+      await bench.addServer('p', refuseNotRun(503), ORDERS);
+      await bench.start([once]);
+      const got = await bench.call('/once/x');
+      expect(got.status).to.equal(503);
+      expect(Number(got.headers['retry-after'])).to.be.greaterThan(0);
+    });
+
+    it("ends a request at its route's timeout", async () => {
+      await bench.addServer('p', never, ORDERS);
+      await bench.start([once]);
+      const startedAtMs = CLOCK.nowMs();
+      expect((await bench.call('/once/x', { 'deadline-ms': '5000' })).status).to.equal(504);
+      expect(CLOCK.nowMs() - startedAtMs).to.be.within(800, 1_300);
+    });
+
+    it('stops the server when the caller leaves', async () => {
+      let isClosed = false;
+      await bench.addServer('p', (incoming) => incoming.socket.on('close', () => (isClosed = true)), ORDERS);
+      await bench.start([once]);
+      await bench.call('/once/x', {}, 'x', 100).catch(() => undefined);
+      await pause(CLOCK, 200);
+      expect(isClosed).to.equal(true);
+    });
+  });
+
+  describe('routing', () => {
+    it('answers 503 while no configuration is known and 404 when no route matches', async () => {
+      await bench.start([plain], false);
+      expect((await bench.call('/plain/x')).status).to.equal(503);
+      bench.view.applyConfiguration(makeConfiguration(1, [plain]));
+      expect((await bench.call('/other/x')).status).to.equal(404);
+    });
+
+    it('refuses a body beyond the limit', async () => {
+      await bench.start([plain]);
+      expect((await bench.call('/plain/x', {}, 'x'.repeat(100_001))).status).to.equal(413);
+    });
+  });
+
+  describe('streams', () => {
+    const model = { model: 'a' };
+
+    it('goes on at another server after the last whole event', async () => {
+      await bench.addServer('e', (incoming, response) => {
+        if (incoming.headers['last-event-id'] === undefined) {
+          response.writeHead(200, stamped(incoming, STREAM));
+          response.write('id: 1\ndata: x\n\nid: 2\nda');
+          setTimeout(() => response.destroy(), 20);
+        } else {
+          response.writeHead(200, stamped(incoming, STREAM)).end('id: 2\ndata: y\n\n');
+        }
+      });
+      await bench.addServer('ff', (incoming, response) => {
+        response.writeHead(200, stamped(incoming, STREAM)).end('id: 2\ndata: y\n\n');
+      });
+      await bench.start([makeRoute()]);
+      const got = await bench.call('/drafts/x', model);
+      expect(got.isWhole).to.equal(true);
+      expect(got.text).to.contain('id: 2\ndata: y\n\n');
+    });
+
+    it('breaks off a stream that may not be resumed', async () => {
+      await bench.addServer('e', (incoming, response) => {
+        response.writeHead(200, stamped(incoming, STREAM));
+        response.write('id: 1\ndata: x\n\n');
+        setTimeout(() => response.destroy(), 20);
+      });
+      await bench.start([makeRoute({ isResumable: false, maxAttempts: 1 })]);
+      const got = await bench.call('/drafts/x', model);
+      expect([got.text, got.isWhole]).to.deep.equal(['id: 1\ndata: x\n\n', false]);
+    });
+
+    it('takes a server that lacks the model for one that did not run the request', async () => {
+      await bench.addServer('e', refuseNotRun(421));
+      await bench.addServer('ff', (incoming, response) => {
+        response.writeHead(200, stamped(incoming, STREAM)).end('id: 1\ndata: x\n\n');
+      });
+      await bench.start([makeRoute({ isResumable: false, maxAttempts: 1 })]);
+      expect((await bench.call('/drafts/x', model)).text).to.equal('id: 1\ndata: x\n\n');
+    });
+
+    it('refuses at once a model that can not be ready in time', async () => {
+      await bench.start([makeRoute()]);
+      const startedAtMs = CLOCK.nowMs();
+      expect((await bench.call('/drafts/x', { model: 'unknown' })).status).to.equal(503);
+      expect(CLOCK.nowMs() - startedAtMs).to.be.lessThan(300);
+    });
+
+    it('stops a request that broke off on two servers', async () => {
+      const crash: Handler = (incoming) => incoming.socket.destroy();
+      await bench.addServer('e', crash);
+      await bench.addServer('ff', crash);
+      await bench.addServer('ggg', crash);
+      await bench.start([makeRoute()]);
+      expect((await bench.call('/drafts/x', model)).status).to.equal(502);
+      expect((await bench.call('/drafts/x', { ...model, 'request-id': 'r2' })).status).to.equal(502);
+      expect(bench.seen.length).to.equal(2);
+    });
+  });
+
+  describe('answers without a length', () => {
+    const head = (requestId: string) =>
+      `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Stamp: s\r\nContent-Type: text/plain\r\n\r\nhalf`;
+    const route = makeRoute({ isResumable: false, kind: 'nonIdempotent', maxAttempts: 1 });
+
+    it('are passed on without one, so that they do not look complete', async () => {
+      await bench.addRawServer('e', head, false);
+      await bench.start([route]);
+      const got = await bench.call('/drafts/x', { model: 'a' });
+      expect([got.status, got.text]).to.deep.equal([200, 'half']);
+      expect(got.headers['content-length']).to.equal(undefined);
+      expect(got.headers['transfer-encoding']).to.equal(undefined);
+    });
+
+    it('are no answer when the connection was reset', async () => {
+      await bench.addRawServer('e', head, true);
+      await bench.start([route]);
+      expect((await bench.call('/drafts/x', { model: 'a' })).status).to.equal(502);
+    });
+
+    it('are no answer when they belong to another request or carry no signature', async () => {
+      await bench.addRawServer('e', () => head('other'), false);
+      await bench.start([route]);
+      expect((await bench.call('/drafts/x', { model: 'a' })).status).to.equal(502);
+    });
+  });
+
+  describe('stop', () => {
+    it('cuts off nothing in progress and takes callers until the balancer has noticed', async () => {
+      await bench.addServer(
+        'p',
+        (incoming, response) => {
+          setTimeout(() => response.writeHead(200, stamped(incoming)).end('slow'), 600);
+        },
+        ORDERS,
+      );
+      await bench.start([plain]);
+      const slow = bench.call('/plain/x');
+      await pause(CLOCK, 50);
+      const stopped = bench.stopRouter();
+      const late = await bench.call('/plain/x');
+      expect((await slow).text).to.equal('slow');
+      expect([late.text, late.headers.connection]).to.deep.equal(['slow', 'close']);
+      await stopped;
+    });
+  });
+});
--- a/test/direct/decisions/ModelPlacement.test.ts
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -46,7 +46,8 @@
     expect(choice?.server.entry.serverId).to.equal(expected);
   }
 
-  it('takes the server that has the weights on its disk', () => doTest([{}, { modelsOnDisk: ['a'] }], {}, 'xx'));
+  it('takes the server that has the weights on its disk', () =>
+    doTest([{}, { modelsOnDisk: ['a'] }], {}, 'xx'));
 
   it('waits for a busy server with the weights rather than fetch them again', () =>
     doTest([{}, { modelsOnDisk: ['a'], isBusy: true }], {}, undefined));
@@ -69,10 +70,7 @@
 
   it('prefers the place whose model was not used for long', () => {
     const recent = { runningCount: 0, idleForMs: 0, isProtected: false };
-    const reports = [
-      { modelsOnDisk: ['a'], uses: { b: recent, c: recent } },
-      { modelsOnDisk: ['a'] },
-    ];
+    const reports = [{ modelsOnDisk: ['a'], uses: { b: recent, c: recent } }, { modelsOnDisk: ['a'] }];
     doTest(reports, {}, 'xx');
   });
 
--- a/test/direct/decisions/ResidencyPlanner.test.ts
+++ b/test/direct/decisions/ResidencyPlanner.test.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
-import { ResidencyPlanner, type DueOrder, type EngineReport, type HeldModel } from '../../../src/direct/index.js';
+import {
+  ResidencyPlanner,
+  type DueOrder,
+  type EngineReport,
+  type HeldModel,
+} from '../../../src/direct/index.js';
 import { held, makeProfile } from '../fleetFixtures.js';
 
 const PROFILE = makeProfile();
@@ -152,7 +157,11 @@
       const planner = makePlanner([held('a', ['a1', 'a2'])]);
       planner.adapterUsed('a', 'a1', 10);
       planner.adapterUsed('a', 'a2', 5);
-      expect(planner.getAdapterOrder('a', 'a3', 20)).to.deep.equal({ kind: 'unload', model: 'a', adapter: 'a2' });
+      expect(planner.getAdapterOrder('a', 'a3', 20)).to.deep.equal({
+        kind: 'unload',
+        model: 'a',
+        adapter: 'a2',
+      });
     });
 
     it('does nothing for a model that is not held', () => {
@@ -163,8 +172,16 @@
   it('never orders more than the engine holds, whatever is late or lost', () => {
     const models = ['a', 'b', 'c', 'd'];
     const step = fc.oneof(
-      fc.record({ kind: fc.constant('want' as const), model: fc.constantFrom(...models), live: fc.boolean() }),
-      fc.record({ kind: fc.constant('adapter' as const), model: fc.constantFrom(...models), index: fc.nat(3) }),
+      fc.record({
+        kind: fc.constant('want' as const),
+        model: fc.constantFrom(...models),
+        live: fc.boolean(),
+      }),
+      fc.record({
+        kind: fc.constant('adapter' as const),
+        model: fc.constantFrom(...models),
+        index: fc.nat(3),
+      }),
       fc.record({ kind: fc.constant('order' as const), isLost: fc.boolean() }),
       fc.record({ kind: fc.constantFrom('late' as const, 'finish' as const, 'report' as const) }),
     );
--- a/test/direct/decisions/RouteTable.test.ts
+++ b/test/direct/decisions/RouteTable.test.ts
@@ -34,7 +34,9 @@
 
     it('stays fast with many routes', () => {
       const many = new RouteTable(
-        Array.from({ length: 5_000 }, (_, index) => makeRoute({ name: `${index}`, pathPrefix: `/p${index}/` })),
+        Array.from({ length: 5_000 }, (_, index) =>
+          makeRoute({ name: `${index}`, pathPrefix: `/p${index}/` }),
+        ),
       );
       expect(many.getRoute('a.example', '/p4321/x')?.name).to.equal('4321');
     });
--- /dev/null
+++ b/test/platform/StoreFleetSource.test.ts
@@ -0,0 +1,125 @@
+import { expect } from 'chai';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { StoreClient } from '../../platform/StoreClient.js';
+import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
+
+/** Answer of the scripted store: a status and a body, or nothing at all. */
+type Scripted = { readonly status: number; readonly body: unknown } | 'silence' | 'cut';
+
+function serverObject(name: string, spec: unknown) {
+  return { Metadata: { Name: name, Rev: 1 }, Spec: spec };
+}
+
+const READY = { Service: 's', Address: '10.0.0.1:1', Zone: 'z', Slots: 4, State: 'ready' };
+
+describe('StoreFleetSource', () => {
+  let store: Server;
+  let source: StoreFleetSource;
+  let paths: string[];
+  let script: Scripted[];
+
+  beforeEach(async () => {
+    paths = [];
+    script = [];
+    store = createServer((incoming, response) => {
+      paths.push(incoming.url ?? '');
+      const next = script.shift() ?? { status: 503, body: {} };
+      if (next === 'cut') {
+        incoming.socket.destroy();
+      } else if (next !== 'silence') {
+        response
+          .writeHead(next.status, { 'content-type': 'application/json' })
+          .end(JSON.stringify(next.body));
+      }
+    });
+    await new Promise<void>((resolve) => {
+      store.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = store.address() as AddressInfo;
+    source = new StoreFleetSource(new StoreClient(() => `127.0.0.1:${port}`));
+  });
+
+  afterEach(() => {
+    source.close();
+    store.closeAllConnections();
+    store.close();
+  });
+
+  describe('listServers', () => {
+    it('reads all pages and goes on from the revision of the first', async () => {
+      script.push(
+        { status: 200, body: { items: [serverObject('i-1', READY)], HasMore: true, StoreRevision: 5 } },
+        {
+          status: 200,
+          body: {
+            items: [serverObject('i-2', READY), serverObject('i-3', 'junk')],
+            HasMore: false,
+            StoreRevision: 9,
+          },
+        },
+      );
+      const listing = await source.listServers();
+      expect(paths).to.deep.equal(['/api/objects/servers', '/api/objects/servers?after=i-1']);
+      expect(listing.kind === 'listed' && listing.revision).to.equal(5);
+      expect(listing.kind === 'listed' && listing.entries.map(({ serverId }) => serverId)).to.deep.equal([
+        'i-1',
+        'i-2',
+      ]);
+      expect(listing.kind === 'listed' && listing.unreadableIds).to.deep.equal(['i-3']);
+    });
+  });
+
+  describe('watchServers', () => {
+    it('tells what is present, gone and unreadable', async () => {
+      const events = [
+        { Tombstone: false, Object: serverObject('i-1', { ...READY, State: 'draining' }) },
+        { Tombstone: true, Object: serverObject('i-2', READY) },
+        { Tombstone: false, Object: serverObject('i-3', { ...READY, State: 4 }) },
+      ];
+      script.push({ status: 200, body: { events, StoreRevision: 12 } });
+      const result = await source.watchServers(5, 1_000);
+      expect(paths).to.deep.equal(['/api/objects/servers?Watch=5&WaitMs=1000']);
+      expect(result.kind === 'changed' && result.revision).to.equal(12);
+      expect(result.kind === 'changed' && result.changes.map(({ kind }) => kind)).to.deep.equal([
+        'present',
+        'gone',
+        'unreadable',
+      ]);
+    });
+
+    const failures: [Scripted, string][] = [
+      [{ status: 410, body: {} }, 'historyGone'],
+      [{ status: 503, body: {} }, 'unavailable'],
+      [{ status: 429, body: {} }, 'unavailable'],
+      ['cut', 'unavailable'],
+      ['silence', 'unavailable'],
+    ];
+    for (const [answered, expected] of failures) {
+      it(`says ${expected} for ${JSON.stringify(answered)}`, async () => {
+        script.push(answered);
+        expect((await source.watchServers(5, 50)).kind).to.equal(expected);
+      });
+    }
+  });
+
+  describe('readConfiguration', () => {
+    it('has none before the first is written, and none that it can not read', async () => {
+      script.push({ status: 200, body: { items: [], HasMore: false, StoreRevision: 2 } });
+      expect(await source.readConfiguration()).to.deep.equal({
+        kind: 'read',
+        configuration: undefined,
+        revision: 2,
+      });
+      script.push({
+        status: 200,
+        body: { items: [serverObject('main', { Version: 'x' })], HasMore: false, StoreRevision: 3 },
+      });
+      expect(await source.readConfiguration()).to.deep.equal({
+        kind: 'read',
+        configuration: undefined,
+        revision: 3,
+      });
+    });
+  });
+});
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -106,12 +106,19 @@
           WeightsMb: 200_000,
           AdapterSlots: 8,
           LoadsPerS: 2.9,
-          Models: [{ Name: 'm', WeightsMb: 42_700, LoadS: 6, Adapters: 37, AdapterMb: 66, WarmS: 0.44, DiskS: 0.68 }],
+          Models: [
+            { Name: 'm', WeightsMb: 42_700, LoadS: 6, Adapters: 37, AdapterMb: 66, WarmS: 0.44, DiskS: 0.68 },
+          ],
         },
       },
       { Name: 't', MaxConns: 110 },
     ],
-    Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 4_194_304, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 4_194_304,
+      HeaderTimeoutMs: 3_000,
+      IdleTimeoutMs: 15_000,
+    },
   };
 
   it('decodes routes, engines and limits', () => {
@@ -155,7 +162,9 @@
 
   it('names the file and the field that is wrong', () => {
     const wrong = JSON.stringify({ ...file, Platform: { Address: 'store' } });
-    expect(() => decodeNodeSettings(wrong, 'node.json')).to.throw('node.json: Platform.Address: an IPv4 address');
+    expect(() => decodeNodeSettings(wrong, 'node.json')).to.throw(
+      'node.json: Platform.Address: an IPv4 address',
+    );
     expect(() => decodeNodeSettings('{', 'node.json')).to.throw('node.json: is not JSON');
   });
 });
