--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,9 +6,11 @@
 import { PublishCommand } from './commands/PublishCommand.js';
 import { QuarantineClearCommand, QuarantineListCommand } from './commands/QuarantineCommands.js';
 import { StatusCommand } from './commands/StatusCommand.js';
+import { TraceCommand } from './commands/TraceCommand.js';
 import { ValidateCommand } from './commands/ValidateCommand.js';
 
 const cli = new Cli({ binaryLabel: 'monsoonglade', binaryName: 'monsoonglade', binaryVersion: '0.1.0' });
+cli.register(TraceCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
 cli.register(ValidateCommand);
--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -2,9 +2,11 @@
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentLinks } from './AgentLinks.js';
+import { describeEnd, isServerFault } from './attemptEnds.js';
 import { BackendAttempt, type AttemptEnd, type AttemptHead } from './BackendAttempt.js';
 import {
   isRepeatable,
+  RequestLimits,
   type CrashSuspects,
   type CutEvents,
   type FleetView,
@@ -17,24 +19,8 @@
 import type { CallHeaders, HeaderCodec } from './HeaderCodec.js';
 import type { ModelDesk } from './ModelDesk.js';
 
-/** Latency target up to which callers wait live, in milliseconds; overnight work has seconds. */
-const LIVE_TARGET_MS = 1_000;
 /** Most sends of one request, refused ones included; a bound on a request that every server refuses. */
 const MAX_SENDS = 6;
-/** Silence before the first piece after which a repeatable request goes to another server, as a multiple of its target. */
-const SILENCE_TARGETS = 2.5;
-/** Shortest such silence, in milliseconds. */
-const MIN_SILENCE_MS = 300;
-/** Silence in a stream after which it is resumed elsewhere, as a multiple of its longest pause. */
-const SILENT_GAPS = 5;
-/** Time before the deadline at which waiting for a model ends, in milliseconds: a first event needs about so long. */
-const SERVICE_RESERVE_MS = 300;
-/** Callers give a stream up that has not begun after the longest of these: a time in milliseconds, */
-const MIN_PATIENCE_MS = 2_000;
-/** a multiple of its latency target, */
-const PATIENCE_TARGETS = 4;
-/** and a multiple of its longest pause. */
-const PATIENCE_GAPS = 8;
 /** Time after which servers that did not take a request are asked again, in milliseconds. */
 const SERVER_PAUSE_MS = 120;
 /** Time after which a caller should return when nothing better is known, in milliseconds. */
@@ -92,8 +78,7 @@
 export class DirectFlow {
   private readonly tracker = new VerdictTracker();
   private readonly excluded = new Set<ServerId>();
-  private readonly endsAtMs: number;
-  private readonly isLive: boolean;
+  private readonly limits: RequestLimits;
   private readonly watchdog: Timer;
   private attempt: BackendAttempt | undefined;
   private sendCount = 0;
@@ -119,8 +104,7 @@
     private readonly sink: DirectSink,
   ) {
     const { route, call, receivedAtMs } = request;
-    this.endsAtMs = receivedAtMs + Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
-    this.isLive = route.latencyTargetMs <= LIVE_TARGET_MS;
+    this.limits = new RequestLimits(route, call.deadlineMs, receivedAtMs);
     this.lastEventId = call.lastEventId;
     this.watchdog = parts.clock.schedule(this.remainingMs(), () => this.timeOut());
   }
@@ -129,7 +113,7 @@
   async run(): Promise<void> {
     this.parts.allowanceOf(this.request.serviceId).noteRequest(this.parts.clock.nowMs());
     this.parts.desk.noteTraffic();
-    if (this.isLive && this.request.call.model !== undefined) {
+    if (this.limits.isLive && this.request.call.model !== undefined) {
       this.parts.desk.noteLiveUse(this.request.serviceId, this.request.call.model);
     }
     while (!this.settled) {
@@ -160,7 +144,7 @@
         return undefined;
       }
       const { model, adapter } = call;
-      const isLive = this.isLive && model !== undefined;
+      const isLive = this.limits.isLive && model !== undefined;
       const need = { serviceId, model, adapter, isLive, excludedServerIds: this.excluded };
       const server = this.parts.chooser.getServer(need, this.parts.clock.nowMs());
       if (!server) {
@@ -186,14 +170,20 @@
       return false;
     }
     if (call.model === undefined) {
-      return this.pauseForServers(this.endsAtMs - SERVICE_RESERVE_MS);
+      return this.pauseForServers(this.limits.waitsUntilMs);
     }
     const { model, requestId } = call;
-    const untilMs = this.waitsUntilMs();
+    const untilMs = this.limits.waitsUntilMs;
     if (this.excluded.size > 0) {
       return this.pauseForServers(untilMs);
     }
-    const result = await desk.waitFor({ requestId, serviceId, model, isInteractive: this.isLive, untilMs });
+    const result = await desk.waitFor({
+      requestId,
+      serviceId,
+      model,
+      isInteractive: this.limits.isLive,
+      untilMs,
+    });
     if (this.settled) {
       return false;
     }
@@ -221,17 +211,6 @@
     return !this.settled;
   }
 
-  /** When waiting for a server no longer makes sense: the caller gives a stream up that doesn't begin. */
-  private waitsUntilMs(): number {
-    const { route, receivedAtMs } = this.request;
-    const patienceMs = Math.max(
-      MIN_PATIENCE_MS,
-      PATIENCE_TARGETS * route.latencyTargetMs,
-      PATIENCE_GAPS * (route.maxGapMs ?? 0),
-    );
-    return Math.min(this.endsAtMs, receivedAtMs + patienceMs) - SERVICE_RESERVE_MS;
-  }
-
   private async hasAdapter(server: KnownServer, model: string, adapter: string): Promise<boolean> {
     if (getHeldModel(server, model)?.adapters.includes(adapter) === true) {
       return true;
@@ -243,7 +222,7 @@
     const { clock, codec, chooser, log } = this.parts;
     const { call, route, method, path, body } = this.request;
     const { serverId, address } = server.entry;
-    const { firstPieceTimeoutMs, gapTimeoutMs } = this.silenceLimits(serverId);
+    const silence = this.limits.getSilenceLimits(this.runCount, this.hasOtherServer(serverId));
     const attempt = new BackendAttempt(
       clock,
       codec,
@@ -257,8 +236,7 @@
         remainingMs: () => this.remainingMs(),
         urgency: call.model === undefined ? undefined : Math.min(MAX_URGENCY, route.priority),
         lastEventId: this.lastEventId,
-        firstPieceTimeoutMs,
-        gapTimeoutMs,
+        ...silence,
       },
       { streamStarted: (head) => this.beginStream(head), eventsArrived: (events) => this.deliver(events) },
     );
@@ -409,19 +387,6 @@
     return this.parts.chooser.getServer(need, this.parts.clock.nowMs()) !== undefined;
   }
 
-  /** How long a server may be silent before the request goes to another; without another it is waited for. */
-  private silenceLimits(serverId: ServerId): { firstPieceTimeoutMs?: number; gapTimeoutMs?: number } {
-    const { route } = this.request;
-    const mayRepeat = isRepeatable(route) && this.runCount + 1 < route.maxAttempts;
-    if (!mayRepeat || !this.hasOtherServer(serverId)) {
-      return {};
-    }
-    return {
-      firstPieceTimeoutMs: Math.max(MIN_SILENCE_MS, route.latencyTargetMs * SILENCE_TARGETS),
-      gapTimeoutMs: route.maxGapMs === undefined ? undefined : route.maxGapMs * SILENT_GAPS,
-    };
-  }
-
   private isStoppedForCrashes(): boolean {
     const { suspects, view, clock } = this.parts;
     const { fingerprint } = this.request;
@@ -431,7 +396,7 @@
   private noteUse(server: KnownServer, event: 'started' | 'ended'): void {
     const { model } = this.request.call;
     if (model !== undefined) {
-      this.parts.links.noteUse(server.entry.address, event, model, this.isLive);
+      this.parts.links.noteUse(server.entry.address, event, model, this.limits.isLive);
     }
   }
 
@@ -497,37 +462,6 @@
   }
 
   private remainingMs(): number {
-    return this.endsAtMs - this.parts.clock.nowMs();
-  }
-}
-
-/** Whether an end speaks against the server rather than against the request. */
-function isServerFault(end: AttemptEnd): boolean {
-  switch (end.kind) {
-    case 'unreachable':
-    case 'broken':
-      return true;
-    case 'answered':
-      return end.head.status >= 500;
-    case 'notRun':
-      return end.status === 503;
-    case 'streamed':
-    case 'cancelled':
-      return false;
-  }
-}
-
-function describeEnd(end: AttemptEnd): string {
-  switch (end.kind) {
-    case 'unreachable':
-    case 'broken':
-      return end.detail;
-    case 'notRun':
-      return `status ${end.status}${end.isOtherServer ? ', another server' : ''}`;
-    case 'answered':
-      return `status ${end.head.status}`;
-    case 'streamed':
-    case 'cancelled':
-      return '';
+    return this.limits.endsAtMs - this.parts.clock.nowMs();
   }
 }
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -94,7 +94,8 @@
   private readonly waited = new Map<string, WaitedModel>();
   private readonly liveUses = new Map<string, LiveUse>();
   private fetchedAtMs = -Infinity;
-  private hasTraffic = false;
+  /** When the first request came; undefined before. */
+  private trafficSinceMs: number | undefined;
   private readonly ticker: Repeater;
   private readonly replicaTicker: Repeater;
 
@@ -118,7 +119,7 @@
 
   /** Notes that requests come. */
   noteTraffic(): void {
-    this.hasTraffic = true;
+    this.trafficSinceMs ??= this.parts.clock.nowMs();
   }
 
   /**
@@ -265,7 +266,7 @@
   /** Has models loaded that lie in the weight store alone, so that the first request for one finds it on a disk. */
   private fetchMissing(nowMs: number): void {
     const { view, links, log } = this.parts;
-    const wantedCopies = this.hasTraffic ? 1 : IDLE_COPIES;
+    const wantedCopies = this.trafficSinceMs === undefined ? IDLE_COPIES : 1;
     for (const { serviceId, engine } of view.configuration?.services.values() ?? []) {
       const servers = engine ? this.serversOf(serviceId, nowMs) : [];
       if (!engine || servers.length === 0) {
--- /dev/null
+++ b/src/direct/attemptEnds.ts
@@ -0,0 +1,33 @@
+import type { AttemptEnd } from './BackendAttempt.js';
+
+/** Whether an end speaks against the server rather than against the request. */
+export function isServerFault(end: AttemptEnd): boolean {
+  switch (end.kind) {
+    case 'unreachable':
+    case 'broken':
+      return true;
+    case 'answered':
+      return end.head.status >= 500;
+    case 'notRun':
+      return end.status === 503;
+    case 'streamed':
+    case 'cancelled':
+      return false;
+  }
+}
+
+/** Describes an end for the log. */
+export function describeEnd(end: AttemptEnd): string {
+  switch (end.kind) {
+    case 'unreachable':
+    case 'broken':
+      return end.detail;
+    case 'notRun':
+      return `status ${end.status}${end.isOtherServer ? ', another server' : ''}`;
+    case 'answered':
+      return `status ${end.head.status}`;
+    case 'streamed':
+    case 'cancelled':
+      return '';
+  }
+}
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -1,3 +1,4 @@
+import { AdapterPlaces, countAdapters } from './AdapterPlaces.js';
 import { lossMs } from './ModelPlacement.js';
 import type { EngineReport, HeldModel, ModelUse } from './ServerEntry.js';
 import type { ModelFootprint } from './ServingConfiguration.js';
@@ -59,7 +60,7 @@
 export class ResidencyPlanner {
   private readonly wants = new Map<string, Want>();
   private readonly usage = new Map<string, Usage>();
-  private readonly adapterUsedAtMs = new Map<string, number>();
+  private readonly adapters = new AdapterPlaces();
   /** Models that take no new requests, since they are to be dropped, and since when. */
   private readonly retiringSinceMs = new Map<string, number>();
   /** Model whose unload the engine has accepted. */
@@ -234,13 +235,13 @@
     if (!report || !capacity || !footprint || !this.holds(model)) {
       return undefined;
     }
-    this.adapterUsedAtMs.set(`${model}/${adapter}`, nowMs);
-    const placesUsed = countAdapters(report);
-    if (placesUsed < capacity.adapterSlotCount && footprint.adapterMb <= this.freeMb()) {
+    this.adapters.noteUse(model, adapter, nowMs);
+    const hasPlace = countAdapters(report) < capacity.adapterSlotCount;
+    if (hasPlace && footprint.adapterMb <= this.freeMb()) {
       return { kind: 'load', model, adapter };
     }
-    const victim = this.leastRecentAdapter(report, `${model}/${adapter}`);
-    return victim && { kind: 'unload', model: victim.model, adapter: victim.adapter };
+    const victim = this.adapters.getLeastRecent(report, model, adapter);
+    return victim && { kind: 'unload', ...victim };
   }
 
   /**
@@ -250,7 +251,7 @@
    * @param nowMs - Time now.
    */
   adapterUsed(model: string, adapter: string, nowMs: number): void {
-    this.adapterUsedAtMs.set(`${model}/${adapter}`, nowMs);
+    this.adapters.noteUse(model, adapter, nowMs);
   }
 
   /**
@@ -337,25 +338,6 @@
     };
   }
 
-  private leastRecentAdapter(
-    report: EngineReport,
-    wantedKey: string,
-  ): { model: string; adapter: string } | undefined {
-    let best: { model: string; adapter: string } | undefined;
-    let bestUsedAtMs = Infinity;
-    for (const { name, adapters } of report.heldModels) {
-      for (const adapter of adapters) {
-        const key = `${name}/${adapter}`;
-        const usedAtMs = this.adapterUsedAtMs.get(key) ?? 0;
-        if (key !== wantedKey && usedAtMs < bestUsedAtMs) {
-          best = { model: name, adapter };
-          bestUsedAtMs = usedAtMs;
-        }
-      }
-    }
-    return best;
-  }
-
   private freeMb(): number {
     let free = this.capacity?.weightsMb ?? 0;
     for (const held of this.report?.heldModels ?? []) {
@@ -394,11 +376,3 @@
     }
   }
 }
-
-function countAdapters(report: EngineReport): number {
-  let count = report.comingAdapters.length;
-  for (const held of report.heldModels) {
-    count += held.adapters.length;
-  }
-  return count;
-}
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -1,6 +1,7 @@
 export * from './ServingConfiguration.js';
 export * from './ServerEntry.js';
 export * from './RouteTable.js';
+export * from './RequestLimits.js';
 export * from './EventCutter.js';
 export * from './RepeatAllowance.js';
 export * from './FleetView.js';
