--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -64,10 +64,10 @@
   servers: readonly KnownServer[],
   profile: EngineProfile,
 ): PlacementChoice | undefined {
-  const isAtHand = servers.some((server) => loadTimeMs(need, server) < need.footprint.storeLoadMs);
+  const isOnSomeDisk = servers.some((server) => loadTimeMs(need, server) < need.footprint.storeLoadMs);
   const mayUseStore =
     need.isInteractive ||
-    ((!isAtHand || need.mayFetchCopy) && countStoreLoads(servers) < STORE_LOADS_AT_ONCE);
+    ((!isOnSomeDisk || need.mayFetchCopy) && countStoreLoads(servers) < STORE_LOADS_AT_ONCE);
   let best: PlacementChoice | undefined;
   let bestScoreMs = Infinity;
   for (const server of servers) {
