--- /dev/null
+++ b/test/direct/EngineKeeper.test.ts
@@ -0,0 +1,147 @@
+import { expect } from 'chai';
+import {
+  EngineKeeper,
+  EnginePort,
+  type AgentReport,
+  type EngineReport,
+  type HeldModel,
+  type OrderAnswer,
+  type ResidencyOrder,
+} from '../../src/direct/index.js';
+import { toFollowParams } from '../../src/direct/messages.js';
+import { pause, SystemClock } from '../../src/kernel/index.js';
+import { Log, Metrics } from '../../src/telemetry/index.js';
+import type { PeerConnection } from '../../src/transport/index.js';
+import { held, makeProfile } from './fleetFixtures.js';
+
+const CLOCK = new SystemClock();
+
+/** Engine that takes a moment for each model and leaves some orders without an answer. */
+class SlowEngine extends EnginePort {
+  heldModels: HeldModel[] = [held('b'), held('c')];
+  readonly orders: ResidencyOrder[] = [];
+  /** Orders that get no answer and are never carried out. */
+  lostCount = 0;
+  private orderCount = 0;
+  private busyUntilMs = 0;
+
+  override readReport(): Promise<EngineReport> {
+    return Promise.resolve({
+      bornAtMs: 1,
+      heldModels: this.heldModels,
+      comingAdapters: [],
+      isBusy: CLOCK.nowMs() < this.busyUntilMs,
+      orderCount: this.orderCount,
+      waitingCount: 0,
+      runningCount: 0,
+      usedCacheTokens: 0,
+      cacheTokens: 1,
+      modelsInMemory: [],
+      modelsOnDisk: ['a'],
+    });
+  }
+
+  override sendOrder(order: ResidencyOrder): Promise<OrderAnswer> {
+    this.orders.push(order);
+    if (this.lostCount > 0) {
+      this.lostCount--;
+      return Promise.resolve('unknown');
+    }
+    if (order.expectedOrderCount !== this.orderCount || CLOCK.nowMs() < this.busyUntilMs) {
+      return Promise.resolve('conflict');
+    }
+    this.orderCount++;
+    const others = this.heldModels.filter(({ name }) => name !== order.model);
+    const model = this.heldModels.find(({ name }) => name === order.model);
+    if (order.adapter === undefined) {
+      this.busyUntilMs = CLOCK.nowMs() + 100;
+      this.heldModels = order.kind === 'load' ? [...others, held(order.model)] : others;
+    } else if (model) {
+      this.heldModels = [...others, held(order.model, [...model.adapters, order.adapter])];
+    }
+    return Promise.resolve('accepted');
+  }
+}
+
+/** Router's end of a connection: what it was told, and what it calls. */
+class FakeRouter {
+  readonly reports: AgentReport[] = [];
+  readonly connection = {
+    peerName: 'router-1',
+    onClose: () => () => undefined,
+    notify: (_method: string, report: AgentReport) => this.reports.push(report),
+  } as unknown as PeerConnection;
+
+  constructor(private readonly keeper: EngineKeeper) {}
+
+  call<T>(method: string, params: unknown): T {
+    return this.keeper.getMethods()[method]?.(params as never, this.connection) as T;
+  }
+}
+
+describe('EngineKeeper', function () {
+  this.timeout(10_000);
+  let engine: SlowEngine;
+  let keeper: EngineKeeper;
+  let router: FakeRouter;
+
+  beforeEach(async () => {
+    engine = new SlowEngine();
+    const log = new Log('test', () => undefined);
+    const parts = { clock: CLOCK, engine, engineAddress: '10.0.0.1:1', log, metrics: new Metrics() };
+    keeper = new EngineKeeper(parts);
+    router = new FakeRouter(keeper);
+    await keeper.start();
+    await pause(CLOCK, 20);
+    router.call('residency.follow', toFollowParams(makeProfile(), 1));
+    await pause(CLOCK, 350);
+  });
+
+  afterEach(() => keeper.stop());
+
+  function heldNames(): string[] {
+    return engine.heldModels.map(({ name }) => name);
+  }
+
+  it('tells routers that a model takes no requests before it unloads it, then loads the wanted one', async () => {
+    router.call('residency.want', { model: 'a', isInteractive: false, keptModels: [] });
+    await pause(CLOCK, 900);
+    expect(engine.orders.map(({ kind }) => kind)).to.deep.equal(['unload', 'load']);
+    expect(heldNames()).to.include('a');
+    const victim = engine.orders[0]?.model;
+    const told = router.reports.findIndex(
+      ({ heldModels }) => !heldModels.some(({ name }) => name === victim),
+    );
+    expect(router.reports[told]?.orderCount).to.equal(0);
+  });
+
+  it('sends an order again that got no answer, bound to the same state', async () => {
+    engine.lostCount = 1;
+    router.call('residency.want', { model: 'a', isInteractive: false, keptModels: [] });
+    await pause(CLOCK, 900);
+    expect(engine.orders.map(({ expectedOrderCount }) => expectedOrderCount)).to.deep.equal([0, 0, 1]);
+    expect(heldNames()).to.include('a');
+  });
+
+  it('leaves the models of a router alone that runs requests on them', async () => {
+    for (const model of ['b', 'c']) {
+      router.call('residency.started', { model, isInteractive: true });
+    }
+    router.call('residency.want', { model: 'a', isInteractive: false, keptModels: [] });
+    await pause(CLOCK, 600);
+    expect(engine.orders).to.deep.equal([]);
+  });
+
+  it('makes an adapter ready, and says no for a model that is not held', async () => {
+    const ensure = (model: string) =>
+      router.call<Promise<{ isReady: boolean }>>('residency.ensureAdapter', { model, adapter: 'a1' });
+    expect((await ensure('b')).isReady).to.equal(true);
+    expect((await ensure('a')).isReady).to.equal(false);
+    expect(engine.orders.length).to.equal(1);
+  });
+
+  it('passes on which requests crash servers', () => {
+    router.call('residency.crashed', { fingerprint: 'f', crashCount: 2 });
+    expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 2 });
+  });
+});
--- /dev/null
+++ b/test/direct/ModelDesk.test.ts
@@ -0,0 +1,152 @@
+import { expect } from 'chai';
+import { toDataCentreId } from '../../src/domain/index.js';
+import {
+  FleetView,
+  ModelDesk,
+  ServerChooser,
+  type AgentLinks,
+  type AgentReport,
+  type ModelWait,
+  type WaitResult,
+} from '../../src/direct/index.js';
+import { Log, Metrics } from '../../src/telemetry/index.js';
+import { ManualClock } from '../fakes/ManualClock.js';
+import { ENGINES, held, makeConfiguration, makeEntry, makeReport } from './fleetFixtures.js';
+
+/** A desk over two engines that hold b and c, and what it asked agents for. */
+class DeskBench {
+  readonly clock = new ManualClock();
+  readonly view = new FleetView();
+  readonly wishes: string[] = [];
+  readonly desk: ModelDesk;
+  private readonly entries = [
+    makeEntry('x', { heldModels: [held('b'), held('c')] }),
+    makeEntry('xx', { heldModels: [held('b'), held('c')] }),
+  ];
+
+  constructor() {
+    this.view.applyConfiguration(makeConfiguration(1));
+    this.view.applyList(this.entries, 0);
+    const links = {
+      want: (address: string, model: string) => this.wishes.push(`${model} at ${address.slice(-1)}`),
+    } as unknown as AgentLinks;
+    this.desk = new ModelDesk({
+      clock: this.clock,
+      view: this.view,
+      chooser: new ServerChooser(this.view, toDataCentreId('here'), () => 0),
+      links,
+      log: new Log('test', () => undefined),
+      metrics: new Metrics(),
+    });
+  }
+
+  /** Takes reports of both agents, as they come several times a second. */
+  report(first: Partial<AgentReport>, second: Partial<AgentReport> = {}): void {
+    for (const [index, overrides] of [first, second].entries()) {
+      const entry = this.entries[index];
+      if (entry) {
+        this.view.applyReport(makeReport(entry, overrides), this.clock.nowMs());
+      }
+    }
+    this.desk.reviewWaits();
+  }
+
+  /** Starts a wait and collects its result. */
+  wait(overrides: Partial<ModelWait> = {}): { result?: WaitResult } {
+    const box: { result?: WaitResult } = {};
+    const wait = { requestId: 'r', serviceId: ENGINES, model: 'a', isInteractive: false, untilMs: 9_000 };
+    void this.desk.waitFor({ ...wait, ...overrides }).then((result) => (box.result = result));
+    return box;
+  }
+}
+
+/** Lets promises that are resolved run their callbacks. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+describe('ModelDesk', () => {
+  describe('waitFor', () => {
+    it('asks the engine with the weights on its disk, once, and ends when a report shows the model', async () => {
+      const bench = new DeskBench();
+      bench.report({}, { modelsOnDisk: ['a'] });
+      const first = bench.wait({ requestId: 'r1' });
+      const second = bench.wait({ requestId: 'r2' });
+      expect(bench.wishes).to.deep.equal(['a at 2']);
+      bench.report({}, { modelsOnDisk: ['a'], loadingModel: 'a', isBusy: true });
+      expect(bench.wishes).to.deep.equal(['a at 2']);
+      bench.report({}, { heldModels: [held('a'), held('c')] });
+      await settle();
+      expect([first.result?.kind, second.result?.kind]).to.deep.equal(['ready', 'ready']);
+    });
+
+    it('leaves a model unbound while the engine with its weights is busy, and takes the first idle place', () => {
+      const bench = new DeskBench();
+      bench.report({ modelsOnDisk: ['a'], isBusy: true }, { modelsOnDisk: ['a'], isBusy: true });
+      bench.wait();
+      expect(bench.wishes).to.deep.equal([]);
+      bench.clock.advance(100);
+      bench.report({ modelsOnDisk: ['a'], isBusy: true }, { modelsOnDisk: ['a'] });
+      expect(bench.wishes).to.deep.equal(['a at 2']);
+    });
+
+    it('refuses at once what can not be ready in time', async () => {
+      const bench = new DeskBench();
+      bench.report({});
+      const box = bench.wait({ isInteractive: true, untilMs: 1_700 });
+      await settle();
+      expect(box.result?.kind).to.equal('tooLate');
+    });
+
+    it('does not refuse a request just before a load ends that has been waited for', async () => {
+      const bench = new DeskBench();
+      bench.report({ loadingModel: 'a', loadingForMs: 5_900, isBusy: true });
+      const box = bench.wait({ untilMs: 2_000 });
+      await settle();
+      expect(box.result).to.equal(undefined);
+    });
+
+    it('gives up when no place came in time', async () => {
+      const bench = new DeskBench();
+      const inUse = { runningCount: 1, idleForMs: 0, isProtected: true };
+      const report = { modelsOnDisk: ['a'], uses: { b: inUse, c: inUse } };
+      bench.report(report, report);
+      const box = bench.wait({ untilMs: 500 });
+      bench.clock.advance(600);
+      bench.report(report, report);
+      await settle();
+      expect(box.result?.kind).to.equal('noPlace');
+    });
+
+    it('knows no place for a model that is not configured', async () => {
+      const bench = new DeskBench();
+      const box = bench.wait({ model: 'unknown' });
+      await settle();
+      expect(box.result?.kind).to.equal('noPlace');
+    });
+  });
+
+  describe('noteLiveUse', () => {
+    it('has a second replica loaded of a model in live use, so that the loss of one leaves the other', async () => {
+      const bench = new DeskBench();
+      await bench.desk.start();
+      bench.report({ heldModels: [held('a'), held('b')] }, { modelsOnDisk: ['a', 'b', 'c', 'd'] });
+      bench.desk.noteTraffic();
+      bench.desk.noteLiveUse(ENGINES, 'a');
+      bench.clock.advance(260);
+      await bench.desk.stop();
+      expect(bench.wishes).to.include('a at 2');
+    });
+  });
+
+  describe('fetching ahead', () => {
+    it('loads models that are on no disk while no requests come', async () => {
+      const bench = new DeskBench();
+      await bench.desk.start();
+      bench.report({ modelsOnDisk: ['b', 'c'] }, { modelsOnDisk: ['b', 'c'] });
+      bench.clock.advance(260);
+      await bench.desk.stop();
+      expect(bench.wishes.map((wish) => wish.slice(0, 1))).to.have.members(['a', 'd']);
+    });
+  });
+});
