--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -262,10 +262,11 @@
       configurationVersion: this.parts.view.configuration?.version ?? 0,
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
-    if (end.kind === 'unreachable' || end.kind === 'notRun') {
-      this.tracker.proveDidNotRun({ attemptId, source: 'agentRefusal' });
+    if (end.kind === 'notRun') {
+      this.tracker.proveDidNotRun({ attemptId, source: 'serverStatement' });
     }
     if (end.kind === 'unreachable') {
+      this.tracker.proveDidNotRun({ attemptId, source: 'neverSent' });
       // Nothing was sent, so this is no repeat at a server.
       this.sendCount--;
     }
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -5,6 +5,7 @@
 export * from './EnginePort.js';
 export * from './EngineKeeper.js';
 export * from './AgentLinks.js';
+export * from './modelWaits.js';
 export * from './ModelDesk.js';
 export * from './BackendAttempt.js';
 export * from './DirectFlow.js';
--- a/src/domain/Verdict.ts
+++ b/src/domain/Verdict.ts
@@ -7,10 +7,10 @@
  */
 export type Verdict = 'didNotRun' | 'mayHaveRun' | 'ran';
 
-/** Evidence that one attempt did not run; only an agent or a lack of any sending gives it. */
+/** Evidence that one attempt did not run; only an agent, the server's own statement or a lack of any sending gives it. */
 export interface DidNotRunProof {
   readonly attemptId: string;
-  readonly source: 'agentRefusal' | 'agentTombstone' | 'neverSent';
+  readonly source: 'agentRefusal' | 'agentTombstone' | 'serverStatement' | 'neverSent';
 }
 
 /**
