Refuse requests that come to a stopping router after the balancer has noticed

Ruled out: new connections (the listener had closed). The new test failed first with a closed connection.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -19,8 +19,13 @@
 const PARSER_HEADER_BYTES = 64 * 1024;
 /** When a caller should return that came before the configuration did, in milliseconds. */
 const STARTING_RETRY_MS = 500;
-/** Time for which a stopping router takes new connections, in milliseconds: the balancer needs two of its questions. */
-const STOP_LISTENING_AFTER_MS = 2_800;
+/**
+ * Time for which a stopping router takes new requests, in milliseconds: the balancer needs two of its questions, and what
+ * comes later could be cut off by the end of the process.
+ */
+const STOP_TAKING_AFTER_MS = 2_800;
+/** When a caller should return whom a stopping router refuses, in milliseconds: other routers take it at once. */
+const STOPPING_RETRY_MS = 100;
 /** Part of the stop's grace time that is left for the end of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500;
 /** Interval at which a stopping router looks whether it is idle, in milliseconds. */
@@ -45,6 +50,8 @@
   private readonly http: Server;
   private readonly active = new Set<DirectFlow>();
   private stopping = false;
+  /** Whether new requests are refused. */
+  private closing = false;
 
   /** @param parts - What the server is made of. */
   constructor(private readonly parts: CallerServerParts) {
@@ -80,8 +87,12 @@
     const startedAtMs = clock.nowMs();
     const endsAtMs = startedAtMs + this.parts.getStopGraceMs() - STOP_RESERVE_MS;
     log.stateChanged('stopping', { activeCount: this.active.size });
-    await pause(clock, STOP_LISTENING_AFTER_MS);
+    await pause(clock, STOP_TAKING_AFTER_MS);
+    this.closing = true;
     const closed = new Promise((resolve) => this.http.close(resolve));
+    for (const flow of [...this.active]) {
+      flow.refuseUnsent('the router is stopping', STOPPING_RETRY_MS);
+    }
     this.http.closeIdleConnections();
     while (this.active.size > 0 && clock.nowMs() < endsAtMs) {
       await pause(clock, STOP_POLL_MS);
@@ -138,6 +149,10 @@
     const call = codec.decodeCall(request.headers);
     const path = request.url ?? '/';
     const method = request.method ?? 'GET';
+    if (this.closing) {
+      this.refuse(response, call?.requestId, 503, 'the router is stopping', STOPPING_RETRY_MS);
+      return;
+    }
     if (!view.configuration) {
       this.refuse(response, call?.requestId, 503, 'no configuration is known yet', STARTING_RETRY_MS);
       return;
--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -136,6 +136,17 @@
     }
   }
 
+  /**
+   * Refuses the request if it was not sent to any server.
+   * @param detail - Why.
+   * @param retryAfterMs - When the caller should return, in milliseconds.
+   */
+  refuseUnsent(detail: string, retryAfterMs: number): void {
+    if (!this.settled && this.tracker.verdict === 'didNotRun') {
+      this.refuse(503, detail, retryAfterMs);
+    }
+  }
+
   private async findServer(): Promise<KnownServer | undefined> {
     const { call, serviceId } = this.request;
     while (!this.settled) {
--- a/test/direct/DirectRouter.test.ts
+++ b/test/direct/DirectRouter.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
+import { Agent } from 'node:http';
 import { pause } from '../../src/kernel/index.js';
-import { makeConfiguration, makeRoute, ORDERS } from './fleetFixtures.js';
+import { makeConfiguration, makeEntry, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, stamped, type Handler } from './RouterBench.js';
 
 const STREAM = 'text/event-stream';
@@ -223,5 +224,30 @@
       expect([late.text, late.headers.connection]).to.deep.equal(['slow', 'close']);
       await stopped;
     });
+
+    it('refuses at once what comes when the balancer has noticed, and what still waits then', async () => {
+      const slow: Handler = (incoming, response) => {
+        response.writeHead(200, stamped(incoming, STREAM));
+        response.write('data: x\n\n');
+        setTimeout(() => response.end('data: y\n\n'), 3_400);
+      };
+      await bench.addServer('p', slow, ORDERS);
+      bench.view.applyEntry(makeEntry('e'));
+      const unhurried = { latencyTargetMs: 3_000, timeoutMs: 20_000 };
+      await bench.start([{ ...plain, ...unhurried, maxAttempts: 1 }, makeRoute(unhurried)]);
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      const kept = bench.call('/plain/x', {}, 'x', undefined, agent);
+      await pause(CLOCK, 100);
+      const waiting = bench.call('/drafts/x', { model: 'a' });
+      await pause(CLOCK, 100);
+      const stopped = bench.stopRouter();
+      expect((await waiting).status).to.equal(503);
+      expect((await kept).isWhole).to.equal(true);
+      const late = await bench.call('/plain/x', { 'request-id': 'r2' }, 'x', undefined, agent);
+      expect([late.status, late.headers.connection]).to.deep.equal([503, 'close']);
+      expect(bench.seen.length).to.equal(1);
+      await stopped;
+      agent.destroy();
+    });
   });
 });
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -1,4 +1,11 @@
-import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  request,
+  type Agent,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import { createServer as createSocketServer, type AddressInfo, type Server as SocketServer } from 'node:net';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
 import { toDataCentreId } from '../../src/domain/index.js';
@@ -98,12 +105,13 @@
     await this.router.start();
   }
 
-  /** Sends a request; `leaveAfterMs` closes its connection early. */
+  /** Sends a request; `leaveAfterMs` closes its connection early, `agent` keeps it for the next. */
   call(
     path: string,
     headers: Record<string, string> = {},
     body = 'x',
     leaveAfterMs?: number,
+    agent: Agent | false = false,
   ): Promise<CallerGot> {
     return new Promise((resolve, reject) => {
       const outgoing = request({
@@ -111,7 +119,7 @@
         port: this.port,
         method: 'POST',
         path,
-        agent: false,
+        agent,
         headers: { host: 'a.example', 'request-id': 'r1', 'content-length': String(body.length), ...headers },
       });
       outgoing.on('error', reject);
