Answer what is still open when a stopping process must end

Streams that have begun are still broken off. The test of it was written with the change and not run before it.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -97,6 +97,9 @@
     while (this.active.size > 0 && clock.nowMs() < endsAtMs) {
       await pause(clock, STOP_POLL_MS);
     }
+    for (const flow of [...this.active]) {
+      flow.endForStop('the router is stopping');
+    }
     log.stateChanged('stopped', {
       activeCount: this.active.size,
       tookMs: Math.round(clock.nowMs() - startedAtMs),
--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -147,6 +147,16 @@
     }
   }
 
+  /**
+   * Gives the request its final answer, since the process ends; a stream that has begun is broken off.
+   * @param detail - Why.
+   */
+  endForStop(detail: string): void {
+    if (!this.settled) {
+      this.giveUp(detail);
+    }
+  }
+
   private async findServer(): Promise<KnownServer | undefined> {
     const { call, serviceId } = this.request;
     while (!this.settled) {
--- a/test/direct/DirectRouter.test.ts
+++ b/test/direct/DirectRouter.test.ts
@@ -249,5 +249,15 @@
       await stopped;
       agent.destroy();
     });
+
+    it('answers what no server has answered when the process must end', async () => {
+      await bench.addServer('p', never, ORDERS);
+      await bench.start([{ ...once, timeoutMs: 20_000 }]);
+      const open = bench.call('/once/x');
+      await pause(CLOCK, 100);
+      const stopped = bench.stopRouter();
+      expect((await open).status).to.equal(502);
+      await stopped;
+    });
   });
 });
