Remove what nothing reads; say what two weights of the server chooser are

The comment on the rank's weight described the packing that was tried and reverted; it is a tie-break.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -59,7 +59,7 @@
   const links = new AgentLinks({ clock, dialer, view, peerPort: parts.agentPort, log });
   dialer.offer(links.getMethods());
   const chooser = new ServerChooser(view, parts.dataCentre, () => random.fraction());
-  const desk = new ModelDesk({ clock, view, chooser, links, log, metrics });
+  const desk = new ModelDesk({ clock, view, chooser, links, log });
   const watcher = new FleetWatcher({ clock, random, source, view, log, metrics });
   const allowances = new Map<ServiceId, RepeatAllowance>();
   const allowanceOf = (serviceId: ServiceId) => {
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -1,7 +1,7 @@
 import type { Clock, Service } from '../kernel/index.js';
 import { Repeater } from '../kernel/index.js';
 import type { ServiceId } from '../domain/index.js';
-import type { Log, Metrics } from '../telemetry/index.js';
+import type { Log } from '../telemetry/index.js';
 import type { AgentLinks } from './AgentLinks.js';
 import { replicatedModels, toNeed, type ModelWait, type WaitedModel, type WaitResult } from './modelWaits.js';
 import {
@@ -42,7 +42,6 @@
   readonly chooser: ServerChooser;
   readonly links: AgentLinks;
   readonly log: Log;
-  readonly metrics: Metrics;
 }
 
 /** Live use of a model at this router. */
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -14,14 +14,11 @@
 const ADAPTER_PENALTY = 0.15;
 /** The same where a model is being loaded: adapters can't be until that is over. */
 const BUSY_ADAPTER_PENALTY = 1;
-/**
- * Load that each rank counts for when a live request looks for a server: live work stays on few servers, the others are
- * left for models that come and go.
- */
+/** Load that each rank counts for when a live request looks for a server: a tie-break that all routers share. */
 const RANK_PENALTY = 0.02;
 /** Weight of a new measurement in a server's typical latency. */
 const LATENCY_WEIGHT = 0.2;
-/** Load that a latency of twice the fastest server's counts for. */
+/** Load that each 100 ms of typical latency counts for on a server without models. */
 const SLOWNESS_PENALTY = 0.3;
 
 /** What one router has seen of one server. */
--- a/test/direct/ModelDesk.test.ts
+++ b/test/direct/ModelDesk.test.ts
@@ -9,7 +9,7 @@
   type ModelWait,
   type WaitResult,
 } from '../../src/direct/index.js';
-import { Log, Metrics } from '../../src/telemetry/index.js';
+import { Log } from '../../src/telemetry/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
 import { ENGINES, held, makeConfiguration, makeEntry, makeReport } from './fleetFixtures.js';
 
@@ -36,7 +36,6 @@
       chooser: new ServerChooser(this.view, toDataCentreId('here'), () => 0),
       links,
       log: new Log('test', () => undefined),
-      metrics: new Metrics(),
     });
   }
 
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -84,7 +84,7 @@
     const dialer = new PeerDialer('test', '', CLOCK, new TrafficMeter());
     const links = new AgentLinks({ clock: CLOCK, dialer, view, peerPort: 1, log });
     const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
-    const desk = new ModelDesk({ clock: CLOCK, view, chooser, links, log, metrics });
+    const desk = new ModelDesk({ clock: CLOCK, view, chooser, links, log });
     const allowance = new RepeatAllowance(() => BOUND);
     const suspects = new CrashSuspects();
     const allowanceOf = () => allowance;
