--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -1,7 +1,13 @@
 import { pause, type Clock, type Random, type Service } from '../kernel/index.js';
 import { Repeater } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import type { ConfigurationRead, FleetSource, ServerChanges, SourceFailure } from './FleetSource.js';
+import type {
+  ConfigurationRead,
+  FleetSource,
+  ServerChanges,
+  ServerListing,
+  SourceFailure,
+} from './FleetSource.js';
 import type { FleetView } from './decisions/index.js';
 
 /** Longest that one watch waits, in milliseconds: a connection that went silent is noticed within this and its time-out. */
@@ -25,6 +31,15 @@
   readonly metrics: Metrics;
 }
 
+/** A part of the fleet that is listed once and then watched. */
+interface Watched<R> {
+  readonly subject: string;
+  readonly list: () => Promise<R | SourceFailure>;
+  readonly watch: (revision: number) => Promise<R | SourceFailure>;
+  /** Takes what came; gives the revision to go on from, or nothing to list again. */
+  readonly take: (result: R) => Promise<number | undefined>;
+}
+
 /** Keeps a router's view of the fleet current: one watch for the configuration, one for the servers. */
 export class FleetWatcher implements Service {
   private readonly expiry: Repeater;
@@ -57,60 +72,58 @@
     return Promise.resolve();
   }
 
-  private async followServers(): Promise<void> {
-    const { source } = this.parts;
-    let revision: number | undefined;
-    let retryMs = FIRST_RETRY_MS;
-    while (!this.stopped) {
-      const result =
-        revision === undefined
-          ? await source.listServers()
-          : await source.watchServers(revision, WATCH_WAIT_MS);
-      if (result.kind === 'listed' || result.kind === 'changed') {
-        this.noteUp('servers');
+  private followServers(): Promise<void> {
+    const { source, clock } = this.parts;
+    return this.follow<ServerListing | ServerChanges>({
+      subject: 'servers',
+      list: () => source.listServers(),
+      watch: (revision) => source.watchServers(revision, WATCH_WAIT_MS),
+      take: async (result) => {
         this.applyServers(result);
-        revision = result.revision;
-        retryMs = FIRST_RETRY_MS;
         if (result.kind === 'changed' && result.changes.length > 0) {
-          await pause(this.parts.clock, GATHER_MS);
+          await pause(clock, GATHER_MS);
         }
-        continue;
-      }
-      if (result.kind === 'historyGone') {
-        revision = undefined;
-      }
-      retryMs = await this.backOff('servers', result, retryMs);
-    }
+        return result.revision;
+      },
+    });
+  }
+
+  private followConfiguration(): Promise<void> {
+    const { source, clock, view } = this.parts;
+    return this.follow<ConfigurationRead>({
+      subject: 'configuration',
+      list: () => source.readConfiguration(),
+      watch: (revision) => source.watchConfiguration(revision, WATCH_WAIT_MS),
+      take: async (result) => {
+        this.applyConfiguration(result);
+        if (view.configuration) {
+          return result.revision;
+        }
+        // An unwritten configuration may be of a kind that can't be watched yet, so it is read again instead.
+        await pause(clock, MAX_RETRY_MS);
+        return undefined;
+      },
+    });
   }
 
-  private async followConfiguration(): Promise<void> {
-    const { source } = this.parts;
+  /** Lists a subject, then watches it from there on; lists again when the history is gone. */
+  private async follow<R extends { readonly kind: string }>(watched: Watched<R>): Promise<void> {
     let revision: number | undefined;
     let retryMs = FIRST_RETRY_MS;
     while (!this.stopped) {
-      const result =
-        revision === undefined
-          ? await source.readConfiguration()
-          : await source.watchConfiguration(revision, WATCH_WAIT_MS);
-      if (result.kind === 'read') {
-        this.noteUp('configuration');
-        this.applyConfiguration(result);
-        // An unwritten configuration may be of a kind that can't be watched yet, so it is read again instead.
-        revision = this.parts.view.configuration ? result.revision : undefined;
-        if (revision === undefined) {
-          await pause(this.parts.clock, MAX_RETRY_MS);
-        }
-        retryMs = FIRST_RETRY_MS;
+      const result = revision === undefined ? await watched.list() : await watched.watch(revision);
+      if (isFailure(result)) {
+        revision = result.kind === 'historyGone' ? undefined : revision;
+        retryMs = await this.backOff(watched.subject, result, retryMs);
         continue;
       }
-      if (result.kind === 'historyGone') {
-        revision = undefined;
-      }
-      retryMs = await this.backOff('configuration', result, retryMs);
+      this.noteUp(watched.subject);
+      revision = await watched.take(result);
+      retryMs = FIRST_RETRY_MS;
     }
   }
 
-  private applyServers(result: ServerChanges | Awaited<ReturnType<FleetSource['listServers']>>): void {
+  private applyServers(result: ServerListing | ServerChanges): void {
     const { view, clock } = this.parts;
     const nowMs = clock.nowMs();
     if (result.kind === 'listed') {
@@ -118,7 +131,7 @@
       for (const serverId of result.unreadableIds) {
         this.noteUnreadable(serverId);
       }
-    } else if (result.kind === 'changed') {
+    } else {
       for (const change of result.changes) {
         this.applyChange(change, nowMs);
       }
@@ -208,3 +221,7 @@
     }
   }
 }
+
+function isFailure(result: { readonly kind: string }): result is SourceFailure {
+  return result.kind === 'historyGone' || result.kind === 'unavailable';
+}
