Notice a silent watch of the store within two seconds

A watch whose connection went silent was noticed after 2.9 s (2 s wait and 0.9 s time-out), while the platform's bounds for news are 2 s on both sites (ConfigApplyMs, DrainMs).

Ruled out: a heartbeat on the watch, since the store's protocol has none.

--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -10,8 +10,11 @@
 } from './FleetSource.js';
 import type { FleetView } from './decisions/index.js';
 
-/** Longest that one watch waits, in milliseconds: a connection that went silent is noticed within this and its time-out. */
-const WATCH_WAIT_MS = 2_000;
+/**
+ * Longest that one watch waits, in milliseconds. A connection that went silent is noticed after this and the call's
+ * time-out, which together keep clear of the platform's shortest bound for news, two seconds.
+ */
+const WATCH_WAIT_MS = 1_000;
 /** Pause after changes of servers, in milliseconds, so that many of them cost one call: agents tell faster of models. */
 const GATHER_MS = 400;
 /** First pause after a failed call, doubled up to the limit, in milliseconds. */
