Look for another server only where a request may be repeated

Before each send the whole list of servers was searched a second time, to decide how long the server may be silent, although only routes that may be repeated have such a limit. The search is now a question that is asked last. Ruled out: keeping the answer of the first search; it excludes no server that was just chosen.

--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -243,7 +243,7 @@
     const { clock, codec, chooser, log } = this.parts;
     const { call, route, method, path, body } = this.request;
     const { serverId, address } = server.entry;
-    const silence = this.limits.getSilenceLimits(this.runCount, this.hasOtherServer(serverId));
+    const silence = this.limits.getSilenceLimits(this.runCount, () => this.hasOtherServer(serverId));
     const attempt = new BackendAttempt(
       clock,
       codec,
--- a/src/direct/decisions/RequestLimits.ts
+++ b/src/direct/decisions/RequestLimits.ts
@@ -62,11 +62,11 @@
   /**
    * How long a server may be silent before the request goes to another.
    * @param runCount - Servers that may have run the request already.
-   * @param hasOtherServer - Whether another server could take it; without one it is waited for.
+   * @param hasOtherServer - Finds out whether another server could take it; without one it is waited for.
    */
-  getSilenceLimits(runCount: number, hasOtherServer: boolean): SilenceLimits {
+  getSilenceLimits(runCount: number, hasOtherServer: () => boolean): SilenceLimits {
     const { route } = this;
-    if (!hasOtherServer || !isRepeatable(route) || runCount + 1 >= route.maxAttempts) {
+    if (!isRepeatable(route) || runCount + 1 >= route.maxAttempts || !hasOtherServer()) {
       return {};
     }
     return {
