Take an idle place at once when an asked agent had no room

After 150 ms without a sign of the wish the desk now looks for idle places elsewhere.

The test failed first. Ruled out: dropping the binding altogether (several agents asked for one model failed before).

--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -19,6 +19,8 @@
 const TICK_MS = 100;
 /** Interval at which a wish is repeated, in milliseconds; agents forget it after three. */
 const REPEAT_MS = 500;
+/** Time after which an agent's report shows a wish that it took, in milliseconds: one of its looks and the way. */
+const REPORT_MS = 150;
 /** Interval at which the replicas of live models are looked at, in milliseconds. */
 const REPLICA_INTERVAL_MS = 250;
 /** Time after its last live request for which a model keeps its replicas, in milliseconds. */
@@ -177,11 +179,18 @@
       this.repeatWant(waited, nowMs);
       return onTheWayMs;
     }
-    if (waited.wantedAddress !== undefined && nowMs - waited.wantedAtMs < REPEAT_MS) {
+    const sinceWantMs = nowMs - waited.wantedAtMs;
+    if (waited.wantedAddress !== undefined && sinceWantMs < REPORT_MS) {
       return undefined;
     }
+    // An agent that does not list the model by now has no room for it, so an idle place elsewhere is better at once.
+    const isIdleOnly = waited.wantedAddress !== undefined && sinceWantMs < REPEAT_MS;
     const profile = this.profileOf(waited.serviceId);
-    const choice = profile && choosePlacement(need, servers, profile);
+    const choice =
+      profile && choosePlacement(isIdleOnly ? { ...need, maxStartMs: 0 } : need, servers, profile);
+    if (!choice && isIdleOnly) {
+      return undefined;
+    }
     waited.wantedAtMs = nowMs;
     waited.wantedAddress = choice?.server.entry.address;
     if (!choice) {
--- a/test/direct/ModelDesk.test.ts
+++ b/test/direct/ModelDesk.test.ts
@@ -89,6 +89,20 @@
       expect(bench.wishes).to.deep.equal(['a at 2']);
     });
 
+    it('takes an idle place at once when the agent that was asked had no room', () => {
+      const bench = new DeskBench();
+      const inUse = { runningCount: 3, idleForMs: 0, isProtected: false };
+      const isUsed = { modelsOnDisk: ['a'], uses: { b: inUse, c: inUse } };
+      bench.report(isUsed, { ...isUsed, isBusy: true });
+      bench.wait();
+      bench.clock.advance(2_050);
+      bench.report(isUsed, { ...isUsed, isBusy: true });
+      expect(bench.wishes).to.deep.equal(['a at 1']);
+      bench.clock.advance(200);
+      bench.report(isUsed, { modelsOnDisk: ['a'] });
+      expect(bench.wishes).to.deep.equal(['a at 1', 'a at 2']);
+    });
+
     it('refuses at once what can not be ready in time', async () => {
       const bench = new DeskBench();
       bench.report({});
