--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -17,6 +17,7 @@
   ModelDesk,
   RepeatAllowance,
   ServerChooser,
+  type HeaderCodec,
   type Route,
 } from '../../src/direct/index.js';
 import { pause, Random, SystemClock } from '../../src/kernel/index.js';
@@ -47,6 +48,9 @@
   private desk: ModelDesk | undefined;
   private port = 0;
 
+  /** @param codec - Headers of requests and answers; tests pass broken ones. */
+  constructor(private readonly codec: HeaderCodec = new PlatformHeaderCodec()) {}
+
   async addServer(id: string, handler: Handler, serviceId = ENGINES): Promise<void> {
     const server = createServer((incoming, response) => {
       let body = '';
@@ -74,13 +78,12 @@
   }
 
   async start(routes: readonly Route[], knowsConfiguration = true): Promise<void> {
-    const { view } = this;
+    const { view, codec } = this;
     if (knowsConfiguration) {
       view.applyConfiguration(makeConfiguration(1, routes));
     }
     const log = new Log('test', () => undefined);
     const metrics = new Metrics();
-    const codec = new PlatformHeaderCodec();
     const dialer = new PeerDialer('test', '', CLOCK, new TrafficMeter());
     const links = new AgentLinks({ clock: CLOCK, dialer, view, peerPort: 1, log });
     const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
--- a/test/direct/attempts.fuzz.test.ts
+++ b/test/direct/attempts.fuzz.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
-import type { Route } from '../../src/direct/index.js';
+import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
+import type { AnswerHeaders, HeaderCodec, Route } from '../../src/direct/index.js';
 import { makeRoute, ORDERS } from './fleetFixtures.js';
 import { RouterBench, stamped, type CallerGot, type Handler } from './RouterBench.js';
 
@@ -99,32 +100,66 @@
   }
 }
 
+/** Draws servers of any behaviour behind a real router and checks what its caller is told. */
+function checkAttempts(makeCodec: () => HeaderCodec): Promise<void> {
+  const scenario = fc.record({
+    kind: fc.constantFrom('idempotent' as const, 'nonIdempotent' as const),
+    behaviours: fc.array(fc.constantFrom(...BEHAVIOURS), { minLength: 1, maxLength: 3 }),
+  });
+  return fc.assert(
+    fc.asyncProperty(scenario, async ({ kind, behaviours }) => {
+      const maxAttempts = kind === 'idempotent' ? 2 : 1;
+      const bench = new RouterBench(makeCodec());
+      const runs: string[] = [];
+      for (const [index, behaviour] of behaviours.entries()) {
+        const id = 'p'.repeat(index + 1);
+        await bench.addServer(id, handlerOf(behaviour, runs, id), ORDERS);
+      }
+      await bench.start([routeOf(kind, maxAttempts)]);
+      try {
+        const got = await bench.call('/plain/x').catch(() => undefined);
+        checkPromises(kind, maxAttempts, got, runs);
+      } finally {
+        await bench.close();
+      }
+    }),
+    { numRuns: 80, seed: 1, endOnFailure: true },
+  );
+}
+
+/** Takes every failure for a statement that the request was not run. */
+class FailureIsNotRun extends PlatformHeaderCodec {
+  override decodeAnswer(...args: Parameters<PlatformHeaderCodec['decodeAnswer']>): AnswerHeaders {
+    const answer = super.decodeAnswer(...args);
+    return { ...answer, isNotRun: answer.isNotRun || args[0] >= 500 };
+  }
+}
+
+/** Believes answers that are unsigned or another request's. */
+class BelievesAnyAnswer extends PlatformHeaderCodec {
+  override decodeAnswer(...args: Parameters<PlatformHeaderCodec['decodeAnswer']>): AnswerHeaders {
+    return { ...super.decodeAnswer(...args), isGenuine: true };
+  }
+}
+
+/** Does not tell a caller when to come back. */
+class SilentRefusals extends PlatformHeaderCodec {
+  override encodeRefusal(requestId: string | undefined): ReturnType<PlatformHeaderCodec['encodeRefusal']> {
+    return super.encodeRefusal(requestId, undefined);
+  }
+}
+
 describe('attempts', function () {
   this.timeout(60_000);
 
   it('keep every promise to the caller, whatever three servers do', async () => {
-    const scenario = fc.record({
-      kind: fc.constantFrom('idempotent' as const, 'nonIdempotent' as const),
-      behaviours: fc.array(fc.constantFrom(...BEHAVIOURS), { minLength: 1, maxLength: 3 }),
-    });
-    await fc.assert(
-      fc.asyncProperty(scenario, async ({ kind, behaviours }) => {
-        const maxAttempts = kind === 'idempotent' ? 2 : 1;
-        const bench = new RouterBench();
-        const runs: string[] = [];
-        for (const [index, behaviour] of behaviours.entries()) {
-          const id = 'p'.repeat(index + 1);
-          await bench.addServer(id, handlerOf(behaviour, runs, id), ORDERS);
-        }
-        await bench.start([routeOf(kind, maxAttempts)]);
-        try {
-          const got = await bench.call('/plain/x').catch(() => undefined);
-          checkPromises(kind, maxAttempts, got, runs);
-        } finally {
-          await bench.close();
-        }
-      }),
-      { numRuns: 80, seed: 1 },
-    );
+    await checkAttempts(() => new PlatformHeaderCodec());
   });
+
+  for (const Broken of [FailureIsNotRun, BelievesAnyAnswer, SilentRefusals]) {
+    it(`are caught with ${Broken.name}`, async () => {
+      const failure = await checkAttempts(() => new Broken()).catch((error: unknown) => error);
+      expect(failure).to.be.instanceOf(Error);
+    });
+  }
 });
