Forecast a busy engine by what it loads; go elsewhere when a live model is stuck behind a load

The forecast took any order under way for 500 ms, and a queued model for as good as loading. Now an order under way is counted by the model it loads (an overdue load by a quarter of its time more), a queued model waits for it, requests that can't be in time are refused at once instead of after most of a second, and a model that callers wait for live is also loaded where it is ready a second sooner.

Four tests failed first. Ruled out: an agent that drops its queue; it can't know what others could do.

--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -12,6 +12,7 @@
   type EngineProfile,
   type FleetView,
   type KnownServer,
+  type PlacementChoice,
   type ServerChooser,
 } from './decisions/index.js';
 
@@ -21,6 +22,8 @@
 const REPEAT_MS = 500;
 /** Time after which an agent's report shows a wish that it took, in milliseconds: one of its looks and the way. */
 const REPORT_MS = 150;
+/** Time by which a second load must be ready before one on its way to be worth a place, in milliseconds. */
+const MUCH_SOONER_MS = 1_000;
 /** Interval at which the replicas of live models are looked at, in milliseconds. */
 const REPLICA_INTERVAL_MS = 250;
 /** Time after its last live request for which a model keeps its replicas, in milliseconds. */
@@ -174,10 +177,13 @@
   /** Sees to it that some agent loads the model; gives the time until it is ready where that is known. */
   private arrange(waited: WaitedModel, servers: readonly KnownServer[], nowMs: number): number | undefined {
     const need = toNeed(waited, nowMs);
-    const onTheWayMs = readyOnTheWayMs(need, servers);
+    const profile = this.profileOf(waited.serviceId);
+    if (!profile) {
+      return undefined;
+    }
+    const onTheWayMs = readyOnTheWayMs(need, servers, profile);
     if (onTheWayMs !== undefined) {
-      this.repeatWant(waited, nowMs);
-      return onTheWayMs;
+      return this.getSooner(waited, servers, profile, nowMs, onTheWayMs);
     }
     const sinceWantMs = nowMs - waited.wantedAtMs;
     if (waited.wantedAddress !== undefined && sinceWantMs < REPORT_MS) {
@@ -185,20 +191,46 @@
     }
     // An agent that does not list the model by now has no room for it, so an idle place elsewhere is better at once.
     const isIdleOnly = waited.wantedAddress !== undefined && sinceWantMs < REPEAT_MS;
-    const profile = this.profileOf(waited.serviceId);
-    const choice =
-      profile && choosePlacement(isIdleOnly ? { ...need, maxStartMs: 0 } : need, servers, profile);
+    const choice = choosePlacement(isIdleOnly ? { ...need, maxStartMs: 0 } : need, servers, profile);
     if (!choice && isIdleOnly) {
       return undefined;
     }
     waited.wantedAtMs = nowMs;
     waited.wantedAddress = choice?.server.entry.address;
-    if (!choice) {
-      return undefined;
+    return choice && this.want(waited, choice);
+  }
+
+  /** Keeps a wish alive, and goes elsewhere too where a model that callers wait for live is ready much sooner. */
+  private getSooner(
+    waited: WaitedModel,
+    servers: readonly KnownServer[],
+    profile: EngineProfile,
+    nowMs: number,
+    onTheWayMs: number,
+  ): number {
+    if (nowMs - waited.wantedAtMs < REPEAT_MS) {
+      return onTheWayMs;
+    }
+    const need = toNeed(waited, nowMs);
+    const choice =
+      waited.isInteractive && onTheWayMs > MUCH_SOONER_MS
+        ? choosePlacement(need, servers, profile)
+        : undefined;
+    if (choice && choice.readyInMs + MUCH_SOONER_MS < onTheWayMs) {
+      waited.wantedAtMs = nowMs;
+      waited.wantedAddress = choice.server.entry.address;
+      return this.want(waited, choice);
     }
-    this.parts.links.want(choice.server.entry.address, need.model, need.isInteractive);
+    this.repeatWant(waited, nowMs);
+    return onTheWayMs;
+  }
+
+  /** Asks the chosen agent for the model; gives the time until it is ready. */
+  private want(waited: WaitedModel, choice: PlacementChoice): number {
+    const { model, isInteractive } = waited;
+    this.parts.links.want(choice.server.entry.address, model, isInteractive);
     this.parts.log.decided('model wanted', {
-      model: need.model,
+      model,
       address: choice.server.entry.address,
       readyInMs: choice.readyInMs,
       waitingCount: waited.waiters.size,
@@ -207,7 +239,7 @@
   }
 
   private repeatWant(waited: WaitedModel, nowMs: number): void {
-    if (waited.wantedAddress !== undefined && nowMs - waited.wantedAtMs >= REPEAT_MS) {
+    if (waited.wantedAddress !== undefined) {
       waited.wantedAtMs = nowMs;
       this.parts.links.want(waited.wantedAddress, waited.model, waited.isInteractive);
     }
@@ -277,7 +309,7 @@
       maxStartMs: Infinity,
       mayFetchCopy: true,
     };
-    if (!profile || !need || readyOnTheWayMs(need, servers) !== undefined) {
+    if (!profile || !need || readyOnTheWayMs(need, servers, profile) !== undefined) {
       return;
     }
     const holders = servers.filter((server) => getHeldModel(server, model));
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -6,7 +6,7 @@
 
 /** Loads from the weight store that run at once at full speed on the deployments served; more slow each other down. */
 const STORE_LOADS_AT_ONCE = 4;
-/** Time that an order under way still takes, in milliseconds, where nothing better is known: half a load from disk. */
+/** Time that an order under way still takes, in milliseconds, where it is no load of a model: an adapter or an unload. */
 const BUSY_MS = 500;
 /** Time that one more model in an agent's queue takes, in milliseconds: those that run end, an unload and a load from disk. */
 const QUEUED_MODEL_MS = 2_000;
@@ -24,8 +24,10 @@
 const HELD_UP_ADAPTERS_MS = 400;
 /** Time that each rank counts for, in milliseconds: live models gather on the first servers, others on the last. */
 const RANK_MS = 20;
-/** Time that a load still takes which should be over, in milliseconds. */
+/** Time that a load still takes at least while it is not reported as done, in milliseconds. */
 const ALMOST_DONE_MS = 200;
+/** The same as a share of its time so far: loads from the store slow each other down, so one that is late stays so. */
+const OVERDUE_SHARE = 0.25;
 /** Time that ties are broken by, in milliseconds; all routers break them the same way. */
 const TIE_MS = 100;
 
@@ -83,8 +85,7 @@
     if (!room) {
       continue;
     }
-    const startMs =
-      (report.isBusy ? BUSY_MS : 0) + report.queuedModels.length * QUEUED_MODEL_MS + room.startMs;
+    const startMs = busyLeftMs(server, profile) + report.queuedModels.length * QUEUED_MODEL_MS + room.startMs;
     if (startMs > need.maxStartMs) {
       continue;
     }
@@ -111,31 +112,56 @@
  * Time until a model that some agent loads or is about to load can be used, in milliseconds; undefined when none does.
  * @param need - The model.
  * @param servers - Servers of the service that take work.
+ * @param profile - What their engines hold at most.
  */
-export function readyOnTheWayMs(need: PlacementNeed, servers: readonly KnownServer[]): number | undefined {
+export function readyOnTheWayMs(
+  need: PlacementNeed,
+  servers: readonly KnownServer[],
+  profile: EngineProfile,
+): number | undefined {
   let bestMs: number | undefined;
   for (const server of servers) {
     const { report } = server;
     const queueIndex = report?.queuedModels.indexOf(need.model) ?? -1;
     const isLoading = report?.loadingModel === need.model;
-    if (report && (isLoading || queueIndex >= 0)) {
-      const doneMs = isLoading ? report.loadingForMs : 0;
-      const leftMs = Math.max(ALMOST_DONE_MS, loadTimeMs(need, server) - doneMs);
-      const readyMs = leftMs + Math.max(0, queueIndex) * QUEUED_MODEL_MS;
+    if (isLoading || queueIndex >= 0) {
+      const queuedMs = loadTimeMs(need, server) + Math.max(0, queueIndex) * QUEUED_MODEL_MS;
+      const readyMs = busyLeftMs(server, profile) + (isLoading ? 0 : queuedMs);
       bestMs = Math.min(bestMs ?? Infinity, readyMs);
     }
   }
   return bestMs;
 }
 
+/** Time until a server has carried out the order that is under way, in milliseconds. */
+function busyLeftMs({ report }: KnownServer, profile: EngineProfile): number {
+  if (report?.isBusy !== true && report?.loadingModel === undefined) {
+    return 0;
+  }
+  const { loadingModel, loadingForMs } = report;
+  const footprint = loadingModel === undefined ? undefined : profile.models.get(loadingModel);
+  if (loadingModel === undefined || !footprint) {
+    return BUSY_MS;
+  }
+  const totalMs = loadTimeOf(loadingModel, footprint, report);
+  const leftMs = totalMs > loadingForMs ? totalMs - loadingForMs : OVERDUE_SHARE * loadingForMs;
+  return Math.max(ALMOST_DONE_MS, leftMs);
+}
+
 /**
  * Time that a server takes to load a model, in milliseconds.
  * @param need - The model.
  * @param server - The server.
  */
 export function loadTimeMs(need: PlacementNeed, server: KnownServer): number {
-  const { footprint, model } = need;
-  const source = server.report ?? server.entry;
+  return loadTimeOf(need.model, need.footprint, server.report ?? server.entry);
+}
+
+function loadTimeOf(
+  model: string,
+  footprint: ModelFootprint,
+  source: { readonly modelsInMemory: readonly string[]; readonly modelsOnDisk: readonly string[] },
+): number {
   if (source.modelsInMemory.includes(model)) {
     return footprint.memoryLoadMs;
   }
--- a/test/direct/ModelDesk.test.ts
+++ b/test/direct/ModelDesk.test.ts
@@ -103,6 +103,14 @@
       expect(bench.wishes).to.deep.equal(['a at 1', 'a at 2']);
     });
 
+    it('has a model that is waited for live loaded elsewhere when it is queued behind a long load', () => {
+      const bench = new DeskBench();
+      const isLoading = { loadingModel: 'd', loadingForMs: 1_000, isBusy: true };
+      bench.report({ modelsOnDisk: ['a'], queuedModels: ['a'], ...isLoading }, { modelsOnDisk: ['a'] });
+      bench.wait({ isInteractive: true });
+      expect(bench.wishes).to.deep.equal(['a at 2']);
+    });
+
     it('refuses at once what can not be ready in time', async () => {
       const bench = new DeskBench();
       bench.report({});
--- a/test/direct/decisions/ModelPlacement.test.ts
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -55,6 +55,16 @@
   it('goes to a busy server when that was waited for', () =>
     doTest([{}, { modelsOnDisk: ['a'], isBusy: true }], { maxStartMs: 1_000 }, 'xx'));
 
+  it('goes round a server that loads another model from the store', () =>
+    doTest(
+      [
+        { modelsOnDisk: ['a'], loadingModel: 'd', loadingForMs: 1_000, isBusy: true },
+        { modelsOnDisk: ['a'], queuedModels: ['d'] },
+      ],
+      { isInteractive: true, maxStartMs: Infinity },
+      'xx',
+    ));
+
   it('fetches weights that no server has', () => doTest([{}], {}, 'x'));
 
   it('fetches no more than four models at once for work that can wait', () => {
@@ -84,11 +94,23 @@
 describe('readyOnTheWayMs', () => {
   it('counts a load under way down', () => {
     const servers = makeServers([{ loadingModel: 'a', loadingForMs: 5_000, isBusy: true }]);
-    expect(readyOnTheWayMs(makeNeed(), servers)).to.equal(1_000);
+    expect(readyOnTheWayMs(makeNeed(), servers, PROFILE)).to.equal(1_000);
+  });
+
+  it('counts the load that a queued model must wait for', () => {
+    const servers = makeServers([
+      { loadingModel: 'd', loadingForMs: 2_000, isBusy: true, queuedModels: ['a'], modelsOnDisk: ['a'] },
+    ]);
+    expect(readyOnTheWayMs(makeNeed(), servers, PROFILE)).to.equal(5_000);
+  });
+
+  it('expects a load that is overdue to take longer still', () => {
+    const servers = makeServers([{ loadingModel: 'a', loadingForMs: 10_000, isBusy: true }]);
+    expect(readyOnTheWayMs(makeNeed(), servers, PROFILE)).to.equal(2_500);
   });
 
   it('is undefined when nobody loads the model', () => {
-    expect(readyOnTheWayMs(makeNeed(), makeServers([{}]))).to.equal(undefined);
+    expect(readyOnTheWayMs(makeNeed(), makeServers([{}]), PROFILE)).to.equal(undefined);
   });
 });
 
