--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -21,6 +21,8 @@
 import { NAMES } from './serviceNames.js';
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
 
+const MS_PER_SECOND = 1_000;
+
 /** What both kinds of process need. */
 interface CommonParts {
   readonly instanceId: string;
@@ -80,7 +82,12 @@
     getStopGraceMs: parts.getStopGraceMs,
   });
   const isReady = () => view.isComplete && !callers.isStopping;
+  let hasBeenReady = false;
   watcher.onChange(() => {
+    if (!hasBeenReady && isReady()) {
+      hasBeenReady = true;
+      log.stateChanged('ready for callers', { sinceStartMs: Math.round(process.uptime() * MS_PER_SECOND) });
+    }
     callers.applyLimits();
     chooser.prune();
     links.maintain();
