Send routers what changed of a report instead of all of it

Every agent sent its whole report (models on disk and in memory, uses, counts; about a kilobyte) to every router several times a second. A router now gets one whole report when it connects and then only the fields that changed. Ruled out: compression of the connection (memory and a thread's work for each message).

--- a/src/direct/AgentLinks.ts
+++ b/src/direct/AgentLinks.ts
@@ -2,7 +2,12 @@
 import { Repeater } from '../kernel/index.js';
 import type { Log } from '../telemetry/index.js';
 import type { PeerConnection, PeerDialer, PeerMethods } from '../transport/index.js';
-import type { EngineProfile, FleetView } from './decisions/index.js';
+import {
+  applyReportChanges,
+  type AgentReport,
+  type EngineProfile,
+  type FleetView,
+} from './decisions/index.js';
 import {
   RESIDENCY_METHODS,
   ROUTING_METHODS,
@@ -31,6 +36,8 @@
 interface Link {
   readonly connection: PeerConnection;
   followedVersion: number;
+  /** Latest report, to which the agent's next changes apply. */
+  report: AgentReport | undefined;
 }
 
 /** Keeps a router connected to the agents of all engines, for reports one way and wishes the other. */
@@ -134,9 +141,13 @@
     }
   }
 
-  private applyReport(report: EngineReportParams): void {
-    this.parts.view.applyReport(report, this.parts.clock.nowMs());
-    this.reportListener();
+  private applyReport(changes: EngineReportParams): void {
+    const link = this.links.get(changes.address);
+    if (link) {
+      link.report = applyReportChanges(link.report, changes);
+      this.parts.view.applyReport(link.report, this.parts.clock.nowMs());
+      this.reportListener();
+    }
   }
 
   private keepLink(address: string, engine: EngineProfile): void {
@@ -154,7 +165,7 @@
     const host = address.slice(0, address.lastIndexOf(':'));
     try {
       const connection = await dialer.connect(`${host}:${peerPort}`);
-      const link: Link = { connection, followedVersion: -Infinity };
+      const link: Link = { connection, followedVersion: -Infinity, report: undefined };
       connection.hold();
       this.links.set(address, link);
       connection.onClose(() => {
--- a/src/direct/EngineKeeper.ts
+++ b/src/direct/EngineKeeper.ts
@@ -1,13 +1,20 @@
 import { pause, type Clock, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
-import { ResidencyPlanner, type AgentReport, type DueOrder, type EngineReport } from './decisions/index.js';
+import {
+  findReportChanges,
+  ResidencyPlanner,
+  type AgentReport,
+  type DueOrder,
+  type EngineReport,
+} from './decisions/index.js';
 import type { EnginePort, OrderAnswer } from './EnginePort.js';
 import {
   RESIDENCY_METHODS,
   ROUTING_METHODS,
   type CrashedParams,
   type EnsureAdapterParams,
+  type EngineReportParams,
   type EnsureAdapterReply,
   type FollowEngineParams,
   type ModelUseParams,
@@ -55,6 +62,8 @@
   private loadingSinceMs = 0;
   private reportedAtMs = -Infinity;
   private reported: EngineReport | undefined;
+  /** Report that all followers have; undefined when the next one must be whole. */
+  private sent: AgentReport | undefined;
   private reportedPlan = '';
   private isEngineUp = true;
   private wake: () => void = () => undefined;
@@ -117,6 +126,7 @@
       if (report) {
         log.stateChanged('engine answers again', { bornAtMs: report.bornAtMs });
       } else {
+        this.sent = undefined;
         log.degraded('engine does not answer');
       }
     }
@@ -175,6 +185,9 @@
     this.planner.setCapacity({ ...params, models: new Map(params.models) });
     if (!this.followers.has(from)) {
       this.followers.set(from, { runningCounts: new Map() });
+      if (this.sent) {
+        from.notify(ROUTING_METHODS.report, this.sent);
+      }
       from.onClose(() => this.unfollow(from));
       this.parts.log.stateChanged('router connected', { router: from.peerName });
     }
@@ -307,8 +320,10 @@
       routerCount: this.followers.size,
       crashCounts: Object.fromEntries(this.crashCounts),
     };
+    const changes: EngineReportParams = findReportChanges(this.sent, report);
+    this.sent = report;
     for (const connection of this.followers.keys()) {
-      connection.notify(ROUTING_METHODS.report, report);
+      connection.notify(ROUTING_METHODS.report, changes);
     }
   }
 }
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -7,5 +7,6 @@
 export * from './FleetView.js';
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
+export * from './reportChanges.js';
 export * from './CrashSuspects.js';
 export * from './ResidencyPlanner.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,4 +1,4 @@
-import type { AgentReport, EngineProfile, ModelFootprint } from './decisions/index.js';
+import type { EngineProfile, ModelFootprint, ReportChanges } from './decisions/index.js';
 
 /** Methods that agents offer to routers. */
 export const RESIDENCY_METHODS = {
@@ -52,8 +52,8 @@
   readonly crashCount: number;
 }
 
-/** Report of an agent to the routers that follow it. */
-export type EngineReportParams = AgentReport;
+/** What changed since an agent's last report to the routers that follow it; the first one is whole. */
+export type EngineReportParams = ReportChanges;
 
 /**
  * Writes an engine profile for an agent.
--- a/test/direct/EngineKeeper.test.ts
+++ b/test/direct/EngineKeeper.test.ts
@@ -1,11 +1,13 @@
 import { expect } from 'chai';
 import {
+  applyReportChanges,
   EngineKeeper,
   EnginePort,
   type AgentReport,
   type EngineReport,
   type HeldModel,
   type OrderAnswer,
+  type ReportChanges,
   type ResidencyOrder,
 } from '../../src/direct/index.js';
 import { toFollowParams } from '../../src/direct/messages.js';
@@ -66,10 +68,15 @@
 /** Router's end of a connection: what it was told, and what it calls. */
 class FakeRouter {
   readonly reports: AgentReport[] = [];
+  /** What was sent of them. */
+  readonly sent: ReportChanges[] = [];
   readonly connection = {
     peerName: 'router-1',
     onClose: () => () => undefined,
-    notify: (_method: string, report: AgentReport) => this.reports.push(report),
+    notify: (_method: string, changes: ReportChanges) => {
+      this.sent.push(changes);
+      this.reports.push(applyReportChanges(this.reports.at(-1), changes));
+    },
   } as unknown as PeerConnection;
 
   constructor(private readonly keeper: EngineKeeper) {}
@@ -140,6 +147,16 @@
     expect(engine.orders.length).to.equal(1);
   });
 
+  it('sends a router that comes later a whole report, and then to all what changed', async () => {
+    const second = new FakeRouter(keeper);
+    second.call('residency.follow', toFollowParams(makeProfile(), 1));
+    await pause(CLOCK, 700);
+    expect(second.sent[0]?.heldModels?.map(({ name }) => name)).to.deep.equal(['b', 'c']);
+    expect(second.sent.at(-1)).not.to.have.any.keys('heldModels', 'bornAtMs', 'modelsOnDisk');
+    expect(second.reports.at(-1)).to.deep.equal(router.reports.at(-1));
+    expect(second.reports.at(-1)?.routerCount).to.equal(2);
+  });
+
   it('passes on which requests crash servers', () => {
     router.call('residency.crashed', { fingerprint: 'f', crashCount: 2 });
     expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 2 });
