Look at waits once for all reports of a moment

Each of an agent's reports, some hundred a second at a router of the larger sites, had all waiting models looked at, and each model had the list of all servers made anew. News are gathered for 15 ms now and the list is made once for each look. Ruled out: looking only at the waits that a report concerns; any report can free a place for any model.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -91,9 +91,9 @@
     callers.applyLimits();
     chooser.prune();
     links.maintain();
-    desk.reviewWaits();
+    desk.noteNews();
   });
-  links.onReport(() => desk.reviewWaits());
+  links.onReport(() => desk.noteNews());
   await kernel.start(watcher);
   await kernel.start(links);
   await kernel.start(desk);
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -1,4 +1,4 @@
-import type { Clock, Service } from '../kernel/index.js';
+import type { Clock, Service, Timer } from '../kernel/index.js';
 import { Repeater } from '../kernel/index.js';
 import type { ServiceId } from '../domain/index.js';
 import type { Log } from '../telemetry/index.js';
@@ -18,6 +18,8 @@
 
 /** Interval at which models that requests wait for are looked at, in milliseconds. */
 const TICK_MS = 100;
+/** Time for which news of servers are gathered before waits are looked at, in milliseconds: agents report by the dozen. */
+const GATHER_MS = 15;
 /** Interval at which a wish is repeated, in milliseconds; agents forget it after three. */
 const REPEAT_MS = 500;
 /** Time after which an agent's report shows a wish that it took, in milliseconds: one of its looks and the way. */
@@ -63,6 +65,7 @@
   private fetchedAtMs = -Infinity;
   /** When the first request came; undefined before. */
   private trafficSinceMs: number | undefined;
+  private newsTimer: Timer | undefined;
   private readonly ticker: Repeater;
   private readonly replicaTicker: Repeater;
 
@@ -79,6 +82,7 @@
   }
 
   stop(): Promise<void> {
+    this.newsTimer?.cancel();
     this.ticker.stop();
     this.replicaTicker.stop();
     return Promise.resolve();
@@ -130,7 +134,8 @@
         this.waited.set(model, waited);
       }
       waited.waiters.set(wait.requestId, { wait, resolve });
-      this.review(waited);
+      const nowMs = this.parts.clock.nowMs();
+      this.review(waited, this.serversOf(wait.serviceId, nowMs), nowMs);
     });
   }
 
@@ -147,17 +152,27 @@
     }
   }
 
-  /** Looks at all waits again, after the view changed. */
+  /** Has all waits looked at again, since the view changed; once for all news of a moment. */
+  noteNews(): void {
+    if (this.waited.size > 0) {
+      this.newsTimer ??= this.parts.clock.schedule(GATHER_MS, () => this.reviewWaits());
+    }
+  }
+
+  /** Looks at all waits again. */
   reviewWaits(): void {
+    this.newsTimer?.cancel();
+    this.newsTimer = undefined;
+    const nowMs = this.parts.clock.nowMs();
+    const serversByService = new Map<ServiceId, KnownServer[]>();
     for (const waited of [...this.waited.values()]) {
-      this.review(waited);
+      const servers = serversByService.get(waited.serviceId) ?? this.serversOf(waited.serviceId, nowMs);
+      serversByService.set(waited.serviceId, servers);
+      this.review(waited, servers, nowMs);
     }
   }
 
-  private review(waited: WaitedModel): void {
-    const { clock } = this.parts;
-    const nowMs = clock.nowMs();
-    const servers = this.serversOf(waited.serviceId, nowMs);
+  private review(waited: WaitedModel, servers: readonly KnownServer[], nowMs: number): void {
     if (servers.some((server) => getHeldModel(server, waited.model))) {
       this.endAll(waited, { kind: 'ready' });
       return;
--- a/test/direct/ModelDesk.test.ts
+++ b/test/direct/ModelDesk.test.ts
@@ -127,6 +127,21 @@
       expect(box.result).to.equal(undefined);
     });
 
+    it('looks at all waits once for the news of a moment', async () => {
+      const bench = new DeskBench();
+      bench.report({ isBusy: true, modelsOnDisk: ['a'] }, { isBusy: true });
+      const box = bench.wait();
+      bench.view.applyList([makeEntry('x', { heldModels: [held('a')] })], 0);
+      bench.view.dropReport(makeEntry('x').address);
+      bench.desk.noteNews();
+      bench.desk.noteNews();
+      await settle();
+      expect(box.result).to.equal(undefined);
+      bench.clock.advance(20);
+      await settle();
+      expect(box.result?.kind).to.equal('ready');
+    });
+
     it('gives up when no place came in time', async () => {
       const bench = new DeskBench();
       const inUse = { runningCount: 1, idleForMs: 0, isProtected: true };
