Make fewer calls to the store for changes of servers

Now 600 ms, with watches of 500 ms, so that a silent watch after the pause is still noticed within the bound of two seconds; the time-out of a call is 0.6 s. Ruled out: longer pauses, which break that bound; taking servers from the agents alone, who see only engines. Test: the silent watch also after a pause for other changes.

--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -11,12 +11,14 @@
 import type { FleetView } from './decisions/index.js';
 
 /**
- * Longest that one watch waits, in milliseconds. A connection that went silent is noticed after this and the call's
- * time-out, which together keep clear of the platform's shortest bound for news, two seconds.
+ * Longest that one watch of the configuration waits, in milliseconds. A connection that went silent is noticed after this
+ * and the call's time-out, which together keep clear of the platform's shortest bound for news, two seconds.
  */
-const WATCH_WAIT_MS = 1_000;
+const CONFIGURATION_WAIT_MS = 1_000;
+/** The same for servers; shorter, since the pause after their changes comes before it. */
+const SERVERS_WAIT_MS = 500;
 /** Pause after changes of servers, in milliseconds, so that many of them cost one call: agents tell faster of models. */
-const GATHER_MS = 400;
+const GATHER_MS = 600;
 /** First pause after a failed call, doubled up to the limit, in milliseconds. */
 const FIRST_RETRY_MS = 50;
 /** Longest pause after a failed call, in milliseconds; a returned store must be seen well within two seconds. */
@@ -80,7 +82,7 @@
     return this.follow<ServerListing | ServerChanges>({
       subject: 'servers',
       list: () => source.listServers(),
-      watch: (revision) => source.watchServers(revision, WATCH_WAIT_MS),
+      watch: (revision) => source.watchServers(revision, SERVERS_WAIT_MS),
       take: async (result) => {
         this.applyServers(result);
         if (result.kind === 'changed' && result.changes.length > 0) {
@@ -96,7 +98,7 @@
     return this.follow<ConfigurationRead>({
       subject: 'configuration',
       list: () => source.readConfiguration(),
-      watch: (revision) => source.watchConfiguration(revision, WATCH_WAIT_MS),
+      watch: (revision) => source.watchConfiguration(revision, CONFIGURATION_WAIT_MS),
       take: async (result) => {
         this.applyConfiguration(result);
         if (view.configuration) {
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -153,7 +153,7 @@
       await bench.answer('watch servers', GONE_X);
       expect(bench.ready).to.deep.equal(['xx']);
       expect(bench.calls).to.deep.equal(['read configuration']);
-      await bench.advance(450);
+      await bench.advance(650);
       expect(bench.calls).to.include('watch servers from 8');
     });
 
--- a/test/platform/silentWatch.test.ts
+++ b/test/platform/silentWatch.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { StoreClient } from '../../platform/StoreClient.js';
 import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
-import { toServerId, toServiceId } from '../../src/domain/index.js';
+import { toServerId } from '../../src/domain/index.js';
 import { FleetView, FleetWatcher } from '../../src/direct/index.js';
 import { Random, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
@@ -23,6 +23,7 @@
   version = 1;
   state = 'ready';
   private changedAtMs = Infinity;
+  private silentForMs = 0;
   private readonly server: Server;
 
   constructor() {
@@ -33,7 +34,7 @@
       const waitMs = Number(url.searchParams.get('WaitMs') ?? 0);
       const since = url.searchParams.get('Watch');
       const reply = () => {
-        if (openedAtMs < this.changedAtMs && Date.now() >= this.changedAtMs) {
+        if (openedAtMs < this.changedAtMs + this.silentForMs && Date.now() >= this.changedAtMs) {
           return;
         }
         const items = kind === 'config' ? [this.configuration] : [this.entry];
@@ -53,11 +54,17 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
-  /** Writes a newer configuration and lets the server leave. */
-  change(): void {
-    this.version = 2;
+  /** Writes a newer configuration and lets the server leave; watches opened until `silentForMs` later are silent too. */
+  change(silentForMs: number): void {
+    this.version++;
     this.state = 'draining';
     this.changedAtMs = Date.now();
+    this.silentForMs = silentForMs;
+  }
+
+  /** Writes both again as they are, so that all watches tell of a change. */
+  touch(): void {
+    this.version++;
   }
 
   close(): void {
@@ -77,41 +84,62 @@
 }
 
 describe('a watch that falls silent', () => {
-  it('delays neither a configuration nor a leaving server beyond their bounds', async () => {
-    const store = new ForgetfulStore();
+  let store: ForgetfulStore;
+  let view: FleetView;
+  let watcher: FleetWatcher;
+
+  beforeEach(async () => {
+    store = new ForgetfulStore();
     const address = await store.listen();
-    const clock = new SystemClock();
-    const view = new FleetView();
-    const watcher = new FleetWatcher({
-      clock,
+    view = new FleetView();
+    watcher = new FleetWatcher({
+      clock: new SystemClock(),
       random: new Random(1),
       source: new StoreFleetSource(new StoreClient(() => address)),
       view,
       log: new Log('test', () => undefined),
       metrics: new Metrics(),
     });
+    await watcher.start();
+    await until(() => view.isComplete, 1_000);
+  });
+
+  afterEach(async () => {
+    await watcher.stop();
+    store.close();
+  });
+
+  async function expectNewsInTime(): Promise<void> {
+    const version = store.version;
     const isTold = () =>
-      view.configuration?.version === 2 && view.getEntry(toServerId('i-1'))?.isLeaving === true;
-    try {
-      await watcher.start();
-      await until(() => view.isComplete, 1_000);
-      expect([...view.getReadyServers(toServiceId('s'), clock.nowMs())]).to.have.length(1);
-      // Both watches have only just begun, so their time-outs are as far off as they can be.
-      await new Promise((resolve) => setTimeout(resolve, 30));
-      store.change();
-      await until(isTold, BOUND_MS);
-      expect(isTold()).to.equal(true);
-    } finally {
-      await watcher.stop();
-      store.close();
-    }
+      view.configuration?.version === version && view.getEntry(toServerId('i-1'))?.isLeaving === true;
+    await until(isTold, BOUND_MS);
+    expect(isTold()).to.equal(true);
+  }
+
+  it('delays neither a configuration nor a leaving server beyond their bounds', async () => {
+    // Both watches have only just begun, so their time-outs are as far off as they can be.
+    await pauseMs(30);
+    store.change(0);
+    await expectNewsInTime();
+  });
+
+  it('does not, either, when it follows the pause after other changes', async () => {
+    store.touch();
+    await until(() => view.configuration?.version === store.version, 1_500);
+    store.change(700);
+    await expectNewsInTime();
   });
 });
 
+function pauseMs(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
 /** Waits until something is so, or the time is over. */
 async function until(isSo: () => boolean, limitMs: number): Promise<void> {
   const endsAtMs = Date.now() + limitMs;
   while (!isSo() && Date.now() < endsAtMs) {
-    await new Promise((resolve) => setTimeout(resolve, 10));
+    await pauseMs(10);
   }
 }
