End a stopping agent although routers dial it again

Routers dial again every 200 ms; a connection accepted meanwhile was never closed, and the stop waited for it without end. The listener now goes first. Ruled out: the ports for readiness and metrics, which close their connections themselves.

--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -67,9 +67,11 @@
   }
 
   async stop(): Promise<void> {
+    // The listener goes first: an end that lost its connection dials again at once, and would keep the process alive.
+    const closed = new Promise((resolve) => this.http.close(resolve));
     await Promise.all([...this.connections].map((connection) => connection.close()));
     this.http.closeAllConnections();
-    await new Promise((resolve) => this.http.close(resolve));
+    await closed;
   }
 
   private upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
