Give the search for a server a class of its own

ServerSearch does that now and says why it found none; DirectFlow decides what becomes of the request. Two things are stricter: a request that waited is checked for crashes after every search, and one that may have run is not refused as 'not run' when no server is left for it.

--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -1,4 +1,4 @@
-import { pause, type Clock, type Timer } from '../kernel/index.js';
+import type { Clock, Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentLinks } from './AgentLinks.js';
@@ -15,14 +15,12 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import { getHeldModel } from './decisions/index.js';
 import type { CallHeaders, HeaderCodec } from './HeaderCodec.js';
 import type { ModelDesk } from './ModelDesk.js';
+import { ServerSearch } from './ServerSearch.js';
 
 /** Most sends of one request, refused ones included; a bound on a request that every server refuses. */
 const MAX_SENDS = 6;
-/** Time after which servers that did not take a request are asked again, in milliseconds. */
-const SERVER_PAUSE_MS = 120;
 /** Time after which a caller should return when nothing better is known, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** Time that an attempt needs at least to be worth sending, in milliseconds. */
@@ -77,7 +75,7 @@
 /** Takes one request to a backend server and its answer back. */
 export class DirectFlow {
   private readonly tracker = new VerdictTracker();
-  private readonly excluded = new Set<ServerId>();
+  private readonly search: ServerSearch;
   private readonly limits: RequestLimits;
   private readonly watchdog: Timer;
   private attempt: BackendAttempt | undefined;
@@ -105,6 +103,7 @@
   ) {
     const { route, call, receivedAtMs } = request;
     this.limits = new RequestLimits(route, call.deadlineMs, receivedAtMs);
+    this.search = new ServerSearch(parts, request, this.limits, () => this.settled);
     this.lastEventId = call.lastEventId;
     this.watchdog = parts.clock.schedule(this.remainingMs(), () => this.timeOut());
   }
@@ -118,7 +117,7 @@
     }
     while (!this.settled) {
       const server = await this.findServer();
-      if (!server || this.settled) {
+      if (!server) {
         return;
       }
       if (this.sendCount > 0 && !this.mayRepeat()) {
@@ -157,93 +156,33 @@
     }
   }
 
+  /** Finds the next server, or ends the request; undefined when it has ended. */
   private async findServer(): Promise<KnownServer | undefined> {
-    const { call, serviceId } = this.request;
-    while (!this.settled) {
-      if (this.isStoppedForCrashes()) {
-        this.refuse(502, 'the request broke off on several servers');
-        return undefined;
-      }
-      const { model, adapter } = call;
-      const isLive = this.limits.isLive && model !== undefined;
-      const need = { serviceId, model, adapter, isLive, excludedServerIds: this.excluded };
-      const server = this.parts.chooser.getServer(need, this.parts.clock.nowMs());
-      if (!server) {
-        if (!(await this.waitForServer())) {
-          return undefined;
-        }
-        continue;
-      }
-      if (model === undefined || adapter === undefined || (await this.hasAdapter(server, model, adapter))) {
-        return server;
-      }
-      this.excluded.add(server.entry.serverId);
-    }
-    return undefined;
-  }
-
-  /** Waits for a server that holds the model; false when the request was refused. */
-  private async waitForServer(): Promise<boolean> {
-    const { call, serviceId } = this.request;
-    const { desk } = this.parts;
-    if (this.hasBegun) {
-      this.giveUp('no server takes the rest of the stream');
-      return false;
-    }
-    if (call.model === undefined) {
-      return this.pauseForServers(this.limits.waitsUntilMs);
-    }
-    const { model, requestId } = call;
-    const untilMs = this.limits.waitsUntilMs;
-    if (this.excluded.size > 0) {
-      return this.pauseForServers(untilMs);
-    }
-    const result = await desk.waitFor({
-      requestId,
-      serviceId,
-      model,
-      isInteractive: this.limits.isLive,
-      untilMs,
+    const found = await this.search.find({
+      mayWait: !this.hasBegun,
+      mayAskAgain: this.sendCount < MAX_SENDS && this.runCount === 0,
     });
     if (this.settled) {
-      return false;
-    }
-    switch (result.kind) {
-      case 'ready':
-        return true;
-      case 'tooLate':
-        this.refuse(503, 'the model is not ready in time', result.readyInMs);
-        return false;
-      case 'noPlace':
-        this.refuse(503, 'no server has room for the model', DEFAULT_RETRY_AFTER_MS);
-        return false;
+      return undefined;
     }
-  }
-
-  /** Gives the servers that did not take the request a moment; false when there is no time for it. */
-  private async pauseForServers(untilMs: number): Promise<boolean> {
-    const { clock } = this.parts;
-    if (this.sendCount >= MAX_SENDS || clock.nowMs() + SERVER_PAUSE_MS >= untilMs || this.runCount > 0) {
-      this.giveUp('the servers did not take the request');
-      return false;
+    if (this.isStoppedForCrashes()) {
+      this.refuse(502, 'the request broke off on several servers');
+      return undefined;
     }
-    await pause(clock, SERVER_PAUSE_MS);
-    this.excluded.clear();
-    return !this.settled;
-  }
-
-  private async hasAdapter(server: KnownServer, model: string, adapter: string): Promise<boolean> {
-    if (getHeldModel(server, model)?.adapters.includes(adapter) === true) {
-      return true;
+    switch (found.kind) {
+      case 'found':
+        return found.server;
+      case 'refused':
+        this.giveUp(found.detail, found.retryAfterMs);
+        return undefined;
     }
-    return this.parts.links.ensureAdapter(server.entry.address, model, adapter);
   }
 
   private async send(server: KnownServer): Promise<void> {
     const { clock, codec, chooser, log } = this.parts;
     const { call, route, method, path, body } = this.request;
     const { serverId, address } = server.entry;
-    const silence = this.limits.getSilenceLimits(this.runCount, () => this.hasOtherServer(serverId));
+    const silence = this.limits.getSilenceLimits(this.runCount, () => this.search.hasOther(serverId));
     const attempt = new BackendAttempt(
       clock,
       codec,
@@ -307,7 +246,7 @@
         this.takeAnswer(end, serverId);
         return;
       case 'unreachable':
-        this.excluded.add(serverId);
+        this.search.exclude(serverId);
         return;
       case 'notRun':
         this.takeRejection(end, serverId);
@@ -325,15 +264,15 @@
     if (model !== undefined && !end.isOtherServer) {
       this.parts.view.noteModelRefused(serverId, model, this.parts.clock.nowMs());
     } else {
-      this.excluded.add(serverId);
+      this.search.exclude(serverId);
     }
   }
 
   private takeAnswer(end: AttemptEnd & { kind: 'answered' }, serverId: ServerId): void {
     this.runCount++;
-    if (end.head.status >= 500 && this.mayRunAgain() && this.hasOtherServer(serverId)) {
+    if (end.head.status >= 500 && this.mayRunAgain() && this.search.hasOther(serverId)) {
       this.fallback = end;
-      this.excluded.add(serverId);
+      this.search.exclude(serverId);
       return;
     }
     this.tracker.ranToEnd();
@@ -344,7 +283,7 @@
   private takeBreak(end: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
     const { suspects, links, clock } = this.parts;
     this.runCount++;
-    this.excluded.add(serverId);
+    this.search.exclude(serverId);
     if (!end.isSilent) {
       const count = suspects.noteBreak(this.request.fingerprint, clock.nowMs());
       if (count > 1) {
@@ -397,18 +336,6 @@
     return isTaken;
   }
 
-  private hasOtherServer(serverId: ServerId): boolean {
-    const { call, serviceId } = this.request;
-    const need = {
-      serviceId,
-      model: call.model,
-      adapter: call.adapter,
-      isLive: false,
-      excludedServerIds: new Set([...this.excluded, serverId]),
-    };
-    return this.parts.chooser.getServer(need, this.parts.clock.nowMs()) !== undefined;
-  }
-
   private isStoppedForCrashes(): boolean {
     const { suspects, view, clock } = this.parts;
     const { fingerprint } = this.request;
@@ -423,7 +350,7 @@
   }
 
   /** Ends the request with what there is. */
-  private giveUp(detail: string): void {
+  private giveUp(detail: string, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
     if (this.fallback) {
       const { head, body } = this.fallback;
       this.settle(`answered ${head.status}`);
@@ -431,7 +358,7 @@
       return;
     }
     if (this.tracker.verdict === 'didNotRun') {
-      this.refuse(503, detail, DEFAULT_RETRY_AFTER_MS);
+      this.refuse(503, detail, retryAfterMs);
     } else {
       this.refuse(502, detail);
     }
