--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -15,8 +15,9 @@
  * and the call's time-out, which together keep clear of the platform's shortest bound for news, two seconds.
  */
 const CONFIGURATION_WAIT_MS = 1_000;
-/** The same for servers; shorter, since the pause after their changes comes before it. */
-const SERVERS_WAIT_MS = 500;
+/** The same for servers, and after the pause for their changes, which comes on top. */
+const SERVERS_WAIT_MS = 1_000;
+const GATHERED_WAIT_MS = 500;
 /** Pause after changes of servers, in milliseconds, so that many of them cost one call: agents tell faster of models. */
 const GATHER_MS = 600;
 /** First pause after a failed call, doubled up to the limit, in milliseconds. */
@@ -79,14 +80,17 @@
 
   private followServers(): Promise<void> {
     const { source, clock } = this.parts;
+    let waitMs = SERVERS_WAIT_MS;
     return this.follow<ServerListing | ServerChanges>({
       subject: 'servers',
       list: () => source.listServers(),
-      watch: (revision) => source.watchServers(revision, SERVERS_WAIT_MS),
+      watch: (revision) => source.watchServers(revision, waitMs),
       take: async (result) => {
         this.applyServers(result);
+        waitMs = SERVERS_WAIT_MS;
         if (result.kind === 'changed' && result.changes.length > 0) {
           await pause(clock, GATHER_MS);
+          waitMs = GATHERED_WAIT_MS;
         }
         return result.revision;
       },
