Keep a wish alive that another router began

Only the router that asked repeats its wish; its own callers had been refused after a second, so the agent dropped the wish after 1.5 s, let the model that was being emptied take requests again, and began anew with the next wish. Routers that wait for a model on its way now repeat the wish themselves. Ruled out: longer lives for wishes at the agent; a wish nobody waits for empties a place in vain.

--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -6,9 +6,9 @@
 import { replicatedModels, toNeed, type ModelWait, type WaitedModel, type WaitResult } from './modelWaits.js';
 import {
   choosePlacement,
+  findOnTheWay,
   findScarceModels,
   getHeldModel,
-  readyOnTheWayMs,
   type EngineProfile,
   type FleetView,
   type KnownServer,
@@ -196,9 +196,9 @@
     if (!profile) {
       return undefined;
     }
-    const onTheWayMs = readyOnTheWayMs(need, servers, profile);
-    if (onTheWayMs !== undefined) {
-      return this.getSooner(waited, servers, profile, nowMs, onTheWayMs);
+    const onTheWay = findOnTheWay(need, servers, profile);
+    if (onTheWay) {
+      return this.getSooner(waited, servers, profile, nowMs, onTheWay);
     }
     const sinceWantMs = nowMs - waited.wantedAtMs;
     if (waited.wantedAddress !== undefined && sinceWantMs < REPORT_MS) {
@@ -221,8 +221,9 @@
     servers: readonly KnownServer[],
     profile: EngineProfile,
     nowMs: number,
-    onTheWayMs: number,
+    onTheWay: PlacementChoice,
   ): number {
+    const onTheWayMs = onTheWay.readyInMs;
     if (nowMs - waited.wantedAtMs < REPEAT_MS) {
       return onTheWayMs;
     }
@@ -236,7 +237,10 @@
       waited.wantedAddress = choice.server.entry.address;
       return this.want(waited, choice);
     }
-    this.repeatWant(waited, nowMs);
+    // Also a wish that another router began is kept alive, since its own callers may be gone by now.
+    waited.wantedAddress ??= onTheWay.server.entry.address;
+    waited.wantedAtMs = nowMs;
+    this.parts.links.want(waited.wantedAddress, waited.model, waited.isInteractive);
     return onTheWayMs;
   }
 
@@ -253,13 +257,6 @@
     return choice.readyInMs;
   }
 
-  private repeatWant(waited: WaitedModel, nowMs: number): void {
-    if (waited.wantedAddress !== undefined) {
-      waited.wantedAtMs = nowMs;
-      this.parts.links.want(waited.wantedAddress, waited.model, waited.isInteractive);
-    }
-  }
-
   private endAll(waited: WaitedModel, result: WaitResult): void {
     this.waited.delete(waited.model);
     for (const { resolve } of waited.waiters.values()) {
@@ -324,7 +321,7 @@
       maxStartMs: Infinity,
       mayFetchCopy: true,
     };
-    if (!profile || !need || readyOnTheWayMs(need, servers, profile) !== undefined) {
+    if (!profile || !need || findOnTheWay(need, servers, profile)) {
       return;
     }
     const holders = servers.filter((server) => getHeldModel(server, model));
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -109,28 +109,30 @@
 }
 
 /**
- * Time until a model that some agent loads or is about to load can be used, in milliseconds; undefined when none does.
+ * Finds the server whose agent loads a model or is about to, the soonest one first; undefined when none does.
  * @param need - The model.
  * @param servers - Servers of the service that take work.
  * @param profile - What their engines hold at most.
  */
-export function readyOnTheWayMs(
+export function findOnTheWay(
   need: PlacementNeed,
   servers: readonly KnownServer[],
   profile: EngineProfile,
-): number | undefined {
-  let bestMs: number | undefined;
+): PlacementChoice | undefined {
+  let best: PlacementChoice | undefined;
   for (const server of servers) {
     const { report } = server;
     const queueIndex = report?.queuedModels.indexOf(need.model) ?? -1;
     const isLoading = report?.loadingModel === need.model;
     if (isLoading || queueIndex >= 0) {
       const queuedMs = loadTimeMs(need, server) + Math.max(0, queueIndex) * QUEUED_MODEL_MS;
-      const readyMs = busyLeftMs(server, profile) + (isLoading ? 0 : queuedMs);
-      bestMs = Math.min(bestMs ?? Infinity, readyMs);
+      const readyInMs = busyLeftMs(server, profile) + (isLoading ? 0 : queuedMs);
+      if (readyInMs < (best?.readyInMs ?? Infinity)) {
+        best = { server, readyInMs };
+      }
     }
   }
-  return bestMs;
+  return best;
 }
 
 /** Time until a server has carried out the order that is under way, in milliseconds. */
--- a/test/direct/ModelDesk.test.ts
+++ b/test/direct/ModelDesk.test.ts
@@ -111,6 +111,16 @@
       expect(bench.wishes).to.deep.equal(['a at 2']);
     });
 
+    it('keeps a wish alive that another router began', () => {
+      const bench = new DeskBench();
+      const isQueued = { modelsOnDisk: ['a'], queuedModels: ['a'] };
+      bench.report(isQueued);
+      bench.wait({ isInteractive: true });
+      bench.clock.advance(600);
+      bench.report(isQueued);
+      expect(bench.wishes).to.include('a at 1');
+    });
+
     it('refuses at once what can not be ready in time', async () => {
       const bench = new DeskBench();
       bench.report({});
--- a/test/direct/decisions/ModelPlacement.test.ts
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import {
   choosePlacement,
+  findOnTheWay,
   findScarceModels,
   FleetView,
-  readyOnTheWayMs,
   type AgentReport,
   type KnownServer,
   type PlacementNeed,
@@ -91,26 +91,26 @@
   });
 });
 
-describe('readyOnTheWayMs', () => {
+describe('findOnTheWay', () => {
   it('counts a load under way down', () => {
     const servers = makeServers([{ loadingModel: 'a', loadingForMs: 5_000, isBusy: true }]);
-    expect(readyOnTheWayMs(makeNeed(), servers, PROFILE)).to.equal(1_000);
+    expect(findOnTheWay(makeNeed(), servers, PROFILE)?.readyInMs).to.equal(1_000);
   });
 
   it('counts the load that a queued model must wait for', () => {
     const servers = makeServers([
       { loadingModel: 'd', loadingForMs: 2_000, isBusy: true, queuedModels: ['a'], modelsOnDisk: ['a'] },
     ]);
-    expect(readyOnTheWayMs(makeNeed(), servers, PROFILE)).to.equal(5_000);
+    expect(findOnTheWay(makeNeed(), servers, PROFILE)?.readyInMs).to.equal(5_000);
   });
 
   it('expects a load that is overdue to take longer still', () => {
     const servers = makeServers([{ loadingModel: 'a', loadingForMs: 10_000, isBusy: true }]);
-    expect(readyOnTheWayMs(makeNeed(), servers, PROFILE)).to.equal(2_500);
+    expect(findOnTheWay(makeNeed(), servers, PROFILE)?.readyInMs).to.equal(2_500);
   });
 
   it('is undefined when nobody loads the model', () => {
-    expect(readyOnTheWayMs(makeNeed(), makeServers([{}]), PROFILE)).to.equal(undefined);
+    expect(findOnTheWay(makeNeed(), makeServers([{}]), PROFILE)).to.equal(undefined);
   });
 });
 
