Fetch as many models at once as the store serves in 24 s one by one

How many run at once at full speed is not on the wire. A horizon of 24 s gives four and one on these sites. Ruled out: learning it from overdue loads, which tells after 16 s only; no fetching ahead at all. Test: one at a time with loads of 13.2 s; it failed on the constant by construction, it was not run there.

--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -4,8 +4,12 @@
 import type { AgentReport, ModelUse } from './ServerEntry.js';
 import type { EngineProfile, ModelFootprint } from './ServingConfiguration.js';
 
-/** Loads from the weight store that run at once at full speed on the deployments served; more slow each other down. */
-const STORE_LOADS_AT_ONCE = 4;
+/**
+ * Longest time that all loads from the weight store may take together if it serves them one after the other, in
+ * milliseconds. How many run at once at full speed is not published on the wire; it is four where a load takes 6 s and one
+ * where it takes 13 s, and a load that crawls keeps its engine from all other orders.
+ */
+const STORE_HORIZON_MS = 24_000;
 /** Time that an order under way still takes, in milliseconds, where it is no load of a model: an adapter or an unload. */
 const BUSY_MS = 500;
 /** Time that one more model in an agent's queue takes, in milliseconds: those that run end, an unload and a load from disk. */
@@ -69,7 +73,7 @@
   const isOnSomeDisk = servers.some((server) => loadTimeMs(need, server) < need.footprint.storeLoadMs);
   const mayUseStore =
     need.isInteractive ||
-    ((!isOnSomeDisk || need.mayFetchCopy) && countStoreLoads(servers) < STORE_LOADS_AT_ONCE);
+    ((!isOnSomeDisk || need.mayFetchCopy) && countStoreLoads(servers) < countLoadsAtOnce(profile));
   let best: PlacementChoice | undefined;
   let bestScoreMs = Infinity;
   for (const server of servers) {
@@ -210,13 +214,22 @@
       (copies.get(left) ?? 0) - (copies.get(right) ?? 0) ||
       adapterCountOf(profile, right) - adapterCountOf(profile, left),
   );
-  return missing.slice(0, Math.max(0, STORE_LOADS_AT_ONCE - countStoreLoads(servers)));
+  return missing.slice(0, Math.max(0, countLoadsAtOnce(profile) - countStoreLoads(servers)));
 }
 
 function adapterCountOf(profile: EngineProfile, model: string): number {
   return profile.models.get(model)?.adapterCount ?? 0;
 }
 
+/** Loads from the weight store that may be under way at once; one at least. */
+function countLoadsAtOnce(profile: EngineProfile): number {
+  let longestMs = 1;
+  for (const { storeLoadMs } of profile.models.values()) {
+    longestMs = Math.max(longestMs, storeLoadMs);
+  }
+  return Math.max(1, Math.floor(STORE_HORIZON_MS / longestMs));
+}
+
 /** Loads from the weight store that are under way. */
 function countStoreLoads(servers: readonly KnownServer[]): number {
   let count = 0;
--- a/test/direct/decisions/ModelPlacement.test.ts
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -120,4 +120,14 @@
     expect(findScarceModels(servers, PROFILE, 1)).to.deep.equal(['a', 'd']);
     expect(findScarceModels(servers, PROFILE, 2)).to.deep.equal(['a', 'd', 'c']);
   });
+
+  it('names one model at a time where a load takes more than half of the horizon', () => {
+    const models = [...PROFILE.models].map(([name, footprint]) => {
+      return [name, { ...footprint, storeLoadMs: 13_200 }] as const;
+    });
+    const slow = { ...PROFILE, models: new Map(models) };
+    expect(findScarceModels(makeServers([{}, {}]), slow, 1)).to.deep.equal(['a']);
+    const isLoading = { isBusy: true, loadingModel: 'a' };
+    expect(findScarceModels(makeServers([isLoading, {}]), slow, 1)).to.deep.equal([]);
+  });
 });
