Let the last log lines out before a process ends

The line at a stop never appeared: lines gather for 20 ms before they are written, and the process exited at once after its last service. The output is a service that stops last now and waits up to 100 ms, also for a reader that is stuck.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -125,6 +125,8 @@
   const log = kernel.register(NAMES.log, new Log(parts.instanceId, (line) => output.write(line)));
   const metrics = new Metrics();
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
+  // Started first, so that it stops last and the other services' last lines get out.
+  void kernel.start(output);
   void kernel.start(new MetricsServer(parts.metricsAddress, metrics));
   return { kernel, clock, random, log, metrics };
 }
--- a/src/telemetry/BoundedOutput.ts
+++ b/src/telemetry/BoundedOutput.ts
@@ -1,5 +1,5 @@
 import { write } from 'node:fs';
-import type { Clock } from '../kernel/index.js';
+import { pause, type Clock, type Service } from '../kernel/index.js';
 
 /** File descriptor of the standard output. */
 const STANDARD_OUTPUT = 1;
@@ -12,8 +12,11 @@
 /** Time for which lines gather before they are written together, in milliseconds. */
 const GATHER_MS = 20;
 
+/** Time that the last lines get at a stop, in milliseconds: twice the time for which lines gather, and some more. */
+const LAST_LINES_MS = 100;
+
 /** Writes lines to the standard output without ever blocking: what exceeds its rate or room is counted and dropped. */
-export class BoundedOutput {
+export class BoundedOutput implements Service {
   private pending: string[] = [];
   private pendingCharacters = 0;
   private saved = BURST_LINES;
@@ -38,6 +41,18 @@
     return this.dropped;
   }
 
+  start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Gives the lines that wait a moment to get out; what a stuck reader does not take by then is lost. */
+  async stop(): Promise<void> {
+    const endsAtMs = this.clock.nowMs() + LAST_LINES_MS;
+    while (this.isWriting && this.clock.nowMs() < endsAtMs) {
+      await pause(this.clock, GATHER_MS);
+    }
+  }
+
   /** @param line - Line without its end. */
   write(line: string): void {
     this.refill();
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -158,8 +158,9 @@
     expect(isTold(), bench.output).to.equal(true);
     expect(await call(9_471, '/x/1')).to.deep.equal({ status: 200, text: 'served' });
     router.kill('SIGTERM');
-    const [code] = (await once(router, 'exit')) as [number | null];
+    const [code] = (await once(router, 'close')) as [number | null];
     expect(code).to.equal(0);
+    expect(bench.output).to.contain('"message":"stopped"');
   });
 
   it('ends with code 2 and names the field when its settings are wrong', async () => {
--- a/test/telemetry/BoundedOutput.test.ts
+++ b/test/telemetry/BoundedOutput.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { SystemClock } from '../../src/kernel/index.js';
 import { BoundedOutput } from '../../src/telemetry/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
 
@@ -33,4 +34,23 @@
       expect(output.droppedCount).to.be.greaterThan(3_000);
     });
   });
+
+  describe('stop', () => {
+    it('ends when the last lines are out, or after a moment while the reader is stuck', async () => {
+      const clock = new SystemClock();
+      let text = '';
+      const output = new BoundedOutput(clock, (part, done) => {
+        text += part;
+        done();
+      });
+      output.write('last words');
+      await output.stop();
+      expect(text).to.equal('last words\n');
+      const stuck = new BoundedOutput(clock, () => undefined);
+      stuck.write('never read');
+      const startedAtMs = clock.nowMs();
+      await stuck.stop();
+      expect(clock.nowMs() - startedAtMs).to.be.lessThan(1_000);
+    });
+  });
 });
