Hold nothing against equal requests that are served

Found by the new soak, whose requests were equal at first: after two workers broke off, every request of the kind was refused with 502 for a minute. Requests are told apart by what they hold, so reads without a body share a fingerprint, each request that one crash takes along counted as a crash, and nothing but time cleared the suspicion. Now breaks at one server within a second are one crash, and an equal request that is served clears them; a request that crashes every server is never served and is stopped after the second crash as before. Ruled out: telling requests apart by id, since a caller's next try has another one. Tests: one crash with five equal requests, served in between, the same server again; the first two fail on the old class by its interface and counts.

--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -238,7 +238,7 @@
   private takeEnd(end: AttemptEnd, serverId: ServerId): void {
     switch (end.kind) {
       case 'streamed':
-        this.tracker.ranToEnd();
+        this.noteServed();
         this.settle('complete');
         this.sink.endStream();
         return;
@@ -275,17 +275,24 @@
       this.search.exclude(serverId);
       return;
     }
-    this.tracker.ranToEnd();
+    this.noteServed();
     this.settle(`answered ${end.head.status}`);
     this.sink.sendWhole(end.head, end.body);
   }
 
+  private noteServed(): void {
+    const { suspects, view, clock } = this.parts;
+    const { fingerprint } = this.request;
+    this.tracker.ranToEnd();
+    suspects.noteServed(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+  }
+
   private takeBreak(end: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
     const { suspects, links, clock } = this.parts;
     this.runCount++;
     this.search.exclude(serverId);
     if (!end.isSilent) {
-      const count = suspects.noteBreak(this.request.fingerprint, clock.nowMs());
+      const count = suspects.noteBreak(this.request.fingerprint, serverId, clock.nowMs());
       if (count > 1) {
         links.noteCrash(this.request.fingerprint, count);
       }
