--- /dev/null
+++ b/test/soak/SoakFleet.ts
@@ -0,0 +1,206 @@
+import { build } from 'esbuild';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import {
+  ModelWorker,
+  ObjectStore,
+  PlainWorker,
+  type Trick,
+  type WorkerRun,
+} from '../../standins/users/index.js';
+
+/** Ports, the same on each loopback address. */
+const PORTS = { front: 9_511, ready: 9_512, peer: 9_513, spare: 9_514, worker: 9_515 };
+/** Time that a stopping process has, in milliseconds. */
+export const GRACE_MS = 3_000;
+const ROUTER_COUNT = 2;
+const MODEL_WORKER_COUNT = 3;
+
+/** One of our processes. */
+export interface SoakProcess {
+  readonly name: string;
+  readonly ip: string;
+  readonly isRouter: boolean;
+  readonly settingsFile: string;
+  child?: ChildProcess;
+  /** When something was last done to it, in milliseconds; it is out of touch for a while after. */
+  disturbedAtMs: number;
+  /** Last lines of its output. */
+  tail: string;
+}
+
+/** Our real programs as processes, before stand-ins for the store and the workers in this process. */
+export class SoakFleet {
+  readonly store = new ObjectStore();
+  readonly modelWorkers: ModelWorker[] = [];
+  readonly plainWorkers: PlainWorker[] = [];
+  readonly processes: SoakProcess[] = [];
+  private directory = '';
+  private storeAddress = '';
+
+  /**
+   * @param subnet - Second half of the loopback addresses, so that soaks don't share ports.
+   * @param onRun - Told of each run at a worker.
+   * @param drawTrick - Draws what a worker does with a request.
+   */
+  constructor(
+    private readonly subnet: number,
+    private readonly onRun: (run: WorkerRun) => void,
+    private readonly drawTrick: (service: string) => Trick | undefined,
+  ) {}
+
+  /** Starts everything and waits until the routers are ready. */
+  async start(): Promise<void> {
+    this.directory = await mkdtemp(join(tmpdir(), 'monsoonglade-soak-'));
+    await build({
+      entryPoints: ['platform/main.ts'],
+      bundle: true,
+      platform: 'node',
+      format: 'cjs',
+      target: 'node20',
+      outfile: join(this.directory, 'main.cjs'),
+    });
+    this.storeAddress = await this.store.start();
+    await this.startWorkers();
+    this.writeConfiguration(1, 'plain-1');
+    for (let index = 1; index <= ROUTER_COUNT; index++) {
+      await this.add(`router-${index}`, `127.0.${this.subnet}.${100 + index}`, true);
+    }
+    for (const worker of this.modelWorkers) {
+      await this.add(`agent-${worker.parts.workerId}`, worker.parts.host, false);
+    }
+    for (const process of this.processes) {
+      this.spawn(process);
+    }
+  }
+
+  /** Ends everything that was started. */
+  async stop(): Promise<void> {
+    for (const { child } of this.processes) {
+      child?.kill('SIGKILL');
+    }
+    for (const worker of [...this.modelWorkers, ...this.plainWorkers]) {
+      worker.stop();
+    }
+    this.store.stop();
+    await rm(this.directory, { recursive: true, force: true });
+  }
+
+  get routers(): SoakProcess[] {
+    return this.processes.filter(({ isRouter }) => isRouter);
+  }
+
+  /** Port at which routers take callers. */
+  get frontPort(): number {
+    return PORTS.front;
+  }
+
+  /**
+   * Writes a configuration.
+   * @param version - Its version.
+   * @param movedService - Service that the route `/moved/` leads to.
+   */
+  writeConfiguration(version: number, movedService: string): void {
+    const route = (name: string, kind: string, service: string, more: Record<string, unknown> = {}) => ({
+      Name: name,
+      Hostname: 'a.example',
+      PathPrefix: `/${name}/`,
+      Kind: kind,
+      TimeoutMs: 2_500,
+      TargetLatencyMs: 200,
+      Service: service,
+      ...more,
+    });
+    const models = this.modelWorkers[0]?.models ?? [];
+    this.store.put('config', 'main', {
+      Version: version,
+      Routes: [
+        route('stream', 'stream', 'models', { MaxAttempts: 2, CanResume: true, GapAimMs: 100 }),
+        route('read', 'idempotent', 'plain-1', { MaxAttempts: 2 }),
+        route('write', 'non_idempotent', 'plain-1'),
+        route('moved', 'idempotent', movedService),
+      ],
+      Services: [
+        { Name: 'plain-1', MaxConns: 100 },
+        { Name: 'plain-2', MaxConns: 100 },
+        {
+          Name: 'models',
+          MaxConns: 100,
+          Engine: {
+            Slots: 16,
+            WeightsMb: 205,
+            AdapterSlots: 4,
+            LoadsPerS: 10,
+            Models: models.map((Name) => ({
+              Name,
+              WeightsMb: 100,
+              Adapters: 4,
+              AdapterMb: 1,
+              LoadS: 1,
+              DiskS: 0.2,
+            })),
+          },
+        },
+      ],
+      Limits: {
+        MaxHeaderBytes: 16_384,
+        MaxBodyBytes: 100_000,
+        HeaderTimeoutMs: 3_000,
+        IdleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  /** Starts a process again. */
+  spawn(process: SoakProcess): void {
+    process.disturbedAtMs = Date.now();
+    const child = spawn(globalThis.process.execPath, [join(this.directory, 'main.cjs')], {
+      env: { MONSOONGLADE_NODE_FILE: process.settingsFile, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const keep = (chunk: Buffer) => (process.tail = (process.tail + chunk.toString()).slice(-4_000));
+    child.stdout.on('data', keep);
+    child.stderr.on('data', keep);
+    process.child = child;
+  }
+
+  private async startWorkers(): Promise<void> {
+    const parts = (workerId: string, service: string, host: string) => ({
+      workerId,
+      service,
+      host,
+      port: PORTS.worker,
+      store: this.store,
+      onRun: this.onRun,
+      drawTrick: () => this.drawTrick(service),
+    });
+    for (let index = 1; index <= MODEL_WORKER_COUNT; index++) {
+      this.modelWorkers.push(new ModelWorker(parts(`m${index}`, 'models', `127.0.${this.subnet}.${index}`)));
+    }
+    for (const [index, service] of ['plain-1', 'plain-1', 'plain-2', 'plain-2'].entries()) {
+      const host = `127.0.${this.subnet}.${50 + index}`;
+      this.plainWorkers.push(new PlainWorker(parts(`p${index + 1}`, service, host)));
+    }
+    for (const worker of [...this.modelWorkers, ...this.plainWorkers]) {
+      await worker.start();
+    }
+  }
+
+  private async add(name: string, ip: string, isRouter: boolean): Promise<void> {
+    const settingsFile = join(this.directory, `${name}.json`);
+    const settings = {
+      NodeName: name,
+      Ip: ip,
+      Zone: 'z1',
+      Listen: isRouter ? { Front: `${ip}:${PORTS.front}`, Ready: `${ip}:${PORTS.ready}` } : {},
+      InternalPorts: [PORTS.peer, PORTS.spare],
+      Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 50, BudgetWindowS: 10, GraceS: GRACE_MS / 1_000 },
+      Platform: { Address: this.storeAddress },
+      ...(isRouter ? {} : { app: `${ip}:${PORTS.worker}`, Service: 'models' }),
+    };
+    await writeFile(settingsFile, JSON.stringify(settings));
+    this.processes.push({ name, ip, isRouter, settingsFile, disturbedAtMs: Date.now(), tail: '' });
+  }
+}
