Soak: a request whose router is frozen meanwhile is not held by it

The oracle looked at the router when the request was sent only; it now looks at its end too. The planted 'held' is caught as before.

--- a/test/soak/SoakLedger.ts
+++ b/test/soak/SoakLedger.ts
@@ -23,6 +23,8 @@
   status?: number;
   text: string;
   isWhole: boolean;
+  /** Whether something was done to its router before it ended. */
+  wasDisturbed: boolean;
   /** Whether the connection was established and the whole request left. */
   isSent: boolean;
 }
@@ -91,7 +93,11 @@
   private *checkTimes(request: SoakRequest, runs: readonly WorkerRun[]): IterableIterator<string> {
     const { sentAtMs, router, status, isSent, isRouterInTouch } = request;
     const endedAtMs = request.endedAtMs ?? Infinity;
-    if (isRouterInTouch && endedAtMs - sentAtMs > ROUTE_TIMEOUT_MS + ANSWER_SLACK_MS) {
+    if (
+      isRouterInTouch &&
+      !request.wasDisturbed &&
+      endedAtMs - sentAtMs > ROUTE_TIMEOUT_MS + ANSWER_SLACK_MS
+    ) {
       yield 'held';
     }
     const isLost = isSent && status === undefined && !this.spoiltIds.has(request.requestId);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -167,6 +167,7 @@
       isRouterInTouch: isInTouch(router?.disturbedAtMs ?? 0),
       text: '',
       isWhole: false,
+      wasDisturbed: false,
       isSent: false,
     };
     this.ledger.requests.push(seen);
@@ -184,7 +185,12 @@
       agent: false,
       headers: kind === 'stream' ? { ...headers, model } : headers,
     });
-    return new Promise((resolve) => follow(outgoing, seen, () => resolve(seen)));
+    return new Promise((resolve) => {
+      follow(outgoing, seen, () => {
+        seen.wasDisturbed = (router?.disturbedAtMs ?? 0) >= seen.sentAtMs;
+        resolve(seen);
+      });
+    });
   }
 }
 
