Stop a request that crashes servers before it waits for a model

Since the search for a server has a class of its own, a request that equal ones had shown to crash servers waited for its model first and was refused then, up to ten seconds later. It is checked before the search again, and once more after it. Seen when reading the change again. 'getSooner' of ModelDesk gave a time and kept or hastened a wish; it says so now.

--- a/src/direct/DirectFlow.ts
+++ b/src/direct/DirectFlow.ts
@@ -158,15 +158,15 @@
 
   /** Finds the next server, or ends the request; undefined when it has ended. */
   private async findServer(): Promise<KnownServer | undefined> {
+    if (this.endIfStopped()) {
+      return undefined;
+    }
     const found = await this.search.find({
       mayWait: !this.hasBegun,
       mayAskAgain: this.sendCount < MAX_SENDS && this.runCount === 0,
     });
-    if (this.settled) {
-      return undefined;
-    }
-    if (this.isStoppedForCrashes()) {
-      this.refuse(502, 'the request broke off on several servers');
+    // Equal requests may have crashed their servers while this one waited.
+    if (this.settled || this.endIfStopped()) {
       return undefined;
     }
     switch (found.kind) {
@@ -343,10 +343,15 @@
     return isTaken;
   }
 
-  private isStoppedForCrashes(): boolean {
+  /** Ends the request if equal ones have crashed their servers; true when it did. */
+  private endIfStopped(): boolean {
     const { suspects, view, clock } = this.parts;
     const { fingerprint } = this.request;
-    return suspects.isStopped(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+    if (!suspects.isStopped(fingerprint, view.getCrashCount(fingerprint), clock.nowMs())) {
+      return false;
+    }
+    this.refuse(502, 'the request broke off on several servers');
+    return true;
   }
 
   private noteUse(server: KnownServer, event: 'started' | 'ended'): void {
--- a/src/direct/ModelDesk.ts
+++ b/src/direct/ModelDesk.ts
@@ -198,7 +198,7 @@
     }
     const onTheWay = findOnTheWay(need, servers, profile);
     if (onTheWay) {
-      return this.getSooner(waited, servers, profile, nowMs, onTheWay);
+      return this.keepOrHasten(waited, servers, profile, nowMs, onTheWay);
     }
     const sinceWantMs = nowMs - waited.wantedAtMs;
     if (waited.wantedAddress !== undefined && sinceWantMs < REPORT_MS) {
@@ -216,7 +216,7 @@
   }
 
   /** Keeps a wish alive, and goes elsewhere too where a model that callers wait for live is ready much sooner. */
-  private getSooner(
+  private keepOrHasten(
     waited: WaitedModel,
     servers: readonly KnownServer[],
     profile: EngineProfile,
--- a/test/direct/DirectRouter.test.ts
+++ b/test/direct/DirectRouter.test.ts
@@ -177,6 +177,20 @@
       expect((await bench.call('/drafts/x', { ...model, 'request-id': 'r2' })).status).to.equal(502);
       expect(bench.seen.length).to.equal(2);
     });
+
+    it('stops it at once also when no server holds its model', async () => {
+      const crash: Handler = (incoming) => incoming.socket.destroy();
+      await bench.addServer('e', crash);
+      await bench.addServer('ff', crash);
+      await bench.start([makeRoute()]);
+      await bench.call('/drafts/x', model);
+      bench.view.applyEntry(makeEntry('e', { heldModels: [] }));
+      bench.view.applyEntry(makeEntry('ff', { heldModels: [] }));
+      const startedAtMs = CLOCK.nowMs();
+      const got = await bench.call('/drafts/x', { ...model, 'request-id': 'r2' });
+      expect(got.status).to.equal(502);
+      expect(CLOCK.nowMs() - startedAtMs).to.be.lessThan(300);
+    });
   });
 
   describe('answers without a length', () => {
