Soak: remove a set that nothing fills, say what a move is

Read again as a newcomer: the ledger excused requests by a set of ids that nothing ever added to, and a field's comment spoke of another.

--- a/test/soak/SoakLedger.ts
+++ b/test/soak/SoakLedger.ts
@@ -29,10 +29,10 @@
   isSent: boolean;
 }
 
-/** A change whose taking effect is checked. */
-interface Change {
+/** A configuration that led `/moved/` elsewhere. */
+interface Move {
+  /** When the store had acknowledged it. */
   readonly atMs: number;
-  /** When the store was last away before it, so that it may be late; undefined when it was not. */
   readonly service: string;
 }
 
@@ -41,15 +41,13 @@
   readonly requests: SoakRequest[] = [];
   readonly runs: WorkerRun[] = [];
   /** Where `/moved/` leads to, from when on. */
-  readonly moves: Change[] = [];
+  readonly moves: Move[] = [];
   /** Times in which a worker was leaving. */
   readonly drains: { readonly workerId: string; readonly fromMs: number; toMs: number }[] = [];
   /** Planned stops of routers, without any other disturbance near them. */
   readonly plannedStops: { readonly router: string; readonly atMs: number }[] = [];
   /** Times in which the store was away; news may be late until some seconds after. */
   readonly storeAway: { readonly fromMs: number; toMs: number }[] = [];
-  /** Requests that a worker's trick or crash may have spoilt. */
-  readonly spoiltIds = new Set<string>();
   /** Broken promises that something else found. */
   readonly found: string[] = [];
 
@@ -100,7 +98,7 @@
     ) {
       yield 'held';
     }
-    const isLost = isSent && status === undefined && !this.spoiltIds.has(request.requestId);
+    const isLost = isSent && status === undefined;
     if (
       isLost &&
       this.plannedStops.some((stop) => stop.router === router && Math.abs(stop.atMs - sentAtMs) < 900)
