--- a/standins/users/ObjectStore.ts
+++ b/standins/users/ObjectStore.ts
@@ -1,6 +1,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+/** Limits of callers that configurations state. */
+export const CALLER_LIMITS = {
+  MaxHeaderBytes: 16_384,
+  MaxBodyBytes: 100_000,
+  HeaderTimeoutMs: 3_000,
+  IdleTimeoutMs: 15_000,
+};
+
 /** How the store treats calls. */
 export type StoreMode = 'up' | 'refuse' | 'reset' | 'silent';
 
@@ -27,6 +35,8 @@
   private events: StoredEvent[] = [];
   private revision = 1;
   private forgottenRevision = 0;
+  /** Watches that began before never answer. */
+  private silentBeforeMs = -Infinity;
   private readonly waiters = new Set<() => void>();
   private readonly server: Server = createServer((incoming, response) => this.take(incoming, response));
 
@@ -77,6 +87,14 @@
     this.server.closeAllConnections();
   }
 
+  /**
+   * Lets the watches that are open, and those that begin in a while, fall silent for good.
+   * @param forMs - For how long new watches do, in milliseconds.
+   */
+  silenceWatches(forMs: number): void {
+    this.silentBeforeMs = Date.now() + forMs;
+  }
+
   private tell(event: StoredEvent): void {
     this.events.push(event);
     for (const wake of [...this.waiters]) {
@@ -117,7 +135,12 @@
       reply(response, 410, {});
       return;
     }
+    const beganAtMs = Date.now();
     const finish = (): boolean => {
+      if (beganAtMs < this.silentBeforeMs) {
+        this.waiters.delete(finish);
+        return true;
+      }
       const events = this.events.filter((event) => event.kind === kind && event.rev > since);
       if (events.length === 0 && Date.now() < endsAtMs) {
         return false;
@@ -129,7 +152,7 @@
       }
       return true;
     };
-    const endsAtMs = Date.now() + waitMs;
+    const endsAtMs = beganAtMs + waitMs;
     const timer = setTimeout(finish, waitMs + 1);
     if (!finish()) {
       this.waiters.add(finish);
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -12,6 +12,7 @@
 import { Random } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
+import { settle } from '../waiting.js';
 import { ENGINES, makeConfiguration, makeEntry } from './fleetFixtures.js';
 
 type Answer = ServerListing | ServerChanges | ConfigurationRead | SourceFailure;
@@ -106,11 +107,6 @@
   }
 }
 
-/** Lets promises that are resolved run their callbacks. */
-function settle(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 const LISTED: ServerListing = {
   kind: 'listed',
   entries: [makeEntry('x'), makeEntry('xx')],
--- a/test/direct/ModelDesk.test.ts
+++ b/test/direct/ModelDesk.test.ts
@@ -11,6 +11,7 @@
 } from '../../src/direct/index.js';
 import { Log } from '../../src/telemetry/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
+import { settle } from '../waiting.js';
 import { ENGINES, held, makeConfiguration, makeEntry, makeReport } from './fleetFixtures.js';
 
 /** A desk over two engines that hold b and c, and what it asked agents for. */
@@ -59,11 +60,6 @@
   }
 }
 
-/** Lets promises that are resolved run their callbacks. */
-function settle(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 describe('ModelDesk', () => {
   describe('waitFor', () => {
     it('asks the engine with the weights on its disk, once, and ends when a report shows the model', async () => {
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -23,6 +23,7 @@
 import { pause, Random, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
+import { requestIdOf, signed } from '../../standins/users/index.js';
 import { ENGINES, held, makeConfiguration, makeEntry } from './fleetFixtures.js';
 
 const BOUND = { ratio: 0.2, slack: 50, windowMs: 10_000 };
@@ -180,9 +181,5 @@
 
 /** Headers by which a server signs its answer to a request. */
 export function stamped(incoming: IncomingMessage, contentType = 'application/json'): Record<string, string> {
-  return {
-    'request-id': String(incoming.headers['request-id']),
-    'response-stamp': 's',
-    'content-type': contentType,
-  };
+  return signed(requestIdOf(incoming), contentType);
 }
--- a/test/platform/badInput.test.ts
+++ b/test/platform/badInput.test.ts
@@ -1,15 +1,18 @@
 import { expect } from 'chai';
 import { readFile } from 'node:fs/promises';
-import { request } from 'node:http';
 import { connect } from 'node:net';
 import { Random } from '../../src/kernel/index.js';
 import { SoakFleet } from '../soak/SoakFleet.js';
+import { until } from '../waiting.js';
+import { callRouter } from './programs.js';
 
 /** Memory of the smallest instance on the users' sheets, in megabytes. */
 const MEMORY_MB = 250;
 /** Mutated requests; 150,000 by hand rose to 140 MB and fell again to 115. */
 const REQUEST_COUNT = 4_000;
 const CONNECTIONS = 32;
+/** Time for the processes to be ready, in milliseconds. */
+const READY_LIMIT_MS = 15_000;
 /** Time after which a connection that gets no answer is closed, in milliseconds. */
 const PATIENCE_MS = 150;
 
@@ -34,7 +37,8 @@
   it('stays within the memory of the smallest instance and serves on', async () => {
     const router = fleet.routers[0];
     const ip = router?.ip ?? '';
-    await until(async () => (await getStatus(ip, fleet.frontPort)) === 200);
+    const isServed = async () => (await callRouter(ip, fleet.frontPort, '/read/x'))?.status === 200;
+    await until(isServed, READY_LIMIT_MS);
     const random = new Random(1);
     let sentCount = 0;
     const sendSome = async () => {
@@ -46,7 +50,7 @@
     const status = await readFile(`/proc/${router?.child?.pid}/status`, 'utf8');
     const residentMb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) / 1_024;
     expect(residentMb).to.be.lessThan(MEMORY_MB);
-    expect(await getStatus(ip, fleet.frontPort)).to.equal(200);
+    expect((await callRouter(ip, fleet.frontPort, '/read/x'))?.status).to.equal(200);
   });
 });
 
@@ -75,23 +79,3 @@
     });
   });
 }
-
-/** Status of a plain request; undefined when nobody answers. */
-function getStatus(host: string, port: number): Promise<number | undefined> {
-  return new Promise((resolve) => {
-    const headers = { host: 'a.example', 'request-id': 'r1' };
-    const outgoing = request({ host, port, path: '/read/x', headers, agent: false }, (response) => {
-      response.resume();
-      response.on('end', () => resolve(response.statusCode));
-    });
-    outgoing.on('error', () => resolve(undefined));
-    outgoing.end();
-  });
-}
-
-async function until(isSo: () => Promise<boolean>): Promise<void> {
-  const endsAtMs = Date.now() + 15_000;
-  while (!(await isSo()) && Date.now() < endsAtMs) {
-    await new Promise((resolve) => setTimeout(resolve, 50));
-  }
-}
--- /dev/null
+++ b/test/platform/programs.ts
@@ -0,0 +1,92 @@
+import { build } from 'esbuild';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { request } from 'node:http';
+
+/** Ports of a program, the same on each of its loopback addresses. */
+export interface ProgramPorts {
+  readonly front: number;
+  readonly ready: number;
+  readonly peer: number;
+  readonly spare: number;
+}
+
+/** What differs between the settings of programs. */
+export interface ProgramSettings {
+  readonly name: string;
+  readonly ip: string;
+  readonly ports: ProgramPorts;
+  readonly storeAddress: string;
+  /** Time from SIGTERM to SIGKILL, in seconds. */
+  readonly graceS: number;
+  /** Engine beside an agent; a router has none. */
+  readonly engineAddress?: string;
+}
+
+/** Settings file of a program, as the platform writes it. */
+export function makeSettingsFile(settings: ProgramSettings): Record<string, unknown> {
+  const { name, ip, ports, storeAddress, graceS, engineAddress } = settings;
+  const isRouter = engineAddress === undefined;
+  return {
+    NodeName: name,
+    Ip: ip,
+    Zone: 'z1',
+    Listen: isRouter ? { Front: `${ip}:${ports.front}`, Ready: `${ip}:${ports.ready}` } : {},
+    InternalPorts: [ports.peer, ports.spare],
+    Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 50, BudgetWindowS: 10, GraceS: graceS },
+    Platform: { Address: storeAddress },
+    ...(isRouter ? {} : { app: engineAddress, Service: 'models' }),
+  };
+}
+
+/**
+ * Bundles the program as it is deployed.
+ * @param file - Where to.
+ */
+export async function bundleProgram(file: string): Promise<void> {
+  await build({
+    entryPoints: ['platform/main.ts'],
+    bundle: true,
+    platform: 'node',
+    format: 'cjs',
+    target: 'node20',
+    outfile: file,
+  });
+}
+
+/**
+ * Starts a bundled program.
+ * @param bundle - The bundle.
+ * @param settingsFile - Its settings file.
+ * @param onOutput - Told of what it prints.
+ */
+export function startProgram(
+  bundle: string,
+  settingsFile: string,
+  onOutput: (text: string) => void,
+): ChildProcess {
+  const child = spawn(process.execPath, [bundle], {
+    env: { MONSOONGLADE_NODE_FILE: settingsFile, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  child.stdout.on('data', (chunk: Buffer) => onOutput(chunk.toString()));
+  child.stderr.on('data', (chunk: Buffer) => onOutput(chunk.toString()));
+  return child;
+}
+
+/** Sends a request to a router; undefined when nobody answers. */
+export function callRouter(
+  host: string,
+  port: number,
+  path: string,
+): Promise<{ status: number; text: string } | undefined> {
+  return new Promise((resolve) => {
+    const headers = { host: 'a.example', 'request-id': 'r1' };
+    const outgoing = request({ host, port, path, headers, agent: false }, (response) => {
+      let text = '';
+      response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      response.on('end', () => resolve({ status: response.statusCode ?? 0, text }));
+    });
+    outgoing.on('error', () => resolve(undefined));
+    outgoing.end();
+  });
+}
--- a/test/soak/SoakFaults.ts
+++ b/test/soak/SoakFaults.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import type { Random } from '../../src/kernel/index.js';
 import type { StoreMode } from '../../standins/users/index.js';
+import { pauseMs } from '../waiting.js';
 import type { Plant } from './soak.js';
 import { GRACE_MS, type SoakFleet, type SoakProcess } from './SoakFleet.js';
 import type { SoakLedger } from './SoakLedger.js';
@@ -244,7 +245,3 @@
     this.done.push(`${((Date.now() - this.startedAtMs) / 1_000).toFixed(1)} s ${text}`);
   }
 }
-
-function pauseMs(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -1,9 +1,10 @@
-import { build } from 'esbuild';
-import { spawn, type ChildProcess } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { bundleProgram, makeSettingsFile, startProgram } from '../platform/programs.js';
 import {
+  CALLER_LIMITS,
   ModelWorker,
   ObjectStore,
   PlainWorker,
@@ -51,17 +52,14 @@
     private readonly drawTrick: (service: string) => Trick | undefined,
   ) {}
 
+  private get bundle(): string {
+    return join(this.directory, 'main.cjs');
+  }
+
   /** Starts everything and waits until the routers are ready. */
   async start(): Promise<void> {
     this.directory = await mkdtemp(join(tmpdir(), 'monsoonglade-soak-'));
-    await build({
-      entryPoints: ['platform/main.ts'],
-      bundle: true,
-      platform: 'node',
-      format: 'cjs',
-      target: 'node20',
-      outfile: join(this.directory, 'main.cjs'),
-    });
+    await bundleProgram(this.bundle);
     this.storeAddress = await this.store.start();
     await this.startWorkers();
     this.writeConfiguration(1, 'plain-1');
@@ -144,26 +142,16 @@
           },
         },
       ],
-      Limits: {
-        MaxHeaderBytes: 16_384,
-        MaxBodyBytes: 100_000,
-        HeaderTimeoutMs: 3_000,
-        IdleTimeoutMs: 15_000,
-      },
+      Limits: CALLER_LIMITS,
     });
   }
 
   /** Starts a process again. */
   spawn(process: SoakProcess): void {
     process.disturbedAtMs = Date.now();
-    const child = spawn(globalThis.process.execPath, [join(this.directory, 'main.cjs')], {
-      env: { MONSOONGLADE_NODE_FILE: process.settingsFile, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' },
-      stdio: ['ignore', 'pipe', 'pipe'],
+    process.child = startProgram(this.bundle, process.settingsFile, (text) => {
+      process.tail = (process.tail + text).slice(-4_000);
     });
-    const keep = (chunk: Buffer) => (process.tail = (process.tail + chunk.toString()).slice(-4_000));
-    child.stdout.on('data', keep);
-    child.stderr.on('data', keep);
-    process.child = child;
   }
 
   private async startWorkers(): Promise<void> {
@@ -190,16 +178,14 @@
 
   private async add(name: string, ip: string, isRouter: boolean): Promise<void> {
     const settingsFile = join(this.directory, `${name}.json`);
-    const settings = {
-      NodeName: name,
-      Ip: ip,
-      Zone: 'z1',
-      Listen: isRouter ? { Front: `${ip}:${PORTS.front}`, Ready: `${ip}:${PORTS.ready}` } : {},
-      InternalPorts: [PORTS.peer, PORTS.spare],
-      Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 50, BudgetWindowS: 10, GraceS: GRACE_MS / 1_000 },
-      Platform: { Address: this.storeAddress },
-      ...(isRouter ? {} : { app: `${ip}:${PORTS.worker}`, Service: 'models' }),
-    };
+    const settings = makeSettingsFile({
+      name,
+      ip,
+      ports: PORTS,
+      storeAddress: this.storeAddress,
+      graceS: GRACE_MS / 1_000,
+      engineAddress: isRouter ? undefined : `${ip}:${PORTS.worker}`,
+    });
     await writeFile(settingsFile, JSON.stringify(settings));
     this.processes.push({ name, ip, isRouter, settingsFile, disturbedAtMs: Date.now(), tail: '' });
   }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,6 +1,7 @@
 import { request, type ClientRequest } from 'node:http';
 import { Random } from '../../src/kernel/index.js';
 import type { Trick } from '../../standins/users/index.js';
+import { pauseMs } from '../waiting.js';
 import { SoakFaults } from './SoakFaults.js';
 import { SoakFleet } from './SoakFleet.js';
 import { isInTouch, SoakLedger, type RequestKind, type SoakRequest } from './SoakLedger.js';
@@ -214,7 +215,3 @@
   outgoing.setTimeout(20_000, () => outgoing.destroy());
   outgoing.end(seen.requestId);
 }
-
-function pauseMs(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- /dev/null
+++ b/test/waiting.ts
@@ -0,0 +1,31 @@
+import { pause, SystemClock } from '../src/kernel/index.js';
+
+/** Clock of tests that wait for real. */
+const CLOCK = new SystemClock();
+/** Time between two looks, in milliseconds. */
+const LOOK_MS = 10;
+
+/** Lets promises that are resolved run their callbacks. */
+export function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/**
+ * Waits for real.
+ * @param durationMs - How long, in milliseconds.
+ */
+export function pauseMs(durationMs: number): Promise<void> {
+  return pause(CLOCK, durationMs);
+}
+
+/**
+ * Waits until something is so, or the time is over.
+ * @param isSo - Looks whether it is.
+ * @param limitMs - Longest wait, in milliseconds.
+ */
+export async function until(isSo: () => boolean | Promise<boolean>, limitMs: number): Promise<void> {
+  const endsAtMs = CLOCK.nowMs() + limitMs;
+  while (!(await isSo()) && CLOCK.nowMs() < endsAtMs) {
+    await pauseMs(LOOK_MS);
+  }
+}
