Tests reserve their loopback ports and subnets until they end

Cause: findFreePorts released a port of the system's own range before the daemon bound it, so another process could be given it in between; the soak and two process tests used fixed addresses, so two runs on one machine collided. Change: LoopbackReservation keeps a listening socket on the first of 100 ports below that range, for as long as the fleet lives; the block's number is also a loopback subnet of its own. DemoFleet, the soak, badInput and the process tests take ports and addresses from it. CallerServer can be started on port 0 and says on which port it listens.

Daemons' ports lie outside the range of the scripted servers now, and a scripted server closes a dial uncounted (RouterBench.test, failed before with 1 request counted).

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { listenOrThrow, type ListenAddress } from '../transport/index.js';
@@ -78,6 +79,11 @@
     this.applyLimits();
   }
 
+  /** Port on which callers are accepted; 0 before the start. */
+  get port(): number {
+    return (this.http.address() as AddressInfo | null)?.port ?? 0;
+  }
+
   /** Whether the process is stopping. */
   get isStopping(): boolean {
     return this.stopping;
@@ -85,7 +91,7 @@
 
   async start(): Promise<void> {
     await listenOrThrow(this.http, this.deps.address, 'entry');
-    this.deps.log.info('callers accepted', { port: this.deps.address.port });
+    this.deps.log.info('callers accepted', { port: this.port });
   }
 
   /** Completes running requests and those that the balancer still sends, then closes the server. */
--- a/standins/ChildProcess.ts
+++ b/standins/ChildProcess.ts
@@ -1,5 +1,4 @@
 import { spawn, type ChildProcess as NodeChildProcess } from 'node:child_process';
-import { createServer, type AddressInfo } from 'node:net';
 import { fileURLToPath } from 'node:url';
 
 /** Timeout for the `ready` line of a started process, in milliseconds. */
@@ -93,18 +92,3 @@
     });
   }
 }
-
-/**
- * Returns ports that are free at the time of the call.
- * @param count - Number of ports.
- */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-    ports.push((server.address() as AddressInfo).port);
-  }
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
--- a/standins/DemoFleet.ts
+++ b/standins/DemoFleet.ts
@@ -2,7 +2,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { InstanceEntry } from '../src/domain/index.js';
-import { ChildProcess, findFreePorts } from './ChildProcess.js';
+import { ChildProcess } from './ChildProcess.js';
+import { LoopbackReservation } from './LoopbackReservation.js';
 
 /** Environment variables with the secrets of a short-lived fleet on one machine. */
 export const DEMO_ENVIRONMENT = {
@@ -28,6 +29,7 @@
 
   private constructor(
     private readonly directory: string,
+    private readonly reservation: LoopbackReservation,
     readonly platformUrl: string,
   ) {}
 
@@ -36,7 +38,8 @@
    * @param platformUrl - URL of the stand-in platform.
    */
   static async create(platformUrl: string): Promise<DemoFleet> {
-    return new DemoFleet(await mkdtemp(join(tmpdir(), 'monsoonglade-')), platformUrl);
+    const directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
+    return new DemoFleet(directory, await LoopbackReservation.create(), platformUrl);
   }
 
   /**
@@ -50,7 +53,7 @@
     dataCentre: string,
     overrides: Record<string, unknown> = {},
   ): Promise<FleetDaemon> {
-    const [entryPort = 0, peerPort = 0, adminPort = 0] = await findFreePorts(3);
+    const [entryPort = 0, peerPort = 0, adminPort = 0] = await this.takePorts(3);
     const settings = {
       role: 'router',
       id,
@@ -85,7 +88,7 @@
     pool: string,
     backend: Record<string, unknown>,
   ): Promise<FleetDaemon> {
-    const [peerPort = 0, adminPort = 0] = await findFreePorts(2);
+    const [peerPort = 0, adminPort = 0] = await this.takePorts(2);
     const settings = {
       role: 'agent',
       id,
@@ -140,9 +143,18 @@
   /** Stops all daemons and removes their settings files. */
   async stop(): Promise<void> {
     await Promise.all([...this.daemons.values()].map((daemon) => daemon.process.stop()));
+    await this.reservation.release();
     await rm(this.directory, { recursive: true, force: true });
   }
 
+  private async takePorts(count: number): Promise<number[]> {
+    const ports: number[] = [];
+    while (ports.length < count) {
+      ports.push(await this.reservation.takePort());
+    }
+    return ports;
+  }
+
   private async startDaemon(
     settings: object,
     instance: InstanceEntry,
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -61,6 +61,8 @@
         handler(incoming, response, body);
       });
     });
+    // A process that dials a peer on a reused port is not a caller.
+    server.on('upgrade', (_incoming, socket) => socket.destroy());
     await this.listen(server, id, serviceId);
   }
 
@@ -92,10 +94,9 @@
     const retryBudget = new SharedRetryBudget(() => RETRY_LIMITS);
     const crashTracker = new CrashTracker();
     const getRetryBudget = () => retryBudget;
-    this.port = await findFreePort();
     this.modelLoader = modelLoader;
     this.router = new CallerServer({
-      address: { host: '127.0.0.1', port: this.port },
+      address: { host: '127.0.0.1', port: 0 },
       clock: CLOCK,
       random: new Random(1),
       view,
@@ -118,6 +119,7 @@
     });
     await modelLoader.start();
     await this.router.start();
+    this.port = this.router.port;
   }
 
   /** Sends a request; `disconnectAfterMs` closes its connection early, `agent` keeps it open for the next request. */
@@ -180,16 +182,6 @@
   }
 }
 
-async function findFreePort(): Promise<number> {
-  const probe = createSocketServer();
-  await new Promise<void>((resolve) => {
-    probe.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = probe.address() as AddressInfo;
-  await new Promise((resolve) => probe.close(resolve));
-  return port;
-}
-
 /** Returns the headers with which a server signs its response to a request. */
 export function makeResponseHeaders(
   incoming: IncomingMessage,
--- a/test/platform/badInput.test.ts
+++ b/test/platform/badInput.test.ts
@@ -25,7 +25,6 @@
 
   beforeEach(async () => {
     fleet = new SoakFleet(
-      96,
       () => undefined,
       () => undefined,
     );
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -5,12 +5,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { CALLER_LIMITS, ObjectStore, PlainWorker, makePlainText } from '../../standins/users/index.js';
+import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { waitUntil } from '../waiting.js';
 import { bundleProgram, callRouter, makeSettingsFile, startProgram } from './programs.js';
 
-/** Loopback addresses that no other test uses, so that the ports of the metrics and of the worker are free. */
-const ROUTER_IP = '127.0.71.3';
-const WORKER_IP = '127.0.71.4';
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
 const WORKER_PORT = 9_475;
 /** Time limit for a process to become ready or to exit, in milliseconds; the platform allows 12 seconds. */
@@ -41,8 +39,12 @@
   let child: ChildProcess;
   let output: string;
   let storeAddress: string;
+  let reservation: LoopbackReservation;
+  let routerIp: string;
 
   beforeEach(async () => {
+    reservation = await LoopbackReservation.create();
+    routerIp = reservation.getAddress(3);
     directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
     output = '';
     await bundleProgram(join(directory, 'main.cjs'));
@@ -52,7 +54,7 @@
     worker = new PlainWorker({
       workerId: 'i-1',
       service: 's',
-      host: WORKER_IP,
+      host: reservation.getAddress(4),
       port: WORKER_PORT,
       store,
       onRun: () => undefined,
@@ -65,6 +67,7 @@
     child.kill('SIGKILL');
     worker.stop();
     store.stop();
+    await reservation.release();
     await rm(directory, { recursive: true, force: true });
   });
 
@@ -72,7 +75,7 @@
     const file = join(directory, 'node.json');
     const settings = {
       name: 'router-1',
-      ip: ROUTER_IP,
+      ip: routerIp,
       ports: PORTS,
       storeAddress: platformAddress,
       graceS: 8,
@@ -84,13 +87,13 @@
   it('logs when the router is ready, serves a request and exits with code 0 on SIGTERM', async () => {
     await startRouter(storeAddress);
     await waitUntil(
-      async () => (await callRouter(ROUTER_IP, PORTS.ready, '/'))?.status === 200,
+      async () => (await callRouter(routerIp, PORTS.ready, '/'))?.status === 200,
       PROCESS_TIMEOUT_MS,
     );
     const isReadyLogged = () => /"sinceStartMs":\d+.*"message":"ready for callers"/.test(output);
     await waitUntil(isReadyLogged, PROCESS_TIMEOUT_MS);
     expect(isReadyLogged(), output).to.equal(true);
-    const response = await callRouter(ROUTER_IP, PORTS.front, '/x/1');
+    const response = await callRouter(routerIp, PORTS.front, '/x/1');
     expect(response).to.deep.equal({ status: 200, text: makePlainText('r1') });
     child.kill('SIGTERM');
     const [code] = (await once(child, 'close')) as [number | null];
--- a/test/soak.ts
+++ b/test/soak.ts
@@ -1,4 +1,4 @@
-/** Runs the soak with fault injection: `npm run soak -- --seeds N --seed S --minutes M [--seconds T] [--plant NAME] [--subnet N]`. */
+/** Runs the soak with fault injection: `npm run soak -- --seeds N --seed S --minutes M [--seconds T] [--plant NAME]`. */
 import { parseArgs } from 'node:util';
 import { INJECTED_VIOLATIONS, runSoak } from './soak/soak.js';
 
@@ -9,7 +9,6 @@
     minutes: { type: 'string', default: '0' },
     seconds: { type: 'string', default: '10' },
     plant: { type: 'string' },
-    subnet: { type: 'string', default: '90' },
   },
 });
 
@@ -17,11 +16,9 @@
 const deadlineMs = Number(values.minutes) > 0 ? Date.now() + Number(values.minutes) * 60_000 : Infinity;
 const firstSeed = Number(values.seed);
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds) && Date.now() < deadlineMs; seed++) {
-  const subnet = Number(values.subnet);
   const result = await runSoak({
     seed,
     durationMs: Number(values.seconds) * 1_000,
-    subnet,
     injectedViolation,
   });
   const label = result.violations.length > 0 ? 'BROKEN' : 'holds ';
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -2,6 +2,7 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { bundleProgram, makeSettingsFile, startProgram } from '../platform/programs.js';
 import {
   CALLER_LIMITS,
@@ -40,14 +41,13 @@
   readonly processes: SoakProcess[] = [];
   private directory = '';
   private storeAddress = '';
+  private reservation!: LoopbackReservation;
 
   /**
-   * @param subnet - Third octet of the loopback addresses, which separates the ports of soaks that run simultaneously.
    * @param onRun - Called for each execution on a worker.
    * @param drawFault - Draws the fault that a worker injects into a request, if any.
    */
   constructor(
-    private readonly subnet: number,
     private readonly onRun: (run: WorkerRun) => void,
     private readonly drawFault: (service: string) => InjectedFault | undefined,
   ) {}
@@ -58,13 +58,14 @@
 
   /** Starts the store, the workers and the processes; does not wait until these are ready. */
   async start(): Promise<void> {
+    this.reservation = await LoopbackReservation.create();
     this.directory = await mkdtemp(join(tmpdir(), 'monsoonglade-soak-'));
     await bundleProgram(this.bundle);
     this.storeAddress = await this.store.start();
     await this.startWorkers();
     this.writeConfiguration(1, 'plain-1');
     for (let index = 1; index <= ROUTER_COUNT; index++) {
-      await this.addProcess(`router-${index}`, `127.0.${this.subnet}.${100 + index}`, true);
+      await this.addProcess(`router-${index}`, this.reservation.getAddress(100 + index), true);
     }
     for (const worker of this.modelWorkers) {
       await this.addProcess(`agent-${worker.options.workerId}`, worker.options.host, false);
@@ -83,6 +84,7 @@
       worker.stop();
     }
     this.store.stop();
+    await this.reservation.release();
     await rm(this.directory, { recursive: true, force: true });
   }
 
@@ -166,11 +168,11 @@
     });
     for (let index = 1; index <= MODEL_WORKER_COUNT; index++) {
       this.modelWorkers.push(
-        new ModelWorker(makeWorkerOptions(`m${index}`, 'models', `127.0.${this.subnet}.${index}`)),
+        new ModelWorker(makeWorkerOptions(`m${index}`, 'models', this.reservation.getAddress(index))),
       );
     }
     for (const [index, service] of ['plain-1', 'plain-1', 'plain-2', 'plain-2'].entries()) {
-      const host = `127.0.${this.subnet}.${50 + index}`;
+      const host = this.reservation.getAddress(50 + index);
       this.plainWorkers.push(new PlainWorker(makeWorkerOptions(`p${index + 1}`, service, host)));
     }
     for (const worker of [...this.modelWorkers, ...this.plainWorkers]) {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,9 +1,6 @@
 import { expect } from 'chai';
 import { runSoak } from './soak.js';
 
-/** Loopback subnet of the runs in CI, which differs from the default subnet of test/soak.ts. */
-const SUBNET = 95;
-
 describe('soak', function () {
   this.timeout(60_000);
 
@@ -11,7 +8,6 @@
     const { violations, faults, completedCount } = await runSoak({
       seed: 1,
       durationMs: 5_000,
-      subnet: SUBNET,
     });
     expect(violations, faults.join('\n')).to.deep.equal([]);
     expect(completedCount).to.be.greaterThan(100);
@@ -21,7 +17,6 @@
     const { violations } = await runSoak({
       seed: 1,
       durationMs: 1_000,
-      subnet: SUBNET,
       injectedViolation: 'half',
     });
     expect(violations.join('\n')).to.contain('a truncated response ended as complete');
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -24,8 +24,6 @@
 export interface SoakOptions {
   readonly seed: number;
   readonly durationMs: number;
-  /** Loopback subnet; soaks that run simultaneously need different ones. */
-  readonly subnet: number;
   readonly injectedViolation?: InjectedViolation;
 }
 
@@ -53,7 +51,7 @@
 
 /**
  * Runs routers and agents as processes under random faults and checks the recorded requests and executions.
- * @param options - Seed, duration, subnet and the violation to inject.
+ * @param options - Seed, duration and the violation to inject.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const random = new Random(options.seed);
@@ -69,7 +67,6 @@
       : undefined;
   };
   const fleet = new SoakFleet(
-    options.subnet,
     (run) => recorder.runs.push(run),
     (service) => drawWorkerFault(service),
   );
