A store restored from a copy: list again, and undo nothing

Cause: after a restore the store gives revisions out again, so a watch went on from one that stands for other changes and missed what changed; the list of the copy brought back servers that had left and showed leaving ones as ready. Change: the adapter decodes the era of each answer; StoreEras tells current, restored and outdated answers apart. On a higher era FleetWatcher ends the pending waits of all subjects and lists each again at once; answers of an older era are dropped; a list whose pages are of two eras is read again. ServerDirectory (split off FleetView) remembers leaving and removed incarnations: a leaving one stays so, a removed one that only the copy lists is used after a sign of life (a change of its entry, its agent's report, a new incarnation, or staying listed for longer than a silent server would), and one that the copy lacks stays for the two seconds in which running servers are listed again. Answers of the store are checked against a schema: one with other fields ended the process before (an unhandled rejection in the watch loop).

Ruled out: comparing object revisions across eras (given out again), entry counts of heartbeats (change unseen). Nothing of the product on this platform is written to the store, so nothing of its own is lost there.

--- a/src/direct/FleetSource.ts
+++ b/src/direct/FleetSource.ts
@@ -7,13 +7,21 @@
   /** The changes since the given revision are no longer known; the subject must be listed again. */
   { readonly kind: 'historyGone' } | { readonly kind: 'unavailable'; readonly detail: string };
 
-/** All servers as of a revision. */
-export interface ServerListing {
+/**
+ * Era and revision of the platform's store that a result reflects. The era rises each time the store is restored from a
+ * copy; revisions are then given out again, so those of different eras can't be compared.
+ */
+export interface StorePosition {
+  readonly era: number;
+  readonly revision: number;
+}
+
+/** All servers as of a position. */
+export interface ServerListing extends StorePosition {
   readonly kind: 'listed';
   readonly entries: readonly ServerEntry[];
   /** IDs of entries that could not be read; these servers are not used. */
   readonly unreadableIds: readonly ServerId[];
-  readonly revision: number;
 }
 
 /** A change of one server. */
@@ -22,18 +30,16 @@
   | { readonly kind: 'unreadable'; readonly serverId: ServerId }
   | { readonly kind: 'gone'; readonly serverId: ServerId };
 
-/** Changes of servers up to a revision. */
-export interface ServerChanges {
+/** Changes of servers up to a position. */
+export interface ServerChanges extends StorePosition {
   readonly kind: 'changed';
   readonly changes: readonly ServerChange[];
-  readonly revision: number;
 }
 
-/** The latest configuration, if it could be read, as of a revision. */
-export interface ConfigurationRead {
+/** The latest configuration, if it could be read, as of a position. */
+export interface ConfigurationRead extends StorePosition {
   readonly kind: 'read';
   readonly configuration: ServingConfiguration | undefined;
-  readonly revision: number;
 }
 
 /** Source of the configuration and the list of backend servers. */
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -7,8 +7,9 @@
   ServerChanges,
   ServerListing,
   SourceFailure,
+  StorePosition,
 } from './FleetSource.js';
-import type { FleetView } from './decisions/index.js';
+import { StoreEras, type FleetView } from './decisions/index.js';
 
 /**
  * Maximum wait of one watch of the configuration, in milliseconds. An unresponsive connection is detected after this time
@@ -48,12 +49,14 @@
 }
 
 /** A subject that is listed once and then watched. */
-interface WatchedSubject<R> {
+interface WatchedSubject<R extends StorePosition> {
   readonly subject: string;
   readonly list: () => Promise<R | SourceFailure>;
   readonly watch: (revision: number) => Promise<R | SourceFailure>;
-  /** Applies a result; returns the revision to continue from, or undefined to list again. */
-  readonly apply: (result: R) => Promise<number | undefined>;
+  /** Applies a list; returns whether to watch it from its revision on, instead of listing again. */
+  readonly applyList: (result: R, isRestored: boolean) => Promise<boolean>;
+  /** Applies the result of a watch. */
+  readonly applyChanges: (result: R) => Promise<void>;
 }
 
 /** Keeps a router's view of the fleet current with one watch of the configuration and one of the servers. */
@@ -61,6 +64,9 @@
   private readonly expiryTask: PeriodicTask;
   private readonly downSubjects = new Set<string>();
   private readonly unreadableIds = new Set<string>();
+  private readonly eras = new StoreEras();
+  /** Functions that end the pending waits of all subjects after a restore of the store. */
+  private readonly restoreListeners = new Set<() => void>();
   private changeListener: () => void = () => undefined;
   private stopped = false;
 
@@ -98,59 +104,133 @@
       subject: 'servers',
       list: () => source.listServers(),
       watch: (revision) => source.watchServers(revision, waitMs),
-      apply: async (result) => {
-        this.applyServers(result);
+      applyList: (result, isRestored) => {
+        this.applyServers(result, isRestored);
+        return Promise.resolve(true);
+      },
+      applyChanges: async (result) => {
+        this.applyServers(result, false);
         waitMs = SERVERS_WAIT_MS;
         if (result.kind === 'changed' && result.changes.length > 0) {
-          await delay(clock, CHANGES_DELAY_MS);
+          await this.awaitUnlessRestored(delay(clock, CHANGES_DELAY_MS));
           waitMs = WAIT_AFTER_CHANGES_MS;
         }
-        return result.revision;
       },
     });
   }
 
   private watchConfiguration(): Promise<void> {
-    const { source, clock, view } = this.deps;
+    const { source, clock } = this.deps;
     return this.watchSubject<ConfigurationRead>({
       subject: 'configuration',
       list: () => source.readConfiguration(),
       watch: (revision) => source.watchConfiguration(revision, CONFIGURATION_WAIT_MS),
-      apply: async (result) => {
+      applyList: async (result) => {
         this.applyConfiguration(result);
-        if (view.configuration) {
-          return result.revision;
+        if (!result.configuration) {
+          // A kind of object that was never written may not be watchable yet, so a missing configuration is read again
+          // instead.
+          await delay(clock, MAX_RETRY_MS);
         }
-        // A kind of object that was never written may not be watchable yet, so a missing configuration is read again
-        // instead.
-        await delay(clock, MAX_RETRY_MS);
-        return undefined;
+        return result.configuration !== undefined;
+      },
+      applyChanges: (result) => {
+        this.applyConfiguration(result);
+        return Promise.resolve();
       },
     });
   }
 
-  /** Lists a subject and watches it from the listed revision on; lists again when the history is gone. */
-  private async watchSubject<R extends { readonly kind: string }>(watched: WatchedSubject<R>): Promise<void> {
-    let revision: number | undefined;
+  /**
+   * Lists a subject and watches it from the listed revision on; lists again when the history is gone or the store was
+   * restored from a copy, since the same revisions then stand for other changes.
+   */
+  private async watchSubject<R extends StorePosition & { readonly kind: string }>(
+    watched: WatchedSubject<R>,
+  ): Promise<void> {
+    let position: StorePosition | undefined;
+    let listedEra: number | undefined;
     let retryMs = MIN_RETRY_MS;
     while (!this.stopped) {
-      const result = revision === undefined ? await watched.list() : await watched.watch(revision);
+      if (position && position.era !== this.eras.newest) {
+        position = undefined;
+      }
+      const isList = position === undefined;
+      const call = position === undefined ? watched.list() : watched.watch(position.revision);
+      const result = await this.awaitUnlessRestored(call);
+      if (!result) {
+        continue;
+      }
       if (isFailure(result)) {
-        revision = result.kind === 'historyGone' ? undefined : revision;
+        position = result.kind === 'historyGone' ? undefined : position;
         retryMs = await this.backOff(watched.subject, result, retryMs);
         continue;
       }
       this.markAvailable(watched.subject);
-      revision = await watched.apply(result);
+      const isUsable = this.recordEra(watched.subject, result.era);
+      if (!isUsable) {
+        await delay(this.deps.clock, MIN_RETRY_MS);
+        continue;
+      }
       retryMs = MIN_RETRY_MS;
+      if (isList) {
+        const isRestored = listedEra !== undefined && listedEra !== result.era;
+        listedEra = result.era;
+        position = (await watched.applyList(result, isRestored)) ? toPosition(result) : undefined;
+      } else if (result.era === position?.era) {
+        await watched.applyChanges(result);
+        position = toPosition(result);
+      }
     }
   }
 
-  private applyServers(result: ServerListing | ServerChanges): void {
+  /** Waits for a call; resolves early with undefined when another subject finds that the store was restored. */
+  private async awaitUnlessRestored<T>(call: Promise<T>): Promise<T | undefined> {
+    let endWait: () => void = () => undefined;
+    const restored = new Promise<undefined>((resolve) => {
+      endWait = () => resolve(undefined);
+    });
+    this.restoreListeners.add(endWait);
+    const result = await Promise.race([call, restored]);
+    this.restoreListeners.delete(endWait);
+    return result;
+  }
+
+  /** Records the era of an answer; returns false if the answer is from before a known restore. */
+  private recordEra(subject: string, era: number): boolean {
+    const { log, metrics } = this.deps;
+    const before = this.eras.newest;
+    const relation = this.eras.record(era);
+    switch (relation) {
+      case 'current':
+        return true;
+      case 'outdated':
+        metrics.count('platform_outdated_answers');
+        log.decision('outdated answer of the platform store dropped', {
+          subject,
+          era,
+          newestEra: before ?? 0,
+        });
+        return false;
+      case 'restored':
+        metrics.count('platform_restores');
+        log.warn('platform store was restored from a copy', { subject, era, before: before ?? 0 });
+        for (const endWait of [...this.restoreListeners]) {
+          endWait();
+        }
+        return true;
+    }
+  }
+
+  private applyServers(result: ServerListing | ServerChanges, isRestored: boolean): void {
     const { view, clock } = this.deps;
     const nowMs = clock.nowMs();
     if (result.kind === 'listed') {
-      view.applyList(result.entries, nowMs);
+      if (isRestored) {
+        view.applyRestoredList(result.entries, nowMs);
+      } else {
+        view.applyList(result.entries, nowMs);
+      }
       for (const serverId of result.unreadableIds) {
         this.recordUnreadable(serverId);
       }
@@ -245,6 +325,10 @@
   }
 }
 
+function toPosition({ era, revision }: StorePosition): StorePosition {
+  return { era, revision };
+}
+
 function isFailure(result: { readonly kind: string }): result is SourceFailure {
   return result.kind === 'historyGone' || result.kind === 'unavailable';
 }
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,14 +1,9 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
-import { rankByHash } from './rendezvous.js';
 import { RouteTable } from './RouteTable.js';
+import { ServerDirectory } from './ServerDirectory.js';
 import type { AgentReport, HeldModel, ServerEntry } from './ServerEntry.js';
 import type { ServingConfiguration } from './ServingConfiguration.js';
 
-/**
- * Grace period after the store has recovered, in milliseconds. A server whose entry expired during the outage stays in
- * use until then; a running server is listed again within about two seconds.
- */
-const EXPIRY_GRACE_MS = 2_000;
 /** Time after which an agent's report is outdated, in milliseconds; an agent sends four reports in this time. */
 const REPORT_LIFETIME_MS = 2_500;
 /** Time for which a model refused by a server counts as not loaded, in milliseconds; a new report arrives sooner. */
@@ -28,20 +23,12 @@
 }
 
 /** A router's view of the fleet: the configuration and the backend servers. */
-export class FleetView {
-  private readonly servers = new Map<ServerId, ServerEntry>();
+export class FleetView extends ServerDirectory {
   private readonly reports = new Map<string, { report: AgentReport; atMs: number }>();
-  /** End of the grace period of each server whose list entry expired around an outage of the store. */
-  private readonly graceEndsAtMsByServer = new Map<ServerId, number>();
   /** Time until which a model counts as not loaded on a server, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
-  /** Cached ranks of the servers; undefined after the list has changed. */
-  private ranks: Map<string, number> | undefined;
   private currentConfiguration: ServingConfiguration | undefined;
   private currentRouteTable = new RouteTable([]);
-  private hasServerList = false;
-  private storeUnavailableSinceMs: number | undefined;
-  private storeRecoveredAtMs = -Infinity;
 
   /** Newest configuration that was applied. */
   get configuration(): ServingConfiguration | undefined {
@@ -55,7 +42,7 @@
 
   /** Whether both a configuration and a server list are known, so that requests can be routed. */
   get isComplete(): boolean {
-    return this.currentConfiguration !== undefined && this.hasServerList;
+    return this.currentConfiguration !== undefined && this.hasList;
   }
 
   /**
@@ -71,87 +58,6 @@
     return true;
   }
 
-  /**
-   * Applies a complete list of servers.
-   * @param entries - All servers that the platform lists.
-   * @param nowMs - Current time.
-   */
-  applyList(entries: readonly ServerEntry[], nowMs: number): void {
-    this.hasServerList = true;
-    const listedIds = new Set<ServerId>();
-    for (const entry of entries) {
-      listedIds.add(entry.serverId);
-      this.applyEntry(entry);
-    }
-    for (const serverId of [...this.servers.keys()]) {
-      if (!listedIds.has(serverId)) {
-        this.removeEntry(serverId, nowMs);
-      }
-    }
-  }
-
-  /**
-   * Adds or updates a server.
-   * @param entry - Entry of the server.
-   */
-  applyEntry(entry: ServerEntry): void {
-    this.graceEndsAtMsByServer.delete(entry.serverId);
-    this.servers.set(entry.serverId, entry);
-    this.ranks = undefined;
-  }
-
-  /**
-   * Removes a server that is no longer listed, or starts its grace period around an outage of the store.
-   * @param serverId - The server.
-   * @param nowMs - Current time.
-   */
-  removeEntry(serverId: ServerId, nowMs: number): void {
-    const entry = this.servers.get(serverId);
-    if (!entry) {
-      return;
-    }
-    const graceEndsAtMs = this.storeRecoveredAtMs + EXPIRY_GRACE_MS;
-    if (nowMs >= graceEndsAtMs || entry.isLeaving) {
-      this.servers.delete(serverId);
-      this.ranks = undefined;
-      this.graceEndsAtMsByServer.delete(serverId);
-      return;
-    }
-    if (!this.graceEndsAtMsByServer.has(serverId)) {
-      this.graceEndsAtMsByServer.set(serverId, graceEndsAtMs);
-    }
-  }
-
-  /** Marks the store as not responding. */
-  markStoreUnavailable(nowMs: number): void {
-    this.storeUnavailableSinceMs ??= nowMs;
-  }
-
-  /** Marks the store as responding. */
-  markStoreAvailable(nowMs: number): void {
-    if (this.storeUnavailableSinceMs !== undefined) {
-      this.storeUnavailableSinceMs = undefined;
-      this.storeRecoveredAtMs = nowMs;
-    }
-  }
-
-  /**
-   * Removes servers whose grace period is over and returns their ids.
-   * @param nowMs - Current time.
-   */
-  expire(nowMs: number): ServerId[] {
-    const removedIds: ServerId[] = [];
-    for (const [serverId, untilMs] of this.graceEndsAtMsByServer) {
-      if (nowMs >= untilMs) {
-        this.graceEndsAtMsByServer.delete(serverId);
-        this.servers.delete(serverId);
-        this.ranks = undefined;
-        removedIds.push(serverId);
-      }
-    }
-    return removedIds;
-  }
-
   /**
    * Applies a report of an agent.
    * @param report - The report.
@@ -159,6 +65,7 @@
    */
   applyReport(report: AgentReport, nowMs: number): void {
     this.reports.set(report.address, { report, atMs: nowMs });
+    this.confirm(report.address, report.bornAtMs);
   }
 
   /**
@@ -185,24 +92,29 @@
    * @param nowMs - Current time.
    */
   *getReadyServers(serviceId: ServiceId, nowMs: number): IterableIterator<KnownServer> {
-    for (const entry of this.servers.values()) {
-      if (entry.serviceId === serviceId && !entry.isLeaving) {
+    for (const entry of this.getEntries()) {
+      if (entry.serviceId === serviceId && this.acceptsRequests(entry, nowMs)) {
         yield this.toKnownServer(entry, nowMs);
       }
     }
   }
 
-  /** Returns the entries of all servers. */
-  getEntries(): IterableIterator<ServerEntry> {
-    return this.servers.values();
-  }
-
   /**
-   * Returns the entry of a server.
-   * @param serverId - The server.
+   * Returns the shortest remaining hold among servers that hold a model, or among all servers of a service without
+   * models, in milliseconds; undefined if none of them is on hold.
+   * @param serviceId - The service.
+   * @param model - Name of the model, if any.
+   * @param nowMs - Current time.
    */
-  getEntry(serverId: ServerId): ServerEntry | undefined {
-    return this.servers.get(serverId);
+  getShortestHoldMs(serviceId: ServiceId, model: string | undefined, nowMs: number): number | undefined {
+    let shortestMs: number | undefined;
+    for (const entry of this.getEntries()) {
+      const holdMs = entry.serviceId === serviceId ? this.getHoldMs(entry, nowMs) : 0;
+      if (holdMs > 0 && (model === undefined || getHeldModel(this.toKnownServer(entry, nowMs), model))) {
+        shortestMs = Math.min(shortestMs ?? Infinity, holdMs);
+      }
+    }
+    return shortestMs;
   }
 
   /** Number of routers, as the largest number of connected routers that an agent reports; at least 1. */
@@ -238,29 +150,10 @@
       report?.heldModels ?? entry.heldModels,
       nowMs,
     );
-    const rank = this.getRanks().get(entry.serverId) ?? 0;
+    const rank = this.getRank(entry.serverId);
     return { entry, rank, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
   }
 
-  private getRanks(): Map<string, number> {
-    if (!this.ranks) {
-      this.ranks = new Map();
-      const entriesByService = new Map<ServiceId, { id: string; dataCentre: string }[]>();
-      for (const { serviceId, serverId, dataCentre, isLeaving } of this.servers.values()) {
-        if (!isLeaving) {
-          const entries = entriesByService.get(serviceId) ?? [];
-          entriesByService.set(serviceId, [...entries, { id: serverId, dataCentre }]);
-        }
-      }
-      for (const entries of entriesByService.values()) {
-        for (const [serverId, rank] of rankByHash(entries)) {
-          this.ranks.set(serverId, rank);
-        }
-      }
-    }
-    return this.ranks;
-  }
-
   private excludeRefusedModels(
     serverId: ServerId,
     heldModels: readonly HeldModel[],
--- a/standins/users/ObjectStore.ts
+++ b/standins/users/ObjectStore.ts
@@ -26,14 +26,26 @@
   readonly Tombstone: boolean;
 }
 
-/** Stand-in for the users' metadata store: lists, watches, a history that can be discarded, and modes of unavailability. */
+/** Content of the store at one time. */
+interface StoreCopy {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  readonly events: readonly StoredEvent[];
+  readonly revision: number;
+}
+
+/**
+ * Stand-in for the users' metadata store: lists, watches, a history that can be discarded, restores from a copy, and modes
+ * of unavailability.
+ */
 export class ObjectStore {
   mode: StoreMode = 'up';
   /** Kinds whose writes are ignored, for tests that inject a fault. */
   readonly ignoredKinds = new Set<string>();
-  private readonly objects = new Map<string, StoredObject>();
+  private objects = new Map<string, StoredObject>();
   private events: StoredEvent[] = [];
   private revision = 1;
+  /** Number of restores, sent with each response. */
+  private era = 0;
   /** Watches from a revision below this one fail, since their history is discarded. */
   private compactedRevision = 0;
   /** Watches that began before this time never get a response. */
@@ -90,6 +102,23 @@
     this.server.closeAllConnections();
   }
 
+  /** Returns the content, from which the store can be restored later. */
+  takeCopy(): StoreCopy {
+    return { objects: new Map(this.objects), events: [...this.events], revision: this.revision };
+  }
+
+  /**
+   * Replaces the content by a copy and closes all connections; revisions since the copy are given out again.
+   * @param copy - Earlier content of this store.
+   */
+  restore(copy: StoreCopy): void {
+    this.era++;
+    this.objects = new Map(copy.objects);
+    this.events = [...copy.events];
+    this.revision = copy.revision;
+    this.server.closeAllConnections();
+  }
+
   /**
    * Leaves all open watches, and those that begin within a period, without a response.
    * @param forMs - Length of the period, in milliseconds.
@@ -113,7 +142,7 @@
         incoming.socket.resetAndDestroy();
         return;
       case 'refuse':
-        response.writeHead(503).end('{}');
+        this.sendJson(response, 503, {});
         return;
       case 'up':
         this.respond(new URL(incoming.url ?? '', 'http://store'), response);
@@ -127,15 +156,15 @@
       const items = [...this.objects]
         .filter(([key]) => key.startsWith(`${kind}/`))
         .map(([, object]) => object);
-      sendJson(response, 200, { items, HasMore: false, StoreRevision: this.revision });
+      this.sendJson(response, 200, { items, HasMore: false, StoreRevision: this.revision });
       return;
     }
     this.handleWatch(kind, Number(since), Number(url.searchParams.get('WaitMs')), response);
   }
 
   private handleWatch(kind: string, since: number, waitMs: number, response: ServerResponse): void {
-    if (since < this.compactedRevision) {
-      sendJson(response, 410, {});
+    if (since < this.compactedRevision || since > this.revision) {
+      this.sendJson(response, 410, {});
       return;
     }
     const beganAtMs = Date.now();
@@ -151,7 +180,7 @@
       this.pendingWatches.delete(tryRespond);
       clearTimeout(timer);
       if (this.mode === 'up') {
-        sendJson(response, 200, { events, StoreRevision: this.revision });
+        this.sendJson(response, 200, { events, StoreRevision: this.revision });
       }
       return true;
     };
@@ -161,8 +190,10 @@
       this.pendingWatches.add(tryRespond);
     }
   }
-}
 
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+  private sendJson(response: ServerResponse, status: number, body: unknown): void {
+    response
+      .writeHead(status, { 'content-type': 'application/json', 'store-era': this.era })
+      .end(JSON.stringify(body));
+  }
 }
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -111,12 +111,14 @@
   kind: 'listed',
   entries: [makeEntry('x'), makeEntry('xx')],
   unreadableIds: [toServerId('odd')],
+  era: 1,
   revision: 7,
 };
-const READ: ConfigurationRead = { kind: 'read', configuration: makeConfiguration(3), revision: 5 };
+const READ: ConfigurationRead = { kind: 'read', configuration: makeConfiguration(3), era: 1, revision: 5 };
 const GONE_X: ServerChanges = {
   kind: 'changed',
   changes: [{ kind: 'gone', serverId: toServerId('x') }],
+  era: 1,
   revision: 8,
 };
 const DOWN: SourceFailure = { kind: 'unavailable', detail: 'refused' };
@@ -136,7 +138,12 @@
 
     it('reads an unwritten configuration again instead of watching it', async () => {
       const bench = new WatcherBench();
-      await bench.resolveCall('read configuration', { kind: 'read', configuration: undefined, revision: 1 });
+      await bench.resolveCall('read configuration', {
+        kind: 'read',
+        configuration: undefined,
+        era: 1,
+        revision: 1,
+      });
       await bench.advance(450);
       expect(bench.pendingCallNames).to.include('read configuration');
     });
@@ -157,7 +164,7 @@
       const bench = new WatcherBench();
       await bench.resolveCall('list servers', LISTED);
       const before = bench.changeCount;
-      await bench.resolveCall('watch servers', { kind: 'changed', changes: [], revision: 9 });
+      await bench.resolveCall('watch servers', { kind: 'changed', changes: [], era: 1, revision: 9 });
       expect(bench.pendingCallNames).to.include('watch servers from 9');
       expect(bench.changeCount).to.equal(before);
     });
@@ -167,7 +174,12 @@
       await bench.resolveCall('list servers', LISTED);
       await bench.resolveCall('watch servers', { kind: 'historyGone' });
       expect(bench.pendingCallNames).to.include('list servers');
-      await bench.resolveCall('list servers', { ...LISTED, entries: [makeEntry('xx')], revision: 40 });
+      await bench.resolveCall('list servers', {
+        ...LISTED,
+        entries: [makeEntry('xx')],
+        era: 1,
+        revision: 40,
+      });
       expect(bench.readyServerIds).to.deep.equal(['xx']);
     });
 
--- a/test/direct/decisions/FleetView.test.ts
+++ b/test/direct/decisions/FleetView.test.ts
@@ -70,6 +70,109 @@
     });
   });
 
+  describe('applyRestoredList', () => {
+    const NEVER_BEFORE_MS = 1_000;
+
+    it('keeps a leaving server leaving, also when the list of the copy has it as ready', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x', { isLeaving: true })], 0);
+      view.applyRestoredList([makeEntry('x')], NEVER_BEFORE_MS);
+      expect(readyIds(view, NEVER_BEFORE_MS)).to.deep.equal([]);
+      view.applyEntry(makeEntry('x'));
+      expect(readyIds(view, NEVER_BEFORE_MS)).to.deep.equal([]);
+      view.applyEntry(makeEntry('x', { bornAtMs: 2 }));
+      expect(readyIds(view, NEVER_BEFORE_MS)).to.deep.equal(['x']);
+    });
+
+    const signsOfLife: readonly [string, (view: FleetView) => void][] = [
+      ['a change of its entry', (view) => view.applyEntry(makeEntry('x'))],
+      ['a report of its agent', (view) => view.applyReport(makeReport(makeEntry('x')), 1_000)],
+      ['staying listed longer than a silent server would be', (view) => view.expire(10_000)],
+      [
+        'a new incarnation in the next list',
+        (view) => view.applyList([makeEntry('x', { bornAtMs: 2 })], 1_000),
+      ],
+    ];
+    for (const [sign, show] of signsOfLife) {
+      it(`uses a server that was removed before only after ${sign}`, () => {
+        const view = new FleetView();
+        view.applyList([makeEntry('x')], 0);
+        view.removeEntry(X, 10);
+        view.applyRestoredList([makeEntry('x')], NEVER_BEFORE_MS);
+        view.expire(NEVER_BEFORE_MS + 100);
+        expect(readyIds(view, NEVER_BEFORE_MS)).to.deep.equal([]);
+        show(view);
+        expect(readyIds(view, 11_000)).to.deep.equal(['x']);
+      });
+    }
+
+    it('does not take a long outage for staying listed', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x')], 0);
+      view.removeEntry(X, 10);
+      view.applyRestoredList([makeEntry('x')], NEVER_BEFORE_MS);
+      view.markStoreUnavailable(2_000);
+      view.expire(20_000);
+      view.markStoreAvailable(20_000);
+      view.expire(21_000);
+      expect(readyIds(view, 21_000)).to.deep.equal([]);
+    });
+
+    it('keeps servers that the copy lacks for the grace period', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x')], 0);
+      view.applyRestoredList([], NEVER_BEFORE_MS);
+      view.expire(2_900);
+      expect(readyIds(view, 2_900)).to.deep.equal(['x']);
+      view.expire(3_000);
+      expect(readyIds(view, 3_000)).to.deep.equal([]);
+    });
+
+    it('keeps the newer incarnation of a server', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x', { bornAtMs: 7 })], 0);
+      view.applyRestoredList([makeEntry('x', { bornAtMs: 3 })], NEVER_BEFORE_MS);
+      expect(view.getEntry(X)?.bornAtMs).to.equal(7);
+    });
+  });
+
+  describe('recordLeaving', () => {
+    it('ends the use of an incarnation for good, and not of the next one', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x')], 0);
+      expect(view.recordLeaving({ serverId: X, bornAtMs: 1 })).to.equal(true);
+      expect(view.recordLeaving({ serverId: X, bornAtMs: 1 })).to.equal(false);
+      view.applyList([makeEntry('x')], 10);
+      expect(readyIds(view, 10)).to.deep.equal([]);
+      view.applyEntry(makeEntry('x', { bornAtMs: 2 }));
+      expect(readyIds(view, 20)).to.deep.equal(['x']);
+    });
+  });
+
+  describe('holdServer', () => {
+    it('excludes a server until the end of the longest pause that it asked for, unless it restarts', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x'), makeEntry('y')], 0);
+      view.holdServer({ serverId: X, bornAtMs: 1 }, 2_000, 0);
+      view.holdServer({ serverId: X, bornAtMs: 1 }, 500, 100);
+      expect(readyIds(view, 1_999)).to.deep.equal(['y']);
+      expect(view.getShortestHoldMs(ENGINES, undefined, 1_500)).to.equal(500);
+      expect(readyIds(view, 2_000)).to.deep.equal(['x', 'y']);
+      expect(view.getShortestHoldMs(ENGINES, undefined, 2_000)).to.equal(undefined);
+      view.holdServer({ serverId: X, bornAtMs: 1 }, 2_000, 3_000);
+      view.applyEntry(makeEntry('x', { bornAtMs: 2 }));
+      expect(readyIds(view, 3_100)).to.include('x');
+    });
+
+    it('counts for a model only on servers that hold it', () => {
+      const view = new FleetView();
+      view.applyList([makeEntry('x', { heldModels: [makeHeldModel('a')] })], 0);
+      view.holdServer({ serverId: X, bornAtMs: 1 }, 2_000, 0);
+      expect(view.getShortestHoldMs(ENGINES, 'a', 100)).to.equal(1_900);
+      expect(view.getShortestHoldMs(ENGINES, 'b', 100)).to.equal(undefined);
+    });
+  });
+
   describe('getReadyServers', () => {
     it('skips leaving servers', () => {
       const view = new FleetView();
--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -5,7 +5,8 @@
 import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
 
 /** Response of the scripted store: a status and a body, no response, or a closed connection. */
-type ScriptedResponse = { readonly status: number; readonly body: unknown } | 'silence' | 'cut';
+type ScriptedResponse =
+  { readonly status: number; readonly body: unknown; readonly era?: number } | 'silence' | 'cut';
 
 function serverObject(name: string, spec: unknown) {
   return { Metadata: { Name: name, Rev: 1 }, Spec: spec };
@@ -29,7 +30,7 @@
         incoming.socket.destroy();
       } else if (next !== 'silence') {
         response
-          .writeHead(next.status, { 'content-type': 'application/json' })
+          .writeHead(next.status, { 'content-type': 'application/json', 'store-era': next.era ?? 0 })
           .end(JSON.stringify(next.body));
       }
     });
@@ -70,6 +71,46 @@
     });
   });
 
+  describe('listServers during a restore of the store', () => {
+    const makePage = (name: string, era: number, hasMore: boolean): ScriptedResponse => ({
+      status: 200,
+      body: { items: [serverObject(name, READY)], HasMore: hasMore, StoreRevision: 5 },
+      era,
+    });
+
+    it('reads all pages again when the era rises between two pages', async () => {
+      script.push(makePage('i-1', 1, true), makePage('i-2', 2, false), makePage('i-3', 2, false));
+      const listing = await source.listServers();
+      expect(paths).to.deep.equal([
+        '/api/objects/servers',
+        '/api/objects/servers?after=i-1',
+        '/api/objects/servers',
+      ]);
+      expect(listing.kind === 'listed' && listing.era).to.equal(2);
+      expect(listing.kind === 'listed' && listing.entries.map(({ serverId }) => serverId)).to.deep.equal([
+        'i-3',
+      ]);
+    });
+
+    it('fails when the store is restored again and again', async () => {
+      for (let era = 1; era <= 8; era++) {
+        script.push(makePage('i-1', era, true));
+      }
+      expect((await source.listServers()).kind).to.equal('unavailable');
+      expect(paths.length).to.be.at.most(9);
+    });
+  });
+
+  describe('listServers and watchServers with a malformed response', () => {
+    for (const body of [null, 7, {}, { items: {} }, { items: [null], StoreRevision: 1 }, { events: [{}] }]) {
+      it(`return unavailable for ${JSON.stringify(body)}`, async () => {
+        script.push({ status: 200, body }, { status: 200, body });
+        expect((await source.listServers()).kind).to.equal('unavailable');
+        expect((await source.watchServers(5, 50)).kind).to.equal('unavailable');
+      });
+    }
+  });
+
   describe('watchServers', () => {
     it('reports present, removed and unreadable servers', async () => {
       const events = [
@@ -109,6 +150,7 @@
       expect(await source.readConfiguration()).to.deep.equal({
         kind: 'read',
         configuration: undefined,
+        era: 0,
         revision: 2,
       });
       script.push({
@@ -118,6 +160,7 @@
       expect(await source.readConfiguration()).to.deep.equal({
         kind: 'read',
         configuration: undefined,
+        era: 0,
         revision: 3,
       });
     });
