Servers that state that they are leaving, or ask for a pause, are obeyed at once

Cause: nothing read the two headers, so a router went on sending until the list said so, and sent again to a server that had turned it away for a stated time. Change: the adapter decodes both into a ServerNotice of any answer (refusal, error, stream head; not of another server at the address). From that moment the router sends nothing: leaving is final for the incarnation, whatever the list says; a pause ends at its time or with a restart. Routers tell three agents (the same for all routers), whose reports pass it on; an agent reports it of its own engine. Older agents and routers ignore the new method and fields. When all servers that could run a request pause and no other is loading its model in time, the caller is refused at once with the time left. A refusal that carries a notice no longer counts as "model not loaded" there.

Ruled out: waiting for the end of a pause inside the request (the caller is better told when to come back); loading the model elsewhere because its only server pauses (the load costs more than the pause; live models get replicas anyway).

--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -7,7 +7,9 @@
   type AgentReport,
   type EngineProfile,
   type FleetView,
+  type ServerIncarnation,
 } from './decisions/index.js';
+import { hashToFraction } from './decisions/rendezvous.js';
 import {
   RESIDENCY_METHODS,
   ROUTING_METHODS,
@@ -19,6 +21,8 @@
 
 /** Interval at which missing connections are dialed, in milliseconds. */
 const DIAL_INTERVAL_MS = 200;
+/** Number of agents that are notified of a leaving server, so that the loss of one or two does not matter. */
+const LEAVING_NOTICE_COUNT = 3;
 /** Timeout of a request for an adapter, in milliseconds; longer than the agent's timeout. */
 const ADAPTER_TIMEOUT_MS = 600;
 
@@ -149,6 +153,22 @@
     }
   }
 
+  /**
+   * Notifies a few agents of a server that has stated that it is leaving; their reports pass it on to the other routers.
+   * All routers choose the same agents for a server.
+   * @param server - Incarnation of the server.
+   */
+  notifyLeaving(server: ServerIncarnation): void {
+    const candidates = [...this.connections].map(([address, agent]) => ({
+      agent,
+      weight: hashToFraction(server.serverId, address),
+    }));
+    candidates.sort((left, right) => right.weight - left.weight);
+    for (const { agent } of candidates.slice(0, LEAVING_NOTICE_COUNT)) {
+      agent.connection.notify(RESIDENCY_METHODS.leaving, server);
+    }
+  }
+
   private applyReport(changes: EngineReportParams): void {
     const agent = this.connections.get(changes.address);
     if (agent) {
--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -3,7 +3,7 @@
 import type { Clock, Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import { EventSplitter, type CompleteEvents } from './decisions/index.js';
-import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
+import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
 
 /** Timeout for opening a connection, in milliseconds; the latency between data centres is a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 200;
@@ -59,6 +59,8 @@
 
 /** Receives the events of a stream as they arrive. */
 export interface AttemptListener {
+  /** Called with what the server states about itself in the head of any response. */
+  onServerNotice(notice: ServerNotice): void;
   /** Called with the head of a stream before its first events. */
   onStreamStart(head: ResponseHead): void;
   /** Called with complete events. */
@@ -157,6 +159,7 @@
     const status = response.statusCode ?? 0;
     const { headers, serverId } = this.params;
     const decoded = this.codec.decodeResponse(status, response.headers, headers.requestId, serverId);
+    this.listener.onServerNotice(decoded.serverNotice);
     response.on('error', (error) => this.fail(error.message));
     response.on('aborted', () => this.fail('the answer ended early'));
     if (decoded.isNotRun) {
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -1,4 +1,5 @@
 import { delay, type Clock, type Service } from '../kernel/index.js';
+import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
 import {
@@ -17,6 +18,7 @@
   type EngineReportParams,
   type EnsureAdapterReply,
   type FollowEngineParams,
+  type LeavingParams,
   type ModelUseParams,
   type WantModelParams,
 } from './messages.js';
@@ -33,6 +35,8 @@
 const ADAPTER_POLL_MS = 4;
 /** Change of the engine's load that is reported to routers at once, in requests. */
 const MIN_LOAD_CHANGE = 4;
+/** Maximum number of stored leaving servers. */
+const MAX_LEAVING_SERVERS = 200;
 /** Maximum number of stored fingerprints of crashing requests. */
 const MAX_CRASH_COUNTS = 200;
 
@@ -60,6 +64,8 @@
   private readonly planner = new ResidencyPlanner();
   private readonly followers = new Map<PeerConnection, Follower>();
   private readonly crashCounts = new Map<string, number>();
+  /** Start times of servers that routers have found to be leaving. */
+  private readonly leavingServers = new Map<ServerId, number>();
   private lastOrder: Promise<unknown> = Promise.resolve();
   private loadingModel: string | undefined;
   private loadingSinceMs = 0;
@@ -87,6 +93,7 @@
         this.onRequestEnded(params, from),
       [RESIDENCY_METHODS.ensureAdapter]: (params: EnsureAdapterParams) => this.ensureAdapter(params),
       [RESIDENCY_METHODS.crashed]: (params: CrashedParams) => this.onCrash(params),
+      [RESIDENCY_METHODS.leaving]: (params: LeavingParams) => this.onLeaving(params),
     } as PeerMethods;
   }
 
@@ -285,6 +292,20 @@
     this.sendReport();
   }
 
+  private onLeaving({ serverId, bornAtMs }: LeavingParams): void {
+    if (bornAtMs <= (this.leavingServers.get(serverId) ?? -Infinity)) {
+      return;
+    }
+    this.leavingServers.delete(serverId);
+    this.leavingServers.set(serverId, bornAtMs);
+    const oldest = this.leavingServers.keys().next();
+    if (this.leavingServers.size > MAX_LEAVING_SERVERS && oldest.done !== true) {
+      this.leavingServers.delete(oldest.value);
+    }
+    this.deps.log.decision('leaving server recorded', { serverId, bornAtMs });
+    this.sendReport();
+  }
+
   private sendReportIfDue(): void {
     const engine = this.planner.engineReport;
     const isOld = this.deps.clock.nowMs() - this.reportedAtMs >= REPORT_INTERVAL_MS;
@@ -325,6 +346,7 @@
       uses: this.planner.getModelUses(this.reportedAtMs),
       routerCount: this.followers.size,
       crashCounts: Object.fromEntries(this.crashCounts),
+      leavingServers: Object.fromEntries(this.leavingServers),
     };
     const changes: EngineReportParams = findReportChanges(this.sentReport, report);
     this.sentReport = report;
@@ -342,6 +364,7 @@
   return (
     loadChange >= MIN_LOAD_CHANGE ||
     now.isBusy !== before.isBusy ||
+    now.isLeaving !== before.isLeaving ||
     now.orderCount !== before.orderCount ||
     now.heldModels.length !== before.heldModels.length ||
     now.comingAdapters.length !== before.comingAdapters.length
--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -28,6 +28,14 @@
   readonly lastEventId?: string;
 }
 
+/** Statements of a backend server about itself, which it may add to any response. */
+export interface ServerNotice {
+  /** Whether the server is leaving and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** Time for which the server wants no requests from this router, in milliseconds. */
+  readonly pauseMs?: number;
+}
+
 /** Decoded headers of a backend server's response. */
 export interface ResponseHeaders {
   /** Whether the server states that the request did not run and never will. */
@@ -36,6 +44,8 @@
   readonly isFromOtherServer: boolean;
   /** Whether the response is signed by the server and belongs to the request. */
   readonly isAuthentic: boolean;
+  /** What the server states about itself. */
+  readonly serverNotice: ServerNotice;
   /** Headers that are passed to the caller unchanged. */
   readonly forwarded: OutgoingHttpHeaders;
 }
--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -122,6 +122,23 @@
     }
   }
 
+  /**
+   * Returns the time until a load of a model that is in progress or queued ends, in milliseconds; undefined if there is
+   * none.
+   * @param serviceId - Service of the model.
+   * @param model - Name of the model.
+   */
+  getPendingLoadMs(serviceId: ServiceId, model: string): number | undefined {
+    const profile = this.getProfile(serviceId);
+    const footprint = profile?.models.get(model);
+    if (!profile || !footprint) {
+      return undefined;
+    }
+    const requirements = { model, footprint, isInteractive: true, maxStartMs: Infinity, mayFetchCopy: true };
+    const servers = this.getServers(serviceId, this.deps.clock.nowMs());
+    return findPendingLoad(requirements, servers, profile)?.readyInMs;
+  }
+
   /**
    * Waits until a server holds a model; resolves at once with a refusal if that is not possible in time.
    * @param wait - The request's wait.
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -15,7 +15,7 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
+import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import { ServerSearch } from './ServerSearch.js';
 
@@ -198,7 +198,11 @@
         lastEventId: this.lastEventId,
         ...chunkTimeouts,
       },
-      { onStreamStart: (head) => this.beginStream(head), onEvents: (events) => this.sendEvents(events) },
+      {
+        onServerNotice: (notice) => this.applyNotice(server, notice),
+        onStreamStart: (head) => this.beginStream(head),
+        onEvents: (events) => this.sendEvents(events),
+      },
     );
     const attemptId = `${headers.requestId}.${++this.sendCount}`;
     this.tracker.markPossiblySent(attemptId);
@@ -235,6 +239,22 @@
     }
   }
 
+  /** Applies what a server states about itself; the response that carries it is handled as any other. */
+  private applyNotice({ entry }: KnownServer, { isLeaving, pauseMs }: ServerNotice): void {
+    const { view, clock, agentConnections, log, metrics } = this.deps;
+    const { serverId, bornAtMs } = entry;
+    if (isLeaving && view.recordLeaving(entry)) {
+      metrics.count('servers_stated_leaving');
+      log.decision('server states that it is leaving', { serverId, bornAtMs });
+      agentConnections.notifyLeaving({ serverId, bornAtMs });
+    }
+    if (pauseMs !== undefined) {
+      metrics.count('servers_paused');
+      log.decision('server asks for a pause', { serverId, bornAtMs, pauseMs });
+      view.holdServer(entry, pauseMs, clock.nowMs());
+    }
+  }
+
   private handleEnd(end: AttemptEnd, serverId: ServerId): void {
     switch (end.kind) {
       case 'streamed':
@@ -260,9 +280,16 @@
   }
 
   private handleNotRun(end: AttemptEnd & { kind: 'notRun' }, serverId: ServerId): void {
+    const { view, clock } = this.deps;
     const { model } = this.request.headers;
+    const nowMs = clock.nowMs();
+    const entry = view.getEntry(serverId);
+    if (entry && !view.acceptsRequests(entry, nowMs)) {
+      // The server is leaving or asked for a pause, which says nothing about the model.
+      return;
+    }
     if (model !== undefined && !end.isOtherServer) {
-      this.deps.view.recordModelRefusal(serverId, model, this.deps.clock.nowMs());
+      view.recordModelRefusal(serverId, model, nowMs);
     } else {
       this.search.exclude(serverId);
     }
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -3,6 +3,7 @@
 import type { AgentConnections } from './AgentConnections.js';
 import {
   getHeldModel,
+  type FleetView,
   type KnownServer,
   type RequestLimits,
   type ServerChooser,
@@ -17,6 +18,7 @@
 /** Dependencies of {@link ServerSearch}. */
 export interface ServerSearchDependencies {
   readonly clock: Clock;
+  readonly view: FleetView;
   readonly chooser: ServerChooser;
   readonly modelLoader: ModelLoader;
   readonly agentConnections: AgentConnections;
@@ -79,7 +81,7 @@
    * @param options - Options of this search.
    */
   async find(options: SearchOptions): Promise<SearchResult> {
-    const { chooser, clock } = this.deps;
+    const { chooser, clock, view } = this.deps;
     const { model, adapter } = this.request.headers;
     while (!this.isOver()) {
       const server = chooser.chooseServer(this.toRequirements(), clock.nowMs());
@@ -90,7 +92,12 @@
         }
         continue;
       }
-      if (model === undefined || adapter === undefined || (await this.hasAdapter(server, model, adapter))) {
+      if (model === undefined || adapter === undefined) {
+        return { kind: 'found', server };
+      }
+      const isReady = await this.hasAdapter(server, model, adapter);
+      // The server may have stated meanwhile that it is leaving, or asked for a pause.
+      if (isReady && view.acceptsRequests(server.entry, clock.nowMs())) {
         return { kind: 'found', server };
       }
       this.excluded.add(server.entry.serverId);
@@ -102,10 +109,14 @@
   private async wait(options: SearchOptions): Promise<SearchResult | undefined> {
     const { headers, serviceId } = this.request;
     const untilMs = this.limits.waitDeadlineAtMs;
+    const holdMs = this.getHoldMs();
     if (!options.mayWait) {
-      return { kind: 'refused', detail: 'no server takes the rest of the stream' };
+      return { kind: 'refused', detail: 'no server takes the rest of the stream', retryAfterMs: holdMs };
+    }
+    if (holdMs !== undefined && !this.isLoadedInTime(untilMs)) {
+      return { kind: 'refused', detail: 'all servers asked for a pause', retryAfterMs: holdMs };
     }
-    if (headers.model === undefined || this.excluded.size > 0) {
+    if (headers.model === undefined || (this.excluded.size > 0 && holdMs === undefined)) {
       return this.delayRetry(options, untilMs);
     }
     const result = await this.deps.modelLoader.waitFor({
@@ -119,12 +130,36 @@
       case 'ready':
         return undefined;
       case 'tooLate':
-        return { kind: 'refused', detail: 'the model is not ready in time', retryAfterMs: result.readyInMs };
+        return {
+          kind: 'refused',
+          detail: 'the model is not ready in time',
+          retryAfterMs: result.readyInMs,
+        };
       case 'noPlace':
         return { kind: 'refused', detail: 'no server has room for the model' };
     }
   }
 
+  /** Whether another server is loading the request's model and will have it in time. */
+  private isLoadedInTime(untilMs: number): boolean {
+    const { modelLoader, clock } = this.deps;
+    const { headers, serviceId } = this.request;
+    const pendingMs =
+      headers.model === undefined ? undefined : modelLoader.getPendingLoadMs(serviceId, headers.model);
+    return pendingMs !== undefined && clock.nowMs() + pendingMs < untilMs;
+  }
+
+  /** Returns the shortest pause that servers asked for if all servers that could run the request did; else undefined. */
+  private getHoldMs(): number | undefined {
+    const { view, chooser, clock } = this.deps;
+    const { headers, serviceId } = this.request;
+    const nowMs = clock.nowMs();
+    const requirements = { ...this.toRequirements(), excludedServerIds: new Set<ServerId>() };
+    return chooser.chooseServer(requirements, nowMs)
+      ? undefined
+      : view.getShortestHoldMs(serviceId, headers.model, nowMs);
+  }
+
   /** Waits and then clears the excluded servers, or returns a refusal if no time is left for that. */
   private async delayRetry(options: SearchOptions, untilMs: number): Promise<SearchResult | undefined> {
     const { clock } = this.deps;
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,4 +1,4 @@
-import type { ServerId, ServiceId } from '../../domain/index.js';
+import { toServerId, type ServerId, type ServiceId } from '../../domain/index.js';
 import { RouteTable } from './RouteTable.js';
 import { ServerDirectory } from './ServerDirectory.js';
 import type { AgentReport, HeldModel, ServerEntry } from './ServerEntry.js';
@@ -65,6 +65,7 @@
    */
   applyReport(report: AgentReport, nowMs: number): void {
     this.reports.set(report.address, { report, atMs: nowMs });
+    this.applyLeavingServers(report);
     this.confirm(report.address, report.bornAtMs);
   }
 
@@ -138,6 +139,19 @@
     return count;
   }
 
+  private applyLeavingServers({ address, bornAtMs, isLeaving, leavingServers }: AgentReport): void {
+    for (const [serverId, leavingBornAtMs] of Object.entries(leavingServers ?? {})) {
+      this.recordLeaving({ serverId: toServerId(serverId), bornAtMs: leavingBornAtMs });
+    }
+    if (isLeaving === true) {
+      for (const entry of this.getEntries()) {
+        if (entry.address === address && entry.bornAtMs === bornAtMs) {
+          this.recordLeaving(entry);
+        }
+      }
+    }
+  }
+
   private toKnownServer(entry: ServerEntry, nowMs: number): KnownServer {
     const latest = this.reports.get(entry.address);
     const isCurrent =
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -41,6 +41,8 @@
   readonly cacheTokens: number;
   readonly modelsInMemory: readonly string[];
   readonly modelsOnDisk: readonly string[];
+  /** Whether the engine states that it is leaving; absent in reports of older agents. */
+  readonly isLeaving?: boolean;
 }
 
 /** Use of a model that is loaded on an engine. */
@@ -69,4 +71,6 @@
   readonly routerCount: number;
   /** Number of server crashes by request fingerprint, as reported to the agent. */
   readonly crashCounts: Readonly<Record<string, number>>;
+  /** Start times of servers that have stated that they are leaving, by server ID; absent in reports of older agents. */
+  readonly leavingServers?: Readonly<Record<string, number>>;
 }
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,3 +1,4 @@
+import type { ServerId } from '../domain/index.js';
 import type { EngineProfile, ModelFootprint, ReportChanges } from './decisions/index.js';
 
 /** Methods that agents offer to routers. */
@@ -8,6 +9,7 @@
   ended: 'residency.ended',
   ensureAdapter: 'residency.ensureAdapter',
   crashed: 'residency.crashed',
+  leaving: 'residency.leaving',
 } as const;
 
 /** Methods that routers offer to agents. */
@@ -52,6 +54,13 @@
   readonly crashCount: number;
 }
 
+/** Notifies an agent of a server that has stated that it is leaving; the agent includes it in its reports to all routers. */
+export interface LeavingParams {
+  readonly serverId: ServerId;
+  /** When the server's process started, in milliseconds since the epoch. */
+  readonly bornAtMs: number;
+}
+
 /** Changes since an agent's last report to the routers that follow it; the first report is complete. */
 export type EngineReportParams = ReportChanges;
 
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -161,4 +161,14 @@
     router.call('residency.crashed', { fingerprint: 'f', crashCount: 2 });
     expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 2 });
   });
+
+  it('reports servers that routers found to be leaving, once each', () => {
+    const { length } = router.receivedChanges;
+    const notify = (bornAtMs: number) => router.call('residency.leaving', { serverId: 'i-9', bornAtMs });
+    notify(5);
+    notify(5);
+    notify(4);
+    expect(router.receivedChanges.length).to.equal(length + 1);
+    expect(router.reports.at(-1)?.leavingServers).to.deep.equal({ 'i-9': 5 });
+  });
 });
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -73,6 +73,11 @@
     expect(report?.usedCacheTokens).to.equal(41_000);
   });
 
+  it('takes from the headers whether the engine is leaving', () => {
+    expect(decodeEngineReport({ Sequence: 1 })?.isLeaving).to.equal(false);
+    expect(decodeEngineReport({ Sequence: 1 }, true)?.isLeaving).to.equal(true);
+  });
+
   it('is undefined for an invalid report', () => expect(decodeEngineReport({})).to.equal(undefined));
 });
 
@@ -230,6 +235,21 @@
     expectNotRun(503, { 'not-run': '1', 'request-id': 'other' }, false);
   });
 
+  it('decodes what a server states about itself', () => {
+    const getNotice = (status: number, headers: Record<string, string>) =>
+      codec.decodeResponse(status, headers, 'r1', serverId).serverNotice;
+    const none = { isLeaving: false, pauseMs: undefined };
+    expect(getNotice(200, {})).to.deep.equal(none);
+    expect(getNotice(200, { 'server-leaving': '1' })).to.deep.equal({ ...none, isLeaving: true });
+    expect(getNotice(503, { 'server-leaving': '0' })).to.deep.equal(none);
+    expect(getNotice(503, { 'retry-after': '2.5' })).to.deep.equal({ ...none, pauseMs: 2_500 });
+    expect(getNotice(429, { 'retry-after': '2.5' })).to.deep.equal(none);
+    for (const value of ['-1', 'soon', '', 'NaN']) {
+      expect(getNotice(503, { 'retry-after': value })).to.deep.equal(none);
+    }
+    expect(getNotice(421, { 'server-leaving': '1', 'instance-id': 'i-2' }).isLeaving).to.equal(false);
+  });
+
   it('marks a response as authentic only with a stamp, the id of the request and no content encoding', () => {
     const authentic = { 'response-stamp': 's', 'request-id': 'r1' };
     const expectAuthentic = (headers: Record<string, string>, expected: boolean) =>
