Responses without end are abandoned, in bounded bytes and memory

Cause: calls of the store and the engine read a body without a bound; a response of a backend server was bounded only in the bytes of its body, so chunk extensions passed without end; each byte of a body restarted its timeout, so a server that sent one now and then held a request that another would have served; an event's bytes were joined anew with each chunk; nothing slowed a server down whose caller did not read.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -2,6 +2,7 @@
 import type { DataCentreId, ServiceId } from '../domain/index.js';
 import {
   AgentConnections,
+  ByteBudget,
   CallerServer,
   CrashTracker,
   EngineController,
@@ -22,6 +23,8 @@
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
 
 const MS_PER_SECOND = 1_000;
+/** Memory for responses that are buffered until they are complete, in bytes; the smallest instance has 250 MB in all. */
+const MAX_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
 
 /** Options of both kinds of process. */
 interface CommonOptions {
@@ -86,6 +89,7 @@
       crashTracker,
       log,
       metrics,
+      bufferBudget: new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES),
       getRetryBudget,
     },
     log,
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -195,14 +195,14 @@
     this.activeForwarders.add(forwarder);
     response.on('close', () => {
       this.activeForwarders.delete(forwarder);
-      forwarder.onCallerLeft();
+      forwarder.onResponseClosed();
     });
     forwarder.run().catch((error: unknown) => {
       this.deps.log.warn('request forwarder failed', {
         requestId: request.headers.requestId,
         error: String(error),
       });
-      forwarder.onCallerLeft();
+      forwarder.onResponseClosed();
       response.destroy();
     });
   }
@@ -214,8 +214,9 @@
         response.end(body);
       },
       beginStream: (head) => beginResponse(response, head, undefined),
-      sendEvents: (bytes) => {
-        response.write(bytes);
+      sendEvents: (bytes) => response.write(bytes),
+      onceDrained: (listener) => {
+        response.once('drain', listener);
       },
       endStream: () => {
         response.end();
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -6,6 +6,7 @@
 import { BackendAttempt, type AttemptEnd, type ResponseHead } from './BackendAttempt.js';
 import {
   isRetryable,
+  type ByteBudget,
   RequestLimits,
   type CrashTracker,
   type CompleteEvents,
@@ -39,6 +40,8 @@
   readonly crashTracker: CrashTracker;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Memory for responses that are buffered until they are complete. */
+  readonly bufferBudget: ByteBudget;
   /** Returns the retry budget of a service. */
   readonly getRetryBudget: (serviceId: ServiceId) => SharedRetryBudget;
 }
@@ -62,8 +65,10 @@
   sendResponse(head: ResponseHead, body: Buffer): void;
   /** Starts a stream. */
   beginStream(head: ResponseHead): void;
-  /** Sends complete events. */
-  sendEvents(bytes: Buffer): void;
+  /** Sends complete events; returns false if the caller reads them too slowly. */
+  sendEvents(bytes: Buffer): boolean;
+  /** Calls the listener once the caller has read what was sent. */
+  onceDrained(listener: () => void): void;
   /** Ends a complete stream. */
   endStream(): void;
   /** Closes the connection, so that a partial response does not appear complete. */
@@ -87,6 +92,9 @@
   private hasEnded = false;
   /** Error response of a server, delivered if no later attempt succeeds. */
   private fallback: { head: ResponseHead; body: Buffer } | undefined;
+  /** Size of the response bodies that are kept until the caller has received one, in bytes. */
+  private bufferedLength = 0;
+  private isClosed = false;
   private latencyMs: number | undefined;
   private lastEventAtMs: number | undefined;
   private longestGapMs = 0;
@@ -128,11 +136,14 @@
     }
   }
 
-  /** Ends the request because its caller closed the connection. */
-  onCallerLeft(): void {
+  /** Ends the request, if it has not ended, because the response was sent or the caller closed the connection. */
+  onResponseClosed(): void {
     if (!this.hasEnded) {
       this.end('caller left');
     }
+    this.isClosed = true;
+    this.deps.bufferBudget.release(this.bufferedLength);
+    this.bufferedLength = 0;
   }
 
   /**
@@ -201,8 +212,9 @@
       {
         onServerNotice: (notice) => this.applyNotice(server, notice),
         onStreamStart: (head) => this.beginStream(head),
-        onEvents: (events) => this.sendEvents(events),
+        onEvents: (events) => this.sendEvents(events, attempt),
       },
+      this.deps.bufferBudget,
     );
     const attemptId = `${headers.requestId}.${++this.sendCount}`;
     this.tracker.markPossiblySent(attemptId);
@@ -226,6 +238,9 @@
       configurationVersion: this.deps.view.configuration?.version ?? 0,
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
+    if (end.kind === 'answered') {
+      this.keepBuffered(end.body.length);
+    }
     if (end.kind === 'notRun') {
       this.tracker.proveDidNotRun({ attemptId, source: 'serverStatement' });
     }
@@ -255,6 +270,15 @@
     }
   }
 
+  /** Keeps the part of the buffer budget that a body takes until the response to the caller is closed. */
+  private keepBuffered(byteCount: number): void {
+    if (this.isClosed) {
+      this.deps.bufferBudget.release(byteCount);
+    } else {
+      this.bufferedLength += byteCount;
+    }
+  }
+
   private handleEnd(end: AttemptEnd, serverId: ServerId): void {
     switch (end.kind) {
       case 'streamed':
@@ -336,7 +360,7 @@
     }
   }
 
-  private sendEvents(events: CompleteEvents): void {
+  private sendEvents(events: CompleteEvents, attempt: BackendAttempt): void {
     if (this.hasEnded) {
       return;
     }
@@ -345,7 +369,10 @@
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastEventAtMs ?? nowMs));
     this.lastEventAtMs = nowMs;
     this.lastEventId = events.lastEventId ?? this.lastEventId;
-    this.sink.sendEvents(events.bytes);
+    if (!this.sink.sendEvents(events.bytes)) {
+      attempt.pause();
+      this.sink.onceDrained(() => attempt.resume());
+    }
   }
 
   /** Whether another server may run the request after one or more servers that may have run it. */
--- /dev/null
+++ b/src/direct/decisions/ByteBudget.ts
@@ -0,0 +1,27 @@
+/** Total size of the responses that a router may buffer at the same time. */
+export class ByteBudget {
+  private usedBytes = 0;
+
+  /** @param totalBytes - Size of the budget, in bytes. */
+  constructor(private readonly totalBytes: number) {}
+
+  /**
+   * Takes a part of the budget; returns false if too little is left.
+   * @param byteCount - Number of bytes to take.
+   */
+  tryTake(byteCount: number): boolean {
+    if (this.usedBytes + byteCount > this.totalBytes) {
+      return false;
+    }
+    this.usedBytes += byteCount;
+    return true;
+  }
+
+  /**
+   * Returns a part to the budget.
+   * @param byteCount - Number of bytes that were taken before.
+   */
+  release(byteCount: number): void {
+    this.usedBytes -= byteCount;
+  }
+}
--- a/src/direct/decisions/EventSplitter.ts
+++ b/src/direct/decisions/EventSplitter.ts
@@ -2,8 +2,10 @@
 const LINE_FEED = 0x0a;
 /** Optional byte before the end of a line. */
 const CARRIAGE_RETURN = 0x0d;
-/** Maximum size of an incomplete event, in bytes; events of engines contain a few tokens. */
-const MAX_EVENT_BYTES = 1024 * 1024;
+/** Number of stored chunks of an incomplete event that are joined into one, which bounds the overhead of small chunks. */
+const MAX_PENDING_CHUNKS = 64;
+/** Start of a line with the id of an event. */
+const ID_FIELD = 'id:';
 
 /** Complete events that were split off a stream. */
 export interface CompleteEvents {
@@ -14,18 +16,24 @@
   readonly eventCount: number;
 }
 
-/** Splits a server-sent event stream into complete events, so that a broken stream never ends in a partial event. */
+const NO_EVENTS: CompleteEvents = { bytes: Buffer.alloc(0), eventCount: 0 };
+
+/**
+ * Splits a server-sent event stream into complete events, so that a broken stream never ends in a partial event. Each
+ * byte is examined once, however the stream is divided into chunks.
+ */
 export class EventSplitter {
-  private pending = Buffer.alloc(0);
+  /** Chunks of the incomplete event. */
+  private pendingChunks: Buffer[] = [];
+  private pendingLength = 0;
+  /** Length of the current line so far, in bytes. */
+  private lineLength = 0;
+  /** Whether the last byte of the current line so far is a carriage return. */
+  private endsWithCarriageReturn = false;
 
   /** Whether the last event is still incomplete. */
   get hasPartialEvent(): boolean {
-    return this.pending.length > 0;
-  }
-
-  /** Whether the incomplete event exceeds the maximum size. */
-  get isOversized(): boolean {
-    return this.pending.length > MAX_EVENT_BYTES;
+    return this.pendingLength > 0;
   }
 
   /**
@@ -33,30 +41,59 @@
    * @param chunk - Next bytes of the stream.
    */
   push(chunk: Buffer): CompleteEvents {
-    const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     let completeLength = 0;
-    let lineStart = 0;
     let eventCount = 0;
-    let eventId: string | undefined;
-    let lastEventId: string | undefined;
-    for (let at = bytes.indexOf(LINE_FEED); at >= 0; at = bytes.indexOf(LINE_FEED, lineStart)) {
-      const lineEnd = at > lineStart && bytes[at - 1] === CARRIAGE_RETURN ? at - 1 : at;
-      if (lineEnd > lineStart) {
-        eventId = parseEventId(bytes.toString('latin1', lineStart, lineEnd)) ?? eventId;
-      } else {
+    let lineStart = 0;
+    for (let at = chunk.indexOf(LINE_FEED); at >= 0; at = chunk.indexOf(LINE_FEED, lineStart)) {
+      if (this.isBlankLine(chunk, lineStart, at)) {
         completeLength = at + 1;
-        lastEventId = eventId ?? lastEventId;
-        eventId = undefined;
         eventCount++;
       }
+      this.lineLength = 0;
       lineStart = at + 1;
     }
-    this.pending = Buffer.from(bytes.subarray(completeLength));
-    return { bytes: bytes.subarray(0, completeLength), lastEventId, eventCount };
+    if (lineStart < chunk.length) {
+      this.lineLength += chunk.length - lineStart;
+      this.endsWithCarriageReturn = chunk[chunk.length - 1] === CARRIAGE_RETURN;
+    }
+    if (eventCount === 0) {
+      this.addPending(chunk);
+      return NO_EVENTS;
+    }
+    const bytes = Buffer.concat([...this.pendingChunks, chunk.subarray(0, completeLength)]);
+    this.pendingChunks = [];
+    this.pendingLength = 0;
+    this.addPending(Buffer.from(chunk.subarray(completeLength)));
+    return { bytes, lastEventId: findLastEventId(bytes), eventCount };
+  }
+
+  /** Whether the current line, which ends at a position of the chunk, is empty apart from a carriage return. */
+  private isBlankLine(chunk: Buffer, start: number, end: number): boolean {
+    const length = this.lineLength + end - start;
+    const isCarriageReturn = end > start ? chunk[start] === CARRIAGE_RETURN : this.endsWithCarriageReturn;
+    return length === 0 || (length === 1 && isCarriageReturn);
+  }
+
+  private addPending(chunk: Buffer): void {
+    if (chunk.length === 0) {
+      return;
+    }
+    this.pendingChunks.push(chunk);
+    this.pendingLength += chunk.length;
+    if (this.pendingChunks.length > MAX_PENDING_CHUNKS) {
+      this.pendingChunks = [Buffer.concat(this.pendingChunks)];
+    }
   }
 }
 
-/** Returns the event id when the line is an `id` field. */
-function parseEventId(line: string): string | undefined {
-  return line.startsWith('id:') ? line.slice(3).trim() : undefined;
+/** Returns the id in the last line that has one; undefined if there is none. */
+function findLastEventId(bytes: Buffer): string | undefined {
+  let at = bytes.lastIndexOf(ID_FIELD);
+  while (at > 0 && bytes[at - 1] !== LINE_FEED) {
+    at = bytes.lastIndexOf(ID_FIELD, at - 1);
+  }
+  if (at < 0) {
+    return undefined;
+  }
+  return bytes.toString('latin1', at + ID_FIELD.length, bytes.indexOf(LINE_FEED, at)).trim();
 }
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -11,6 +11,7 @@
 import { toDataCentreId } from '../../src/domain/index.js';
 import {
   AgentConnections,
+  ByteBudget,
   CallerServer,
   CrashTracker,
   FleetView,
@@ -43,6 +44,7 @@
 /** A router in this process with backend servers whose behaviour the tests define. */
 export class RouterBench {
   readonly view = new FleetView();
+  bufferBudget = new ByteBudget(32 * 1024 * 1024);
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
   private readonly servers: (Server | SocketServer)[] = [];
   private router: CallerServer | undefined;
@@ -111,6 +113,7 @@
         crashTracker,
         log,
         metrics,
+        bufferBudget: this.bufferBudget,
         getRetryBudget,
       },
       log,
@@ -156,6 +159,11 @@
     });
   }
 
+  /** Port on which the router accepts callers. */
+  get callerPort(): number {
+    return this.port;
+  }
+
   stopRouter(): Promise<void> {
     return this.router?.stop() ?? Promise.resolve();
   }
