Servers are drawn by their room, not by the lowest score

Cause: all routers see the same reports, some hundred ms old, and each took the server with the lowest score, so all sent to the same one until its next report; the rank that lets live requests gather grew with the number of servers (0.58 of an engine's slots on 30), and requests sent since a report were not counted. Change: drawByRoom fills up the lowest scores to the level that all requests placed with the same knowledge (arrivals of the model here x routers x 0.7 s) raise them to, and draws in proportion to the room below it: few requests still go to the least loaded server, many are spread. Requests that a report can't show yet count, with their tokens; the rank penalty is a share of the number of servers.

Ruled out: two random choices (with two holders they are the lowest score again), a hash with bounded load (prefixes are 350 of 1,460 tokens here, and hot models have few holders).

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -120,6 +120,8 @@
   async run(): Promise<void> {
     this.deps.getRetryBudget(this.request.serviceId).recordRequest(this.deps.clock.nowMs());
     this.deps.modelLoader.recordTraffic();
+    const { serviceId, headers } = this.request;
+    this.deps.chooser.recordArrival({ serviceId, model: headers.model }, this.deps.clock.nowMs());
     if (this.limits.isInteractive && this.request.headers.model !== undefined) {
       this.deps.modelLoader.recordInteractiveUse(this.request.serviceId, this.request.headers.model);
     }
@@ -221,7 +223,7 @@
     this.attempt = attempt;
     this.latencyMs = undefined;
     const sentAtMs = clock.nowMs();
-    chooser.recordSent(serverId);
+    chooser.recordSent(serverId, sentAtMs, headers.promptTokens + headers.maxOutputTokens);
     this.notifyModelUse(server, 'started');
     const end = await attempt.run();
     this.attempt = undefined;
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -73,7 +73,7 @@
       isInteractive: false,
       excludedServerIds: new Set([...this.excluded, serverId]),
     };
-    return this.deps.chooser.chooseServer(requirements, this.deps.clock.nowMs()) !== undefined;
+    return this.deps.chooser.hasServer(requirements, this.deps.clock.nowMs());
   }
 
   /**
@@ -155,7 +155,7 @@
     const { headers, serviceId } = this.request;
     const nowMs = clock.nowMs();
     const requirements = { ...this.toRequirements(), excludedServerIds: new Set<ServerId>() };
-    return chooser.chooseServer(requirements, nowMs)
+    return chooser.hasServer(requirements, nowMs)
       ? undefined
       : view.getShortestHoldMs(serviceId, headers.model, nowMs);
   }
@@ -182,6 +182,7 @@
     const { headers, serviceId } = this.request;
     const isInteractive = this.limits.isInteractive && headers.model !== undefined;
     const { model, adapter } = headers;
-    return { serviceId, model, adapter, isInteractive, excludedServerIds: this.excluded };
+    const tokenCount = headers.promptTokens + headers.maxOutputTokens;
+    return { serviceId, model, adapter, isInteractive, tokenCount, excludedServerIds: this.excluded };
   }
 }
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -14,6 +14,8 @@
   readonly entry: ServerEntry;
   /** Rank among the servers of its service, the same on all routers; interactive requests prefer low ranks. */
   readonly rank: number;
+  /** The rank as a share of the number of those servers, from 0 up to, but not including, 1. */
+  readonly rankShare: number;
   /** Models loaded on the server; its agent's report takes precedence over the platform's list, which lags. */
   readonly heldModels: readonly HeldModel[];
   /** Latest report of its agent; undefined when it is outdated. */
@@ -165,7 +167,8 @@
       nowMs,
     );
     const rank = this.getRank(entry.serverId);
-    return { entry, rank, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
+    const rankShare = rank / this.getStayingCount(entry.serviceId);
+    return { entry, rank, rankShare, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
   }
 
   private excludeRefusedModels(
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -1,4 +1,6 @@
 import type { DataCentreId, ServerId, ServiceId } from '../../domain/index.js';
+import { ArrivalRates } from './ArrivalRates.js';
+import { drawByRoom, type ScoredCandidate } from './drawByRoom.js';
 import type { FleetView, KnownServer } from './FleetView.js';
 import { getHeldModel } from './FleetView.js';
 
@@ -17,16 +19,33 @@
 const ADAPTER_PENALTY = 0.15;
 /** Penalty of a missing adapter on a busy engine: no adapter can be loaded until the order in progress has ended. */
 const BUSY_ADAPTER_PENALTY = 1;
-/** Penalty of each rank for interactive requests: breaks ties the same way on all routers. */
-const RANK_PENALTY = 0.02;
+/**
+ * Penalty of the last rank for interactive requests, in proportion for the others: breaks ties the same way on all
+ * routers.
+ */
+const LAST_RANK_PENALTY = 0.16;
+/** Age of an engine's state when a report of it arrives, in milliseconds. */
+const REPORT_LAG_MS = 200;
+/** Time in which routers place requests with the same knowledge: a report's age and the interval to the next, in seconds. */
+const SAME_KNOWLEDGE_S = 0.7;
+/** Time for which a request is remembered as possibly missing in a report, in milliseconds. */
+const SEND_MEMORY_MS = 3_000;
 /** Weight of a new measurement in the moving average of a server's latency. */
 const LATENCY_SMOOTHING = 0.2;
 /** Penalty of each 100 ms of average latency on a server without models. */
 const LATENCY_PENALTY = 0.3;
 
+/** A request that was sent to a server. */
+interface Send {
+  readonly atMs: number;
+  readonly tokenCount: number;
+}
+
 /** Locally observed load, failures and latency of one server. */
 interface LocalServerStats {
   inFlightCount: number;
+  /** Recent requests, of which the latest report may not show all. */
+  sends: Send[];
   failureShare: number;
   failureUpdatedAtMs: number;
   latencyMs: number | undefined;
@@ -39,17 +58,20 @@
   readonly adapter?: string;
   /** Whether the request is interactive and needs a model. */
   readonly isInteractive: boolean;
+  /** Number of tokens that the request takes in the memory of an engine. */
+  readonly tokenCount?: number;
   readonly excludedServerIds: ReadonlySet<ServerId>;
 }
 
 /** Chooses the backend server of a request by load, locally observed failures and latency, and data centre. */
 export class ServerChooser {
   private readonly statsByServer = new Map<ServerId, LocalServerStats>();
+  private readonly arrivalRates = new ArrivalRates();
 
   /**
    * @param fleet - View of the servers.
    * @param dataCentre - Data centre of this router.
-   * @param drawFraction - Returns a random number in [0, 1) that breaks ties.
+   * @param drawFraction - Returns a random number in [0, 1).
    */
   constructor(
     private readonly fleet: FleetView,
@@ -58,13 +80,43 @@
   ) {}
 
   /**
-   * Returns the best server that can run a request now; undefined when there is none.
+   * Records the arrival of a request, from which the number of requests on the way to the same servers is estimated.
+   * @param requirements - Requirements of the request.
+   * @param nowMs - Current time.
+   */
+  recordArrival({ serviceId, model }: Pick<ServerRequirements, 'serviceId' | 'model'>, nowMs: number): void {
+    this.arrivalRates.record(getArrivalKey(serviceId, model), nowMs);
+  }
+
+  /**
+   * Draws one of the best servers that can run a request now; undefined when there is none.
    * @param requirements - Requirements of the request.
    * @param nowMs - Current time.
    */
   chooseServer(requirements: ServerRequirements, nowMs: number): KnownServer | undefined {
-    let best: KnownServer | undefined;
-    let bestScore = Infinity;
+    const candidates = this.scoreCandidates(requirements, nowMs);
+    return candidates.length === 0
+      ? undefined
+      : drawByRoom(candidates, this.getExpectedRise(candidates, requirements, nowMs), this.drawFraction());
+  }
+
+  /**
+   * Whether any server can run a request now.
+   * @param requirements - Requirements of the request.
+   * @param nowMs - Current time.
+   */
+  hasServer({ serviceId, model, excludedServerIds }: ServerRequirements, nowMs: number): boolean {
+    for (const server of this.fleet.getReadyServers(serviceId, nowMs)) {
+      const isHolder = model === undefined || getHeldModel(server, model) !== undefined;
+      if (isHolder && !excludedServerIds.has(server.entry.serverId)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private scoreCandidates(requirements: ServerRequirements, nowMs: number): ScoredCandidate<KnownServer>[] {
+    const candidates: ScoredCandidate<KnownServer>[] = [];
     for (const server of this.fleet.getReadyServers(requirements.serviceId, nowMs)) {
       if (requirements.excludedServerIds.has(server.entry.serverId)) {
         continue;
@@ -76,14 +128,11 @@
       const lacksAdapter =
         requirements.adapter !== undefined && held?.adapters.includes(requirements.adapter) !== true;
       const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
-      const rankPenalty = requirements.isInteractive ? RANK_PENALTY * server.rank : 0;
+      const rankPenalty = requirements.isInteractive ? LAST_RANK_PENALTY * server.rankShare : 0;
       const score = this.getScore(server, nowMs) + rankPenalty + (lacksAdapter ? adapterPenalty : 0);
-      if (score < bestScore) {
-        best = server;
-        bestScore = score;
-      }
+      candidates.push({ item: server, score });
     }
-    return best;
+    return candidates;
   }
 
   /**
@@ -91,20 +140,26 @@
    * @param server - The server.
    */
   getLoad(server: KnownServer): number {
-    const localInFlightCount = this.getOrCreateStats(server.entry.serverId).inFlightCount;
+    const stats = this.getOrCreateStats(server.entry.serverId);
     const { report } = server;
-    const inFlightCount = report
-      ? Math.max(report.runningCount + report.waitingCount, localInFlightCount)
-      : localInFlightCount;
+    const reportedCount = report
+      ? report.runningCount + report.waitingCount + getUnseen(stats, server).count
+      : 0;
+    const inFlightCount = Math.max(reportedCount, stats.inFlightCount);
     return inFlightCount / Math.max(1, server.entry.slotCount);
   }
 
   /**
    * Records that a request is sent to a server.
    * @param serverId - The server.
+   * @param nowMs - Current time.
+   * @param tokenCount - Number of tokens that it takes in the memory of an engine.
    */
-  recordSent(serverId: ServerId): void {
-    this.getOrCreateStats(serverId).inFlightCount++;
+  recordSent(serverId: ServerId, nowMs: number, tokenCount = 0): void {
+    const stats = this.getOrCreateStats(serverId);
+    stats.inFlightCount++;
+    stats.sends = stats.sends.filter(({ atMs }) => nowMs - atMs < SEND_MEMORY_MS);
+    stats.sends.push({ atMs: nowMs, tokenCount });
   }
 
   /**
@@ -146,21 +201,35 @@
     }
   }
 
+  /** Returns the sum by which requests placed with the same knowledge raise the scores. */
+  protected getExpectedRise(
+    candidates: readonly ScoredCandidate<KnownServer>[],
+    { serviceId, model, tokenCount = 0 }: ServerRequirements,
+    nowMs: number,
+  ): number {
+    const perSecond = this.arrivalRates.getPerSecond(getArrivalKey(serviceId, model), nowMs);
+    const requestCount = Math.max(1, perSecond * this.fleet.routerCount * SAME_KNOWLEDGE_S);
+    let risePerRequest = 0;
+    for (const { item } of candidates) {
+      const cacheTokens = item.report?.cacheTokens ?? Infinity;
+      risePerRequest += 1 / Math.max(1, item.entry.slotCount) + tokenCount / Math.max(1, cacheTokens);
+    }
+    return (requestCount * risePerRequest) / candidates.length;
+  }
+
   private getScore(server: KnownServer, nowMs: number): number {
     const stats = this.getOrCreateStats(server.entry.serverId);
     const { report } = server;
-    const cacheShare = report ? report.usedCacheTokens / Math.max(1, report.cacheTokens) : 0;
+    const usedTokens = report ? report.usedCacheTokens + getUnseen(stats, server).tokenCount : 0;
+    const cacheShare = report ? usedTokens / Math.max(1, report.cacheTokens) : 0;
     const queueShare = report ? report.waitingCount / Math.max(1, server.entry.slotCount) : 0;
-    const localShare = stats.inFlightCount / Math.max(1, server.entry.slotCount);
     return (
       this.getLoad(server) +
-      localShare +
       cacheShare +
       2 * queueShare +
       FAILURE_PENALTY * getDecayedFailureShare(stats, nowMs) +
       this.getLatencyPenalty(stats, server) +
-      (server.entry.dataCentre === this.dataCentre ? 0 : REMOTE_PENALTY) +
-      this.drawFraction() * 0.02
+      (server.entry.dataCentre === this.dataCentre ? 0 : REMOTE_PENALTY)
     );
   }
 
@@ -174,13 +243,33 @@
   private getOrCreateStats(serverId: ServerId): LocalServerStats {
     let stats = this.statsByServer.get(serverId);
     if (!stats) {
-      stats = { inFlightCount: 0, failureShare: 0, failureUpdatedAtMs: 0, latencyMs: undefined };
+      stats = { inFlightCount: 0, sends: [], failureShare: 0, failureUpdatedAtMs: 0, latencyMs: undefined };
       this.statsByServer.set(serverId, stats);
     }
     return stats;
   }
 }
 
+/** Returns the requests to a server that its latest report can't show yet. */
+function getUnseen(
+  { sends }: LocalServerStats,
+  { reportedAtMs }: KnownServer,
+): { readonly count: number; readonly tokenCount: number } {
+  let count = 0;
+  let tokenCount = 0;
+  for (const send of sends) {
+    if (send.atMs > reportedAtMs - REPORT_LAG_MS) {
+      count++;
+      tokenCount += send.tokenCount;
+    }
+  }
+  return { count, tokenCount };
+}
+
+function getArrivalKey(serviceId: ServiceId, model: string | undefined): string {
+  return `${serviceId}|${model ?? ''}`;
+}
+
 function getDecayedFailureShare(stats: LocalServerStats, nowMs: number): number {
   return stats.failureShare * 2 ** (-(nowMs - stats.failureUpdatedAtMs) / FAILURE_HALF_LIFE_MS);
 }
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -29,6 +29,8 @@
   private readonly unconfirmedSinceMs = new Map<ServerId, number>();
   /** Cached ranks of the servers; undefined after the list has changed. */
   private ranks: Map<string, number> | undefined;
+  /** Numbers of staying servers by service, computed with the ranks. */
+  private readonly stayingCounts = new Map<ServiceId, number>();
   private hasServerList = false;
   private storeUnavailableSinceMs: number | undefined;
   private storeRecoveredAtMs = -Infinity;
@@ -196,6 +198,15 @@
     return this.isStaying(entry) ? this.holds.getRemainingMs(entry, nowMs) : 0;
   }
 
+  /**
+   * Returns the number of servers of a service that stay, at least 1.
+   * @param serviceId - The service.
+   */
+  getStayingCount(serviceId: ServiceId): number {
+    this.ranks ??= this.computeRanks();
+    return Math.max(1, this.stayingCounts.get(serviceId) ?? 0);
+  }
+
   /**
    * Returns the rank of a server among those of its service that stay.
    * @param serverId - The server.
@@ -271,7 +282,9 @@
         entriesByService.set(serviceId, entries);
       }
     }
-    for (const entries of entriesByService.values()) {
+    this.stayingCounts.clear();
+    for (const [serviceId, entries] of entriesByService) {
+      this.stayingCounts.set(serviceId, entries.length);
       for (const [serverId, rank] of rankByHash(entries)) {
         ranks.set(serverId, rank);
       }
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -11,6 +11,8 @@
 export * from './ServerHolds.js';
 export * from './ServerDirectory.js';
 export * from './FleetView.js';
+export * from './ArrivalRates.js';
+export * from './drawByRoom.js';
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
 export * from './reportChanges.js';
--- a/test/direct/decisions/ServerChooser.test.ts
+++ b/test/direct/decisions/ServerChooser.test.ts
@@ -65,7 +65,7 @@
   describe('getLoad', () => {
     it('counts the requests of this router for a server without a report', () => {
       const { view, chooser } = makeChooser([makeEntry('x', { heldModels: [makeHeldModel('a')] })]);
-      chooser.recordSent(toServerId('x'));
+      chooser.recordSent(toServerId('x'), 0);
       const [server] = [...view.getReadyServers(ENGINES, 0)];
       expect(server && chooser.getLoad(server)).to.equal(1 / 48);
       chooser.recordEnded(toServerId('x'), false, 0);
