Live requests are recognised by their target beside the other routes' targets

Cause: a route counted as interactive up to a latency target of 1,000 ms. Change: a service's streams are interactive up to half of the longest target among its streams, and up to 1,000 ms in any case.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -110,7 +110,8 @@
     private readonly sink: ResponseSink,
   ) {
     const { route, headers, receivedAtMs } = request;
-    this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs);
+    const maxInteractiveTargetMs = deps.view.getMaxInteractiveTargetMs(request.serviceId);
+    this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs, maxInteractiveTargetMs);
     this.search = new ServerSearch(deps, request, this.limits, () => this.hasEnded);
     this.lastEventId = headers.lastEventId;
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -2,7 +2,11 @@
 import { RouteTable } from './RouteTable.js';
 import { ServerDirectory } from './ServerDirectory.js';
 import type { AgentReport, HeldModel, ServerEntry } from './ServerEntry.js';
-import type { ServingConfiguration } from './ServingConfiguration.js';
+import {
+  getMaxInteractiveTargetsMs,
+  MIN_INTERACTIVE_TARGET_MS,
+  type ServingConfiguration,
+} from './ServingConfiguration.js';
 
 /** Time after which an agent's report is outdated, in milliseconds; an agent sends four reports in this time. */
 const REPORT_LIFETIME_MS = 2_500;
@@ -31,6 +35,7 @@
   private readonly refusedUntilMs = new Map<string, number>();
   private currentConfiguration: ServingConfiguration | undefined;
   private currentRouteTable = new RouteTable([]);
+  private maxInteractiveTargetsMs = new Map<ServiceId, number>();
 
   /** Newest configuration that was applied. */
   get configuration(): ServingConfiguration | undefined {
@@ -57,9 +62,18 @@
     }
     this.currentConfiguration = configuration;
     this.currentRouteTable = new RouteTable(configuration.routes);
+    this.maxInteractiveTargetsMs = getMaxInteractiveTargetsMs(configuration.routes);
     return true;
   }
 
+  /**
+   * Returns the longest latency target of interactive requests to a service, in milliseconds.
+   * @param serviceId - The service.
+   */
+  getMaxInteractiveTargetMs(serviceId: ServiceId): number {
+    return this.maxInteractiveTargetsMs.get(serviceId) ?? MIN_INTERACTIVE_TARGET_MS;
+  }
+
   /**
    * Applies a report of an agent.
    * @param report - The report.
--- a/src/direct/decisions/RequestLimits.ts
+++ b/src/direct/decisions/RequestLimits.ts
@@ -1,7 +1,5 @@
-import { isRetryable, type Route } from './ServingConfiguration.js';
+import { isRetryable, MIN_INTERACTIVE_TARGET_MS, type Route } from './ServingConfiguration.js';
 
-/** Maximum latency target of interactive requests, in milliseconds; the targets of overnight work are seconds. */
-const MAX_INTERACTIVE_TARGET_MS = 1_000;
 /**
  * Timeout of the first chunk, after which a retryable request is sent to another server, as a multiple of its latency
  * target.
@@ -39,18 +37,20 @@
   readonly targetAtMs: number;
   /** When the wait for a server ends, since a later response would come too late. */
   readonly waitDeadlineAtMs: number;
-  /** Whether the request is interactive, as its latency target shows. */
+  /** Whether the request is interactive, as its latency target shows beside those of the service's other routes. */
   readonly isInteractive: boolean;
 
   /**
    * @param route - Route of the request.
    * @param deadlineMs - Time that the caller waits, in milliseconds; absent when the request does not specify it.
    * @param receivedAtMs - When the request was received.
+   * @param maxInteractiveTargetMs - Longest latency target of interactive requests to the service, in milliseconds.
    */
   constructor(
     private readonly route: Route,
     deadlineMs: number | undefined,
     receivedAtMs: number,
+    maxInteractiveTargetMs = MIN_INTERACTIVE_TARGET_MS,
   ) {
     const startTimeoutMs = Math.max(
       MIN_START_TIMEOUT_MS,
@@ -62,7 +62,7 @@
     this.waitDeadlineAtMs =
       Math.min(this.deadlineAtMs, receivedAtMs + (route.kind === 'stream' ? startTimeoutMs : Infinity)) -
       FIRST_EVENT_RESERVE_MS;
-    this.isInteractive = route.latencyTargetMs <= MAX_INTERACTIVE_TARGET_MS;
+    this.isInteractive = route.latencyTargetMs <= maxInteractiveTargetMs;
   }
 
   /**
--- a/src/direct/decisions/ServingConfiguration.ts
+++ b/src/direct/decisions/ServingConfiguration.ts
@@ -79,6 +79,27 @@
   readonly callerLimits: CallerLimits;
 }
 
+/** Latency target up to which requests are interactive in any case, in milliseconds. */
+export const MIN_INTERACTIVE_TARGET_MS = 1_000;
+/** Longest latency target of interactive requests as a share of the longest target of the service's streams. */
+const INTERACTIVE_TARGET_SHARE = 0.5;
+
+/**
+ * Returns the longest latency target of interactive requests by service, in milliseconds: callers of routes with much
+ * shorter targets than others of the same service wait live for the response, those of the others do not.
+ * @param routes - Routes of a configuration.
+ */
+export function getMaxInteractiveTargetsMs(routes: readonly Route[]): Map<ServiceId, number> {
+  const targetsMs = new Map<ServiceId, number>();
+  for (const route of routes) {
+    for (const { serviceId } of route.kind === 'stream' ? route.targets : []) {
+      const shareMs = INTERACTIVE_TARGET_SHARE * route.latencyTargetMs;
+      targetsMs.set(serviceId, Math.max(MIN_INTERACTIVE_TARGET_MS, shareMs, targetsMs.get(serviceId) ?? 0));
+    }
+  }
+  return targetsMs;
+}
+
 /**
  * Whether the requests of a route may run more than once.
  * @param route - The route.
--- a/test/direct/decisions/RequestLimits.test.ts
+++ b/test/direct/decisions/RequestLimits.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import { RequestLimits } from '../../../src/direct/index.js';
-import { makeRoute } from '../fleetFixtures.js';
+import { FleetView, RequestLimits } from '../../../src/direct/index.js';
+import { ENGINES, makeConfiguration, makeRoute } from '../fleetFixtures.js';
 
 describe('RequestLimits', () => {
   describe('waitDeadlineAtMs', () => {
@@ -20,6 +20,28 @@
     });
   });
 
+  describe('isInteractive', () => {
+    const target = (latencyTargetMs: number, kind: 'stream' | 'idempotent' = 'stream') =>
+      makeRoute({ latencyTargetMs, kind });
+    const cases: readonly [string, readonly number[], readonly boolean[]][] = [
+      ['live drafts beside overnight work', [500, 3_000, 500], [true, false, true]],
+      ['a live target slightly above one second', [1_003, 2_503, 3_002], [true, false, false]],
+      ['live routes alone', [500, 800], [true, true]],
+      ['overnight work alone', [2_500, 3_000], [false, false]],
+    ];
+    for (const [name, targetsMs, expected] of cases) {
+      it(`recognises ${name}`, () => {
+        const routes = targetsMs.map((targetMs) => target(targetMs));
+        const view = new FleetView();
+        view.applyConfiguration(makeConfiguration(1, [...routes, target(60_000, 'idempotent')]));
+        const maxTargetMs = view.getMaxInteractiveTargetMs(ENGINES);
+        expect(
+          routes.map((route) => new RequestLimits(route, undefined, 0, maxTargetMs).isInteractive),
+        ).to.deep.equal(expected);
+      });
+    }
+  });
+
   describe('getChunkTimeouts', () => {
     it('returns no timeouts when no other server can run the request', () => {
       const limits = new RequestLimits(makeRoute({ maxAttempts: 2 }), undefined, 0);
