Soak: restores of the store, leaving and pausing workers

The soak restores its store from a copy some moments old (the operator and the workers write again within 0.4 s), draining workers say so in all their answers, and some refusals ask for a pause. New oracles: what arrives at a worker from a router during a pause (two at most) and after an answer that said that the worker is leaving. A worker that stops draining is its next incarnation now, as the users' pages have it; before, the same one became ready again, which they don't know.

--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -1,9 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { ObjectStore } from './ObjectStore.js';
 
-/** Fault that a worker injects into a request; `lieNotRun` runs it and then states that it did not run. */
+/**
+ * Fault that a worker injects into a request; `pause` refuses it and asks for a pause, `lieNotRun` runs it and then states
+ * that it did not run.
+ */
 export type InjectedFault =
-  'cutBefore' | 'cutWithin' | 'silence' | 'refuse' | 'lieNotRun' | 'foreign' | 'endEarly';
+  'cutBefore' | 'cutWithin' | 'silence' | 'refuse' | 'pause' | 'lieNotRun' | 'foreign' | 'endEarly';
 
 /** Execution of a request on a worker. */
 export interface WorkerRun {
@@ -13,6 +16,22 @@
   readonly startedAtMs: number;
 }
 
+/** Arrival of a request at a worker. */
+export interface WorkerArrival {
+  readonly requestId: string;
+  readonly workerId: string;
+  readonly atMs: number;
+  /** Time for which the worker asks the sender for a pause in its answer, in milliseconds; 0 if it does not. */
+  readonly pauseMs: number;
+  /** Whether the worker states in its answer that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Start of the worker's incarnation, in milliseconds since the epoch. */
+  readonly bornAtMs: number;
+}
+
+/** Time for which a worker asks for a pause, in milliseconds. */
+export const PAUSE_MS = 1_500;
+
 /** Options and dependencies of a worker. */
 export interface WorkerOptions {
   readonly workerId: string;
@@ -20,6 +39,8 @@
   readonly host: string;
   readonly port: number;
   readonly store: ObjectStore;
+  /** Called when a request arrives, whether it runs or is refused. */
+  readonly onArrival?: (arrival: WorkerArrival) => void;
   /** Called when a request starts to run. */
   readonly onRun: (run: WorkerRun) => void;
   /** Draws the fault for a request; undefined means to serve it normally. */
@@ -30,6 +51,8 @@
 export abstract class Worker {
   /** Time at which the worker reported that it is draining; undefined while it accepts requests. */
   drainingSinceMs: number | undefined;
+  /** Whether answers omit that the worker is leaving or wants a pause, for tests that inject a fault. */
+  omitsNotices = false;
   protected bornAtMs = Date.now();
   private isDown = false;
   private readonly server: Server = createServer((incoming, response) =>
@@ -67,12 +90,23 @@
     }, downMs);
   }
 
-  /** Reports that the worker is draining, or that it accepts requests again. */
+  /** Reports that the worker is draining, or replaces it by its next incarnation, which accepts requests. */
   setDraining(isDraining: boolean): void {
     this.drainingSinceMs = isDraining ? Date.now() : undefined;
+    if (!isDraining) {
+      this.bornAtMs = Date.now();
+      this.clearState();
+    }
     this.publishEntry();
   }
 
+  /** Writes the worker's entry again after the store has lost it, unless the worker is down. */
+  rewriteEntry(): void {
+    if (!this.isDown) {
+      this.publishEntry();
+    }
+  }
+
   /** Writes the worker's entry to the store. */
   protected publishEntry(): void {
     const { store, workerId, service, host, port } = this.options;
@@ -111,6 +145,9 @@
       incoming.socket.destroy();
       return;
     }
+    if (this.drainingSinceMs !== undefined && !this.omitsNotices) {
+      response.setHeader('server-leaving', '1');
+    }
     let body = '';
     incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
     incoming.on('end', () => {
@@ -121,14 +158,24 @@
   }
 
   private handleServiceRequest(incoming: IncomingMessage, response: ServerResponse): void {
-    const { workerId, service, onRun, drawFault } = this.options;
+    const { workerId, service, onArrival, onRun, drawFault } = this.options;
     const requestId = getRequestId(incoming);
     const isMisdirected = (incoming.headers['expect-instance'] ?? workerId) !== workerId;
     const refusalStatus = isMisdirected ? 421 : this.getRefusalStatus(incoming);
     const fault = drawFault();
-    if (refusalStatus !== undefined || fault === 'refuse') {
+    const isPause = refusalStatus === undefined && fault === 'pause';
+    onArrival?.({
+      requestId,
+      workerId,
+      atMs: Date.now(),
+      pauseMs: isPause ? PAUSE_MS : 0,
+      isLeaving: this.drainingSinceMs !== undefined,
+      bornAtMs: this.bornAtMs,
+    });
+    if (refusalStatus !== undefined || fault === 'refuse' || isPause) {
       const headers = { 'request-id': requestId, 'not-run': '1', 'instance-id': workerId };
-      response.writeHead(refusalStatus ?? 503, headers).end();
+      const pauseHeaders = isPause && !this.omitsNotices ? { 'retry-after': String(PAUSE_MS / 1_000) } : {};
+      response.writeHead(refusalStatus ?? 503, { ...headers, ...pauseHeaders }).end();
       return;
     }
     onRun({ requestId, workerId, service, startedAtMs: Date.now() });
--- a/test/platform/badInput.test.ts
+++ b/test/platform/badInput.test.ts
@@ -27,6 +27,7 @@
     fleet = new SoakFleet(
       () => undefined,
       () => undefined,
+      () => undefined,
     );
     await fleet.start();
   });
--- a/test/soak/SoakFaultInjector.ts
+++ b/test/soak/SoakFaultInjector.ts
@@ -10,6 +10,8 @@
 const FAULT_INTERVAL_RANGE_MS = 900;
 /** Longest duration of a fault, in milliseconds. */
 const MAX_FAULT_DURATION_MS = 2_500;
+/** Longest time after which lost writes are repeated, in milliseconds. */
+const REWRITE_DELAY_MS = 400;
 /** Time that a process may take to exit beyond its grace time on a machine under load, in milliseconds. */
 const GRACE_SLACK_MS = 1_500;
 /** Time after a disturbance during which requests at the router may still fail because of it, in milliseconds. */
@@ -65,7 +67,7 @@
   }
 
   private injectRandomFault(): Promise<void> {
-    switch (this.random.nextInt(8)) {
+    switch (this.random.nextInt(9)) {
       case 0:
         return this.killProcess();
       case 1:
@@ -80,6 +82,8 @@
         return this.drainWorker();
       case 6:
         return this.changeRoute();
+      case 7:
+        return this.restoreStore();
       default:
         this.recordFault('store history cleared');
         this.fleet.store.discardHistory();
@@ -98,7 +102,11 @@
         return this.changeRoute();
       case 'drain':
         store.ignoredKinds.add('servers');
+        this.omitNotices();
         return this.drainWorker(6_000);
+      case 'pause':
+        this.omitNotices();
+        return sleepMs(3_000);
       case 'lost':
         return this.stopRouter('SIGKILL');
       case 'held':
@@ -210,8 +218,34 @@
     outage.toMs = Date.now();
   }
 
+  /** Restores the store from a copy some moments old; the operator and the workers write again what they wrote last. */
+  private async restoreStore(): Promise<void> {
+    const { store, workers } = this.fleet;
+    if (store.mode !== 'up') {
+      return;
+    }
+    const copy = store.takeCopy();
+    await sleepMs(this.random.nextInt(MAX_FAULT_DURATION_MS));
+    const outage = { fromMs: Date.now(), toMs: Infinity };
+    this.recorder.storeOutages.push(outage);
+    this.recordFault('store restored from a copy');
+    store.restore(copy);
+    await sleepMs(this.random.nextInt(REWRITE_DELAY_MS));
+    this.fleet.writeConfiguration(this.version, this.routedService);
+    for (const worker of workers) {
+      worker.rewriteEntry();
+    }
+    outage.toMs = Date.now();
+  }
+
+  private omitNotices(): void {
+    for (const worker of this.fleet.workers) {
+      worker.omitsNotices = true;
+    }
+  }
+
   private async crashWorker(): Promise<void> {
-    const workers = [...this.fleet.modelWorkers, ...this.fleet.plainWorkers];
+    const { workers } = this.fleet;
     const worker = workers[this.random.nextInt(workers.length)];
     const durationMs = this.random.nextInt(MAX_FAULT_DURATION_MS);
     this.recordFault(`${worker?.options.workerId} crashed for ${durationMs} ms`);
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -10,6 +10,7 @@
   ObjectStore,
   PlainWorker,
   type InjectedFault,
+  type WorkerArrival,
   type WorkerRun,
 } from '../../standins/users/index.js';
 
@@ -45,10 +46,12 @@
 
   /**
    * @param onRun - Called for each execution on a worker.
+   * @param onArrival - Called for each request that arrives at a worker.
    * @param drawFault - Draws the fault that a worker injects into a request, if any.
    */
   constructor(
     private readonly onRun: (run: WorkerRun) => void,
+    private readonly onArrival: (arrival: WorkerArrival) => void,
     private readonly drawFault: (service: string) => InjectedFault | undefined,
   ) {}
 
@@ -80,7 +83,7 @@
     for (const { child } of this.processes) {
       child?.kill('SIGKILL');
     }
-    for (const worker of [...this.modelWorkers, ...this.plainWorkers]) {
+    for (const worker of this.workers) {
       worker.stop();
     }
     this.store.stop();
@@ -88,6 +91,10 @@
     await rm(this.directory, { recursive: true, force: true });
   }
 
+  get workers(): (ModelWorker | PlainWorker)[] {
+    return [...this.modelWorkers, ...this.plainWorkers];
+  }
+
   get routers(): SoakProcess[] {
     return this.processes.filter(({ isRouter }) => isRouter);
   }
@@ -164,6 +171,7 @@
       port: PORTS.worker,
       store: this.store,
       onRun: this.onRun,
+      onArrival: this.onArrival,
       drawFault: () => this.drawFault(service),
     });
     for (let index = 1; index <= MODEL_WORKER_COUNT; index++) {
@@ -175,7 +183,7 @@
       const host = this.reservation.getAddress(50 + index);
       this.plainWorkers.push(new PlainWorker(makeWorkerOptions(`p${index + 1}`, service, host)));
     }
-    for (const worker of [...this.modelWorkers, ...this.plainWorkers]) {
+    for (const worker of this.workers) {
       await worker.start();
     }
   }
--- a/test/soak/SoakRecorder.ts
+++ b/test/soak/SoakRecorder.ts
@@ -1,10 +1,19 @@
-import { makePlainText, makeStreamText, type WorkerRun } from '../../standins/users/index.js';
+import {
+  makePlainText,
+  makeStreamText,
+  type WorkerArrival,
+  type WorkerRun,
+} from '../../standins/users/index.js';
 
 /** Time limits of the platform documentation for applying a configuration and a drain, in milliseconds. */
 const CONFIG_APPLY_MS = 2_000;
 const DRAIN_APPLY_MS = 2_000;
 /** Time after a disturbance during which checks with time limits exclude a process, in milliseconds. */
 const STABILIZATION_MS = 3_000;
+/** Time after a refusal that asks for a pause in which requests may still arrive, in milliseconds. */
+const PAUSE_APPLY_MS = 500;
+/** Largest number of requests of one router that may arrive during a pause after that. */
+const MAX_ARRIVALS_IN_PAUSE = 2;
 /** Timeout of each route, and the time that a response may take beyond it, in milliseconds. */
 const ROUTE_TIMEOUT_MS = 2_500;
 const RESPONSE_SLACK_MS = 1_000;
@@ -40,6 +49,8 @@
 export class SoakRecorder {
   readonly requests: SoakRequest[] = [];
   readonly runs: WorkerRun[] = [];
+  /** All requests that arrived at workers, in chronological order. */
+  readonly arrivals: WorkerArrival[] = [];
   /** Services of the route `/moved/` and the times since which they apply. */
   readonly routeChanges: RouteChange[] = [];
   /** Periods in which a worker was draining. */
@@ -66,6 +77,36 @@
         );
       }
     }
+    return [...violations, ...this.findIgnoredNotices()];
+  }
+
+  /** Lists requests that routers sent to workers against the workers' notices in earlier answers to them. */
+  private findIgnoredNotices(): string[] {
+    const requestsById = new Map(this.requests.map((request) => [request.requestId, request]));
+    const violations: string[] = [];
+    for (const [index, notice] of this.arrivals.entries()) {
+      const { workerId, bornAtMs, isLeaving, pauseMs, atMs } = notice;
+      const router = requestsById.get(notice.requestId)?.router;
+      if (!isLeaving && pauseMs === 0) {
+        continue;
+      }
+      const later = this.arrivals.slice(index + 1).filter((arrival) => {
+        const request = requestsById.get(arrival.requestId);
+        const isSameWorker = arrival.workerId === workerId && arrival.bornAtMs === bornAtMs;
+        return isSameWorker && request?.router === router && request?.isRouterStable === true;
+      });
+      const inPause = later.filter((arrival) => {
+        const sinceMs = arrival.atMs - atMs;
+        return sinceMs > PAUSE_APPLY_MS && sinceMs < pauseMs;
+      });
+      if (inPause.length > MAX_ARRIVALS_IN_PAUSE) {
+        violations.push(`${inPause.length} requests during a pause of ${workerId} by ${router}`);
+      }
+      const isPassedOn = requestsById.get(notice.requestId)?.status !== undefined;
+      if (isLeaving && isPassedOn && later.some((arrival) => arrival.atMs - atMs > DRAIN_APPLY_MS)) {
+        violations.push(`sent to ${workerId} after it had said to ${router} that it is leaving`);
+      }
+    }
     return violations;
   }
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -17,6 +17,7 @@
   'held',
   'overcommitted',
   'recovery',
+  'pause',
 ] as const;
 export type InjectedViolation = (typeof INJECTED_VIOLATIONS)[number];
 
@@ -46,7 +47,14 @@
 const RECOVERY_TIMEOUT_MS = 8_000;
 /** Probability that a worker injects a fault into a request. */
 const WORKER_FAULT_PROBABILITY = 0.04;
-const WORKER_FAULTS: readonly InjectedFault[] = ['cutBefore', 'cutWithin', 'silence', 'refuse', 'foreign'];
+const WORKER_FAULTS: readonly InjectedFault[] = [
+  'cutBefore',
+  'cutWithin',
+  'silence',
+  'refuse',
+  'pause',
+  'foreign',
+];
 const KINDS: readonly RequestKind[] = ['stream', 'stream', 'read', 'write', 'moved'];
 
 /**
@@ -68,6 +76,7 @@
   };
   const fleet = new SoakFleet(
     (run) => recorder.runs.push(run),
+    (arrival) => recorder.arrivals.push(arrival),
     (service) => drawWorkerFault(service),
   );
   const callers = new SoakCallers(fleet, recorder, random);
