Agents report changes of load only to the routers that use their engine

Cause: each agent sent each router its state twice a second and at once with each order and each four requests, encoded anew for each router; each connection was pinged each second although reports came in; a router walked all reports for each request (crash counts, number of routers) and built the state of all servers to find the holders of one model. Rolling upgrade: messages are the same.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -2,20 +2,13 @@
 import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
-import {
-  findReportChanges,
-  ResidencyPlanner,
-  type AgentReport,
-  type PlannedOrder,
-  type EngineReport,
-} from './decisions/index.js';
+import { ResidencyPlanner, type AgentReport, type PlannedOrder } from './decisions/index.js';
 import type { EnginePort, OrderResult } from './EnginePort.js';
+import { ReportPublisher } from './ReportPublisher.js';
 import {
   RESIDENCY_METHODS,
-  ROUTING_METHODS,
   type CrashedParams,
   type EnsureAdapterParams,
-  type EngineReportParams,
   type EnsureAdapterReply,
   type FollowEngineParams,
   type LeavingParams,
@@ -23,18 +16,17 @@
   type WantModelParams,
 } from './messages.js';
 
-/** Interval at which the engine's state is read, in milliseconds; the request does not leave the machine. */
-const POLL_INTERVAL_MS = 100;
+/**
+ * Interval at which the engine's state is read, in milliseconds; the request does not leave the machine. The state is some
+ * hundred milliseconds old in any case.
+ */
+const POLL_INTERVAL_MS = 200;
 /** Interval at which the engine's state is read while it carries out an order or models are queued, in milliseconds. */
 const BUSY_POLL_INTERVAL_MS = 40;
-/** Interval at which routers receive a report if nothing important changed, in milliseconds. */
-const REPORT_INTERVAL_MS = 500;
 /** Timeout of a request for an adapter, in milliseconds; a load takes about 10 ms. */
 const ADAPTER_TIMEOUT_MS = 400;
 /** Interval at which a pending adapter is polled, in milliseconds. */
 const ADAPTER_POLL_MS = 4;
-/** Change of the engine's load that is reported to routers at once, in requests. */
-const MIN_LOAD_CHANGE = 4;
 /** Maximum number of stored leaving servers. */
 const MAX_LEAVING_SERVERS = 200;
 /** Maximum number of stored fingerprints of crashing requests. */
@@ -50,43 +42,37 @@
   readonly metrics: Metrics;
 }
 
-/** A router that follows the engine. */
-interface Follower {
-  /** Number of this router's running requests by model. */
-  readonly runningCounts: Map<string, number>;
-}
-
 /**
  * The only sender of orders to one engine: carries out the load requests of routers and reports the engine's state to
  * them.
  */
 export class EngineController implements Service {
   private readonly planner = new ResidencyPlanner();
-  private readonly followers = new Map<PeerConnection, Follower>();
+  private readonly publisher: ReportPublisher;
+  /** Numbers of running requests of each connected router, by model. */
+  private readonly runningCounts = new Map<PeerConnection, Map<string, number>>();
   private readonly crashCounts = new Map<string, number>();
   /** Start times of servers that routers have found to be leaving. */
   private readonly leavingServers = new Map<ServerId, number>();
   private lastOrder: Promise<unknown> = Promise.resolve();
   private loadingModel: string | undefined;
   private loadingSinceMs = 0;
-  private reportedAtMs = -Infinity;
-  private reportedState: EngineReport | undefined;
-  /** Last report sent to all followers; undefined if the next one must be complete. */
-  private sentReport: AgentReport | undefined;
-  private reportedPlan = '';
   private isEngineUp = true;
   private endDelay: () => void = () => undefined;
   private stopped = false;
 
   /** @param deps - Dependencies. */
-  constructor(private readonly deps: EngineControllerDependencies) {}
+  constructor(private readonly deps: EngineControllerDependencies) {
+    this.publisher = new ReportPublisher(deps.clock);
+  }
 
   /** Returns the methods that routers call. */
   getMethods(): PeerMethods {
     return {
       [RESIDENCY_METHODS.follow]: (params: FollowEngineParams, from: PeerConnection) =>
         this.onFollow(params, from),
-      [RESIDENCY_METHODS.want]: (params: WantModelParams) => this.onLoadRequest(params),
+      [RESIDENCY_METHODS.want]: (params: WantModelParams, from: PeerConnection) =>
+        this.onLoadRequest(params, from),
       [RESIDENCY_METHODS.started]: (params: ModelUseParams, from: PeerConnection) =>
         this.onRequestStarted(params, from),
       [RESIDENCY_METHODS.ended]: (params: ModelUseParams, from: PeerConnection) =>
@@ -115,7 +101,7 @@
       if (order) {
         await this.runExclusively(() => this.sendOrder(order));
       }
-      this.sendReportIfDue();
+      this.publishReport();
       const queuedCount = this.planner.queuedModels.length;
       const isActive = queuedCount > 0 || this.planner.engineReport?.isBusy === true;
       const intervalMs = isActive ? BUSY_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
@@ -136,7 +122,7 @@
       if (report) {
         log.info('engine is reachable again', { bornAtMs: report.bornAtMs });
       } else {
-        this.sentReport = undefined;
+        this.publisher.reset();
         log.warn('engine is unreachable');
       }
     }
@@ -193,43 +179,43 @@
 
   private onFollow(params: FollowEngineParams, from: PeerConnection): void {
     this.planner.setCapacity({ ...params, models: new Map(params.models) });
-    if (!this.followers.has(from)) {
-      this.followers.set(from, { runningCounts: new Map() });
-      if (this.sentReport) {
-        from.notify(ROUTING_METHODS.report, this.sentReport);
-      }
+    if (this.publisher.add(from)) {
+      this.runningCounts.set(from, new Map());
       from.onClose(() => this.onDisconnect(from));
       this.deps.log.info('router connected', { router: from.peerName });
     }
-    this.sendReport();
+    this.publishReport(true);
   }
 
   private onDisconnect(from: PeerConnection): void {
     const nowMs = this.deps.clock.nowMs();
-    for (const [model, count] of this.followers.get(from)?.runningCounts ?? []) {
+    for (const [model, count] of this.runningCounts.get(from) ?? []) {
       for (let ended = 0; ended < count; ended++) {
         this.planner.onRequestEnded(model, false, nowMs);
       }
     }
-    this.followers.delete(from);
+    this.runningCounts.delete(from);
+    this.publisher.remove(from);
     this.deps.log.info('router disconnected', { router: from.peerName });
   }
 
-  private onLoadRequest({ model, isInteractive, keptModels }: WantModelParams): void {
+  private onLoadRequest({ model, isInteractive, keptModels }: WantModelParams, from: PeerConnection): void {
+    this.publisher.recordUse(from);
     this.planner.requestModel(model, isInteractive, this.deps.clock.nowMs(), keptModels);
     this.endDelay();
   }
 
   private onRequestStarted({ model, isInteractive }: ModelUseParams, from: PeerConnection): void {
-    const counts = this.followers.get(from)?.runningCounts;
+    const counts = this.runningCounts.get(from);
     if (counts) {
+      this.publisher.recordUse(from);
       counts.set(model, (counts.get(model) ?? 0) + 1);
       this.planner.onRequestStarted(model, isInteractive, this.deps.clock.nowMs());
     }
   }
 
   private onRequestEnded({ model, isInteractive }: ModelUseParams, from: PeerConnection): void {
-    const counts = this.followers.get(from)?.runningCounts;
+    const counts = this.runningCounts.get(from);
     const count = counts?.get(model) ?? 0;
     if (counts && count > 0) {
       counts.set(model, count - 1);
@@ -289,7 +275,7 @@
       this.crashCounts.delete(oldest.value);
     }
     this.deps.log.decision('crash recorded', { fingerprint, crashCount: count });
-    this.sendReport();
+    this.publishReport(true);
   }
 
   private onLeaving({ serverId, bornAtMs }: LeavingParams): void {
@@ -303,70 +289,31 @@
       this.leavingServers.delete(oldest.value);
     }
     this.deps.log.decision('leaving server recorded', { serverId, bornAtMs });
-    this.sendReport();
+    this.publishReport(true);
   }
 
-  private sendReportIfDue(): void {
+  /**
+   * Sends the current state to the routers for which a report is due.
+   * @param isForced - Whether to send it to all routers in any case.
+   */
+  private publishReport(isForced = false): void {
     const engine = this.planner.engineReport;
-    const isOld = this.deps.clock.nowMs() - this.reportedAtMs >= REPORT_INTERVAL_MS;
-    const plan = this.describePlan();
-    if (
-      engine &&
-      (isOld ||
-        plan !== this.reportedPlan ||
-        !this.reportedState ||
-        isImportantChange(this.reportedState, engine))
-    ) {
-      this.reportedPlan = plan;
-      this.sendReport();
-    }
-  }
-
-  /** Describes the state whose changes are reported at once: models that accept requests, and queued models. */
-  private describePlan(): string {
-    const held = this.planner.engineReport?.heldModels ?? [];
-    const accepting = held.filter(({ name }) => this.planner.acceptsRequests(name)).map(({ name }) => name);
-    return [...accepting, '|', ...this.planner.queuedModels].join(' ');
-  }
-
-  private sendReport(): void {
-    const engine = this.planner.engineReport;
-    if (!engine || !this.isEngineUp) {
+    if (!engine || !this.isEngineUp || this.publisher.followerCount === 0) {
       return;
     }
-    this.reportedState = engine;
-    this.reportedAtMs = this.deps.clock.nowMs();
+    const nowMs = this.deps.clock.nowMs();
     const report: AgentReport = {
       ...engine,
       address: this.deps.engineAddress,
       loadingModel: this.loadingModel,
-      loadingForMs: this.reportedAtMs - this.loadingSinceMs,
+      loadingForMs: nowMs - this.loadingSinceMs,
       queuedModels: this.planner.queuedModels,
       heldModels: engine.heldModels.filter(({ name }) => this.planner.acceptsRequests(name)),
-      uses: this.planner.getModelUses(this.reportedAtMs),
-      routerCount: this.followers.size,
+      uses: this.planner.getModelUses(nowMs),
+      routerCount: this.publisher.followerCount,
       crashCounts: Object.fromEntries(this.crashCounts),
       leavingServers: Object.fromEntries(this.leavingServers),
     };
-    const changes: EngineReportParams = findReportChanges(this.sentReport, report);
-    this.sentReport = report;
-    for (const connection of this.followers.keys()) {
-      connection.notify(ROUTING_METHODS.report, changes);
-    }
+    this.publisher.publish(report, isForced);
   }
 }
-
-/** Whether a state should be reported to routers before the next report is due. */
-function isImportantChange(before: EngineReport, now: EngineReport): boolean {
-  const loadChange = Math.abs(
-    now.runningCount + now.waitingCount - before.runningCount - before.waitingCount,
-  );
-  return (
-    loadChange >= MIN_LOAD_CHANGE ||
-    now.isBusy !== before.isBusy ||
-    now.isLeaving !== before.isLeaving ||
-    now.orderCount !== before.orderCount ||
-    now.heldModels.length !== before.heldModels.length ||
-    now.comingAdapters.length !== before.comingAdapters.length
-  );
-}
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -31,6 +31,10 @@
 /** A router's view of the fleet: the configuration and the backend servers. */
 export class FleetView extends ServerDirectory {
   private readonly reports = new Map<string, { report: AgentReport; atMs: number }>();
+  /** Addresses of the agents whose reports contain crashed requests. */
+  private readonly crashReporters = new Set<string>();
+  /** Cached number of routers; undefined after a report has changed it. */
+  private cachedRouterCount: number | undefined;
   /** Time until which a model counts as not loaded on a server, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
   private currentConfiguration: ServingConfiguration | undefined;
@@ -80,7 +84,11 @@
    * @param nowMs - Current time.
    */
   applyReport(report: AgentReport, nowMs: number): void {
+    if (this.reports.get(report.address)?.report.routerCount !== report.routerCount) {
+      this.cachedRouterCount = undefined;
+    }
     this.reports.set(report.address, { report, atMs: nowMs });
+    this.crashReporters[Object.keys(report.crashCounts).length > 0 ? 'add' : 'delete'](report.address);
     this.applyLeavingServers(report);
     this.confirm(report.address, report.bornAtMs);
   }
@@ -101,6 +109,8 @@
    */
   discardReport(address: string): void {
     this.reports.delete(address);
+    this.crashReporters.delete(address);
+    this.cachedRouterCount = undefined;
   }
 
   /**
@@ -116,6 +126,23 @@
     }
   }
 
+  /**
+   * Returns the servers of a service that accept new requests for a model, or for any if there is none.
+   * @param serviceId - The service.
+   * @param model - Name of the model, if any.
+   * @param nowMs - Current time.
+   */
+  *getHolders(serviceId: ServiceId, model: string | undefined, nowMs: number): IterableIterator<KnownServer> {
+    for (const entry of this.getEntries()) {
+      if (entry.serviceId !== serviceId || !this.acceptsRequests(entry, nowMs)) {
+        continue;
+      }
+      if (model === undefined || this.isHolder(entry, model, nowMs)) {
+        yield this.toKnownServer(entry, nowMs);
+      }
+    }
+  }
+
   /**
    * Returns the shortest remaining hold among servers that hold a model, or among all servers of a service without
    * models, in milliseconds; undefined if none of them is on hold.
@@ -127,7 +154,7 @@
     let shortestMs: number | undefined;
     for (const entry of this.getEntries()) {
       const holdMs = entry.serviceId === serviceId ? this.getHoldMs(entry, nowMs) : 0;
-      if (holdMs > 0 && (model === undefined || getHeldModel(this.toKnownServer(entry, nowMs), model))) {
+      if (holdMs > 0 && (model === undefined || this.isHolder(entry, model, nowMs))) {
         shortestMs = Math.min(shortestMs ?? Infinity, holdMs);
       }
     }
@@ -136,11 +163,14 @@
 
   /** Number of routers, as the largest number of connected routers that an agent reports; at least 1. */
   get routerCount(): number {
-    let count = 1;
-    for (const { report } of this.reports.values()) {
-      count = Math.max(count, report.routerCount);
+    if (this.cachedRouterCount === undefined) {
+      let count = 1;
+      for (const { report } of this.reports.values()) {
+        count = Math.max(count, report.routerCount);
+      }
+      this.cachedRouterCount = count;
     }
-    return count;
+    return this.cachedRouterCount;
   }
 
   /**
@@ -149,8 +179,8 @@
    */
   getCrashCount(fingerprint: string): number {
     let count = 0;
-    for (const { report } of this.reports.values()) {
-      count = Math.max(count, report.crashCounts[fingerprint] ?? 0);
+    for (const address of this.crashReporters) {
+      count = Math.max(count, this.reports.get(address)?.report.crashCounts[fingerprint] ?? 0);
     }
     return count;
   }
@@ -168,13 +198,28 @@
     }
   }
 
-  private toKnownServer(entry: ServerEntry, nowMs: number): KnownServer {
+  private isHolder(entry: ServerEntry, model: string, nowMs: number): boolean {
+    const heldModels = this.getCurrentReport(entry, nowMs)?.heldModels ?? entry.heldModels;
+    const isHeld = heldModels.some(({ name }) => name === model);
+    return (
+      isHeld &&
+      this.excludeRefusedModels(entry.serverId, heldModels, nowMs).some(({ name }) => name === model)
+    );
+  }
+
+  /** Returns the latest report about a server's incarnation; undefined when it is outdated. */
+  private getCurrentReport(entry: ServerEntry, nowMs: number): AgentReport | undefined {
     const latest = this.reports.get(entry.address);
     const isCurrent =
       latest !== undefined &&
       nowMs - latest.atMs < REPORT_LIFETIME_MS &&
       latest.report.bornAtMs >= entry.bornAtMs;
-    const report = isCurrent ? latest.report : undefined;
+    return isCurrent ? latest.report : undefined;
+  }
+
+  private toKnownServer(entry: ServerEntry, nowMs: number): KnownServer {
+    const report = this.getCurrentReport(entry, nowMs);
+    const reportedAtMs = this.reports.get(entry.address)?.atMs ?? -Infinity;
     const heldModels = this.excludeRefusedModels(
       entry.serverId,
       report?.heldModels ?? entry.heldModels,
@@ -182,7 +227,7 @@
     );
     const rank = this.getRank(entry.serverId);
     const rankShare = rank / this.getStayingCount(entry.serviceId);
-    return { entry, rank, rankShare, heldModels, report, reportedAtMs: latest?.atMs ?? -Infinity };
+    return { entry, rank, rankShare, heldModels, report, reportedAtMs };
   }
 
   private excludeRefusedModels(
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -106,9 +106,8 @@
    * @param nowMs - Current time.
    */
   hasServer({ serviceId, model, excludedServerIds }: ServerRequirements, nowMs: number): boolean {
-    for (const server of this.fleet.getReadyServers(serviceId, nowMs)) {
-      const isHolder = model === undefined || getHeldModel(server, model) !== undefined;
-      if (isHolder && !excludedServerIds.has(server.entry.serverId)) {
+    for (const server of this.fleet.getHolders(serviceId, model, nowMs)) {
+      if (!excludedServerIds.has(server.entry.serverId)) {
         return true;
       }
     }
@@ -117,14 +116,11 @@
 
   private scoreCandidates(requirements: ServerRequirements, nowMs: number): ScoredCandidate<KnownServer>[] {
     const candidates: ScoredCandidate<KnownServer>[] = [];
-    for (const server of this.fleet.getReadyServers(requirements.serviceId, nowMs)) {
+    for (const server of this.fleet.getHolders(requirements.serviceId, requirements.model, nowMs)) {
       if (requirements.excludedServerIds.has(server.entry.serverId)) {
         continue;
       }
       const held = requirements.model === undefined ? undefined : getHeldModel(server, requirements.model);
-      if (requirements.model !== undefined && !held) {
-        continue;
-      }
       const lacksAdapter =
         requirements.adapter !== undefined && held?.adapters.includes(requirements.adapter) !== true;
       const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
--- a/src/router/OwnerClient.ts
+++ b/src/router/OwnerClient.ts
@@ -132,7 +132,7 @@
     }
   }
 
-  private notify(ownerId: RouterId, method: string, params: unknown, notifyLocal: () => void): void {
+  private notify(ownerId: RouterId, method: string, params: object, notifyLocal: () => void): void {
     if (ownerId === this.selfId) {
       notifyLocal();
       return;
--- a/src/transport/PeerConnection.ts
+++ b/src/transport/PeerConnection.ts
@@ -1,4 +1,9 @@
-import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
+import {
+  createJSONRPCNotification,
+  JSONRPCClient,
+  JSONRPCServer,
+  JSONRPCServerAndClient,
+} from 'json-rpc-2.0';
 import { WebSocket } from 'ws';
 import type { Clock } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
@@ -6,6 +11,10 @@
 
 /** Time between two heartbeats, in milliseconds. */
 export const HEARTBEAT_INTERVAL_MS = 1_000;
+/** Time since the last received data after which a heartbeat pings the other end, in milliseconds. */
+const MAX_UNPROVEN_MS = 600;
+/** Maximum time between two pings, in milliseconds; far below the other end's idle timeout. */
+const PING_INTERVAL_MS = 5_000;
 /** Heartbeat intervals without received data after which a connection in use is terminated. */
 const MAX_SILENT_INTERVALS = 2;
 
@@ -28,12 +37,22 @@
 /** Methods that one end provides; each receives the caller's parameters and the connection. */
 export type PeerMethods = Readonly<Record<string, (params: never, connection: PeerConnection) => unknown>>;
 
+/** A notification in the form in which it is sent. */
+interface EncodedNotification {
+  readonly method: string;
+  readonly text: string;
+}
+
+/** Notifications by their parameters, so that one that goes to many connections is encoded once. */
+const encodedNotifications = new WeakMap<object, EncodedNotification>();
+
 /** Authenticated JSON-RPC 2.0 connection between two processes of the fleet, with heartbeats while it is in use. */
 export class PeerConnection {
   private readonly rpc: JSONRPCServerAndClient;
   private readonly heartbeat: PeriodicTask;
   private readonly closeListeners = new Set<() => void>();
   private lastReceivedAtMs: number;
+  private lastPingAtMs = -Infinity;
   /** Time at which the current use began; undefined while the connection is not in use. */
   private usedSinceMs: number | undefined;
   private useCount = 0;
@@ -110,11 +129,11 @@
   /**
    * Sends a notification, which has no reply.
    * @param method - Name of the method.
-   * @param params - Parameters.
+   * @param params - Parameters; must not change afterwards, since they may be sent on other connections too.
    */
-  notify(method: string, params: unknown): void {
-    if (!this.closed) {
-      this.rpc.notify(method, params);
+  notify(method: string, params: object): void {
+    if (!this.closed && this.socket.readyState === WebSocket.OPEN) {
+      this.send(encodeNotification(method, params));
     }
   }
 
@@ -158,7 +177,11 @@
       this.terminate();
       return;
     }
-    if (this.socket.readyState === WebSocket.OPEN) {
+    // Received data proves the other end as well as a pong does; the other end needs a sign of life now and then too.
+    const needsPing =
+      nowMs - this.lastReceivedAtMs > MAX_UNPROVEN_MS || nowMs - this.lastPingAtMs >= PING_INTERVAL_MS;
+    if (needsPing && this.socket.readyState === WebSocket.OPEN) {
+      this.lastPingAtMs = nowMs;
       this.traffic.recordSent(0);
       this.socket.ping();
     }
@@ -209,3 +232,12 @@
     }
   }
 }
+
+function encodeNotification(method: string, params: object): string {
+  let encoded = encodedNotifications.get(params);
+  if (encoded?.method !== method) {
+    encoded = { method, text: JSON.stringify(createJSONRPCNotification(method, params)) };
+    encodedNotifications.set(params, encoded);
+  }
+  return encoded.text;
+}
