Watches wait as long as the bounds of an update allow

Change: the adapter decodes the shorter bound; a watch waits until 1 s before it (a call whose connection has gone silent is given up and made again within the bound), and changes of servers are collected for 0.3 of it.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -41,6 +41,8 @@
   readonly agentPort: number;
   readonly getStopGraceMs: () => number;
   readonly getRetryLimits: () => RetryLimits;
+  /** Returns the time in which a change in the store must take effect, in milliseconds. */
+  readonly getUpdateLimitMs: () => number;
   readonly source: FleetSource;
   readonly codec: HeaderCodec;
 }
@@ -65,7 +67,15 @@
   dialer.exposeMethods(agentConnections.getMethods());
   const chooser = new ServerChooser(view, options.dataCentre, () => random.nextFraction());
   const modelLoader = new ModelLoader({ clock, view, chooser, agentConnections, log });
-  const watcher = new FleetWatcher({ clock, random, source, view, log, metrics });
+  const watcher = new FleetWatcher({
+    clock,
+    random,
+    source,
+    view,
+    log,
+    metrics,
+    getUpdateLimitMs: options.getUpdateLimitMs,
+  });
   const retryBudgets = new Map<ServiceId, SharedRetryBudget>();
   const getRetryBudget = (serviceId: ServiceId) => {
     const retryBudget = retryBudgets.get(serviceId) ?? new SharedRetryBudget(options.getRetryLimits);
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -12,22 +12,16 @@
 import { StoreEras, type FleetView } from './decisions/index.js';
 
 /**
- * Maximum wait of one watch of the configuration, in milliseconds. An unresponsive connection is detected after this time
- * plus the call's timeout, which together stay below two seconds, the platform's shortest limit for applying a change.
+ * Part of the update limit that one watch leaves for the timeout of a call whose connection has become unresponsive, and
+ * for the call after it, in milliseconds.
  */
-const CONFIGURATION_WAIT_MS = 1_000;
-/** Maximum wait of one watch of the servers, in milliseconds. */
-const SERVERS_WAIT_MS = 1_000;
-/**
- * Maximum wait of the watch that follows a delay after changes of servers, in milliseconds; shorter because the delay
- * adds to it.
- */
-const WAIT_AFTER_CHANGES_MS = 500;
-/**
- * Delay after changes of servers, in milliseconds, so that one call returns many of them: agents report models
- * faster.
- */
-const CHANGES_DELAY_MS = 600;
+const RESPONSE_RESERVE_MS = 1_000;
+/** Share of the update limit for which changes of servers are collected, so that one call returns many of them. */
+const CHANGES_DELAY_SHARE = 0.3;
+/** Part of the update limit that the watch after that delay leaves, in milliseconds. */
+const DELAYED_RESERVE_MS = 900;
+/** Shortest update limit that is assumed, in milliseconds. */
+const MIN_UPDATE_LIMIT_MS = 2_000;
 /** Delay after the first failed call, in milliseconds; doubled after each further one up to the maximum. */
 const MIN_RETRY_MS = 50;
 /**
@@ -46,6 +40,21 @@
   readonly view: FleetView;
   readonly log: Log;
   readonly metrics: Metrics;
+  /**
+   * Returns the time in which a change in the store must take effect, in milliseconds. Watches wait as long as it allows,
+   * because each call has a price.
+   */
+  readonly getUpdateLimitMs: () => number;
+}
+
+/** Durations of the watches, from the time in which a change must take effect. */
+interface WatchTimes {
+  /** Maximum wait of one watch, in milliseconds. */
+  readonly waitMs: number;
+  /** Delay after changes of servers, in milliseconds. */
+  readonly changesDelayMs: number;
+  /** Maximum wait of the watch after that delay, in milliseconds. */
+  readonly delayedWaitMs: number;
 }
 
 /** A subject that is listed once and then watched. */
@@ -97,9 +106,19 @@
     return Promise.resolve();
   }
 
+  private getWatchTimes(): WatchTimes {
+    const limitMs = Math.max(MIN_UPDATE_LIMIT_MS, this.deps.getUpdateLimitMs());
+    const changesDelayMs = CHANGES_DELAY_SHARE * limitMs;
+    return {
+      waitMs: Math.round(limitMs - RESPONSE_RESERVE_MS),
+      changesDelayMs,
+      delayedWaitMs: Math.round(limitMs - DELAYED_RESERVE_MS - changesDelayMs),
+    };
+  }
+
   private watchServers(): Promise<void> {
     const { source, clock } = this.deps;
-    let waitMs = SERVERS_WAIT_MS;
+    let waitMs = this.getWatchTimes().waitMs;
     return this.watchSubject<ServerListing | ServerChanges>({
       subject: 'servers',
       list: () => source.listServers(),
@@ -110,10 +129,11 @@
       },
       applyChanges: async (result) => {
         this.applyServers(result, false);
-        waitMs = SERVERS_WAIT_MS;
+        const times = this.getWatchTimes();
+        waitMs = times.waitMs;
         if (result.kind === 'changed' && result.changes.length > 0) {
-          await this.awaitUnlessRestored(delay(clock, CHANGES_DELAY_MS));
-          waitMs = WAIT_AFTER_CHANGES_MS;
+          await this.awaitUnlessRestored(delay(clock, times.changesDelayMs));
+          waitMs = times.delayedWaitMs;
         }
       },
     });
@@ -124,7 +144,7 @@
     return this.watchSubject<ConfigurationRead>({
       subject: 'configuration',
       list: () => source.readConfiguration(),
-      watch: (revision) => source.watchConfiguration(revision, CONFIGURATION_WAIT_MS),
+      watch: (revision) => source.watchConfiguration(revision, this.getWatchTimes().waitMs),
       applyList: async (result) => {
         this.applyConfiguration(result);
         if (!result.configuration) {
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -73,6 +73,7 @@
     view: this.view,
     log: this.log,
     metrics: new Metrics(),
+    getUpdateLimitMs: () => 2_000,
   });
 
   constructor() {
--- a/test/direct/storeRestore.fuzz.test.ts
+++ b/test/direct/storeRestore.fuzz.test.ts
@@ -56,6 +56,7 @@
       view,
       log: new Log('test', () => undefined),
       metrics: new Metrics(),
+      getUpdateLimitMs: () => 2_000,
     });
   }
 
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -161,6 +161,7 @@
   it('decodes the fields that are used and ignores others', () => {
     const settings = decodeNodeSettings(JSON.stringify(file), 'node.json');
     expect(settings.callerAddress).to.deep.equal({ host: '10.0.0.1', port: 81 });
+    expect(settings.updateLimitMs).to.equal(2_000);
     expect(settings.retryLimits).to.deep.equal({ ratio: 0.2, slack: 56, windowMs: 10_000 });
     expect(settings.engineAddress).to.equal(undefined);
   });
--- a/test/platform/restoredStore.test.ts
+++ b/test/platform/restoredStore.test.ts
@@ -47,6 +47,7 @@
       view,
       log: new Log('test', () => undefined),
       metrics: new Metrics(),
+      getUpdateLimitMs: () => 2_000,
     });
     await watcher.start();
     await waitUntil(() => view.isComplete, 1_000);
