Live models get another replica while their streams pause

A replica was loaded only when the slots of a model's servers were nearly half used. Test: ModelLoader, "whose live streams pause although slots and memory are free", and its two limits.

--- a/test/direct/ModelLoader.test.ts
+++ b/test/direct/ModelLoader.test.ts
@@ -195,4 +195,51 @@
       expect(bench.loadRequests.map((loadRequest) => loadRequest.slice(0, 1))).to.have.members(['a', 'd']);
     });
   });
+
+  describe('recordInteractiveStream', () => {
+    /** Three engines, two of which hold b; b is in interactive use. */
+    function makeBench(): ModelLoaderBench {
+      const bench = new ModelLoaderBench();
+      const entries = ['x', 'xx', 'xxx'].map((id) =>
+        makeEntry(id, { heldModels: id === 'xxx' ? [] : [makeHeldModel('b'), makeHeldModel('c')] }),
+      );
+      bench.view.applyList(entries, 0);
+      for (const entry of entries) {
+        bench.view.applyReport(makeReport(entry, { modelsOnDisk: ['a', 'b', 'c', 'd'] }), 0);
+      }
+      bench.loader.recordInteractiveUse(ENGINES, 'b');
+      void bench.loader.start();
+      return bench;
+    }
+
+    it('loads another replica of a model whose live streams pause although slots and memory are free', () => {
+      const bench = makeBench();
+      for (let stream = 0; stream < 10; stream++) {
+        bench.loader.recordInteractiveStream('b', stream % 4 === 0);
+      }
+      bench.clock.advance(300);
+      expect(bench.loadRequests).to.deep.equal(['b at 3']);
+    });
+
+    it('loads none for a few late streams, nor while most are on time', () => {
+      const bench = makeBench();
+      bench.loader.recordInteractiveStream('b', true);
+      for (let stream = 0; stream < 20; stream++) {
+        bench.loader.recordInteractiveStream('b', false);
+      }
+      bench.loader.recordInteractiveStream('c', true);
+      bench.clock.advance(300);
+      expect(bench.loadRequests).to.deep.equal([]);
+    });
+
+    it('leaves half of the memory of all engines to other models', () => {
+      const bench = makeBench();
+      bench.loader.recordInteractiveUse(ENGINES, 'c');
+      for (let stream = 0; stream < 10; stream++) {
+        bench.loader.recordInteractiveStream('b', true);
+      }
+      bench.clock.advance(300);
+      expect(bench.loadRequests).to.deep.equal([]);
+    });
+  });
 });
