Requests that wait in vain for a model are refused after three seconds, later ones at once

Change: when no engine has loaded the model or had room for it for 3 s, its waiting requests are refused, and new ones at once until an engine has room. Shorter would refuse what is placed on the first engine that ends its runs (2 s and one run). Test: ModelLoader, "refuses waits in vain after three seconds, and later ones at once until an engine has room".

--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -5,6 +5,7 @@
 import type { AgentConnections } from './AgentConnections.js';
 import {
   getReplicatedModels,
+  isWithoutPlace,
   toPlacementRequirements,
   type ModelWait,
   type WaitedModel,
@@ -84,6 +85,8 @@
 /** Requests loads of models that requests are waiting for, and keeps enough replicas of models in interactive use. */
 export class ModelLoader implements Service {
   private readonly waitedModels = new Map<string, WaitedModel>();
+  /** Since when no server has room for a model whose requests were refused for that, by model. */
+  private readonly withoutPlaceSinceMs = new Map<string, number>();
   private readonly interactiveUses = new Map<string, InteractiveUse>();
   private readonly streamQuality = new StreamQuality();
   private lastFetchAtMs = -Infinity;
@@ -171,12 +174,14 @@
       let waited = this.waitedModels.get(wait.model);
       if (!waited) {
         const { model, serviceId, isInteractive } = wait;
+        const sinceMs = this.withoutPlaceSinceMs.get(model) ?? this.deps.clock.nowMs();
         waited = {
           model,
           footprint,
           isInteractive,
           serviceId,
-          sinceMs: this.deps.clock.nowMs(),
+          sinceMs,
+          placedAtMs: sinceMs,
           waiters: new Map(),
           requestedAtMs: -Infinity,
           requestedAddress: undefined,
@@ -228,8 +233,9 @@
       return;
     }
     const readyInMs = this.ensureLoading(waited, servers, nowMs);
+    const isInVain = this.updatePlace(waited, readyInMs !== undefined, nowMs);
     for (const [requestId, { wait, resolve }] of [...waited.waiters]) {
-      if (nowMs + (readyInMs ?? 0) >= wait.untilMs) {
+      if (isInVain || nowMs + (readyInMs ?? 0) >= wait.untilMs) {
         waited.waiters.delete(requestId);
         resolve(readyInMs === undefined ? { kind: 'noPlace' } : { kind: 'tooLate', readyInMs });
       }
@@ -239,6 +245,24 @@
     }
   }
 
+  /**
+   * Records whether a server loads a model or could do so; returns whether its requests wait in vain. Later requests for
+   * the model are then refused at once as long as that does not change.
+   */
+  private updatePlace(waited: WaitedModel, hasPlace: boolean, nowMs: number): boolean {
+    const { model } = waited;
+    if (hasPlace) {
+      waited.placedAtMs = nowMs;
+      this.withoutPlaceSinceMs.delete(model);
+      return false;
+    }
+    const isInVain = isWithoutPlace(waited, nowMs);
+    if (isInVain) {
+      this.withoutPlaceSinceMs.set(model, waited.placedAtMs);
+    }
+    return isInVain;
+  }
+
   /** Ensures that an agent loads the model; returns the time until it is ready, if known. */
   private ensureLoading(
     waited: WaitedModel,
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -7,6 +7,8 @@
 const MAX_SHORT_START_MS = 1_000;
 /** Time after which any server is accepted, in milliseconds. */
 const ANY_SERVER_AFTER_MS = 2_000;
+/** Time for which no server may have had room for a model before its requests are refused, in milliseconds. */
+const NO_PLACE_AFTER_MS = 3_000;
 
 /** A request's wait for a model. */
 export interface ModelWait {
@@ -34,10 +36,17 @@
   readonly serviceId: ServiceId;
   readonly sinceMs: number;
   readonly waiters: Map<string, { wait: ModelWait; resolve: (result: WaitResult) => void }>;
+  /** When a server was last found that loads the model or could do so; the start of the wait before that. */
+  placedAtMs: number;
   requestedAtMs: number;
   requestedAddress: string | undefined;
 }
 
+/** Whether no server has had room for a model for so long that its requests wait in vain. */
+export function isWithoutPlace({ placedAtMs }: WaitedModel, nowMs: number): boolean {
+  return nowMs - placedAtMs >= NO_PLACE_AFTER_MS;
+}
+
 /** Returns the placement requirements of a model; they loosen the longer requests have been waiting for it. */
 export function toPlacementRequirements(waited: WaitedModel, nowMs: number): PlacementRequirements {
   const { model, footprint, isInteractive } = waited;
--- a/test/direct/ModelLoader.test.ts
+++ b/test/direct/ModelLoader.test.ts
@@ -161,6 +161,28 @@
       expect(pending.result?.kind).to.equal('noPlace');
     });
 
+    it('refuses waits in vain after three seconds, and later ones at once until an engine has room', async () => {
+      const bench = new ModelLoaderBench();
+      const inUse = { runningCount: 1, idleForMs: 0, isProtected: true };
+      const isFull = { modelsOnDisk: ['a'], uses: { b: inUse, c: inUse } };
+      bench.report(isFull, isFull);
+      const first = bench.wait({ untilMs: 9_000 });
+      bench.clock.advance(2_900);
+      bench.report(isFull, isFull);
+      await flushPromises();
+      expect(first.result).to.equal(undefined);
+      bench.clock.advance(200);
+      bench.report(isFull, isFull);
+      const second = bench.wait({ requestId: 'r2', untilMs: 12_000 });
+      await flushPromises();
+      expect([first.result?.kind, second.result?.kind]).to.deep.equal(['noPlace', 'noPlace']);
+      bench.report(isFull, { modelsOnDisk: ['a'] });
+      const third = bench.wait({ requestId: 'r3', untilMs: 12_000 });
+      await flushPromises();
+      expect(third.result).to.equal(undefined);
+      expect(bench.loadRequests).to.deep.equal(['a at 2']);
+    });
+
     it('refuses a model that is not configured', async () => {
       const bench = new ModelLoaderBench();
       const pending = bench.wait({ model: 'unknown' });
