--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -16,11 +16,9 @@
   findPendingLoad,
   findUnderReplicatedModels,
   getHeldModel,
-  StreamQuality,
   type EngineProfile,
   type FleetView,
   type KnownServer,
-  type ModelFootprint,
   type PlacementChoice,
   type ServerChooser,
 } from './decisions/index.js';
@@ -47,15 +45,8 @@
 const INTERACTIVE_USE_MS = 2_000;
 /** Minimum replicas of a model in interactive use, so that it stays available when one server is lost. */
 const MIN_INTERACTIVE_REPLICAS = 2;
-/** Mean utilisation of a model's servers from which another replica is loaded. */
-const MAX_REPLICA_UTILISATION = 0.45;
-/**
- * Share of late streams of a model from which another replica is loaded: engines read prompts between the tokens of other
- * streams, which pauses those long before slots or memory are used up.
- */
-const MAX_LATE_SHARE = 0.15;
-/** Share of all engines' memory that models in interactive use may take; the rest is left to other models. */
-const MAX_INTERACTIVE_MEMORY_SHARE = 0.5;
+/** Mean load of a model's servers, as a fraction of their slots, from which another replica is loaded. */
+const MAX_REPLICA_LOAD = 0.45;
 /**
  * Delay between two new replicas of one model, in milliseconds: a replica loaded from disk affects the load by then.
  */
@@ -88,7 +79,6 @@
   /** Since when no server has room for a model whose requests were refused for that, by model. */
   private readonly withoutPlaceSinceMs = new Map<string, number>();
   private readonly interactiveUses = new Map<string, InteractiveUse>();
-  private readonly streamQuality = new StreamQuality();
   private lastFetchAtMs = -Infinity;
   /** Time of the first request; undefined before it. */
   private firstRequestAtMs: number | undefined;
@@ -135,15 +125,6 @@
     }
   }
 
-  /**
-   * Records the end of an interactive stream.
-   * @param model - Name of the model.
-   * @param isLate - Whether it missed its latency target or paused for too long.
-   */
-  recordInteractiveStream(model: string, isLate: boolean): void {
-    this.streamQuality.record(model, isLate, this.deps.clock.nowMs());
-  }
-
   /**
    * Returns the time until a load of a model that is in progress or queued ends, in milliseconds; undefined if there is
    * none.
@@ -357,7 +338,6 @@
     for (const [model, use] of this.interactiveUses) {
       if (nowMs - use.usedAtMs > INTERACTIVE_USE_MS) {
         this.interactiveUses.delete(model);
-        this.streamQuality.discard(model);
       } else if (nowMs - use.replicaRequestedAtMs >= REPLICA_DELAY_MS) {
         this.reviewReplicasOfModel(model, use, nowMs);
       }
@@ -419,14 +399,11 @@
       return;
     }
     const holders = servers.filter((server) => getHeldModel(server, model));
-    let utilisation = 0;
+    let load = 0;
     for (const holder of holders) {
-      utilisation += chooser.getUtilisation(holder) / holders.length;
+      load += chooser.getLoad(holder) / holders.length;
     }
-    const lateShare = this.streamQuality.getLateShare(model, nowMs);
-    const isOverloaded = utilisation >= MAX_REPLICA_UTILISATION || lateShare >= MAX_LATE_SHARE;
-    const hasMinimum = holders.length >= MIN_INTERACTIVE_REPLICAS;
-    if (hasMinimum && !(isOverloaded && this.hasInteractiveMemory(servers, profile, footprint))) {
+    if (holders.length >= MIN_INTERACTIVE_REPLICAS && load < MAX_REPLICA_LOAD) {
       return;
     }
     const choice = choosePlacement(requirements, servers, profile);
@@ -437,27 +414,11 @@
         model,
         address: choice.server.entry.address,
         replicaCount: holders.length,
-        utilisation,
-        lateShare,
+        load,
       });
     }
   }
 
-  /** Whether the models in interactive use leave room for one more replica in their share of all engines' memory. */
-  private hasInteractiveMemory(
-    servers: readonly KnownServer[],
-    profile: EngineProfile,
-    footprint: ModelFootprint,
-  ): boolean {
-    let usedMb = footprint.weightsMb;
-    for (const { heldModels } of servers) {
-      for (const { name } of heldModels) {
-        usedMb += this.interactiveUses.has(name) ? (profile.models.get(name)?.weightsMb ?? 0) : 0;
-      }
-    }
-    return usedMb <= MAX_INTERACTIVE_MEMORY_SHARE * profile.weightsMb * servers.length;
-  }
-
   private getProfile(serviceId: ServiceId): EngineProfile | undefined {
     return this.deps.view.configuration?.services.get(serviceId)?.engine;
   }
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -338,21 +338,9 @@
     const { crashTracker, view, clock } = this.deps;
     const { fingerprint } = this.request;
     this.tracker.markCompleted();
-    this.recordQuality();
     crashTracker.recordSuccess(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
   }
 
-  private recordQuality(): void {
-    const { route, headers, receivedAtMs } = this.request;
-    if (this.latencyMs === undefined || headers.model === undefined || !this.limits.isInteractive) {
-      return;
-    }
-    const isLate =
-      receivedAtMs + this.latencyMs > this.limits.targetAtMs ||
-      this.longestGapMs > (route.maxGapMs ?? Infinity);
-    this.deps.modelLoader.recordInteractiveStream(headers.model, isLate);
-  }
-
   private handleBroken(end: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
     const { crashTracker, agentConnections, clock } = this.deps;
     this.runCount++;
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -145,16 +145,6 @@
     return inFlightCount / Math.max(1, server.entry.slotCount);
   }
 
-  /**
-   * Returns the share of a server's scarcest resource that is in use: its slots or its memory for tokens.
-   * @param server - The server.
-   */
-  getUtilisation(server: KnownServer): number {
-    const { report } = server;
-    const cacheShare = report ? report.usedCacheTokens / Math.max(1, report.cacheTokens) : 0;
-    return Math.max(this.getLoad(server), cacheShare);
-  }
-
   /**
    * Records that a request is sent to a server.
    * @param serverId - The server.
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -12,7 +12,6 @@
 export * from './ServerDirectory.js';
 export * from './FleetView.js';
 export * from './ArrivalRates.js';
-export * from './StreamQuality.js';
 export * from './drawByRoom.js';
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
