A run of the product's own interface has its connection to itself

Change: each run has a connection of its own, as on the users' path; reports and orders still share theirs. Test: lateCopies.test, both ways: for the agent it failed before at the third request ('for r0' instead of 'for r2').

Also shown, and holding: malformedMessages.test sends 400 malformed messages for all methods to an agent and a router, which stay at work. Not measured: warmOverheadP99Ms with the additional connections.

--- a/src/agent/HttpBackendClient.ts
+++ b/src/agent/HttpBackendClient.ts
@@ -82,11 +82,14 @@
     sink: ResponseSink,
     signal: AbortSignal,
   ): Promise<BackendRunResult> {
-    const response = await this.send(runRequest.method, runRequest.path, runRequest.body, signal, {
+    const headers = {
       'x-attempt-id': runRequest.attemptId,
       'x-cache-salt': runRequest.cacheSalt,
       'x-priority': runRequest.requestClass,
-    });
+    };
+    // A connection is used for one run only: what a faulty server sends after its response can't reach the next one.
+    const options = { headers, reset: true };
+    const response = await this.send(runRequest.method, runRequest.path, runRequest.body, signal, options);
     if (response.statusCode === 404 && runRequest.modelId !== undefined) {
       await response.body.dump();
       return { kind: 'notSent', detail: 'The engine does not hold the model.' };
@@ -118,11 +121,15 @@
     path: string,
     body: string | undefined,
     signal: AbortSignal,
-    headers: Record<string, string> = {},
+    {
+      headers = {},
+      reset = false,
+    }: { readonly headers?: Record<string, string>; readonly reset?: boolean } = {},
   ): Promise<Dispatcher.ResponseData> {
     return request(`${this.baseUrl}${path}`, {
       method: method as Dispatcher.HttpMethod,
       dispatcher: this.httpAgent,
+      reset,
       signal,
       headers: { 'content-type': 'application/json', ...headers },
       body: body === undefined || body === '' ? undefined : body,
