--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -114,23 +114,6 @@
     return false;
   }
 
-  private scoreCandidates(requirements: ServerRequirements, nowMs: number): ScoredCandidate<KnownServer>[] {
-    const candidates: ScoredCandidate<KnownServer>[] = [];
-    for (const server of this.fleet.getHolders(requirements.serviceId, requirements.model, nowMs)) {
-      if (requirements.excludedServerIds.has(server.entry.serverId)) {
-        continue;
-      }
-      const held = requirements.model === undefined ? undefined : getHeldModel(server, requirements.model);
-      const lacksAdapter =
-        requirements.adapter !== undefined && held?.adapters.includes(requirements.adapter) !== true;
-      const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
-      const rankPenalty = requirements.isInteractive ? LAST_RANK_PENALTY * server.rankShare : 0;
-      const score = this.getScore(server, nowMs) + rankPenalty + (lacksAdapter ? adapterPenalty : 0);
-      candidates.push({ item: server, score });
-    }
-    return candidates;
-  }
-
   /**
    * Returns the load of a server as a share of its slots, from its agent's report and the requests of this router.
    * @param server - The server.
@@ -197,6 +180,23 @@
     }
   }
 
+  private scoreCandidates(requirements: ServerRequirements, nowMs: number): ScoredCandidate<KnownServer>[] {
+    const candidates: ScoredCandidate<KnownServer>[] = [];
+    for (const server of this.fleet.getHolders(requirements.serviceId, requirements.model, nowMs)) {
+      if (requirements.excludedServerIds.has(server.entry.serverId)) {
+        continue;
+      }
+      const held = requirements.model === undefined ? undefined : getHeldModel(server, requirements.model);
+      const lacksAdapter =
+        requirements.adapter !== undefined && held?.adapters.includes(requirements.adapter) !== true;
+      const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
+      const rankPenalty = requirements.isInteractive ? LAST_RANK_PENALTY * server.rankShare : 0;
+      const score = this.getScore(server, nowMs) + rankPenalty + (lacksAdapter ? adapterPenalty : 0);
+      candidates.push({ item: server, score });
+    }
+    return candidates;
+  }
+
   /** Returns the sum by which requests placed with the same knowledge raise the scores. */
   protected getExpectedRise(
     candidates: readonly ScoredCandidate<KnownServer>[],
