--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -9,19 +9,8 @@
   SourceFailure,
   StorePosition,
 } from './FleetSource.js';
-import { StoreEras, type FleetView } from './decisions/index.js';
+import { getWatchTimes, StoreEras, type FleetView, type WatchTimes } from './decisions/index.js';
 
-/**
- * Part of the update limit that one watch leaves for the timeout of a call whose connection has become unresponsive, and
- * for the call after it, in milliseconds.
- */
-const RESPONSE_RESERVE_MS = 1_000;
-/** Share of the update limit for which changes of servers are collected, so that one call returns many of them. */
-const CHANGES_DELAY_SHARE = 0.3;
-/** Part of the update limit that the watch after that delay leaves, in milliseconds. */
-const DELAYED_RESERVE_MS = 900;
-/** Shortest update limit that is assumed, in milliseconds. */
-const MIN_UPDATE_LIMIT_MS = 2_000;
 /** Delay after the first failed call, in milliseconds; doubled after each further one up to the maximum. */
 const MIN_RETRY_MS = 50;
 /**
@@ -47,16 +36,6 @@
   readonly getUpdateLimitMs: () => number;
 }
 
-/** Durations of the watches, from the time in which a change must take effect. */
-interface WatchTimes {
-  /** Maximum wait of one watch, in milliseconds. */
-  readonly waitMs: number;
-  /** Delay after changes of servers, in milliseconds. */
-  readonly changesDelayMs: number;
-  /** Maximum wait of the watch after that delay, in milliseconds. */
-  readonly delayedWaitMs: number;
-}
-
 /** A subject that is listed once and then watched. */
 interface WatchedSubject<R extends StorePosition> {
   readonly subject: string;
@@ -106,19 +85,13 @@
     return Promise.resolve();
   }
 
-  private getWatchTimes(): WatchTimes {
-    const limitMs = Math.max(MIN_UPDATE_LIMIT_MS, this.deps.getUpdateLimitMs());
-    const changesDelayMs = CHANGES_DELAY_SHARE * limitMs;
-    return {
-      waitMs: Math.round(limitMs - RESPONSE_RESERVE_MS),
-      changesDelayMs,
-      delayedWaitMs: Math.round(limitMs - DELAYED_RESERVE_MS - changesDelayMs),
-    };
+  private getTimes(): WatchTimes {
+    return getWatchTimes(this.deps.getUpdateLimitMs());
   }
 
   private watchServers(): Promise<void> {
     const { source, clock } = this.deps;
-    let waitMs = this.getWatchTimes().waitMs;
+    let waitMs = this.getTimes().waitMs;
     return this.watchSubject<ServerListing | ServerChanges>({
       subject: 'servers',
       list: () => source.listServers(),
@@ -129,7 +102,7 @@
       },
       applyChanges: async (result) => {
         this.applyServers(result, false);
-        const times = this.getWatchTimes();
+        const times = this.getTimes();
         waitMs = times.waitMs;
         if (result.kind === 'changed' && result.changes.length > 0) {
           await this.awaitUnlessRestored(delay(clock, times.changesDelayMs));
@@ -144,7 +117,7 @@
     return this.watchSubject<ConfigurationRead>({
       subject: 'configuration',
       list: () => source.readConfiguration(),
-      watch: (revision) => source.watchConfiguration(revision, this.getWatchTimes().waitMs),
+      watch: (revision) => source.watchConfiguration(revision, this.getTimes().waitMs),
       applyList: async (result) => {
         this.applyConfiguration(result);
         if (!result.configuration) {
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -7,6 +7,7 @@
 export * from './ByteBudget.js';
 export * from './SharedRetryBudget.js';
 export * from './StoreEras.js';
+export * from './watchTimes.js';
 export * from './ServerRetirements.js';
 export * from './ServerHolds.js';
 export * from './ServerDirectory.js';
