A sound slow body is not cut while another server could serve

Found by reading the diff: a body had to bring 16 KiB within the timeout between chunks, so one of 8 KB that came in parts of 1 KB each 80 ms was given up and run a second time. Now each 256 bytes count as progress; a byte now and then still does not. Test: endlessResponses, "told apart from sound slow ones": failed with 16 KiB ("socket hang up" from the second server), holds now beside the 17 kinds without end.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -10,7 +10,7 @@
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 /** Part of a body that counts as progress and restarts the timeout between chunks, in bytes; single bytes do not. */
-const BODY_PROGRESS_BYTES = 16 * 1024;
+const BODY_PROGRESS_BYTES = 256;
 
 /** Parameters of one send of a request to one backend server. */
 export interface AttemptParams {
@@ -30,7 +30,7 @@
    * to waiting.
    */
   readonly firstChunkTimeoutMs?: number;
-  /** Maximum time between events, or for each 16 KiB of another body, after the first chunk, in milliseconds. */
+  /** Maximum time between events, or for each 256 bytes of another body, after the first chunk, in milliseconds. */
   readonly gapTimeoutMs?: number;
 }
 
--- a/test/direct/endlessResponses.test.ts
+++ b/test/direct/endlessResponses.test.ts
@@ -250,4 +250,37 @@
     server.stop();
     await bench.close();
   });
+
+  it('are told apart from sound slow ones, which are not cut although another server could serve', async () => {
+    const bench = new RouterBench();
+    const part = 'x'.repeat(1_024);
+    let slowCount = 0;
+    await bench.addServer(
+      'p',
+      (incoming, response) => {
+        slowCount++;
+        response.writeHead(200, {
+          ...makeResponseHeaders(incoming),
+          'content-length': String(8 * part.length),
+        });
+        let sentCount = 0;
+        const timer = setInterval(() => {
+          response.write(part);
+          if (++sentCount === 8) {
+            clearInterval(timer);
+            response.end();
+          }
+        }, 80);
+      },
+      ORDERS,
+    );
+    await bench.addServer('qq', (incoming) => incoming.socket.destroy(), ORDERS);
+    await bench.start([{ ...plainRoute, timeoutMs: 3_000, maxGapMs: undefined }]);
+    while (slowCount === 0) {
+      const received = await bench.sendRequest('/plain/x');
+      expect(received.text).to.equal(slowCount === 0 ? received.text : part.repeat(8));
+    }
+    expect(slowCount).to.equal(1);
+    await bench.close();
+  });
 });
