Reports of agents with other fields are dropped with a log line

Change: isCompleteReport checks the fields that decisions rely on, on the assembled report; others are dropped, and the router uses the platform's list for that engine as it does without a report.

--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -4,6 +4,7 @@
 import type { PeerConnection, PeerDialer, PeerMethods } from '../transport/index.js';
 import {
   applyReportChanges,
+  isCompleteReport,
   type AgentReport,
   type EngineProfile,
   type FleetView,
@@ -171,11 +172,17 @@
 
   private applyReport(changes: EngineReportParams): void {
     const agent = this.connections.get(changes.address);
-    if (agent) {
-      agent.report = applyReportChanges(agent.report, changes);
-      this.deps.view.applyReport(agent.report, this.deps.clock.nowMs());
-      this.reportListener();
+    if (!agent) {
+      return;
+    }
+    const report = applyReportChanges(agent.report, changes);
+    if (!isCompleteReport(report)) {
+      this.deps.log.warn('report of an agent cannot be read', { address: changes.address });
+      return;
     }
+    agent.report = report;
+    this.deps.view.applyReport(report, this.deps.clock.nowMs());
+    this.reportListener();
   }
 
   private ensureConnection(address: string, engine: EngineProfile): void {
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -16,6 +16,7 @@
 export * from './drawByRoom.js';
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
+export * from './isCompleteReport.js';
 export * from './reportChanges.js';
 export * from './CrashTracker.js';
 export * from './ResidencyPlanner.js';
--- a/test/transport/malformedMessages.test.ts
+++ b/test/transport/malformedMessages.test.ts
@@ -1,17 +1,26 @@
 import { expect } from 'chai';
 import { WebSocket } from 'ws';
 import { once } from 'node:events';
+import { toDataCentreId } from '../../src/domain/index.js';
 import {
   AgentConnections,
   EngineController,
   EnginePort,
   FleetView,
+  ModelLoader,
+  ServerChooser,
   type EngineReport,
 } from '../../src/direct/index.js';
 import { Random, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
-import { PeerDialer, PeerServer, TrafficMeter, type PeerMethods } from '../../src/transport/index.js';
-import { makeReport, makeEntry, makeHeldModel, ENGINES } from '../direct/fleetFixtures.js';
+import {
+  PeerDialer,
+  PeerServer,
+  TrafficMeter,
+  type PeerConnection,
+  type PeerMethods,
+} from '../../src/transport/index.js';
+import { ENGINES, makeConfiguration, makeEntry, makeHeldModel, makeReport } from '../direct/fleetFixtures.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { sleepMs } from '../waiting.js';
 
@@ -108,4 +117,53 @@
       expect(servers.map(({ heldModels }) => heldModels.length)).to.deep.equal([1]);
     });
   });
+
+  it('leave a router at work when a connected agent sends reports with other fields', async () => {
+    const whole = makeReport(makeEntry('x', { address: '127.0.0.1:1', heldModels: [makeHeldModel('b')] }));
+    const malformed: unknown[] = [
+      {},
+      { heldModels: null },
+      { heldModels: [null] },
+      { heldModels: [{ name: 'a' }] },
+      { queuedModels: undefined },
+      { queuedModels: 'a' },
+      { uses: null },
+      { uses: { a: null } },
+      { crashCounts: null },
+      { routerCount: 'many' },
+    ].map((fields, index) => (index === 0 ? { address: whole.address } : { ...whole, ...fields }));
+    const methods: PeerMethods = {
+      'residency.follow': (_params: never, connection: PeerConnection) => {
+        for (const report of malformed) {
+          connection.notify('routing.report', report as object);
+        }
+      },
+    };
+    await withServer(methods, async (address) => {
+      const view = new FleetView();
+      view.applyConfiguration(makeConfiguration(1));
+      const entry = makeEntry('x', { address: '127.0.0.1:1', heldModels: [makeHeldModel('a')] });
+      view.applyList([entry], 0);
+      const dialer = new PeerDialer('router', 's', CLOCK, new TrafficMeter());
+      const peerPort = Number(address.split(':')[1]);
+      const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort, log: LOG });
+      dialer.exposeMethods(agentConnections.getMethods());
+      const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
+      const loader = new ModelLoader({ clock: CLOCK, view, chooser, agentConnections, log: LOG });
+      await agentConnections.start();
+      await sleepMs(300);
+      void loader.waitFor({
+        requestId: 'r',
+        serviceId: ENGINES,
+        model: 'c',
+        isInteractive: true,
+        untilMs: Infinity,
+      });
+      expect(() => loader.reviewWaits()).not.to.throw();
+      expect(view.getCrashCount('f')).to.equal(0);
+      const holders = [...view.getHolders(ENGINES, 'a', CLOCK.nowMs())];
+      expect(holders.map(({ report }) => report)).to.deep.equal([undefined]);
+      await agentConnections.stop();
+    });
+  });
 });
