All routers of a small fleet get every change of an engine at once

Test: ReportPublisher, "sends changes of the load at once to all routers of a small fleet". PeerServer.test takes a reserved port too, the last fixed one.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -16,11 +16,8 @@
   type WantModelParams,
 } from './messages.js';
 
-/**
- * Interval at which the engine's state is read, in milliseconds; the request does not leave the machine. The state is some
- * hundred milliseconds old in any case.
- */
-const POLL_INTERVAL_MS = 200;
+/** Interval at which the engine's state is read, in milliseconds; the request does not leave the machine. */
+const POLL_INTERVAL_MS = 100;
 /** Interval at which the engine's state is read while it carries out an order or models are queued, in milliseconds. */
 const BUSY_POLL_INTERVAL_MS = 40;
 /** Timeout of a request for an adapter, in milliseconds; a load takes about 10 ms. */
--- a/src/direct/ReportPublisher.ts
+++ b/src/direct/ReportPublisher.ts
@@ -3,6 +3,8 @@
 import { findReportChanges, type AgentReport, type ReportChanges } from './decisions/index.js';
 import { ROUTING_METHODS } from './messages.js';
 
+/** Number of routers up to which all of them count as active: their reports cost little and they choose places better. */
+const MAX_ALWAYS_ACTIVE = 8;
 /** Time after its last request to the engine for which a router counts as active, in milliseconds. */
 const ACTIVE_MS = 3_000;
 /** Interval at which active routers receive a report if nothing important changed, in milliseconds. */
@@ -41,7 +43,7 @@
 
 /**
  * Sends an engine's reports to the routers that follow it: changes of the models at once to all, changes of the load at
- * once only to routers that use the engine, which are few of a large fleet.
+ * once only to routers that use the engine, which are few of a large fleet. In a small fleet all count as using it.
  */
 export class ReportPublisher {
   private readonly followers = new Map<PeerConnection, Follower>();
@@ -109,7 +111,8 @@
         };
         comparisons.set(follower.sentReport, comparison);
       }
-      if (isForced || isDue(follower, comparison.kind, nowMs)) {
+      const isActive = this.followers.size <= MAX_ALWAYS_ACTIVE || nowMs - follower.activeAtMs < ACTIVE_MS;
+      if (isForced || isDue(follower, comparison.kind, isActive, nowMs)) {
         follower.sentReport = report;
         follower.sentAtMs = nowMs;
         connection.notify(ROUTING_METHODS.report, comparison.changes);
@@ -118,9 +121,8 @@
   }
 }
 
-function isDue(follower: Follower, kind: ChangeKind, nowMs: number): boolean {
+function isDue(follower: Follower, kind: ChangeKind, isActive: boolean, nowMs: number): boolean {
   const sinceSentMs = nowMs - follower.sentAtMs;
-  const isActive = nowMs - follower.activeAtMs < ACTIVE_MS;
   if (sinceSentMs >= (isActive ? ACTIVE_INTERVAL_MS : IDLE_INTERVAL_MS)) {
     return true;
   }
--- a/test/direct/ReportPublisher.test.ts
+++ b/test/direct/ReportPublisher.test.ts
@@ -31,6 +31,9 @@
     idle = new FakeRouter();
     publisher.add(active.connection);
     publisher.add(idle.connection);
+    for (let count = 0; count < 8; count++) {
+      publisher.add(new FakeRouter().connection);
+    }
     publisher.publish(makeReport(entry), true);
     publisher.recordUse(active.connection);
   });
@@ -72,6 +75,15 @@
       expect(sentCount).to.be.at.most(3);
     });
 
+    it('sends changes of the load at once to all routers of a small fleet', () => {
+      const small = new ReportPublisher(clock);
+      small.add(active.connection);
+      small.add(idle.connection);
+      publisher = small;
+      small.publish(makeReport(entry), true);
+      expect(publishFor(200, makeReport(entry, { runningCount: 9 }))).to.deep.equal({ active: 1, idle: 1 });
+    });
+
     it('counts a router as idle some seconds after its last use', () => {
       clock.advance(4_000);
       publisher.publish(makeReport(entry));
--- a/test/transport/PeerServer.test.ts
+++ b/test/transport/PeerServer.test.ts
@@ -2,31 +2,33 @@
 import { once } from 'node:events';
 import { WebSocket } from 'ws';
 import { delay, SystemClock } from '../../src/kernel/index.js';
+import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { PeerDialer, PeerServer, TrafficMeter, type PeerConnection } from '../../src/transport/index.js';
 
 const CLOCK = new SystemClock();
-/** Fixed address of the server, used by no other test, since redialling needs the same port. */
-const ADDRESS = { host: '127.0.72.1', port: 9_481 };
-
-function dial(name: string): Promise<PeerConnection> {
+function dial(name: string, address: string): Promise<PeerConnection> {
   const dialer = new PeerDialer(name, 's', CLOCK, new TrafficMeter());
-  return dialer.connect(`${ADDRESS.host}:${ADDRESS.port}`);
+  return dialer.connect(address);
 }
 
 describe('PeerServer', () => {
   describe('stop', () => {
     it('resolves although one peer is unresponsive and another redials meanwhile', async () => {
-      const server = new PeerServer(ADDRESS, 's', CLOCK, {}, new TrafficMeter());
+      // Redialling needs the same port, also after the server has closed it.
+      const reservation = await LoopbackReservation.create();
+      const port = await reservation.takePort();
+      const address = `127.0.0.1:${port}`;
+      const server = new PeerServer({ host: '127.0.0.1', port }, 's', CLOCK, {}, new TrafficMeter());
       await server.start();
-      const unresponsive = new WebSocket(`ws://${ADDRESS.host}:${ADDRESS.port}`, {
+      const unresponsive = new WebSocket(`ws://${address}`, {
         headers: { authorization: 'Bearer s' },
       });
       await once(unresponsive, 'open');
       unresponsive.pause();
-      const first = await dial('first');
+      const first = await dial('first', address);
       let redialled: Promise<unknown> = Promise.resolve();
       first.onClose(() => {
-        redialled = dial('again').catch(() => undefined);
+        redialled = dial('again', address).catch(() => undefined);
       });
       const isStopped = await Promise.race([
         server.stop().then(() => true),
@@ -34,6 +36,7 @@
       ]);
       await redialled;
       unresponsive.terminate();
+      await reservation.release();
       expect(isStopped).to.equal(true);
     });
   });
