A pause holds for a server in whatever incarnation answered

Change: a hold is bound to the server's id alone. A restarted server waits for the rest of its predecessor's pause at most. Ruled out: time stamps of the incarnation against the start of the hold (clocks differ by seconds between machines). Test: FleetView, "also in an incarnation that becomes known meanwhile", fails with holds by incarnation; it replaces the check that a restart ends a hold, which is what the trace shows to be wrong.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -269,7 +269,7 @@
     if (pauseMs !== undefined) {
       metrics.count('servers_paused');
       log.decision('server asks for a pause', { serverId, bornAtMs, pauseMs });
-      view.holdServer(entry, pauseMs, clock.nowMs());
+      view.holdServer(serverId, pauseMs, clock.nowMs());
     }
   }
 
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -103,12 +103,12 @@
 
   /**
    * Records that a server wants no requests from this router for a time.
-   * @param server - Incarnation of the server.
+   * @param serverId - The server.
    * @param forMs - The time, in milliseconds.
    * @param nowMs - Current time.
    */
-  holdServer(server: ServerIncarnation, forMs: number, nowMs: number): void {
-    this.holds.hold(server, forMs, nowMs);
+  holdServer(serverId: ServerId, forMs: number, nowMs: number): void {
+    this.holds.hold(serverId, forMs, nowMs);
   }
 
   /**
@@ -185,7 +185,7 @@
     return (
       this.entries.get(entry.serverId)?.bornAtMs === entry.bornAtMs &&
       this.isStaying(entry) &&
-      this.holds.getRemainingMs(entry, nowMs) === 0
+      this.holds.getRemainingMs(entry.serverId, nowMs) === 0
     );
   }
 
@@ -195,7 +195,7 @@
    * @param nowMs - Current time.
    */
   getHoldMs(entry: ServerEntry, nowMs: number): number {
-    return this.isStaying(entry) ? this.holds.getRemainingMs(entry, nowMs) : 0;
+    return this.isStaying(entry) ? this.holds.getRemainingMs(entry.serverId, nowMs) : 0;
   }
 
   /**
--- a/src/direct/decisions/ServerHolds.ts
+++ b/src/direct/decisions/ServerHolds.ts
@@ -1,50 +1,40 @@
 import type { ServerId } from '../../domain/index.js';
-import type { ServerIncarnation } from './ServerRetirements.js';
 
 /** Longest hold that is applied, in milliseconds; bounds the effect of an implausible value. */
 const MAX_HOLD_MS = 60_000;
 
-/** Period in which an incarnation of a server accepts no requests of this router. */
-interface ServerHold {
-  readonly bornAtMs: number;
-  readonly untilMs: number;
-}
-
-/** Periods for which servers have asked this router to send them no requests. */
+/**
+ * Periods for which servers have asked this router to send them no requests. A hold applies to all incarnations of its
+ * server, since an answer may come from a newer one than the router knows.
+ */
 export class ServerHolds {
-  private readonly holds = new Map<ServerId, ServerHold>();
+  private readonly untilMsByServer = new Map<ServerId, number>();
 
   /**
    * Starts a hold, or extends the current one.
-   * @param server - Incarnation that turned a request away.
+   * @param serverId - Server that turned a request away.
    * @param forMs - Time for which it accepts no requests, in milliseconds.
    * @param nowMs - Current time.
    */
-  hold({ serverId, bornAtMs }: ServerIncarnation, forMs: number, nowMs: number): void {
-    const current = this.holds.get(serverId);
-    const isSameIncarnation = current?.bornAtMs === bornAtMs;
-    const untilMs = Math.max(
-      nowMs + Math.min(MAX_HOLD_MS, forMs),
-      isSameIncarnation ? current.untilMs : -Infinity,
-    );
-    this.holds.set(serverId, { bornAtMs, untilMs });
+  hold(serverId: ServerId, forMs: number, nowMs: number): void {
+    const untilMs = nowMs + Math.min(MAX_HOLD_MS, forMs);
+    this.untilMsByServer.set(serverId, Math.max(untilMs, this.untilMsByServer.get(serverId) ?? -Infinity));
     this.discardEnded(nowMs);
   }
 
   /**
    * Returns the remaining time of a server's hold in milliseconds; 0 if there is none.
-   * @param server - The incarnation.
+   * @param serverId - The server.
    * @param nowMs - Current time.
    */
-  getRemainingMs({ serverId, bornAtMs }: ServerIncarnation, nowMs: number): number {
-    const hold = this.holds.get(serverId);
-    return hold?.bornAtMs === bornAtMs ? Math.max(0, hold.untilMs - nowMs) : 0;
+  getRemainingMs(serverId: ServerId, nowMs: number): number {
+    return Math.max(0, (this.untilMsByServer.get(serverId) ?? -Infinity) - nowMs);
   }
 
   private discardEnded(nowMs: number): void {
-    for (const [serverId, { untilMs }] of this.holds) {
+    for (const [serverId, untilMs] of this.untilMsByServer) {
       if (nowMs >= untilMs) {
-        this.holds.delete(serverId);
+        this.untilMsByServer.delete(serverId);
       }
     }
   }
--- a/test/direct/decisions/FleetView.test.ts
+++ b/test/direct/decisions/FleetView.test.ts
@@ -150,24 +150,25 @@
   });
 
   describe('holdServer', () => {
-    it('excludes a server until the end of the longest pause that it asked for, unless it restarts', () => {
+    it('excludes a server until the end of the longest pause that it asked for, also in an incarnation that becomes known meanwhile', () => {
       const view = new FleetView();
       view.applyList([makeEntry('x'), makeEntry('y')], 0);
-      view.holdServer({ serverId: X, bornAtMs: 1 }, 2_000, 0);
-      view.holdServer({ serverId: X, bornAtMs: 1 }, 500, 100);
+      view.holdServer(X, 2_000, 0);
+      view.holdServer(X, 500, 100);
       expect(readyIds(view, 1_999)).to.deep.equal(['y']);
       expect(view.getShortestHoldMs(ENGINES, undefined, 1_500)).to.equal(500);
       expect(readyIds(view, 2_000)).to.deep.equal(['x', 'y']);
       expect(view.getShortestHoldMs(ENGINES, undefined, 2_000)).to.equal(undefined);
-      view.holdServer({ serverId: X, bornAtMs: 1 }, 2_000, 3_000);
+      view.holdServer(X, 2_000, 3_000);
       view.applyEntry(makeEntry('x', { bornAtMs: 2 }));
-      expect(readyIds(view, 3_100)).to.include('x');
+      expect(readyIds(view, 4_900)).to.deep.equal(['y']);
+      expect(readyIds(view, 5_000)).to.include('x');
     });
 
     it('counts for a model only on servers that hold it', () => {
       const view = new FleetView();
       view.applyList([makeEntry('x', { heldModels: [makeHeldModel('a')] })], 0);
-      view.holdServer({ serverId: X, bornAtMs: 1 }, 2_000, 0);
+      view.holdServer(X, 2_000, 0);
       expect(view.getShortestHoldMs(ENGINES, 'a', 100)).to.equal(1_900);
       expect(view.getShortestHoldMs(ENGINES, 'b', 100)).to.equal(undefined);
     });
