--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -2,7 +2,7 @@
 import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
-import { ResidencyPlanner, type AgentReport, type PlannedOrder } from './decisions/index.js';
+import { ResidencyPlanner, setNewest, type AgentReport, type PlannedOrder } from './decisions/index.js';
 import type { EnginePort, OrderResult } from './EnginePort.js';
 import { ReportPublisher } from './ReportPublisher.js';
 import {
@@ -265,12 +265,7 @@
 
   private onCrash({ fingerprint, crashCount }: CrashedParams): void {
     const count = Math.max(crashCount, this.crashCounts.get(fingerprint) ?? 0);
-    this.crashCounts.delete(fingerprint);
-    this.crashCounts.set(fingerprint, count);
-    const oldest = this.crashCounts.keys().next();
-    if (this.crashCounts.size > MAX_CRASH_COUNTS && oldest.done !== true) {
-      this.crashCounts.delete(oldest.value);
-    }
+    setNewest(this.crashCounts, fingerprint, count, MAX_CRASH_COUNTS);
     this.deps.log.decision('crash recorded', { fingerprint, crashCount: count });
     this.publishReport(true);
   }
@@ -279,12 +274,7 @@
     if (bornAtMs <= (this.leavingServers.get(serverId) ?? -Infinity)) {
       return;
     }
-    this.leavingServers.delete(serverId);
-    this.leavingServers.set(serverId, bornAtMs);
-    const oldest = this.leavingServers.keys().next();
-    if (this.leavingServers.size > MAX_LEAVING_SERVERS && oldest.done !== true) {
-      this.leavingServers.delete(oldest.value);
-    }
+    setNewest(this.leavingServers, serverId, bornAtMs, MAX_LEAVING_SERVERS);
     this.deps.log.decision('leaving server recorded', { serverId, bornAtMs });
     this.publishReport(true);
   }
--- a/src/direct/ReportPublisher.ts
+++ b/src/direct/ReportPublisher.ts
@@ -38,7 +38,8 @@
 /** Comparison of a report with one that some followers received last. */
 interface Comparison {
   readonly kind: ChangeKind;
-  readonly changes: ReportChanges;
+  /** Changes to send; computed when the first of these followers is due. */
+  changes: ReportChanges | undefined;
 }
 
 /**
@@ -105,14 +106,12 @@
     for (const [connection, follower] of this.followers) {
       let comparison = comparisons.get(follower.sentReport);
       if (!comparison) {
-        comparison = {
-          kind: getChangeKind(follower.sentReport, report),
-          changes: findReportChanges(follower.sentReport, report),
-        };
+        comparison = { kind: getChangeKind(follower.sentReport, report), changes: undefined };
         comparisons.set(follower.sentReport, comparison);
       }
       const isActive = this.followers.size <= MAX_ALWAYS_ACTIVE || nowMs - follower.activeAtMs < ACTIVE_MS;
       if (isForced || isDue(follower, comparison.kind, isActive, nowMs)) {
+        comparison.changes ??= findReportChanges(follower.sentReport, report);
         follower.sentReport = report;
         follower.sentAtMs = nowMs;
         connection.notify(ROUTING_METHODS.report, comparison.changes);
--- a/src/direct/decisions/ArrivalRates.ts
+++ b/src/direct/decisions/ArrivalRates.ts
@@ -1,3 +1,5 @@
+import { setNewest } from './setNewest.js';
+
 /** Half-life of the weight of an arrival, in milliseconds. */
 const HALF_LIFE_MS = 2_000;
 /** Maximum number of keys; the one without arrivals for the longest time is discarded first. */
@@ -20,12 +22,7 @@
    */
   record(key: string, nowMs: number): void {
     const count = this.getCount(key, nowMs) + 1;
-    this.counts.delete(key);
-    this.counts.set(key, { count, atMs: nowMs });
-    const oldest = this.counts.keys().next();
-    if (this.counts.size > MAX_KEYS && oldest.done !== true) {
-      this.counts.delete(oldest.value);
-    }
+    setNewest(this.counts, key, { count, atMs: nowMs }, MAX_KEYS);
   }
 
   /**
--- a/src/direct/decisions/CrashTracker.ts
+++ b/src/direct/decisions/CrashTracker.ts
@@ -1,4 +1,5 @@
 import type { ServerId } from '../../domain/index.js';
+import { setNewest } from './setNewest.js';
 
 /** Number of crashes at which a request is blocked. */
 const MAX_CRASHES = 2;
@@ -80,12 +81,7 @@
   }
 
   private saveRecord(fingerprint: string, record: CrashRecord): void {
-    this.records.delete(fingerprint);
-    this.records.set(fingerprint, record);
-    const oldest = this.records.keys().next();
-    if (this.records.size > MAX_RECORDS && oldest.done !== true) {
-      this.records.delete(oldest.value);
-    }
+    setNewest(this.records, fingerprint, record, MAX_RECORDS);
   }
 }
 
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -119,11 +119,7 @@
    * @param nowMs - Current time.
    */
   *getReadyServers(serviceId: ServiceId, nowMs: number): IterableIterator<KnownServer> {
-    for (const entry of this.getEntries()) {
-      if (entry.serviceId === serviceId && this.acceptsRequests(entry, nowMs)) {
-        yield this.toKnownServer(entry, nowMs);
-      }
-    }
+    yield* this.getHolders(serviceId, undefined, nowMs);
   }
 
   /**
--- a/src/direct/decisions/ServerRetirements.ts
+++ b/src/direct/decisions/ServerRetirements.ts
@@ -1,4 +1,5 @@
 import type { ServerId } from '../../domain/index.js';
+import { setNewest } from './setNewest.js';
 
 /** Maximum number of server IDs with a record; the oldest record is discarded first. */
 const MAX_RECORDS = 2_000;
@@ -63,12 +64,7 @@
 
   private getOrCreate(serverId: ServerId): RetirementRecord {
     const record = this.records.get(serverId) ?? { leavingBornAtMs: -Infinity, goneBornAtMs: -Infinity };
-    this.records.delete(serverId);
-    this.records.set(serverId, record);
-    const oldest = this.records.keys().next();
-    if (this.records.size > MAX_RECORDS && oldest.done !== true) {
-      this.records.delete(oldest.value);
-    }
+    setNewest(this.records, serverId, record, MAX_RECORDS);
     return record;
   }
 }
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -1,5 +1,6 @@
 export * from './ServingConfiguration.js';
 export * from './ServerEntry.js';
+export * from './setNewest.js';
 export * from './RouteTable.js';
 export * from './RequestLimits.js';
 export * from './ResponseProgress.js';
--- a/test/direct/decisions/bounds.fuzz.test.ts
+++ b/test/direct/decisions/bounds.fuzz.test.ts
@@ -7,8 +7,8 @@
   SharedRetryBudget,
   type CompleteEvents,
   type ServerEntry,
-  type ServingConfiguration,
 } from '../../../src/direct/index.js';
+import { AppliesAnyConfiguration } from '../AppliesAnyConfiguration.js';
 import { ENGINES, makeConfiguration, makeEntry } from '../fleetFixtures.js';
 
 const LIMITS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
@@ -140,20 +140,6 @@
   );
 }
 
-/** Faulty view that applies the last configuration, even an older one. */
-class AppliesAnyConfiguration extends FleetView {
-  private last: ServingConfiguration | undefined;
-
-  override get configuration(): ServingConfiguration | undefined {
-    return this.last;
-  }
-
-  override applyConfiguration(configuration: ServingConfiguration): boolean {
-    this.last = configuration;
-    return super.applyConfiguration(configuration);
-  }
-}
-
 /** Faulty view that ignores that a server is leaving. */
 class IgnoresLeaving extends FleetView {
   override applyEntry(entry: ServerEntry): void {
--- a/test/direct/storeRestore.fuzz.test.ts
+++ b/test/direct/storeRestore.fuzz.test.ts
@@ -1,16 +1,12 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
 import { toServerId } from '../../src/domain/index.js';
-import {
-  FleetView,
-  FleetWatcher,
-  type ServerEntry,
-  type ServingConfiguration,
-} from '../../src/direct/index.js';
+import { FleetView, FleetWatcher, type ServerEntry } from '../../src/direct/index.js';
 import { Random } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
 import { flushPromises } from '../waiting.js';
+import { AppliesAnyConfiguration } from './AppliesAnyConfiguration.js';
 import { ENGINES } from './fleetFixtures.js';
 import { makeIncarnation, ModelStore } from './ModelStore.js';
 
@@ -219,20 +215,6 @@
   }
 }
 
-/** Faulty view that applies the last configuration, even an older one. */
-class AppliesAnyConfiguration extends FleetView {
-  private last: ServingConfiguration | undefined;
-
-  override get configuration(): ServingConfiguration | undefined {
-    return this.last;
-  }
-
-  override applyConfiguration(configuration: ServingConfiguration): boolean {
-    this.last = configuration;
-    return super.applyConfiguration(configuration);
-  }
-}
-
 /** Faulty store client that dates answers from before a restore as if they had been given after it. */
 class DatesAnswersLate extends ModelStore {
   override deliver(index: number): void {
