Logs tell cut answers, kept connections and the silence of servers

'request ended' did not say whether the caller's connection was closed in the middle of an answer, nor whether it was a kept one; 'attempt ended' did not say how long the server had been silent. Change: isCut and connectionRequestNumber there, silentMs here. No decision changes. Ruled out: a line of its own per silence; it comes with the fix, where there is a decision to log.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -83,6 +83,7 @@
   private readonly progress = new ResponseProgress();
   private bufferedLength = 0;
   private hasEnded = false;
+  private receivedAtMs: number;
   private finish: (end: AttemptEnd) => void = () => undefined;
 
   /**
@@ -98,7 +99,14 @@
     private readonly params: AttemptParams,
     private readonly listener: AttemptListener,
     private readonly bufferBudget: ByteBudget,
-  ) {}
+  ) {
+    this.receivedAtMs = clock.nowMs();
+  }
+
+  /** When the server last sent anything; the start of the attempt until then. */
+  get lastReceivedAtMs(): number {
+    return this.receivedAtMs;
+  }
 
   /** Sends the request; resolves with the result of the attempt. */
   run(): Promise<AttemptEnd> {
@@ -180,6 +188,7 @@
       this.checkProgress();
     });
     socket.on('data', (chunk: Buffer) => {
+      this.receivedAtMs = this.clock.nowMs();
       this.progress.recordReceived(chunk.length);
       this.checkProgress();
     });
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { listenOrThrow, type ListenAddress } from '../transport/index.js';
@@ -58,6 +58,8 @@
 export class CallerServer implements Service {
   private readonly http: Server;
   private readonly activeForwarders = new Set<RequestForwarder>();
+  /** Number of requests received on each open connection. */
+  private readonly requestCounts = new WeakMap<Socket, number>();
   private stopping = false;
   /** Whether new requests are refused because the process is stopping. */
   private closing = false;
@@ -135,6 +137,7 @@
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
+    this.requestCounts.set(request.socket, (this.requestCounts.get(request.socket) ?? 0) + 1);
     if (this.stopping) {
       response.shouldKeepAlive = false;
     }
@@ -186,7 +189,18 @@
     }
     const { serviceId } = target;
     const fingerprint = getFingerprint(method, path, headers.model, body);
-    const callerRequest = { headers, route, serviceId, method, path, body, fingerprint, receivedAtMs };
+    const connectionRequestNumber = this.requestCounts.get(request.socket) ?? 1;
+    const callerRequest = {
+      headers,
+      route,
+      serviceId,
+      method,
+      path,
+      body,
+      fingerprint,
+      receivedAtMs,
+      connectionRequestNumber,
+    };
     this.forward(callerRequest, response);
   }
 
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -57,6 +57,8 @@
   /** Fingerprint, the same for equal requests. */
   readonly fingerprint: string;
   readonly receivedAtMs: number;
+  /** Number of this request among those on its caller's connection, from 1. */
+  readonly connectionRequestNumber: number;
 }
 
 /** Destination of the response. */
@@ -238,6 +240,7 @@
       end: end.kind,
       detail: describeEnd(end),
       tookMs: Math.round(nowMs - sentAtMs),
+      silentMs: Math.round(nowMs - attempt.lastReceivedAtMs),
       configurationVersion: this.deps.view.configuration?.version ?? 0,
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
@@ -478,6 +481,8 @@
       outcome,
       detail,
       verdict: this.tracker.verdict,
+      isCut: this.hasBegun && outcome.startsWith('refused'),
+      connectionRequestNumber: this.request.connectionRequestNumber,
       tookMs: Math.round(tookMs),
       sendCount: this.sendCount,
       firstPieceMs: Math.round(this.latencyMs ?? -1),
