Failing tests: servers that are silent for a second lose their answers

A server writes one event, is silent for 1 s and goes on; or answers a plain request after 1 s. Seen: the caller's connection is closed after the first event when the retry budget is exhausted, and when the other server cannot be reached; a plain request gets 502 'no repeat is left in the budget'.

--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -45,6 +45,7 @@
 export class RouterBench {
   readonly view = new FleetView();
   bufferBudget = new ByteBudget(32 * 1024 * 1024);
+  retryLimits = RETRY_LIMITS;
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
   private readonly servers: (Server | SocketServer)[] = [];
   private router: CallerServer | undefined;
@@ -93,7 +94,7 @@
     const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort: 1, log });
     const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
     const modelLoader = new ModelLoader({ clock: CLOCK, view, chooser, agentConnections, log });
-    const retryBudget = new SharedRetryBudget(() => RETRY_LIMITS);
+    const retryBudget = new SharedRetryBudget(() => this.retryLimits);
     const crashTracker = new CrashTracker();
     const getRetryBudget = () => retryBudget;
     this.modelLoader = modelLoader;
