A silent server keeps its request until a replacement is secured

What callers saw: a sound server that was silent for a second lost its answer. The connection was closed in the middle of it, or the caller got 502, with 'no repeat is left in the budget' or 'no server takes the rest of the stream'. Cause: a timeout between chunks ended the attempt, and only afterwards the router looked for a server, its adapter, a connection and a retry in the budget. The class: a timeout on a live peer is taken for its end, and its work is given up before anything replaces it. Change: a timeout notifies the forwarder and the attempt goes on. The request moves once the retry budget has a retry, another server has the model and the adapter and has accepted a connection, and the first one is still silent; else the silent server keeps it and is asked again after 250 ms. The decision is logged ('server fell silent'). Ruled out: longer timeouts, which only move the bound and leave the budget as the judge of a sound answer; letting both servers run until one answers, which the platform forbids for streams.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -9,6 +9,8 @@
 const CONNECT_TIMEOUT_MS = 200;
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+/** Interval at which the listener is notified again while a server stays silent, in milliseconds. */
+const SILENCE_INTERVAL_MS = 250;
 /** Part of a body that counts as progress and restarts the timeout between chunks, in bytes; single bytes do not. */
 const BODY_PROGRESS_BYTES = 256;
 
@@ -23,8 +25,8 @@
   readonly headers: RequestHeaders;
   readonly remainingMs: () => number;
   readonly urgency?: number;
-  /** ID of the event after which a stream is resumed. */
-  readonly lastEventId?: string;
+  /** Returns the ID of the event after which a stream is resumed. */
+  readonly getLastEventId: () => string | undefined;
   /**
    * Maximum time until the first event or chunk of the response, in milliseconds; absent if there is no alternative
    * to waiting.
@@ -67,6 +69,8 @@
   onStreamStart(head: ResponseHead): void;
   /** Called with complete events. */
   onEvents(events: CompleteEvents): void;
+  /** Called when the server exceeds a timeout, and regularly until it sends something; the attempt goes on. */
+  onSilence(): void;
 }
 
 /**
@@ -84,7 +88,10 @@
   private bufferedLength = 0;
   private hasEnded = false;
   private receivedAtMs: number;
-  private finish: (end: AttemptEnd) => void = () => undefined;
+  private isServerSilent = false;
+  private connected: Promise<boolean> | undefined;
+  private readonly ended: Promise<AttemptEnd>;
+  private resolveEnded: (end: AttemptEnd) => void = () => undefined;
 
   /**
    * @param clock - Source of timers.
@@ -101,6 +108,9 @@
     private readonly bufferBudget: ByteBudget,
   ) {
     this.receivedAtMs = clock.nowMs();
+    this.ended = new Promise((resolve) => {
+      this.resolveEnded = resolve;
+    });
   }
 
   /** When the server last sent anything; the start of the attempt until then. */
@@ -108,23 +118,23 @@
     return this.receivedAtMs;
   }
 
+  /** Whether the server exceeds a timeout at the moment. */
+  get isSilent(): boolean {
+    return this.isServerSilent && !this.hasEnded;
+  }
+
+  /** Opens the connection; resolves with whether the server has accepted it. Nothing is sent yet. */
+  connect(): Promise<boolean> {
+    this.connected ??= this.open();
+    return this.connected;
+  }
+
   /** Sends the request; resolves with the result of the attempt. */
-  run(): Promise<AttemptEnd> {
-    return new Promise((resolve) => {
-      this.finish = (end) => {
-        if (!this.hasEnded) {
-          this.hasEnded = true;
-          this.silenceTimer?.cancel();
-          this.clientRequest?.destroy();
-          this.socket?.destroy();
-          if (end.kind !== 'answered') {
-            this.bufferBudget.release(this.bufferedLength);
-          }
-          resolve(end);
-        }
-      };
-      this.open();
-    });
+  async run(): Promise<AttemptEnd> {
+    if (await this.connect()) {
+      this.send();
+    }
+    return this.ended;
   }
 
   /** Cancels the attempt; the server stops the request when the connection is closed. */
@@ -132,6 +142,11 @@
     this.finish({ kind: 'cancelled' });
   }
 
+  /** Ends the attempt at a silent server, because another server takes the request over. */
+  abandon(): void {
+    this.finish({ kind: 'broken', detail: 'the server fell silent', isSilent: true });
+  }
+
   /** Stops reading the response until `resume` is called; time in between does not count as silence of the server. */
   pause(): void {
     this.response?.pause();
@@ -146,34 +161,42 @@
     }
   }
 
-  private open(): void {
+  private open(): Promise<boolean> {
     const [host, port] = this.params.address.split(':');
     const socket = connect({ host, port: Number(port), noDelay: true });
     this.socket = socket;
     const timer = this.clock.schedule(CONNECT_TIMEOUT_MS, () =>
       this.finish({ kind: 'unreachable', detail: 'connection timed out' }),
     );
-    const onError = (error: Error) => {
-      timer.cancel();
-      this.finish({ kind: 'unreachable', detail: error.message });
-    };
-    socket.once('error', onError);
-    socket.once('connect', () => {
-      timer.cancel();
-      socket.off('error', onError);
-      if (!this.hasEnded) {
-        this.send(socket);
-      }
+    socket.on('error', this.onConnectError);
+    return new Promise((resolve) => {
+      void this.ended.then(() => {
+        timer.cancel();
+        resolve(false);
+      });
+      socket.once('connect', () => {
+        timer.cancel();
+        resolve(true);
+      });
     });
   }
 
-  private send(socket: Socket): void {
+  private readonly onConnectError = (error: Error): void => {
+    this.finish({ kind: 'unreachable', detail: error.message });
+  };
+
+  private send(): void {
+    const { socket } = this;
+    if (this.hasEnded || !socket) {
+      return;
+    }
+    socket.off('error', this.onConnectError);
     const { params } = this;
     const headers = this.codec.encodeAttempt(params.headers, {
       serverId: params.serverId,
       remainingMs: params.remainingMs(),
       urgency: params.urgency,
-      lastEventId: params.lastEventId,
+      lastEventId: params.getLastEventId(),
     });
     if (params.body.length > 0) {
       headers['Content-Length'] = params.body.length;
@@ -292,11 +315,30 @@
   private restartSilenceTimer(timeoutMs: number | undefined): void {
     this.silenceTimer?.cancel();
     this.silenceTimer = undefined;
+    this.isServerSilent = false;
     if (timeoutMs !== undefined && !this.hasEnded) {
-      this.silenceTimer = this.clock.schedule(timeoutMs, () =>
-        this.finish({ kind: 'broken', detail: 'the server fell silent', isSilent: true }),
-      );
+      this.silenceTimer = this.clock.schedule(timeoutMs, () => this.notifySilence());
+    }
+  }
+
+  private notifySilence(): void {
+    this.isServerSilent = true;
+    this.silenceTimer = this.clock.schedule(SILENCE_INTERVAL_MS, () => this.notifySilence());
+    this.listener.onSilence();
+  }
+
+  private finish(end: AttemptEnd): void {
+    if (this.hasEnded) {
+      return;
+    }
+    this.hasEnded = true;
+    this.silenceTimer?.cancel();
+    this.clientRequest?.destroy();
+    this.socket?.destroy();
+    if (end.kind !== 'answered') {
+      this.bufferBudget.release(this.bufferedLength);
     }
+    this.resolveEnded(end);
   }
 
   private fail(detail: string): void {
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -19,6 +19,11 @@
 import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import { ServerSearch } from './ServerSearch.js';
+import {
+  SilentServerReplacement,
+  type PreparedAttempt,
+  type ReplacementResult,
+} from './SilentServerReplacement.js';
 
 /** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
 const MAX_SENDS = 6;
@@ -83,9 +88,15 @@
 export class RequestForwarder {
   private readonly tracker = new VerdictTracker();
   private readonly search: ServerSearch;
+  private readonly silentServerReplacement: SilentServerReplacement;
   private readonly limits: RequestLimits;
   private readonly deadlineTimer: Timer;
   private attempt: BackendAttempt | undefined;
+  /** Connected attempt at the server that replaces a silent one; its retry was taken from the budget. */
+  private replacement: PreparedAttempt | undefined;
+  private isReplacing = false;
+  /** Last decision on a silent server, which is logged when it changes. */
+  private silenceOutcome: string | undefined;
   private sendCount = 0;
   /** Number of servers that may have run the request. */
   private runCount = 0;
@@ -115,13 +126,17 @@
     const maxInteractiveTargetMs = deps.view.getMaxInteractiveTargetMs(request.serviceId);
     this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs, maxInteractiveTargetMs);
     this.search = new ServerSearch(deps, request, this.limits, () => this.hasEnded);
+    const retries = { isLeft: () => this.isRetryLeft(), tryTake: () => this.tryTakeRetry() };
+    this.silentServerReplacement = new SilentServerReplacement(this.search, retries, (server) =>
+      this.createAttempt(server, this.runCount + 1),
+    );
     this.lastEventId = headers.lastEventId;
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
 
   /** Runs the request; resolves when the response or refusal has been sent. */
   async run(): Promise<void> {
-    this.deps.getRetryBudget(this.request.serviceId).recordRequest(this.deps.clock.nowMs());
+    this.getRetryBudget().recordRequest(this.deps.clock.nowMs());
     this.deps.modelLoader.recordTraffic();
     const { serviceId, headers } = this.request;
     this.deps.chooser.recordArrival({ serviceId, model: headers.model }, this.deps.clock.nowMs());
@@ -129,15 +144,11 @@
       this.deps.modelLoader.recordInteractiveUse(this.request.serviceId, this.request.headers.model);
     }
     while (!this.hasEnded) {
-      const server = await this.findServer();
-      if (!server) {
+      const prepared = this.takeReplacement() ?? (await this.prepareAttempt());
+      if (!prepared) {
         return;
       }
-      if (this.sendCount > 0 && !this.tryTakeRetry()) {
-        this.endWithFallback('no repeat is left in the budget');
-        return;
-      }
-      await this.send(server);
+      await this.send(prepared);
     }
   }
 
@@ -172,6 +183,25 @@
     }
   }
 
+  /** Prepares an attempt at the next server; ends the request and returns undefined if it cannot be sent. */
+  private async prepareAttempt(): Promise<PreparedAttempt | undefined> {
+    const server = await this.findServer();
+    if (!server) {
+      return undefined;
+    }
+    if (this.sendCount > 0 && !this.tryTakeRetry()) {
+      this.endWithFallback('no repeat is left in the budget');
+      return undefined;
+    }
+    return { server, attempt: this.createAttempt(server, this.runCount) };
+  }
+
+  private takeReplacement(): PreparedAttempt | undefined {
+    const { replacement } = this;
+    this.replacement = undefined;
+    return replacement;
+  }
+
   /** Finds the next server; ends the request and returns undefined if there is none. */
   private async findServer(): Promise<KnownServer | undefined> {
     if (this.endIfBlocked()) {
@@ -194,11 +224,16 @@
     }
   }
 
-  private async send(server: KnownServer): Promise<void> {
-    const { clock, codec, chooser, log } = this.deps;
+  /**
+   * Creates an attempt at a server.
+   * @param server - The server.
+   * @param priorRunCount - Number of servers that may have run the request before.
+   */
+  private createAttempt(server: KnownServer, priorRunCount: number): BackendAttempt {
+    const { clock, codec, bufferBudget } = this.deps;
     const { headers, route, method, path, body } = this.request;
     const { serverId, address } = server.entry;
-    const chunkTimeouts = this.limits.getChunkTimeouts(this.runCount, () => this.search.hasOther(serverId));
+    const chunkTimeouts = this.limits.getChunkTimeouts(priorRunCount, () => this.search.hasOther(serverId));
     const attempt = new BackendAttempt(
       clock,
       codec,
@@ -211,16 +246,31 @@
         headers,
         remainingMs: () => this.remainingMs(),
         urgency: headers.model === undefined ? undefined : Math.min(MAX_URGENCY_RANK, route.priority),
-        lastEventId: this.lastEventId,
+        getLastEventId: () => this.lastEventId,
         ...chunkTimeouts,
       },
       {
         onServerNotice: (notice) => this.applyNotice(server, notice),
         onStreamStart: (head) => this.beginStream(head),
         onEvents: (events) => this.sendEvents(events, attempt),
+        onSilence: () => {
+          this.handleSilence(attempt, serverId).catch((error: unknown) => {
+            this.deps.log.warn('replacement of a silent server failed', {
+              requestId: headers.requestId,
+              error: String(error),
+            });
+          });
+        },
       },
-      this.deps.bufferBudget,
+      bufferBudget,
     );
+    return attempt;
+  }
+
+  private async send({ server, attempt }: PreparedAttempt): Promise<void> {
+    const { clock, chooser, log } = this.deps;
+    const { headers } = this.request;
+    const { serverId } = server.entry;
     const attemptId = `${headers.requestId}.${++this.sendCount}`;
     this.tracker.markPossiblySent(attemptId);
     this.attempt = attempt;
@@ -260,6 +310,42 @@
     }
   }
 
+  /** Moves the request from a silent server to another one, if one takes it; otherwise the silent server keeps it. */
+  private async handleSilence(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
+    if (this.isReplacing || !this.mayRunAgain(this.runCount + 1)) {
+      return;
+    }
+    this.isReplacing = true;
+    const result = await this.silentServerReplacement.find(attempt, serverId);
+    this.isReplacing = false;
+    this.logSilence(attempt, serverId, result);
+    if (result.kind === 'found') {
+      this.replacement = result.next;
+      attempt.abandon();
+    }
+  }
+
+  /** Logs the decision on a silent server, and records the silence as a failure if the server keeps the request. */
+  private logSilence(attempt: BackendAttempt, serverId: ServerId, result: ReplacementResult): void {
+    const { clock, chooser, log, metrics } = this.deps;
+    const outcome = result.kind === 'found' ? 'moved' : result.reason;
+    if (outcome === this.silenceOutcome) {
+      return;
+    }
+    this.silenceOutcome = outcome;
+    metrics.count(`silent_servers_${outcome}`);
+    if (result.kind === 'kept') {
+      chooser.recordOutcome(serverId, true, clock.nowMs());
+    }
+    log.decision('server fell silent', {
+      requestId: this.request.headers.requestId,
+      serverId,
+      silentMs: Math.round(clock.nowMs() - attempt.lastReceivedAtMs),
+      outcome,
+      nextServerId: result.kind === 'found' ? result.next.server.entry.serverId : '',
+    });
+  }
+
   /** Applies what a server states about itself; the response that carries it is handled as any other. */
   private applyNotice({ entry }: KnownServer, { isLeaving, pauseMs }: ServerNotice): void {
     const { view, clock, agentConnections, log, metrics } = this.deps;
@@ -382,29 +468,35 @@
   }
 
   /** Whether another server may run the request after one or more servers that may have run it. */
-  private mayRunAgain(): boolean {
+  private mayRunAgain(runCount = this.runCount): boolean {
     const { route } = this.request;
-    return (
-      isRetryable(route) &&
-      this.runCount < route.maxAttempts &&
-      this.sendCount < MAX_SENDS &&
-      this.remainingMs() > MIN_ATTEMPT_MS
-    );
+    return isRetryable(route) && runCount < route.maxAttempts && this.isRetryInTime();
   }
 
   /** Takes one retry from the retry budget; returns false if no retry is allowed. */
   private tryTakeRetry(): boolean {
-    if (this.sendCount >= MAX_SENDS || this.remainingMs() <= MIN_ATTEMPT_MS) {
+    if (!this.isRetryInTime()) {
       return false;
     }
     const { view, clock, metrics } = this.deps;
-    const isAllowed = this.deps
-      .getRetryBudget(this.request.serviceId)
-      .tryTake(clock.nowMs(), view.routerCount);
+    const isAllowed = this.getRetryBudget().tryTake(clock.nowMs(), view.routerCount);
     metrics.count(isAllowed ? 'repeats' : 'repeats_refused');
     return isAllowed;
   }
 
+  private isRetryLeft(): boolean {
+    const { view, clock } = this.deps;
+    return this.isRetryInTime() && this.getRetryBudget().isLeft(clock.nowMs(), view.routerCount);
+  }
+
+  private isRetryInTime(): boolean {
+    return this.sendCount < MAX_SENDS && this.remainingMs() > MIN_ATTEMPT_MS;
+  }
+
+  private getRetryBudget(): SharedRetryBudget {
+    return this.deps.getRetryBudget(this.request.serviceId);
+  }
+
   /** Ends the request if its fingerprint is blocked after crashes; returns true if it did. */
   private endIfBlocked(): boolean {
     const { crashTracker, view, clock } = this.deps;
@@ -469,6 +561,7 @@
     this.hasEnded = true;
     this.deadlineTimer.cancel();
     this.attempt?.cancel();
+    this.replacement?.attempt.cancel();
     if (headers.model !== undefined) {
       modelLoader.stopWaiting(headers.model, headers.requestId);
     }
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -81,8 +81,7 @@
    * @param options - Options of this search.
    */
   async find(options: SearchOptions): Promise<SearchResult> {
-    const { chooser, clock, view } = this.deps;
-    const { model, adapter } = this.request.headers;
+    const { chooser, clock } = this.deps;
     while (!this.isOver()) {
       const server = chooser.chooseServer(this.toRequirements(), clock.nowMs());
       if (!server) {
@@ -92,12 +91,7 @@
         }
         continue;
       }
-      if (model === undefined || adapter === undefined) {
-        return { kind: 'found', server };
-      }
-      const isReady = await this.hasAdapter(server, model, adapter);
-      // The server may have stated meanwhile that it is leaving, or asked for a pause.
-      if (isReady && view.acceptsRequests(server.entry, clock.nowMs())) {
+      if (await this.isUsable(server)) {
         return { kind: 'found', server };
       }
       this.excluded.add(server.entry.serverId);
@@ -105,6 +99,23 @@
     return { kind: 'refused', detail: 'the request has ended' };
   }
 
+  /**
+   * Finds another server that can take the request over now; undefined if there is none.
+   * @param serverId - Server that has the request.
+   */
+  async findReplacement(serverId: ServerId): Promise<KnownServer | undefined> {
+    const { chooser, clock } = this.deps;
+    const excludedServerIds = new Set([...this.excluded, serverId]);
+    while (!this.isOver()) {
+      const server = chooser.chooseServer({ ...this.toRequirements(), excludedServerIds }, clock.nowMs());
+      if (!server || (await this.isUsable(server))) {
+        return server;
+      }
+      excludedServerIds.add(server.entry.serverId);
+    }
+    return undefined;
+  }
+
   /** Waits until a new search may succeed; returns the refusal if none can in time. */
   private async wait(options: SearchOptions): Promise<SearchResult | undefined> {
     const { headers, serviceId } = this.request;
@@ -171,11 +182,18 @@
     return undefined;
   }
 
-  private async hasAdapter(server: KnownServer, model: string, adapter: string): Promise<boolean> {
-    if (getHeldModel(server, model)?.adapters.includes(adapter) === true) {
+  /** Whether a server has the request's adapter, which is loaded there if necessary, and still accepts requests. */
+  private async isUsable(server: KnownServer): Promise<boolean> {
+    const { view, clock, agentConnections } = this.deps;
+    const { model, adapter } = this.request.headers;
+    if (model === undefined || adapter === undefined) {
       return true;
     }
-    return this.deps.agentConnections.ensureAdapter(server.entry.address, model, adapter);
+    const isReady =
+      getHeldModel(server, model)?.adapters.includes(adapter) === true ||
+      (await agentConnections.ensureAdapter(server.entry.address, model, adapter));
+    // The server may have stated meanwhile that it is leaving, or asked for a pause.
+    return isReady && view.acceptsRequests(server.entry, clock.nowMs());
   }
 
   private toRequirements(): ServerRequirements {
--- a/src/direct/decisions/SharedRetryBudget.ts
+++ b/src/direct/decisions/SharedRetryBudget.ts
@@ -31,16 +31,25 @@
   }
 
   /**
-   * Takes one retry from the budget; returns false when none is left.
+   * Whether a retry is left in the budget.
    * @param nowMs - Current time.
    * @param routerCount - Number of routers that share the slack, this one included.
    */
-  tryTake(nowMs: number, routerCount: number): boolean {
+  isLeft(nowMs: number, routerCount: number): boolean {
     this.advance(nowMs);
     const { ratio, slack } = this.getLimits();
     const allowedRetries =
       USABLE_SHARE * (ratio * sum(this.requestCounts) + slack / Math.max(1, routerCount));
-    if (sum(this.retryCounts) + 1 > allowedRetries) {
+    return sum(this.retryCounts) + 1 <= allowedRetries;
+  }
+
+  /**
+   * Takes one retry from the budget; returns false when none is left.
+   * @param nowMs - Current time.
+   * @param routerCount - Number of routers that share the slack, this one included.
+   */
+  tryTake(nowMs: number, routerCount: number): boolean {
+    if (!this.isLeft(nowMs, routerCount)) {
       return false;
     }
     increment(this.retryCounts, this.bucket % BUCKET_COUNT);
