A stream that left a silent server waits when the next server refuses it

What callers saw: a stream that had moved from a silent server was cut at once ('no server takes the rest of the stream') when the server that took it over stated that it had not run it. Cause: a begun stream never waited for a server, although its caller waits for the next event for two seconds, four times the target or eight times the longest pause. Change: unless a server broke the stream off, the search waits until shortly before the caller stops waiting, and then the first server may have the request again. Evidence: the new test of silentServers.test.ts failed before (cut after the first event). Ruled out, tried and dropped: the same wait after a server broke the stream off.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -102,6 +102,8 @@
   private runCount = 0;
   private lastEventId: string | undefined;
   private hasBegun = false;
+  /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
+  private wasBrokenOff = false;
   private hasEnded = false;
   /** Error response of a server, delivered if no later attempt succeeds. */
   private fallback: { head: ResponseHead; body: Buffer } | undefined;
@@ -207,9 +209,11 @@
     if (this.endIfBlocked()) {
       return undefined;
     }
+    const { receivedAtMs } = this.request;
+    const mayWait = !this.hasBegun || !this.wasBrokenOff;
     const found = await this.search.find({
-      mayWait: !this.hasBegun,
-      mayRetryServers: this.sendCount < MAX_SENDS && this.runCount === 0,
+      waitUntilMs: mayWait ? this.limits.getWaitDeadlineMs(this.lastEventAtMs ?? receivedAtMs) : undefined,
+      mayRetryServers: this.sendCount < MAX_SENDS && (this.runCount === 0 || this.hasBegun),
     });
     // Equal requests may have crashed their servers while this one was waiting.
     if (this.hasEnded || this.endIfBlocked()) {
@@ -435,6 +439,7 @@
     this.runCount++;
     this.search.exclude(serverId);
     if (!end.isSilent) {
+      this.wasBrokenOff = true;
       const count = crashTracker.recordCrash(this.request.fingerprint, serverId, clock.nowMs());
       if (count > 1) {
         agentConnections.notifyCrash(this.request.fingerprint, count);
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -26,8 +26,8 @@
 
 /** Options of one search. */
 export interface SearchOptions {
-  /** Whether the search may wait for a model or a server. */
-  readonly mayWait: boolean;
+  /** When a wait for a model or a server must end; absent if the search must not wait. */
+  readonly waitUntilMs: number | undefined;
   /** Whether servers that did not accept the request may be tried again. */
   readonly mayRetryServers: boolean;
 }
@@ -77,7 +77,7 @@
   }
 
   /**
-   * Finds a server that can run the request now; waits for one until the wait deadline if the options allow it.
+   * Finds a server that can run the request now; waits for one as long as the options allow it.
    * @param options - Options of this search.
    */
   async find(options: SearchOptions): Promise<SearchResult> {
@@ -119,9 +119,9 @@
   /** Waits until a new search may succeed; returns the refusal if none can in time. */
   private async wait(options: SearchOptions): Promise<SearchResult | undefined> {
     const { headers, serviceId } = this.request;
-    const untilMs = this.limits.waitDeadlineAtMs;
+    const untilMs = options.waitUntilMs;
     const holdMs = this.getHoldMs();
-    if (!options.mayWait) {
+    if (untilMs === undefined) {
       return { kind: 'refused', detail: 'no server takes the rest of the stream', retryAfterMs: holdMs };
     }
     if (holdMs !== undefined && !this.isLoadedInTime(untilMs)) {
--- a/src/direct/decisions/RequestLimits.ts
+++ b/src/direct/decisions/RequestLimits.ts
@@ -9,12 +9,12 @@
 const MIN_FIRST_CHUNK_TIMEOUT_MS = 300;
 /** Timeout between chunks, after which a stream is resumed on another server, as a multiple of its maximum gap. */
 const GAP_TIMEOUT_FACTOR = 5;
-/** Minimum time that callers wait for a stream to start, in milliseconds; they wait for the longest of three times. */
-const MIN_START_TIMEOUT_MS = 2_000;
-/** Time that callers wait for a stream to start, as a multiple of its latency target. */
-const START_TIMEOUT_TARGET_FACTOR = 4;
-/** Time that callers wait for a stream to start, as a multiple of its maximum gap. */
-const START_TIMEOUT_GAP_FACTOR = 8;
+/** Minimum time that callers wait for the next event of a stream, in milliseconds; they wait for the longest of three times. */
+const MIN_EVENT_TIMEOUT_MS = 2_000;
+/** Time that callers wait for the next event of a stream, as a multiple of its latency target. */
+const EVENT_TIMEOUT_TARGET_FACTOR = 4;
+/** Time that callers wait for the next event of a stream, as a multiple of its maximum gap. */
+const EVENT_TIMEOUT_GAP_FACTOR = 8;
 /**
  * Time between the end of the wait for a server and the end of the caller's wait, in milliseconds: a first event takes
  * about this long.
@@ -35,10 +35,10 @@
   readonly deadlineAtMs: number;
   /** When the caller expects the first chunk of the response. */
   readonly targetAtMs: number;
-  /** When the wait for a server ends, since a later response would come too late. */
-  readonly waitDeadlineAtMs: number;
   /** Whether the request is interactive, as its latency target shows beside those of the service's other routes. */
   readonly isInteractive: boolean;
+  /** Time that the caller waits for the next event of a stream, in milliseconds. */
+  private readonly eventTimeoutMs: number;
 
   /**
    * @param route - Route of the request.
@@ -52,19 +52,27 @@
     receivedAtMs: number,
     maxInteractiveTargetMs = MIN_INTERACTIVE_TARGET_MS,
   ) {
-    const startTimeoutMs = Math.max(
-      MIN_START_TIMEOUT_MS,
-      START_TIMEOUT_TARGET_FACTOR * route.latencyTargetMs,
-      START_TIMEOUT_GAP_FACTOR * (route.maxGapMs ?? 0),
-    );
+    this.eventTimeoutMs =
+      route.kind === 'stream'
+        ? Math.max(
+            MIN_EVENT_TIMEOUT_MS,
+            EVENT_TIMEOUT_TARGET_FACTOR * route.latencyTargetMs,
+            EVENT_TIMEOUT_GAP_FACTOR * (route.maxGapMs ?? 0),
+          )
+        : Infinity;
     this.deadlineAtMs = receivedAtMs + Math.min(route.timeoutMs, deadlineMs ?? route.timeoutMs);
     this.targetAtMs = receivedAtMs + route.latencyTargetMs;
-    this.waitDeadlineAtMs =
-      Math.min(this.deadlineAtMs, receivedAtMs + (route.kind === 'stream' ? startTimeoutMs : Infinity)) -
-      FIRST_EVENT_RESERVE_MS;
     this.isInteractive = route.latencyTargetMs <= maxInteractiveTargetMs;
   }
 
+  /**
+   * Returns when the wait for a server ends, since a later event would come too late.
+   * @param lastEventAtMs - When the caller received the last event; the time of receipt before the first one.
+   */
+  getWaitDeadlineMs(lastEventAtMs: number): number {
+    return Math.min(this.deadlineAtMs, lastEventAtMs + this.eventTimeoutMs) - FIRST_EVENT_RESERVE_MS;
+  }
+
   /**
    * Returns the timeouts after which the request is sent to another server; empty when it can't be.
    * @param attemptCount - Number of servers that may already have run the request.
--- a/test/direct/decisions/RequestLimits.test.ts
+++ b/test/direct/decisions/RequestLimits.test.ts
@@ -3,20 +3,26 @@
 import { ENGINES, makeConfiguration, makeRoute } from '../fleetFixtures.js';
 
 describe('RequestLimits', () => {
-  describe('waitDeadlineAtMs', () => {
+  describe('getWaitDeadlineMs', () => {
     it('ends the wait shortly before the caller stops waiting, after four times its latency target', () => {
       const route = makeRoute({ latencyTargetMs: 2_500, timeoutMs: 20_000, maxGapMs: 200 });
-      expect(new RequestLimits(route, 20_000, 1_000).waitDeadlineAtMs).to.equal(1_000 + 10_000 - 300);
+      expect(new RequestLimits(route, 20_000, 1_000).getWaitDeadlineMs(1_000)).to.equal(1_000 + 10_000 - 300);
     });
 
     it('lets interactive requests wait for up to two seconds', () => {
       const route = makeRoute({ latencyTargetMs: 500, timeoutMs: 12_000 });
-      expect(new RequestLimits(route, undefined, 0).waitDeadlineAtMs).to.equal(2_000 - 300);
+      expect(new RequestLimits(route, undefined, 0).getWaitDeadlineMs(0)).to.equal(2_000 - 300);
     });
 
     it('ends the wait before the deadline', () => {
       const route = makeRoute({ latencyTargetMs: 2_500, timeoutMs: 20_000 });
-      expect(new RequestLimits(route, 1_000, 0).waitDeadlineAtMs).to.equal(1_000 - 300);
+      expect(new RequestLimits(route, 1_000, 0).getWaitDeadlineMs(0)).to.equal(1_000 - 300);
+    });
+
+    it('counts from the last event of a stream, up to the deadline', () => {
+      const limits = new RequestLimits(makeRoute({ latencyTargetMs: 500, timeoutMs: 12_000 }), undefined, 0);
+      expect(limits.getWaitDeadlineMs(5_000)).to.equal(5_000 + 2_000 - 300);
+      expect(limits.getWaitDeadlineMs(11_500)).to.equal(12_000 - 300);
     });
   });
 
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -97,4 +97,22 @@
     expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
     expect(bench.receivedRequests.map(({ server }) => server)).to.have.members(['s', 'ss']);
   });
+
+  it('continue a stream that the server which took it over refuses', async () => {
+    let resumeCount = 0;
+    const respond: Handler = (incoming, response) => {
+      if (incoming.headers['last-event-id'] !== '1') {
+        startStream(incoming, response);
+      } else if (++resumeCount === 1) {
+        response.writeHead(503, { 'not-run': '1' }).end();
+      } else {
+        response.writeHead(200, makeResponseHeaders(incoming, 'text/event-stream')).end(SECOND_EVENT);
+      }
+    };
+    await bench.addServer('s', respond);
+    await bench.addServer('ss', respond);
+    await bench.start([streamRoute]);
+    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+  });
 });
