A retry is taken from the budget once its connection is established

What callers saw: 502 'no repeat is left in the budget' although nothing had been sent again: the retry had been spent on a server that could not be reached. Cause: the retry was taken before the connection was opened. Change: the attempt connects first; a failed connection costs no retry. Evidence: the new test failed before (502 instead of the answer of the third server).

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -191,11 +191,24 @@
     if (!server) {
       return undefined;
     }
-    if (this.sendCount > 0 && !this.tryTakeRetry()) {
-      this.endWithFallback('no repeat is left in the budget');
+    const attempt = this.createAttempt(server, this.runCount);
+    if (this.sendCount > 0 && !(await this.tryConnectRetry(attempt))) {
+      attempt.cancel();
+      if (!this.hasEnded) {
+        this.endWithFallback('no repeat is left in the budget');
+      }
       return undefined;
     }
-    return { server, attempt: this.createAttempt(server, this.runCount) };
+    return { server, attempt };
+  }
+
+  /** Connects a retry and takes it from the budget, unless the connection failed; returns false if it is not allowed. */
+  private async tryConnectRetry(attempt: BackendAttempt): Promise<boolean> {
+    if (!this.isRetryLeft()) {
+      return false;
+    }
+    const isConnected = await attempt.connect();
+    return !this.hasEnded && (!isConnected || this.tryTakeRetry());
   }
 
   private takeReplacement(): PreparedAttempt | undefined {
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -11,6 +11,8 @@
 const SECOND_EVENT = 'id: 2\ndata: two\n\n';
 /** Retry budget that is exhausted from the start. */
 const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 10_000 };
+/** Number of servers that are listed and cannot be reached. */
+const UNREACHABLE_COUNT = 6;
 /** Address at which no process listens. */
 const UNREACHABLE_ADDRESS = '127.0.0.1:1';
 
@@ -115,4 +117,24 @@
     const received = await bench.sendRequest('/drafts/x', { model: 'a' });
     expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
   });
+
+  it('leave the retry budget alone when a connection to another server fails', async () => {
+    bench.retryLimits = { ratio: 0, slack: 1.25, windowMs: 10_000 };
+    let requestCount = 0;
+    const respond: Handler = (incoming, response) => {
+      if (++requestCount === 1) {
+        incoming.socket.destroy();
+      } else {
+        response.writeHead(200, makeResponseHeaders(incoming)).end('whole');
+      }
+    };
+    await bench.addServer('first', respond, ORDERS);
+    for (let port = 1; port <= UNREACHABLE_COUNT; port++) {
+      bench.view.applyEntry(makeEntry(`second-${port}`, { address: `127.0.0.1:${port}`, serviceId: ORDERS }));
+    }
+    await bench.addServer('third', respond, ORDERS);
+    await bench.start([plainRoute]);
+    const received = await bench.sendRequest('/plain/x');
+    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
+  });
 });
