--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -6,7 +6,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import { createServer as createSocketServer, type AddressInfo, type Server as SocketServer } from 'node:net';
+import {
+  createServer as createSocketServer,
+  type AddressInfo,
+  type Server as SocketServer,
+  type Socket,
+} from 'node:net';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
 import { toDataCentreId } from '../../src/domain/index.js';
 import {
@@ -82,6 +87,19 @@
     await this.listen(server, id, ENGINES);
   }
 
+  /** Adds a server whose connections the test reads and writes itself. */
+  async addSocketServer(
+    id: string,
+    onConnection: (socket: Socket) => void,
+    serviceId = ENGINES,
+  ): Promise<void> {
+    const server = createSocketServer((socket) => {
+      socket.on('error', () => undefined);
+      onConnection(socket);
+    });
+    await this.listen(server, id, serviceId);
+  }
+
   async start(routes: readonly Route[], hasConfiguration = true): Promise<void> {
     const { view, codec } = this;
     if (hasConfiguration) {
