A response must have a final status

Cause: an authentic answer with a status from 0 to 99 made writeHead throw, which ended the router process (stream) or closed the caller's connection (other answers); 101 was passed to the caller, or waited for until the timeout if the server named another protocol.

Change: an attempt is broken by a status below 200 and by a change of the protocol; the caller gets 502, or another server the request. Interim responses are not affected: Node.js does not hand them to the listener.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -9,6 +9,8 @@
 const CONNECT_TIMEOUT_MS = 200;
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+/** Lowest status with which a response can end; lower ones belong to interim responses or to none. */
+const MIN_FINAL_STATUS = 200;
 /** Part of a body that counts as progress and restarts the timeout between chunks, in bytes; single bytes do not. */
 const BODY_PROGRESS_BYTES = 256;
 
@@ -175,6 +177,7 @@
     this.clientRequest = clientRequest;
     clientRequest.on('error', (error) => this.fail(error.message));
     clientRequest.on('response', (response) => this.onResponse(response));
+    clientRequest.on('upgrade', () => this.fail('the server changed the protocol'));
     clientRequest.on('information', () => {
       this.progress.recordInterimResponse();
       this.checkProgress();
@@ -199,6 +202,10 @@
       this.finish({ kind: 'notRun', status, isOtherServer: decoded.isFromOtherServer });
       return;
     }
+    if (status < MIN_FINAL_STATUS) {
+      this.fail(`the status ${status} is not a final one`);
+      return;
+    }
     if (!decoded.isAuthentic) {
       this.fail('the answer is not signed or belongs to another request');
       return;
