Test: whole answers followed by other bytes in the same packet

A server may send more bytes after a whole answer; they belong to no request. If they arrive in one packet with the end of the answer and are no response, Node.js reports the parse error before the end of the answer, which is emitted a tick later, and the attempt counts as broken: a whole answer is replaced by 502, and a stream that came in the same packet is closed before its head was written, so that the caller's connection ends without an answer.

--- a/test/direct/BackendAttempt.test.ts
+++ b/test/direct/BackendAttempt.test.ts
@@ -45,5 +45,33 @@
       );
       expect(received.status).to.equal(502);
     });
+
+    const extras = {
+      garbage: '\0garbage\r\n\r\n',
+      'another answer': 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx',
+    };
+    for (const [name, extra] of Object.entries(extras)) {
+      it(`reads a whole answer although ${name} follows in the same packet`, async () => {
+        const received = await requestFrom('200 OK', `Content-Length: 2\r\n\r\nhi${extra}`);
+        expect([received.status, received.text]).to.deep.equal([200, 'hi']);
+      });
+
+      it(`reads a whole stream although ${name} follows in the same packet`, async () => {
+        const received = await requestFrom(
+          '200 OK',
+          `${STREAM}Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n${extra}`,
+        );
+        expect([received.status, received.text, received.isComplete]).to.deep.equal([
+          200,
+          'data: 1\n\n',
+          true,
+        ]);
+      });
+    }
+
+    it('reads a whole answer without a body although garbage follows in the same packet', async () => {
+      const received = await requestFrom('204 No Content', `${STREAM}\r\n\0garbage\r\n\r\n`);
+      expect(received.status).to.equal(204);
+    });
   });
 });
