An answer is whole although other bytes follow it

Cause: the parse error of bytes after a whole response is reported before the response's end, so the attempt counted as broken.

Change: an error of the request to the server is ignored once the response is complete; its end follows. A response that is not complete is broken by the error as before. Ruled out: waiting a tick before any failure, which would delay all of them.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -175,7 +175,12 @@
     const { method, path } = params;
     const clientRequest = request({ createConnection: () => socket, method, path, headers, setHost: false });
     this.clientRequest = clientRequest;
-    clientRequest.on('error', (error) => this.fail(error.message));
+    clientRequest.on('error', (error) => {
+      // Bytes after a whole response belong to no request; the end of the response is emitted after their error.
+      if (this.response?.complete !== true) {
+        this.fail(error.message);
+      }
+    });
     clientRequest.on('response', (response) => this.onResponse(response));
     clientRequest.on('upgrade', () => this.fail('the server changed the protocol'));
     clientRequest.on('information', () => {
