Test: a stream without a length, reset before its first event

When the connection of a response without a length or chunks is reset, Node.js reports the error and then ends the response as if it were whole. The listener of the end starts the stream at the caller although the attempt has just been broken, so the forwarder can no longer answer 502 or use another server's head and closes the caller's connection.

--- a/test/direct/BackendAttempt.test.ts
+++ b/test/direct/BackendAttempt.test.ts
@@ -46,6 +46,11 @@
       expect(received.status).to.equal(502);
     });
 
+    it('does not start a stream without a length that is reset before its first event', async () => {
+      const received = await requestFrom('200 OK', `${STREAM}\r\n`, (socket) => socket.resetAndDestroy());
+      expect(received.status).to.equal(502);
+    });
+
     const extras = {
       garbage: '\0garbage\r\n\r\n',
       'another answer': 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx',
