A broken attempt starts no stream

Cause: the listener of a stream's end did not check whether the attempt had already ended, and a response without a length ends after a reset.

Change: it returns in that case. The body of another response was not affected, since there the end only finishes the attempt.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -246,6 +246,10 @@
       this.listener.onEvents(events);
     });
     response.on('end', () => {
+      // A response without a length also ends after an error.
+      if (this.hasEnded) {
+        return;
+      }
       if (!response.complete || splitter.hasPartialEvent) {
         this.fail('the stream ended early');
         return;
