Test: broken streams without a length

A stream may come with neither a length nor chunks and end with its connection. If its server resets the connection, or ends it inside an event, the router closes the caller's connection, which is exactly how a whole answer of this form ends: the part appears whole.

The callers of the tests now report a response that a reset followed as incomplete: before, the reset rejected the promise, and Node.js itself calls a response without a length complete after a reset.

--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -221,6 +221,18 @@
       expect((await bench.sendRequest('/drafts/x', { model: 'a' })).status).to.equal(502);
     });
 
+    for (const isReset of [true, false]) {
+      it(`do not appear complete if they are a stream that ${isReset ? 'was reset' : 'ended inside an event'}`, async () => {
+        const stream = (requestId: string) =>
+          head(requestId).replace('text/plain', STREAM).replace('half', 'id: 1\ndata: 1\n\nid: 2');
+        await bench.addRawServer('e', stream, isReset);
+        await bench.start([route]);
+        const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+        expect([received.status, received.text]).to.deep.equal([200, 'id: 1\ndata: 1\n\n']);
+        expect(received.isComplete).to.equal(false);
+      });
+    }
+
     it('are discarded if they belong to another request or are unsigned', async () => {
       await bench.addRawServer('e', () => head('other'), false);
       await bench.start([route]);
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -160,14 +160,19 @@
         agent,
         headers: { host: 'a.example', 'request-id': 'r1', 'content-length': String(body.length), ...headers },
       });
+      let isBroken = false;
       outgoing.on('error', reject);
+      outgoing.on('error', () => (isBroken = true));
       outgoing.on('response', (response) => {
+        outgoing.removeListener('error', reject);
         let text = '';
         response.on('data', (chunk: Buffer) => (text += chunk.toString()));
         response.on('error', () => undefined);
         response.on('close', () => {
           const { statusCode, headers: responseHeaders, complete } = response;
-          resolve({ status: statusCode ?? 0, headers: responseHeaders, text, isComplete: complete });
+          // Node.js calls a response without a length complete also after a reset.
+          const isComplete = complete && !isBroken;
+          resolve({ status: statusCode ?? 0, headers: responseHeaders, text, isComplete });
         });
       });
       outgoing.end(body);
--- a/test/direct/keptConnections.fuzz.test.ts
+++ b/test/direct/keptConnections.fuzz.test.ts
@@ -63,14 +63,18 @@
       agent,
       headers: { host: 'a.example', 'request-id': `r${index}` },
     });
-    outgoing.on('error', () => resolve(undefined));
+    let isBroken = false;
+    const onError = () => resolve(undefined);
+    outgoing.on('error', onError);
+    outgoing.on('error', () => (isBroken = true));
     outgoing.on('response', (response) => {
+      outgoing.removeListener('error', onError);
       let text = '';
       response.on('data', (chunk: Buffer) => (text += chunk.toString()));
       response.on('error', () => undefined);
       response.on('close', () => {
         const { statusCode, headers, complete } = response;
-        resolve({ status: statusCode ?? 0, headers, text, isComplete: complete });
+        resolve({ status: statusCode ?? 0, headers, text, isComplete: complete && !isBroken });
       });
     });
     outgoing.end(body);
