A broken stream without a length ends by a reset

Cause: the end of the connection is the only mark of a whole answer without a length or chunks, and a broken one ended the same way.

Change: CallerServer resets the caller's connection when it breaks off such a response; a response with a length or chunks is closed as before. Ruled out: a reset for all, which would discard events that the caller has not read.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Socket, type AddressInfo } from 'node:net';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { listenOrThrow, type ListenAddress } from '../transport/index.js';
@@ -203,7 +203,7 @@
         error: String(error),
       });
       forwarder.onResponseClosed();
-      response.destroy();
+      breakOff(response);
     });
   }
 
@@ -221,9 +221,7 @@
       endStream: () => {
         response.end();
       },
-      closeConnection: () => {
-        response.destroy();
-      },
+      closeConnection: () => breakOff(response),
       refuse: (status, detail, retryAfterMs) =>
         this.refuse(response, request.headers.requestId, status, detail, retryAfterMs),
     };
@@ -264,6 +262,16 @@
   }
 }
 
+/** Closes a connection so that the response does not appear complete: one that ends with its connection is reset. */
+function breakOff(response: ServerResponse): void {
+  const { socket } = response;
+  if (socket instanceof Socket && response.headersSent && !response.useChunkedEncodingByDefault) {
+    socket.resetAndDestroy();
+  } else {
+    response.destroy();
+  }
+}
+
 /** Returns the fingerprint of a request, the same for requests with equal method, path, model and body. */
 function getFingerprint(method: string, path: string, model: string | undefined, body: Buffer): string {
   const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
