Test: entries of servers that no request can be sent to

An entry of another writer may have an address with a port above 65535, for which net.connect throws, or a name with a character that no header may have, for which http.request throws. Probed with a router in this process: the first rejects RequestForwarder.run, so the caller's connection is closed without an answer; the second throws in the listener of the connection to the server, so that nothing catches it and the router process ends with all its requests.

--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -50,6 +50,18 @@
       expect(decodeServerEntry('i-1', value)).to.equal(undefined);
     }
   });
+
+  it('is undefined for an address to which no connection can be opened', () => {
+    for (const address of ['10.0.0.1:0', '10.0.0.1:65536', '10.0.0.1:99999999999999999999']) {
+      expect(decodeServerEntry('i-1', { ...ENTRY, Address: address }), address).to.equal(undefined);
+    }
+  });
+
+  it('is undefined for a name that cannot be sent in a header', () => {
+    for (const name of ['', 'i\n1', 'i-\u20ac', 'i 1', '\ud800']) {
+      expect(decodeServerEntry(name, ENTRY), JSON.stringify(name)).to.equal(undefined);
+    }
+  });
 });
 
 describe('decodeEngineReport', () => {
