Test: responses that are read slowly while the router stops

http.Server.close destroys each connection whose response has been ended, also if its bytes have not been written yet: with an answer of 7 MB whose caller reads slowly, a stopping router closes the connection 2.8 s after the signal in the middle of the answer (3.9 MB had arrived in a probe).

--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Agent } from 'node:http';
+import { Agent, request } from 'node:http';
 import { delay } from '../../src/kernel/index.js';
 import { makeConfiguration, makeEntry, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
@@ -55,11 +55,11 @@
         '{"ok":1}',
         's',
       ]);
-      const [request] = bench.receivedRequests;
-      expect(request?.body).to.equal('body');
-      expect(Number(request?.headers['deadline-ms'])).to.be.within(300, 500);
-      expect(request?.headers['expect-instance']).to.equal('p');
-      expect(request?.headers['request-urgency']).to.equal(undefined);
+      const [sent] = bench.receivedRequests;
+      expect(sent?.body).to.equal('body');
+      expect(Number(sent?.headers['deadline-ms'])).to.be.within(300, 500);
+      expect(sent?.headers['expect-instance']).to.equal('p');
+      expect(sent?.headers['request-urgency']).to.equal(undefined);
     });
 
     it('tries another server after an error response, and returns the error response if both fail', async () => {
@@ -284,6 +284,39 @@
       agent.destroy();
     });
 
+    it('completes responses that their callers read slowly', async () => {
+      const length = 7 * 1024 * 1024;
+      await bench.addServer(
+        'p',
+        (incoming, response) => {
+          response.writeHead(200, makeResponseHeaders(incoming)).end(Buffer.alloc(length));
+        },
+        ORDERS,
+      );
+      await bench.start([{ ...plainRoute, timeoutMs: 20_000 }]);
+      const received = new Promise<number>((resolve, reject) => {
+        const outgoing = request({
+          port: bench.callerPort,
+          path: '/plain/x',
+          headers: { host: 'a.example', 'request-id': 'r1' },
+          agent: false,
+        });
+        outgoing.on('error', reject);
+        outgoing.on('response', (response) => {
+          let receivedLength = 0;
+          response.on('error', reject);
+          response.on('end', () => resolve(receivedLength));
+          // The caller reads only after the router has stopped accepting requests.
+          setTimeout(() => response.on('data', (chunk: Buffer) => (receivedLength += chunk.length)), 3_500);
+        });
+        outgoing.end();
+      });
+      await delay(CLOCK, 300);
+      const stopped = bench.stopRouter();
+      expect(await received).to.equal(length);
+      await stopped;
+    });
+
     it('responds to requests without a server response before the process exits', async () => {
       await bench.addServer('p', neverRespond, ORDERS);
       await bench.start([{ ...nonIdempotentRoute, timeoutMs: 20_000 }]);
