A stopping router completes responses that are read slowly

Cause: closing the HTTP server destroys connections whose response has ended, whether or not its bytes have been written.

Change: the server is closed once no ended response is unwritten, or at the end of the grace time; new requests are refused meanwhile as before. The separate call that closes idle connections is dropped: closing the server does that. Ruled out: closing only the listener, since idle kept connections should still end early.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -57,7 +57,8 @@
 /** Accepts callers' HTTP requests and runs a {@link RequestForwarder} for each. */
 export class CallerServer implements Service {
   private readonly http: Server;
-  private readonly activeForwarders = new Set<RequestForwarder>();
+  /** Responses that are not complete, by the forwarder of the request. */
+  private readonly activeForwarders = new Map<RequestForwarder, ServerResponse>();
   private stopping = false;
   /** Whether new requests are refused because the process is stopping. */
   private closing = false;
@@ -103,15 +104,18 @@
     log.info('stopping', { activeCount: this.activeForwarders.size });
     await delay(clock, ACCEPT_WHILE_STOPPING_MS);
     this.closing = true;
-    const closed = new Promise((resolve) => this.http.close(resolve));
-    for (const forwarder of [...this.activeForwarders]) {
+    for (const forwarder of [...this.activeForwarders.keys()]) {
       forwarder.refuseUnsent('the router is stopping', STOPPING_RETRY_MS);
     }
-    this.http.closeIdleConnections();
+    // Closing the server also closes connections whose response has ended but is not written yet.
+    while (this.hasUnwrittenResponse && clock.nowMs() < endsAtMs) {
+      await delay(clock, STOP_POLL_MS);
+    }
+    const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeForwarders.size > 0 && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
     }
-    for (const forwarder of [...this.activeForwarders]) {
+    for (const forwarder of [...this.activeForwarders.keys()]) {
       forwarder.endForShutdown('the router is stopping');
     }
     log.info('stopped', {
@@ -129,6 +133,16 @@
     this.http.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Whether a response has ended but its caller has yet to read a part that does not fit into the socket's buffer. */
+  private get hasUnwrittenResponse(): boolean {
+    for (const response of this.activeForwarders.values()) {
+      if (response.writableEnded && !response.writableFinished) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private getLimits(): CallerLimits {
     return this.deps.view.configuration?.callerLimits ?? INITIAL_LIMITS;
   }
@@ -192,7 +206,7 @@
 
   private forward(request: CallerRequest, response: ServerResponse): void {
     const forwarder = new RequestForwarder(this.deps.forwarder, request, this.createSink(request, response));
-    this.activeForwarders.add(forwarder);
+    this.activeForwarders.set(forwarder, response);
     response.on('close', () => {
       this.activeForwarders.delete(forwarder);
       forwarder.onResponseClosed();
