Test: callers that send other bytes after a request

Bytes on a kept connection that are no request make Node.js emit clientError at once, also while a request is being served. The router then writes 400 and ends the connection: the 400 takes the place of the response of the request that was passed on, or stands in the middle of its stream.

--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
+import { once } from 'node:events';
 import { Agent, request } from 'node:http';
+import { connect } from 'node:net';
 import { delay } from '../../src/kernel/index.js';
 import { makeConfiguration, makeEntry, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
@@ -240,6 +242,59 @@
     });
   });
 
+  describe('bytes after a request that are no request', () => {
+    /** Sends a request and, while it runs, other bytes; resolves with what the router sends until it ends. */
+    async function sendWithGarbage(path: string, headers = ''): Promise<string> {
+      const socket = connect({ host: '127.0.0.1', port: bench.callerPort });
+      let text = '';
+      socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      const closed = once(socket, 'close');
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n${headers}\r\n`);
+      await delay(CLOCK, 100);
+      socket.write('\0\r\n\r\n');
+      await delay(CLOCK, 50);
+      socket.write('\0\r\n\r\n');
+      await closed;
+      return text;
+    }
+
+    it('do not replace its response, after which the connection is closed', async () => {
+      const respondLate: Handler = (incoming, response) => {
+        setTimeout(() => response.writeHead(200, makeResponseHeaders(incoming)).end('late'), 300);
+      };
+      await bench.addServer('p', respondLate, ORDERS);
+      await bench.start([plainRoute]);
+      const text = await sendWithGarbage('/plain/x');
+      expect(text).to.match(/^HTTP\/1.1 200 OK[^]*\r\n\r\nlate$/);
+    });
+
+    it('do not interrupt its stream', async () => {
+      await bench.addServer('e', (incoming, response) => {
+        response.writeHead(200, makeResponseHeaders(incoming, STREAM)).write('data: 1\n\n');
+        setTimeout(() => response.end('data: 2\n\n'), 300);
+      });
+      await bench.start([makeRoute()]);
+      const text = await sendWithGarbage('/drafts/x', 'Model: a\r\n');
+      expect(text.slice(text.indexOf('\r\n\r\n') + 4)).to.equal(
+        '9\r\ndata: 1\n\n\r\n9\r\ndata: 2\n\n\r\n0\r\n\r\n',
+      );
+    });
+
+    it('do not keep the request alive after the caller has left', async () => {
+      let isClosed = false;
+      await bench.addServer('p', (incoming) => incoming.socket.on('close', () => (isClosed = true)), ORDERS);
+      await bench.start([{ ...plainRoute, timeoutMs: 5_000 }]);
+      const socket = connect({ host: '127.0.0.1', port: bench.callerPort });
+      socket.write('GET /plain/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n\r\n');
+      await delay(CLOCK, 100);
+      socket.write('\0\r\n\r\n');
+      await delay(CLOCK, 100);
+      socket.destroy();
+      await delay(CLOCK, 300);
+      expect(isClosed).to.equal(true);
+    });
+  });
+
   describe('stop', () => {
     it('completes running requests and accepts callers until the balancer has detected the stop', async () => {
       await bench.addServer(
