Other bytes after a request do not end its response

Cause: the handler of clientError ended the connection with status 400 whether or not a request on it was being served.

Change: while one is being served, its response is completed and the connection is closed after it; a caller that has left ends the request as before. Without a running request the answer stays 400.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket, type AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { listenOrThrow, type ListenAddress } from '../transport/index.js';
@@ -69,14 +70,9 @@
       this.handle(request, response),
     );
     this.http.requestTimeout = 0;
-    this.http.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      deps.metrics.count('caller_protocol_errors');
-      if (socket.writable && error.code !== 'ECONNRESET') {
-        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
-      } else {
-        socket.destroy();
-      }
-    });
+    this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.onProtocolError(error, socket),
+    );
     this.applyLimits();
   }
 
@@ -147,6 +143,23 @@
     return this.deps.view.configuration?.callerLimits ?? INITIAL_LIMITS;
   }
 
+  /**
+   * Closes a connection on which other bytes than a request arrived, with status 400 if no request is being served; else
+   * after the response of that request.
+   */
+  private onProtocolError(error: NodeJS.ErrnoException, socket: Duplex): void {
+    this.deps.metrics.count('caller_protocol_errors');
+    const response = [...this.activeForwarders.values()].find((active) => active.socket === socket);
+    if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
+      socket.destroy();
+    } else if (!response) {
+      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    } else if (response.shouldKeepAlive) {
+      response.shouldKeepAlive = false;
+      response.once('finish', () => socket.end());
+    }
+  }
+
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
     if (this.stopping) {
