--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -11,6 +11,8 @@
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 /** Interval at which the listener is notified again while a server stays silent, in milliseconds. */
 const SILENCE_INTERVAL_MS = 250;
+/** Lowest status with which a response can end; lower ones belong to interim responses or to none. */
+const MIN_FINAL_STATUS = 200;
 /** Part of a body that counts as progress and restarts the timeout between chunks, in bytes; single bytes do not. */
 const BODY_PROGRESS_BYTES = 256;
 
@@ -204,8 +206,14 @@
     const { method, path } = params;
     const clientRequest = request({ createConnection: () => socket, method, path, headers, setHost: false });
     this.clientRequest = clientRequest;
-    clientRequest.on('error', (error) => this.fail(error.message));
+    clientRequest.on('error', (error) => {
+      // Bytes after a whole response belong to no request; the end of the response is emitted after their error.
+      if (this.response?.complete !== true) {
+        this.fail(error.message);
+      }
+    });
     clientRequest.on('response', (response) => this.onResponse(response));
+    clientRequest.on('upgrade', () => this.fail('the server changed the protocol'));
     clientRequest.on('information', () => {
       this.progress.recordInterimResponse();
       this.checkProgress();
@@ -231,6 +239,10 @@
       this.finish({ kind: 'notRun', status, isOtherServer: decoded.isFromOtherServer });
       return;
     }
+    if (status < MIN_FINAL_STATUS) {
+      this.fail(`the status ${status} is not a final one`);
+      return;
+    }
     if (!decoded.isAuthentic) {
       this.fail('the answer is not signed or belongs to another request');
       return;
@@ -266,6 +278,10 @@
       this.listener.onEvents(events);
     });
     response.on('end', () => {
+      // A response without a length also ends after an error.
+      if (this.hasEnded) {
+        return;
+      }
       if (!response.complete || splitter.hasPartialEvent) {
         this.fail('the stream ended early');
         return;
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { Socket, type AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { listenOrThrow, type ListenAddress } from '../transport/index.js';
@@ -57,7 +58,8 @@
 /** Accepts callers' HTTP requests and runs a {@link RequestForwarder} for each. */
 export class CallerServer implements Service {
   private readonly http: Server;
-  private readonly activeForwarders = new Set<RequestForwarder>();
+  /** Responses that are not complete, by the forwarder of the request. */
+  private readonly activeForwarders = new Map<RequestForwarder, ServerResponse>();
   /** Number of requests received on each open connection. */
   private readonly requestCounts = new WeakMap<Socket, number>();
   private stopping = false;
@@ -70,14 +72,9 @@
       this.handle(request, response),
     );
     this.http.requestTimeout = 0;
-    this.http.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      deps.metrics.count('caller_protocol_errors');
-      if (socket.writable && error.code !== 'ECONNRESET') {
-        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
-      } else {
-        socket.destroy();
-      }
-    });
+    this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.onProtocolError(error, socket),
+    );
     this.applyLimits();
   }
 
@@ -105,15 +102,18 @@
     log.info('stopping', { activeCount: this.activeForwarders.size });
     await delay(clock, ACCEPT_WHILE_STOPPING_MS);
     this.closing = true;
-    const closed = new Promise((resolve) => this.http.close(resolve));
-    for (const forwarder of [...this.activeForwarders]) {
+    for (const forwarder of [...this.activeForwarders.keys()]) {
       forwarder.refuseUnsent('the router is stopping', STOPPING_RETRY_MS);
     }
-    this.http.closeIdleConnections();
+    // Closing the server also closes connections whose response has ended but is not written yet.
+    while (this.hasUnwrittenResponse && clock.nowMs() < endsAtMs) {
+      await delay(clock, STOP_POLL_MS);
+    }
+    const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeForwarders.size > 0 && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
     }
-    for (const forwarder of [...this.activeForwarders]) {
+    for (const forwarder of [...this.activeForwarders.keys()]) {
       forwarder.endForShutdown('the router is stopping');
     }
     log.info('stopped', {
@@ -131,10 +131,37 @@
     this.http.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Whether a response has ended but its caller has yet to read a part that does not fit into the socket's buffer. */
+  private get hasUnwrittenResponse(): boolean {
+    for (const response of this.activeForwarders.values()) {
+      if (response.writableEnded && !response.writableFinished) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private getLimits(): CallerLimits {
     return this.deps.view.configuration?.callerLimits ?? INITIAL_LIMITS;
   }
 
+  /**
+   * Closes a connection on which other bytes than a request arrived, with status 400 if no request is being served; else
+   * after the response of that request.
+   */
+  private onProtocolError(error: NodeJS.ErrnoException, socket: Duplex): void {
+    this.deps.metrics.count('caller_protocol_errors');
+    const response = [...this.activeForwarders.values()].find((active) => active.socket === socket);
+    if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
+      socket.destroy();
+    } else if (!response) {
+      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    } else if (response.shouldKeepAlive) {
+      response.shouldKeepAlive = false;
+      response.once('finish', () => socket.end());
+    }
+  }
+
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
     this.requestCounts.set(request.socket, (this.requestCounts.get(request.socket) ?? 0) + 1);
@@ -206,7 +233,7 @@
 
   private forward(request: CallerRequest, response: ServerResponse): void {
     const forwarder = new RequestForwarder(this.deps.forwarder, request, this.createSink(request, response));
-    this.activeForwarders.add(forwarder);
+    this.activeForwarders.set(forwarder, response);
     response.on('close', () => {
       this.activeForwarders.delete(forwarder);
       forwarder.onResponseClosed();
@@ -217,7 +244,7 @@
         error: String(error),
       });
       forwarder.onResponseClosed();
-      response.destroy();
+      breakOff(response);
     });
   }
 
@@ -235,9 +262,7 @@
       endStream: () => {
         response.end();
       },
-      closeConnection: () => {
-        response.destroy();
-      },
+      closeConnection: () => breakOff(response),
       refuse: (status, detail, retryAfterMs) =>
         this.refuse(response, request.headers.requestId, status, detail, retryAfterMs),
     };
@@ -278,6 +303,16 @@
   }
 }
 
+/** Closes a connection so that the response does not appear complete: one that ends with its connection is reset. */
+function breakOff(response: ServerResponse): void {
+  const { socket } = response;
+  if (socket instanceof Socket && response.headersSent && !response.useChunkedEncodingByDefault) {
+    socket.resetAndDestroy();
+  } else {
+    response.destroy();
+  }
+}
+
 /** Returns the fingerprint of a request, the same for requests with equal method, path, model and body. */
 function getFingerprint(method: string, path: string, model: string | undefined, body: Buffer): string {
   const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
-import { Agent } from 'node:http';
+import { once } from 'node:events';
+import { Agent, request } from 'node:http';
+import { connect } from 'node:net';
 import { delay } from '../../src/kernel/index.js';
 import { makeConfiguration, makeEntry, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
@@ -55,11 +57,11 @@
         '{"ok":1}',
         's',
       ]);
-      const [request] = bench.receivedRequests;
-      expect(request?.body).to.equal('body');
-      expect(Number(request?.headers['deadline-ms'])).to.be.within(300, 500);
-      expect(request?.headers['expect-instance']).to.equal('p');
-      expect(request?.headers['request-urgency']).to.equal(undefined);
+      const [sent] = bench.receivedRequests;
+      expect(sent?.body).to.equal('body');
+      expect(Number(sent?.headers['deadline-ms'])).to.be.within(300, 500);
+      expect(sent?.headers['expect-instance']).to.equal('p');
+      expect(sent?.headers['request-urgency']).to.equal(undefined);
     });
 
     it('tries another server after an error response, and returns the error response if both fail', async () => {
@@ -221,6 +223,18 @@
       expect((await bench.sendRequest('/drafts/x', { model: 'a' })).status).to.equal(502);
     });
 
+    for (const isReset of [true, false]) {
+      it(`do not appear complete if they are a stream that ${isReset ? 'was reset' : 'ended inside an event'}`, async () => {
+        const stream = (requestId: string) =>
+          head(requestId).replace('text/plain', STREAM).replace('half', 'id: 1\ndata: 1\n\nid: 2');
+        await bench.addRawServer('e', stream, isReset);
+        await bench.start([route]);
+        const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+        expect([received.status, received.text]).to.deep.equal([200, 'id: 1\ndata: 1\n\n']);
+        expect(received.isComplete).to.equal(false);
+      });
+    }
+
     it('are discarded if they belong to another request or are unsigned', async () => {
       await bench.addRawServer('e', () => head('other'), false);
       await bench.start([route]);
@@ -228,6 +242,59 @@
     });
   });
 
+  describe('bytes after a request that are no request', () => {
+    /** Sends a request and, while it runs, other bytes; resolves with what the router sends until it ends. */
+    async function sendWithGarbage(path: string, headers = ''): Promise<string> {
+      const socket = connect({ host: '127.0.0.1', port: bench.callerPort });
+      let text = '';
+      socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      const closed = once(socket, 'close');
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n${headers}\r\n`);
+      await delay(CLOCK, 100);
+      socket.write('\0\r\n\r\n');
+      await delay(CLOCK, 50);
+      socket.write('\0\r\n\r\n');
+      await closed;
+      return text;
+    }
+
+    it('do not replace its response, after which the connection is closed', async () => {
+      const respondLate: Handler = (incoming, response) => {
+        setTimeout(() => response.writeHead(200, makeResponseHeaders(incoming)).end('late'), 300);
+      };
+      await bench.addServer('p', respondLate, ORDERS);
+      await bench.start([plainRoute]);
+      const text = await sendWithGarbage('/plain/x');
+      expect(text).to.match(/^HTTP\/1.1 200 OK[^]*\r\n\r\nlate$/);
+    });
+
+    it('do not interrupt its stream', async () => {
+      await bench.addServer('e', (incoming, response) => {
+        response.writeHead(200, makeResponseHeaders(incoming, STREAM)).write('data: 1\n\n');
+        setTimeout(() => response.end('data: 2\n\n'), 300);
+      });
+      await bench.start([makeRoute()]);
+      const text = await sendWithGarbage('/drafts/x', 'Model: a\r\n');
+      expect(text.slice(text.indexOf('\r\n\r\n') + 4)).to.equal(
+        '9\r\ndata: 1\n\n\r\n9\r\ndata: 2\n\n\r\n0\r\n\r\n',
+      );
+    });
+
+    it('do not keep the request alive after the caller has left', async () => {
+      let isClosed = false;
+      await bench.addServer('p', (incoming) => incoming.socket.on('close', () => (isClosed = true)), ORDERS);
+      await bench.start([{ ...plainRoute, timeoutMs: 5_000 }]);
+      const socket = connect({ host: '127.0.0.1', port: bench.callerPort });
+      socket.write('GET /plain/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n\r\n');
+      await delay(CLOCK, 100);
+      socket.write('\0\r\n\r\n');
+      await delay(CLOCK, 100);
+      socket.destroy();
+      await delay(CLOCK, 300);
+      expect(isClosed).to.equal(true);
+    });
+  });
+
   describe('stop', () => {
     it('completes running requests and accepts callers until the balancer has detected the stop', async () => {
       await bench.addServer(
@@ -272,6 +339,39 @@
       agent.destroy();
     });
 
+    it('completes responses that their callers read slowly', async () => {
+      const length = 7 * 1024 * 1024;
+      await bench.addServer(
+        'p',
+        (incoming, response) => {
+          response.writeHead(200, makeResponseHeaders(incoming)).end(Buffer.alloc(length));
+        },
+        ORDERS,
+      );
+      await bench.start([{ ...plainRoute, timeoutMs: 20_000 }]);
+      const received = new Promise<number>((resolve, reject) => {
+        const outgoing = request({
+          port: bench.callerPort,
+          path: '/plain/x',
+          headers: { host: 'a.example', 'request-id': 'r1' },
+          agent: false,
+        });
+        outgoing.on('error', reject);
+        outgoing.on('response', (response) => {
+          let receivedLength = 0;
+          response.on('error', reject);
+          response.on('end', () => resolve(receivedLength));
+          // The caller reads only after the router has stopped accepting requests.
+          setTimeout(() => response.on('data', (chunk: Buffer) => (receivedLength += chunk.length)), 3_500);
+        });
+        outgoing.end();
+      });
+      await delay(CLOCK, 300);
+      const stopped = bench.stopRouter();
+      expect(await received).to.equal(length);
+      await stopped;
+    });
+
     it('responds to requests without a server response before the process exits', async () => {
       await bench.addServer('p', neverRespond, ORDERS);
       await bench.start([{ ...nonIdempotentRoute, timeoutMs: 20_000 }]);
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -6,7 +6,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import { createServer as createSocketServer, type AddressInfo, type Server as SocketServer } from 'node:net';
+import {
+  createServer as createSocketServer,
+  type AddressInfo,
+  type Server as SocketServer,
+  type Socket,
+} from 'node:net';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
 import { toDataCentreId } from '../../src/domain/index.js';
 import {
@@ -83,6 +88,19 @@
     await this.listen(server, id, ENGINES);
   }
 
+  /** Adds a server whose connections the test reads and writes itself. */
+  async addSocketServer(
+    id: string,
+    onConnection: (socket: Socket) => void,
+    serviceId = ENGINES,
+  ): Promise<void> {
+    const server = createSocketServer((socket) => {
+      socket.on('error', () => undefined);
+      onConnection(socket);
+    });
+    await this.listen(server, id, serviceId);
+  }
+
   async start(routes: readonly Route[], hasConfiguration = true): Promise<void> {
     const { view, codec } = this;
     if (hasConfiguration) {
@@ -143,14 +161,19 @@
         agent,
         headers: { host: 'a.example', 'request-id': 'r1', 'content-length': String(body.length), ...headers },
       });
+      let isBroken = false;
       outgoing.on('error', reject);
+      outgoing.on('error', () => (isBroken = true));
       outgoing.on('response', (response) => {
+        outgoing.removeListener('error', reject);
         let text = '';
         response.on('data', (chunk: Buffer) => (text += chunk.toString()));
         response.on('error', () => undefined);
         response.on('close', () => {
           const { statusCode, headers: responseHeaders, complete } = response;
-          resolve({ status: statusCode ?? 0, headers: responseHeaders, text, isComplete: complete });
+          // Node.js calls a response without a length complete also after a reset.
+          const isComplete = complete && !isBroken;
+          resolve({ status: statusCode ?? 0, headers: responseHeaders, text, isComplete });
         });
       });
       outgoing.end(body);
