A silent server is left for the next server if another is unreachable

What callers saw: a stream whose server had fallen silent for good was cut at its deadline when one listed server could not be reached, although a third one was sound: the search asked the same unreachable server again every 250 ms. Change: an unreachable replacement is left out and the next one is tried.

--- a/src/direct/SilentServerReplacement.ts
+++ b/src/direct/SilentServerReplacement.ts
@@ -14,7 +14,7 @@
   /** Another server has accepted a connection, and a retry was taken from the budget. */
   | { readonly kind: 'found'; readonly next: PreparedAttempt }
   /** The silent server keeps the request. */
-  | { readonly kind: 'kept'; readonly reason: 'resumed' | 'noRetryLeft' | 'noOtherServer' | 'unreachable' };
+  | { readonly kind: 'kept'; readonly reason: 'resumed' | 'noRetryLeft' | 'noOtherServer' };
 
 /** Access of one request to the retry budget. */
 export interface RetryAllowance {
@@ -55,7 +55,9 @@
     }
     const attempt = this.createAttempt(server);
     if (!(await attempt.connect())) {
-      return { kind: 'kept', reason: 'unreachable' };
+      // Left out from now on, so that the next server is tried.
+      this.search.exclude(server.entry.serverId);
+      return this.find(silentAttempt, serverId);
     }
     if (!silentAttempt.isSilent || !this.retries.tryTake()) {
       attempt.cancel();
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -1,12 +1,15 @@
 import { expect } from 'chai';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { delay } from '../../src/kernel/index.js';
 import { makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
-import { RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
+import { CLOCK, RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
 
 /** Longest pause between the events of the test's streams, in milliseconds; servers are silent for longer. */
 const MAX_GAP_MS = 60;
 /** Time for which a server is silent, in milliseconds: longer than the timeouts of both routes. */
 const SILENCE_MS = 1_000;
+/** Time after which servers crash, in milliseconds; shorter than the timeout of a silent server. */
+const CRASH_DELAY_MS = 60;
 const FIRST_EVENT = 'id: 1\ndata: one\n\n';
 const SECOND_EVENT = 'id: 2\ndata: two\n\n';
 /** Retry budget that is exhausted from the start. */
@@ -36,13 +39,22 @@
   setTimeout(() => response.end(SECOND_EVENT), SILENCE_MS);
 };
 
+/** Sends the first event and no other, and the second one to a request that is resumed after the first. */
+const passOnMidStream: Handler = (incoming, response) => {
+  if (incoming.headers['last-event-id'] === '1') {
+    response.writeHead(200, makeResponseHeaders(incoming, 'text/event-stream')).end(SECOND_EVENT);
+  } else {
+    startStream(incoming, response);
+  }
+};
+
 /** Is silent for a while and then responds. */
 const pauseBeforeResponse: Handler = (incoming, response) => {
   setTimeout(() => response.writeHead(200, makeResponseHeaders(incoming)).end('whole'), SILENCE_MS);
 };
 
-// Guards against issue 24 (LOST): a router gave up the answer of a sound server that was silent for a second, although no
-// other server took the request over.
+// Guards against answers of sound servers that a router gave up after a second of silence although no other server took the
+// request over (issue 24, first matter).
 describe('servers that fall silent and go on', function () {
   this.timeout(20_000);
   let bench: RouterBench;
@@ -85,15 +97,8 @@
   });
 
   it('pass their streams on to a server that takes them', async () => {
-    const respond: Handler = (incoming, response) => {
-      if (incoming.headers['last-event-id'] === '1') {
-        response.writeHead(200, makeResponseHeaders(incoming, 'text/event-stream')).end(SECOND_EVENT);
-      } else {
-        startStream(incoming, response);
-      }
-    };
-    await bench.addServer('s', respond);
-    await bench.addServer('ss', respond);
+    await bench.addServer('s', passOnMidStream);
+    await bench.addServer('ss', passOnMidStream);
     await bench.start([streamRoute]);
     const received = await bench.sendRequest('/drafts/x', { model: 'a' });
     expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
@@ -137,4 +142,36 @@
     const received = await bench.sendRequest('/plain/x');
     expect([received.status, received.text]).to.deep.equal([200, 'whole']);
   });
+
+  it('are left for the next server if another one cannot be reached', async () => {
+    await bench.addServer('first', passOnMidStream);
+    addUnreachableEngine();
+    await bench.addServer('third', passOnMidStream);
+    await bench.start([streamRoute]);
+    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+  });
+
+  it('keep a request that has been blocked meanwhile because equal ones crash servers', async () => {
+    const crashOnDemand: Handler = (incoming, response) => {
+      if (incoming.headers['x-crash'] === '1') {
+        incoming.socket.destroy();
+      } else {
+        startStream(incoming, response);
+      }
+    };
+    for (const id of ['a', 'aa', 'aaa', 'aaaa', 'aaaaa', 'aaaaaa']) {
+      await bench.addServer(id, crashOnDemand);
+    }
+    await bench.start([makeRoute({ timeoutMs: 1_500, latencyTargetMs: 150 })]);
+    const silent = bench.sendRequest('/drafts/x', { model: 'a', 'request-id': 'silent' });
+    await delay(CLOCK, CRASH_DELAY_MS);
+    for (let count = 0; count < 4; count++) {
+      const headers = { model: 'a', 'request-id': `crash-${count}`, 'x-crash': '1' };
+      expect((await bench.sendRequest('/drafts/x', headers)).status).to.equal(502);
+    }
+    await silent;
+    const sends = bench.receivedRequests.filter(({ headers }) => headers['request-id'] === 'silent');
+    expect(sends).to.have.length(1);
+  });
 });
