A blocked request is not moved to another server

What callers saw: a request at a silent server that equal requests had meanwhile shown to crash servers was sent on and crashed one more. Cause: the move skipped the check that every other send makes. Change: a retry is not left, and cannot be taken, for a blocked request. Evidence: the test 'keep a request that has been blocked meanwhile' failed before (two sends) and passes.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -493,7 +493,7 @@
 
   /** Takes one retry from the retry budget; returns false if no retry is allowed. */
   private tryTakeRetry(): boolean {
-    if (!this.isRetryInTime()) {
+    if (!this.isRetryInTime() || this.isBlocked()) {
       return false;
     }
     const { view, clock, metrics } = this.deps;
@@ -504,7 +504,11 @@
 
   private isRetryLeft(): boolean {
     const { view, clock } = this.deps;
-    return this.isRetryInTime() && this.getRetryBudget().isLeft(clock.nowMs(), view.routerCount);
+    return (
+      this.isRetryInTime() &&
+      !this.isBlocked() &&
+      this.getRetryBudget().isLeft(clock.nowMs(), view.routerCount)
+    );
   }
 
   private isRetryInTime(): boolean {
@@ -517,15 +521,19 @@
 
   /** Ends the request if its fingerprint is blocked after crashes; returns true if it did. */
   private endIfBlocked(): boolean {
-    const { crashTracker, view, clock } = this.deps;
-    const { fingerprint } = this.request;
-    if (!crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs())) {
+    if (!this.isBlocked()) {
       return false;
     }
     this.refuse(502, 'the request broke off on several servers');
     return true;
   }
 
+  private isBlocked(): boolean {
+    const { crashTracker, view, clock } = this.deps;
+    const { fingerprint } = this.request;
+    return crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+  }
+
   private notifyModelUse(server: KnownServer, event: 'started' | 'ended'): void {
     const { model } = this.request.headers;
     if (model !== undefined) {
