The search for a replacement can be repeated after an error

Cause: an exception in the search left isReplacing set, so the request never moved again. Change: the flag is reset in any case. The decision on a silent server is logged and counted once for each server and outcome, and a server that goes on is not recorded as failing. Not shown by a test of its own: no input is known that throws there now.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -96,7 +96,7 @@
   private replacement: PreparedAttempt | undefined;
   private isReplacing = false;
   /** Last decision on a silent server, which is logged when it changes. */
-  private silenceOutcome: string | undefined;
+  private lastSilenceDecision: string | undefined;
   private sendCount = 0;
   /** Number of servers that may have run the request. */
   private runCount = 0;
@@ -333,12 +333,15 @@
       return;
     }
     this.isReplacing = true;
-    const result = await this.silentServerReplacement.find(attempt, serverId);
-    this.isReplacing = false;
-    this.logSilence(attempt, serverId, result);
-    if (result.kind === 'found') {
-      this.replacement = result.next;
-      attempt.abandon();
+    try {
+      const result = await this.silentServerReplacement.find(attempt, serverId);
+      this.logSilence(attempt, serverId, result);
+      if (result.kind === 'found') {
+        this.replacement = result.next;
+        attempt.abandon();
+      }
+    } finally {
+      this.isReplacing = false;
     }
   }
 
@@ -346,12 +349,13 @@
   private logSilence(attempt: BackendAttempt, serverId: ServerId, result: ReplacementResult): void {
     const { clock, chooser, log, metrics } = this.deps;
     const outcome = result.kind === 'found' ? 'moved' : result.reason;
-    if (outcome === this.silenceOutcome) {
+    const decision = `${serverId} ${outcome}`;
+    if (this.hasEnded || decision === this.lastSilenceDecision) {
       return;
     }
-    this.silenceOutcome = outcome;
-    metrics.count(`silent_servers_${outcome}`);
-    if (result.kind === 'kept') {
+    this.lastSilenceDecision = decision;
+    metrics.count(result.kind === 'found' ? 'silent_servers_left' : 'silent_servers_kept');
+    if (outcome === 'noRetryLeft' || outcome === 'noOtherServer') {
       chooser.recordOutcome(serverId, true, clock.nowMs());
     }
     log.decision('server fell silent', {
