A response that cannot be passed on is answered with 502

What callers saw: their connection closed without a byte, also when it was a kept one and a sound server had answered; on a stream the router ended, and with it all requests that it had passed on. Cause: an exception while a plain response was written closed the connection, one in a listener of the server's bytes was caught by nobody. The class: a fault of one response is not bounded to that response. Change: the caller gets 502 while nothing was sent to it, and an error that a listener throws ends the attempt only. Ruled out: a process-wide handler that goes on after any error, whose state nobody knows then.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -49,6 +49,15 @@
   readonly headers: OutgoingHttpHeaders;
 }
 
+/** Why an attempt ended without a complete response. */
+export type BreakCause =
+  /** The server closed the connection or sent something else than a complete response to the request. */
+  | 'server'
+  /** The server was silent and another one took the request over. */
+  | 'silence'
+  /** The router could not receive the response or pass it on. */
+  | 'router';
+
 /** Result of an attempt. */
 export type AttemptEnd =
   /** The connection was not established, so nothing was sent. */
@@ -60,7 +69,7 @@
   /** The stream is complete; its events were passed to the listener as they arrived. */
   | { readonly kind: 'streamed' }
   /** The request may have run and there is no complete response. */
-  | { readonly kind: 'broken'; readonly detail: string; readonly isSilent: boolean }
+  | { readonly kind: 'broken'; readonly detail: string; readonly cause: BreakCause }
   | { readonly kind: 'cancelled' };
 
 /** Receives the events of a stream as they arrive. */
@@ -146,7 +155,7 @@
 
   /** Ends the attempt at a silent server, because another server takes the request over. */
   abandon(): void {
-    this.finish({ kind: 'broken', detail: 'the server fell silent', isSilent: true });
+    this.finish({ kind: 'broken', detail: 'the server fell silent', cause: 'silence' });
   }
 
   /** Stops reading the response until `resume` is called; time in between does not count as silence of the server. */
@@ -232,7 +241,7 @@
     const status = response.statusCode ?? 0;
     const { headers, serverId } = this.params;
     const decoded = this.codec.decodeResponse(status, response.headers, headers.requestId, serverId);
-    this.listener.onServerNotice(decoded.serverNotice);
+    this.notify(() => this.listener.onServerNotice(decoded.serverNotice));
     response.on('error', (error) => this.fail(error.message));
     response.on('aborted', () => this.fail('the answer ended early'));
     if (decoded.isNotRun) {
@@ -273,9 +282,9 @@
       this.restartSilenceTimer(this.params.gapTimeoutMs);
       if (!hasStarted) {
         hasStarted = true;
-        this.listener.onStreamStart(head);
+        this.notify(() => this.listener.onStreamStart(head));
       }
-      this.listener.onEvents(events);
+      this.notify(() => this.listener.onEvents(events));
     });
     response.on('end', () => {
       // A response without a length also ends after an error.
@@ -287,7 +296,7 @@
         return;
       }
       if (!hasStarted) {
-        this.listener.onStreamStart(head);
+        this.notify(() => this.listener.onStreamStart(head));
       }
       this.finish({ kind: 'streamed' });
     });
@@ -322,6 +331,22 @@
     });
   }
 
+  /** Runs a listener; an error that it throws ends the attempt, not the process. */
+  private notify(run: () => void): void {
+    if (this.hasEnded) {
+      return;
+    }
+    try {
+      run();
+    } catch (error) {
+      this.finish({
+        kind: 'broken',
+        detail: `the response cannot be passed on: ${String(error)}`,
+        cause: 'router',
+      });
+    }
+  }
+
   private checkProgress(): void {
     if (this.progress.isEndless) {
       this.fail('the answer goes on without end');
@@ -358,6 +383,6 @@
   }
 
   private fail(detail: string): void {
-    this.finish({ kind: 'broken', detail, isSilent: false });
+    this.finish({ kind: 'broken', detail, cause: 'server' });
   }
 }
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -244,7 +244,11 @@
         error: String(error),
       });
       forwarder.onResponseClosed();
-      breakOff(response);
+      if (response.headersSent) {
+        breakOff(response);
+      } else {
+        this.refuse(response, request.headers.requestId, 502, 'the response cannot be passed on', undefined);
+      }
     });
   }
 
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -455,7 +455,7 @@
     const { crashTracker, agentConnections, clock } = this.deps;
     this.runCount++;
     this.search.exclude(serverId);
-    if (!end.isSilent) {
+    if (end.cause !== 'silence') {
       this.wasBrokenOff = true;
       const count = crashTracker.recordCrash(this.request.fingerprint, serverId, clock.nowMs());
       if (count > 1) {
@@ -469,8 +469,8 @@
 
   private beginStream(head: ResponseHead): void {
     if (!this.hasBegun && !this.hasEnded) {
-      this.hasBegun = true;
       this.sink.beginStream(head);
+      this.hasBegun = true;
     }
   }
 
