A response without memory for it is no crash of its server

What callers saw: after two large responses for which the router had no memory left, equal sound requests got 502 'the request broke off on several servers' for a minute. Cause: every attempt that ended without a response counted as a crash of the server, also when the router's own limit had ended it. Change: an attempt that the router ended is not recorded as a crash.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -316,7 +316,8 @@
       }
       const isTooLarge = this.bufferedLength + chunk.length > MAX_BUFFERED_BYTES;
       if (isTooLarge || !this.bufferBudget.tryTake(chunk.length)) {
-        this.fail(isTooLarge ? 'the answer is too large' : 'there is no memory left for the answer');
+        const detail = isTooLarge ? 'the answer is too large' : 'there is no memory left for the answer';
+        this.finish({ kind: 'broken', detail, cause: 'router' });
         return;
       }
       this.bufferedLength += chunk.length;
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -455,8 +455,8 @@
     const { crashTracker, agentConnections, clock } = this.deps;
     this.runCount++;
     this.search.exclude(serverId);
-    if (end.cause !== 'silence') {
-      this.wasBrokenOff = true;
+    this.wasBrokenOff ||= end.cause !== 'silence';
+    if (end.cause === 'server') {
       const count = crashTracker.recordCrash(this.request.fingerprint, serverId, clock.nowMs());
       if (count > 1) {
         agentConnections.notifyCrash(this.request.fingerprint, count);
