A request that left a silent server may return to it after a refusal

Cause: servers were asked again only while no server might have run the request; a silent server counted as one. Change: only a server that broke the response off ends that. Evidence: the new test failed before (502).

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -226,7 +226,7 @@
     const mayWait = !this.hasBegun || !this.wasBrokenOff;
     const found = await this.search.find({
       waitUntilMs: mayWait ? this.limits.getWaitDeadlineMs(this.lastEventAtMs ?? receivedAtMs) : undefined,
-      mayRetryServers: this.sendCount < MAX_SENDS && (this.runCount === 0 || this.hasBegun),
+      mayRetryServers: this.sendCount < MAX_SENDS && (this.runCount === 0 || !this.wasBrokenOff),
     });
     // Equal requests may have crashed their servers while this one was waiting.
     if (this.hasEnded || this.endIfBlocked()) {
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -123,6 +123,23 @@
     expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
   });
 
+  it('get a request again that the server which took it over refuses', async () => {
+    let requestCount = 0;
+    const respond: Handler = (incoming, response) => {
+      requestCount++;
+      if (requestCount === 2) {
+        response.writeHead(503, { 'not-run': '1' }).end();
+      } else if (requestCount > 2) {
+        response.writeHead(200, makeResponseHeaders(incoming)).end('whole');
+      }
+    };
+    await bench.addServer('p', respond, ORDERS);
+    await bench.addServer('pp', respond, ORDERS);
+    await bench.start([plainRoute]);
+    const received = await bench.sendRequest('/plain/x');
+    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
+  });
+
   it('leave the retry budget alone when a connection to another server fails', async () => {
     bench.retryLimits = { ratio: 0, slack: 1.25, windowMs: 10_000 };
     let requestCount = 0;
