Stand-ins of workers stall and send answers without a length

Change: Worker.stall pauses running streams, new requests, reports, orders and loads; connections stay open and nothing is lost. drawUnframed draws answers that end with their connection; a crash resets these, since a normal close would make them look complete. A run states its fault and when it arrived; an arrival states when it was handled, and a notice only if the connection was still open to carry it.

--- a/standins/users/ModelWorker.ts
+++ b/standins/users/ModelWorker.ts
@@ -6,7 +6,7 @@
 /** Number of events in a stream. */
 const EVENT_COUNT = 6;
 /** Time between two events of a stream, in milliseconds. */
-const EVENT_INTERVAL_MS = 12;
+const EVENT_INTERVAL_MS = 30;
 /** Duration of a model load, in milliseconds. */
 const LOAD_MS = 150;
 
@@ -16,7 +16,7 @@
   maxHeldModels = 0;
   private readonly adaptersByModel = new Map<string, Set<string>>();
   private orderCount = 0;
-  private busyUntilMs = 0;
+  private isLoading = false;
   private runningCount = 0;
 
   /** Names of the models on the worker's disk. */
@@ -29,7 +29,7 @@
   protected override clearState(): void {
     this.adaptersByModel.clear();
     this.orderCount = 0;
-    this.busyUntilMs = 0;
+    this.isLoading = false;
     this.runningCount = 0;
   }
 
@@ -42,7 +42,7 @@
       response.end(
         JSON.stringify({
           ...this.getEntryFields(),
-          Busy: Date.now() < this.busyUntilMs,
+          Busy: this.isLoading,
           Sequence: this.orderCount,
           InFlight: this.runningCount,
           born: this.bornAtMs,
@@ -73,7 +73,7 @@
     const sendNextEvent = () => {
       if (nextIndex <= lastIndex) {
         response.write(formatEvent(requestId, nextIndex++));
-        setTimeout(sendNextEvent, EVENT_INTERVAL_MS);
+        setTimeout(() => this.runUnstalled(sendNextEvent), EVENT_INTERVAL_MS);
       } else if (fault === 'cutWithin') {
         response.write(formatEvent(requestId, nextIndex).slice(0, 9), () => incoming.socket.destroy());
       } else {
@@ -85,7 +85,7 @@
 
   /** Executes an order and returns the HTTP status. */
   private executeOrder(order: OrderBody): number {
-    if (Date.now() < this.busyUntilMs || order.Expect !== this.orderCount) {
+    if (this.isLoading || order.Expect !== this.orderCount) {
       return 409;
     }
     const adapters = this.adaptersByModel.get(order.Model);
@@ -100,18 +100,25 @@
     if (order.Op === 'unload') {
       return this.acceptOrder(() => this.adaptersByModel.delete(order.Model));
     }
-    this.busyUntilMs = Date.now() + LOAD_MS;
+    this.isLoading = true;
     const { bornAtMs } = this;
     setTimeout(() => {
-      if (bornAtMs === this.bornAtMs) {
-        this.adaptersByModel.set(order.Model, new Set());
-        this.maxHeldModels = Math.max(this.maxHeldModels, this.adaptersByModel.size);
-        this.publishEntry();
-      }
+      this.runUnstalled(() => {
+        if (bornAtMs === this.bornAtMs) {
+          this.finishLoad(order.Model);
+        }
+      });
     }, LOAD_MS);
     return this.acceptOrder(() => undefined);
   }
 
+  private finishLoad(model: string): void {
+    this.isLoading = false;
+    this.adaptersByModel.set(model, new Set());
+    this.maxHeldModels = Math.max(this.maxHeldModels, this.adaptersByModel.size);
+    this.publishEntry();
+  }
+
   /** Applies the change of an accepted order, counts the order and returns the HTTP status. */
   private acceptOrder(apply: () => unknown): number {
     apply();
--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -14,6 +14,10 @@
   readonly workerId: string;
   readonly service: string;
   readonly startedAtMs: number;
+  /** Time at which the request arrived, earlier than its start if the worker was stalled. */
+  readonly arrivedAtMs: number;
+  /** Fault that the worker injects into the request. */
+  readonly fault?: InjectedFault;
 }
 
 /** Arrival of a request at a worker. */
@@ -21,6 +25,8 @@
   readonly requestId: string;
   readonly workerId: string;
   readonly atMs: number;
+  /** Time at which the worker handles the request, later than its arrival if the worker was stalled. */
+  readonly handledAtMs: number;
   /** Time for which the worker asks the sender for a pause in its answer, in milliseconds; 0 if it does not. */
   readonly pauseMs: number;
   /** Whether the worker states in its answer that it is leaving. */
@@ -45,9 +51,11 @@
   readonly onRun: (run: WorkerRun) => void;
   /** Draws the fault for a request; undefined means to serve it normally. */
   readonly drawFault: () => InjectedFault | undefined;
+  /** Draws whether a response has neither a length nor chunks and ends with its connection; absent means never. */
+  readonly drawUnframed?: () => boolean;
 }
 
-/** Stand-in for one of the users' workers: serves requests, publishes its entry in the store, drains and crashes. */
+/** Stand-in for one of the users' workers: serves requests, publishes its entry in the store, drains, stalls and crashes. */
 export abstract class Worker {
   /** Time at which the worker reported that it is draining; undefined while it accepts requests. */
   drainingSinceMs: number | undefined;
@@ -55,6 +63,9 @@
   omitsNotices = false;
   protected bornAtMs = Date.now();
   private isDown = false;
+  private stalledUntilMs = 0;
+  private readonly unframedResponses = new Set<ServerResponse>();
+  private crashCount = 0;
   private readonly server: Server = createServer((incoming, response) =>
     this.handleRequest(incoming, response),
   );
@@ -81,6 +92,12 @@
    */
   crash(downMs: number): void {
     this.isDown = true;
+    this.crashCount++;
+    this.stalledUntilMs = 0;
+    for (const response of this.unframedResponses) {
+      // Closed normally, the connection would end the response as if it was complete.
+      response.socket?.resetAndDestroy();
+    }
     this.server.closeAllConnections();
     setTimeout(() => {
       this.isDown = false;
@@ -90,6 +107,15 @@
     }, downMs);
   }
 
+  /**
+   * Simulates a pause of the process: running and new requests make no progress for a while and then continue; connections
+   * stay open and nothing is lost.
+   * @param durationMs - Time until the worker continues.
+   */
+  stall(durationMs: number): void {
+    this.stalledUntilMs = Math.max(this.stalledUntilMs, Date.now() + durationMs);
+  }
+
   /** Reports that the worker is draining, or replaces it by its next incarnation, which accepts requests. */
   setDraining(isDraining: boolean): void {
     this.drainingSinceMs = isDraining ? Date.now() : undefined;
@@ -107,6 +133,24 @@
     }
   }
 
+  /**
+   * Runs an action now, or at the end of a stall; a crash in between discards it.
+   * @param action - Action of the worker's process.
+   */
+  protected runUnstalled(action: () => void): void {
+    const remainingMs = this.stalledUntilMs - Date.now();
+    if (remainingMs <= 0) {
+      action();
+      return;
+    }
+    const { crashCount } = this;
+    setTimeout(() => {
+      if (crashCount === this.crashCount) {
+        this.runUnstalled(action);
+      }
+    }, remainingMs);
+  }
+
   /** Writes the worker's entry to the store. */
   protected publishEntry(): void {
     const { store, workerId, service, host, port } = this.options;
@@ -145,31 +189,41 @@
       incoming.socket.destroy();
       return;
     }
-    if (this.drainingSinceMs !== undefined && !this.omitsNotices) {
-      response.setHeader('server-leaving', '1');
-    }
+    const arrivedAtMs = Date.now();
     let body = '';
     incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
     incoming.on('end', () => {
-      if (!this.handleControlRequest(incoming, response, body)) {
-        this.handleServiceRequest(incoming, response);
-      }
+      this.runUnstalled(() => {
+        if (this.drainingSinceMs !== undefined && !this.omitsNotices) {
+          response.setHeader('server-leaving', '1');
+        }
+        if (!this.handleControlRequest(incoming, response, body)) {
+          this.handleServiceRequest(incoming, response, arrivedAtMs);
+        }
+      });
     });
   }
 
-  private handleServiceRequest(incoming: IncomingMessage, response: ServerResponse): void {
-    const { workerId, service, onArrival, onRun, drawFault } = this.options;
+  private handleServiceRequest(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    arrivedAtMs: number,
+  ): void {
+    const { workerId, service, onArrival, onRun, drawFault, drawUnframed } = this.options;
     const requestId = getRequestId(incoming);
     const isMisdirected = (incoming.headers['expect-instance'] ?? workerId) !== workerId;
     const refusalStatus = isMisdirected ? 421 : this.getRefusalStatus(incoming);
     const fault = drawFault();
     const isPause = refusalStatus === undefined && fault === 'pause';
+    // After a stall, the sender may have closed the connection, so that it learns nothing from an answer.
+    const isAwaited = !response.destroyed;
     onArrival?.({
       requestId,
       workerId,
-      atMs: Date.now(),
-      pauseMs: isPause ? PAUSE_MS : 0,
-      isLeaving: this.drainingSinceMs !== undefined,
+      atMs: arrivedAtMs,
+      handledAtMs: Date.now(),
+      pauseMs: isPause && isAwaited ? PAUSE_MS : 0,
+      isLeaving: this.drainingSinceMs !== undefined && isAwaited,
       bornAtMs: this.bornAtMs,
     });
     if (refusalStatus !== undefined || fault === 'refuse' || isPause) {
@@ -178,7 +232,16 @@
       response.writeHead(refusalStatus ?? 503, { ...headers, ...pauseHeaders }).end();
       return;
     }
-    onRun({ requestId, workerId, service, startedAtMs: Date.now() });
+    onRun({ requestId, workerId, service, startedAtMs: Date.now(), arrivedAtMs, fault });
+    if (!isAwaited) {
+      return;
+    }
+    if (drawUnframed?.() === true) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      this.unframedResponses.add(response);
+      response.on('close', () => this.unframedResponses.delete(response));
+    }
     if (fault === 'cutBefore') {
       incoming.socket.destroy();
     } else if (fault === 'lieNotRun') {
