Failing test: an agent unloads a model in use after a silent connection was replaced

A router that gets nothing from an agent for two to three seconds replaces the connection. The agent then takes all requests of the old connection as ended and is told of none on the new one, so it unloads the model of a running stream. SlowEngine moved to a file of its own, unchanged; SilencingProxy can close the connections that it silenced, as when their end arrives late.

--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -2,69 +2,18 @@
 import {
   applyReportChanges,
   EngineController,
-  EnginePort,
   type AgentReport,
-  type EngineReport,
-  type HeldModel,
-  type OrderResult,
   type ReportChanges,
-  type ResidencyOrder,
 } from '../../src/direct/index.js';
 import { toFollowParams } from '../../src/direct/messages.js';
 import { delay, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import type { PeerConnection } from '../../src/transport/index.js';
-import { makeHeldModel, makeProfile } from './fleetFixtures.js';
+import { makeProfile } from './fleetFixtures.js';
+import { SlowEngine } from './SlowEngine.js';
 
 const CLOCK = new SystemClock();
 
-/** Engine that takes 100 ms to load or unload a model and does not respond to some orders. */
-class SlowEngine extends EnginePort {
-  heldModels: HeldModel[] = [makeHeldModel('b'), makeHeldModel('c')];
-  readonly orders: ResidencyOrder[] = [];
-  /** Number of next orders that get no response and are not carried out. */
-  unansweredCount = 0;
-  private orderCount = 0;
-  private busyUntilMs = 0;
-
-  override readReport(): Promise<EngineReport> {
-    return Promise.resolve({
-      bornAtMs: 1,
-      heldModels: this.heldModels,
-      comingAdapters: [],
-      isBusy: CLOCK.nowMs() < this.busyUntilMs,
-      orderCount: this.orderCount,
-      waitingCount: 0,
-      runningCount: 0,
-      usedCacheTokens: 0,
-      cacheTokens: 1,
-      modelsInMemory: [],
-      modelsOnDisk: ['a'],
-    });
-  }
-
-  override sendOrder(order: ResidencyOrder): Promise<OrderResult> {
-    this.orders.push(order);
-    if (this.unansweredCount > 0) {
-      this.unansweredCount--;
-      return Promise.resolve('unknown');
-    }
-    if (order.expectedOrderCount !== this.orderCount || CLOCK.nowMs() < this.busyUntilMs) {
-      return Promise.resolve('conflict');
-    }
-    this.orderCount++;
-    const others = this.heldModels.filter(({ name }) => name !== order.model);
-    const model = this.heldModels.find(({ name }) => name === order.model);
-    if (order.adapter === undefined) {
-      this.busyUntilMs = CLOCK.nowMs() + 100;
-      this.heldModels = order.kind === 'load' ? [...others, makeHeldModel(order.model)] : others;
-    } else if (model) {
-      this.heldModels = [...others, makeHeldModel(order.model, [...model.adapters, order.adapter])];
-    }
-    return Promise.resolve('accepted');
-  }
-}
-
 /** Router's side of a connection: receives reports and calls the controller's methods. */
 class FakeRouter {
   readonly reports: AgentReport[] = [];
--- a/test/process/SilencingProxy.ts
+++ b/test/process/SilencingProxy.ts
@@ -4,6 +4,7 @@
 export class SilencingProxy {
   private readonly server: Server;
   private readonly pairs = new Set<readonly [Socket, Socket]>();
+  private readonly silencedPairs: (readonly [Socket, Socket])[] = [];
 
   /** @param target - Host and port to forward to. */
   constructor(target: string) {
@@ -29,7 +30,9 @@
 
   /** Stops forwarding on all open connections and returns their number. */
   silence(): number {
-    for (const [downstream, upstream] of this.pairs) {
+    for (const pair of this.pairs) {
+      const [downstream, upstream] = pair;
+      this.silencedPairs.push(pair);
       downstream.unpipe(upstream);
       upstream.unpipe(downstream);
       downstream.pause();
@@ -38,6 +41,13 @@
     return this.pairs.size;
   }
 
+  /** Closes the silenced connections, as happens when the end of a connection arrives late. */
+  closeSilenced(): void {
+    for (const pair of this.silencedPairs.splice(0)) {
+      this.close(pair);
+    }
+  }
+
   async stop(): Promise<void> {
     for (const pair of this.pairs) {
       this.close(pair);
