A router tells an agent again which requests run when it reconnects

Cause: a connection silent for two to three seconds (a frozen router or agent, a cut link) is replaced, and an agent that is started again has a new one too. The agent ends the use of every model by the requests of the old connection, and the router told it of starts and ends only, so a stream that went on all the while did not count. The agent could then unload its model: the engine waits for its runs before it drops the model, accepts no other order meanwhile, and refuses further requests for it. Change: AgentConnections keeps the running uses by engine and sends them after "follow" on each new connection. An end that came while there was no connection is no longer subtracted from another request's start. Ruled out: keeping the old connection's uses at the agent for a time; the streams last longer than any such time, and an agent that was restarted has none.

--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -17,6 +17,7 @@
   toFollowParams,
   type EngineReportParams,
   type EnsureAdapterReply,
+  type ModelUseParams,
   type WantModelParams,
 } from './messages.js';
 
@@ -49,6 +50,8 @@
 export class AgentConnections implements Service {
   private readonly connections = new Map<string, AgentConnection>();
   private readonly dialling = new Set<string>();
+  /** Running requests on models, by address of the engine; an agent is notified of them again when it reconnects. */
+  private readonly runningUses = new Map<string, ModelUseParams[]>();
   private readonly dialTask: PeriodicTask;
   private reportListener: () => void = () => undefined;
 
@@ -119,7 +122,9 @@
    * @param isInteractive - Whether the request is interactive.
    */
   notifyModelUse(address: string, event: 'started' | 'ended', model: string, isInteractive: boolean): void {
-    this.connections.get(address)?.connection.notify(RESIDENCY_METHODS[event], { model, isInteractive });
+    const use: ModelUseParams = { model, isInteractive };
+    this.recordUse(address, event, use);
+    this.connections.get(address)?.connection.notify(RESIDENCY_METHODS[event], use);
   }
 
   /**
@@ -170,6 +175,24 @@
     }
   }
 
+  private recordUse(address: string, event: 'started' | 'ended', use: ModelUseParams): void {
+    const uses = this.runningUses.get(address) ?? [];
+    if (event === 'started') {
+      uses.push(use);
+      this.runningUses.set(address, uses);
+      return;
+    }
+    const index = uses.findIndex(
+      ({ model, isInteractive }) => model === use.model && isInteractive === use.isInteractive,
+    );
+    if (index >= 0) {
+      uses.splice(index, 1);
+    }
+    if (uses.length === 0) {
+      this.runningUses.delete(address);
+    }
+  }
+
   private applyReport(changes: EngineReportParams): void {
     const agent = this.connections.get(changes.address);
     if (!agent) {
@@ -209,6 +232,9 @@
         log.warn('agent disconnected', { address });
       });
       this.sendFollow(agent, engine);
+      for (const use of this.runningUses.get(address) ?? []) {
+        connection.notify(RESIDENCY_METHODS.started, use);
+      }
       log.info('agent connected', { address });
     } catch {
       // Retried at the next interval; until then the server's state is taken from the platform's list.
