Failing test: requests are given up when their only engine is silent for some seconds

The agent ends idempotent requests without a response once two reads of the engine's state failed, whether or not another server and a retry exist. With one engine that is silent for 3.5 s and 14 requests on it, 4 got 502 (serverFailed, the retry budget holds 10 at first) and the others were sent to the same engine again.

--- a/test/process/failures.test.ts
+++ b/test/process/failures.test.ts
@@ -131,6 +131,31 @@
   });
 });
 
+describe('an engine that falls silent and goes on, when no other engine can take its requests', () => {
+  it('completes its requests without a second execution', async () => {
+    const system = await TestSystem.start({ engineCount: 1, engine: { slotCount: 16 } });
+    try {
+      const engine = system.engines[0]!;
+      await system.chat('router-1', 'warm up');
+      const prompts = Array.from({ length: 14 }, (_, index) => `silent ${index}`);
+      const responses = prompts.map((prompt) => system.chat('router-1', prompt, { max_tokens: 200 }));
+      await system.waitUntil('all requests run', () =>
+        prompts.every((prompt) => engine.runCountByPrompt.has(prompt)),
+      );
+      engine.frozen = true;
+      await new Promise((resolve) => setTimeout(resolve, 3_500));
+      engine.frozen = false;
+      const statuses = (await Promise.all(responses)).map((response) => response.status);
+      expect(statuses).to.deep.equal(prompts.map(() => 200));
+      expect(prompts.map((prompt) => engine.runCountByPrompt.get(prompt))).to.deep.equal(
+        prompts.map(() => 1),
+      );
+    } finally {
+      await system.stop();
+    }
+  });
+});
+
 describe('connections that stop transferring data without a reset', () => {
   it('are abandoned during a response, which resumes on a new connection', async () => {
     const system = await TestSystem.start({ engineCount: 1 });
