A request moves from a silent engine only when another server and a retry are there for it

Cause: after two failed reads of the engine's state (2 to 2.5 s of silence) the agent ended every idempotent request without a response, before anybody knew whether another server could take it and whether the retry budget held a token. With one engine, 10 of 14 requests were sent to the same engine again and 4 got 502, though the engine went on after 3.5 s. Change: the agent reports such attempts to their router as stalled, with each failed read, and lets them run. The router cancels an attempt once the model's owner says that another server accepts requests and the budget has given a retry; the token is taken then and not a second time. Otherwise the request goes on until its response or its deadline. Ruled out: telling the agent at the start whether another server exists (it may be lost until then, or come); reporting attempts whose connection to the engine was lost already (the move hid the crash from the crash ledger: the test "are quarantined on all routers after at most two crashes" then counted 8 crashes, so these are left out). Not changed: attempts that have begun their response and requests that are not idempotent were never moved. A request on the only server, when that hangs for good, now gets its refusal (504) at its deadline instead of a 502 or 503 some seconds in.

--- a/src/agent/AttemptRunner.ts
+++ b/src/agent/AttemptRunner.ts
@@ -1,5 +1,5 @@
 import { delay, type Clock } from '../kernel/index.js';
-import type { ResponseEnd, RefusalReason, RunParams, RunReply } from '../domain/index.js';
+import type { AttemptId, ResponseEnd, RefusalReason, RunParams, RunReply } from '../domain/index.js';
 import { ROUTER_METHODS } from '../domain/index.js';
 import type { Metrics } from '../telemetry/index.js';
 import type { PeerConnection } from '../transport/index.js';
@@ -18,14 +18,14 @@
   connection: PeerConnection;
   readonly abortController: AbortController;
   readonly idempotent: boolean;
-  /** Whether the attempt was aborted because the backend server stopped responding. */
-  stalled: boolean;
+  /** Whether the backend server's response has ended, or its connection was lost. */
+  hasBackendEnded: boolean;
 }
 
 /** Runs attempts on the backend server and sends the responses to the routers. */
 export class AttemptRunner {
   readonly attempts = new AttemptTable();
-  private readonly running = new Map<string, RunningAttempt>();
+  private readonly running = new Map<AttemptId, RunningAttempt>();
   private readonly endListeners: (() => void)[] = [];
   /** Number of admitted attempts that must run alone. */
   private exclusiveCount = 0;
@@ -42,7 +42,7 @@
     private readonly residency: ResidencyService,
     private readonly metrics: Metrics,
   ) {
-    residency.onChange(() => this.abortStalledAttempts());
+    residency.onChange(() => this.reportStalledAttempts());
   }
 
   /** Number of running attempts. */
@@ -71,7 +71,7 @@
       connection,
       abortController: new AbortController(),
       idempotent: params.idempotent,
-      stalled: false,
+      hasBackendEnded: false,
     };
     this.running.set(params.attemptId, attempt);
     this.exclusiveCount += params.alone ? 1 : 0;
@@ -101,7 +101,7 @@
    * @param fromOrdinal - Ordinal of the first chunk to send.
    * @param connection - The connection.
    */
-  resume(attemptId: string, fromOrdinal: number, connection: PeerConnection): AttemptStatus {
+  resume(attemptId: AttemptId, fromOrdinal: number, connection: PeerConnection): AttemptStatus {
     const status = this.attempts.resolveStatus(attemptId, this.clock.nowMs());
     const attempt = this.running.get(attemptId);
     if (attempt) {
@@ -120,7 +120,7 @@
    * Cancels an attempt whose response is no longer needed.
    * @param attemptId - The attempt.
    */
-  cancel(attemptId: string): void {
+  cancel(attemptId: AttemptId): void {
     this.running.get(attemptId)?.abortController.abort();
   }
 
@@ -135,16 +135,18 @@
     }
   }
 
-  /** Aborts idempotent attempts without a response on an unreachable server, so that routers retry elsewhere. */
-  private abortStalledAttempts(): void {
+  /**
+   * Reports idempotent attempts without a response on a server that does not respond, so that routers move them if
+   * another server can take them. The server may be running, so the attempts go on until then.
+   */
+  private reportStalledAttempts(): void {
     if (this.residency.isReachable) {
       return;
     }
     for (const [attemptId, attempt] of this.running) {
       const hasResponse = this.attempts.getChunksFrom(attemptId, 0).length > 0;
-      if (attempt.idempotent && !hasResponse && !attempt.stalled) {
-        attempt.stalled = true;
-        attempt.abortController.abort();
+      if (attempt.idempotent && !attempt.hasBackendEnded && !hasResponse) {
+        attempt.connection.notify(ROUTER_METHODS.stalled, { attemptId });
       }
     }
   }
@@ -166,6 +168,7 @@
       }
     };
     const result = await this.backend.run(params, sink, attempt.abortController.signal);
+    attempt.hasBackendEnded = true;
     const crashed = result.kind === 'failed' && result.isConnectionLost && (await this.hasCrashed(bootId));
     this.end(params, attempt, result, crashed);
   }
@@ -199,18 +202,8 @@
   }
 
   private end(params: RunParams, attempt: RunningAttempt, result: BackendRunResult, crashed: boolean): void {
-    const stalledResult: BackendRunResult = {
-      kind: 'failed',
-      detail: 'The backend server stopped answering.',
-      isConnectionLost: true,
-    };
-    const effectiveResult = attempt.stalled && result.kind === 'cancelled' ? stalledResult : result;
-    const end = toResponseEnd(
-      params,
-      effectiveResult,
-      crashed,
-      this.attempts.getChunksFrom(params.attemptId, 0).length,
-    );
+    const chunkCount = this.attempts.getChunksFrom(params.attemptId, 0).length;
+    const end = toResponseEnd(params, result, crashed, chunkCount);
     this.attempts.finish(end, this.clock.nowMs());
     this.metrics.count(`attempts_${end.kind}`);
     attempt.connection.notify(ROUTER_METHODS.end, end);
--- a/src/daemon/routerMethods.ts
+++ b/src/daemon/routerMethods.ts
@@ -6,7 +6,9 @@
   type ClaimParams,
   type OutcomeParams,
   type ReleaseParams,
+  type OtherServerParams,
   type ReplicaReport,
+  type StalledParams,
 } from '../domain/index.js';
 import type { ServiceContainer } from '../kernel/index.js';
 import type { PullReply } from '../state/index.js';
@@ -24,6 +26,7 @@
   return {
     [ROUTER_METHODS.chunk]: (chunk: ResponseChunk) => attempts.onChunk(chunk),
     [ROUTER_METHODS.end]: (end: ResponseEnd) => attempts.onEnd(end),
+    [ROUTER_METHODS.stalled]: (params: StalledParams) => attempts.onStalled(params),
     [ROUTER_METHODS.report]: (report: ReplicaReport) => scheduler.onReport(report),
     [ROUTER_METHODS.loadPermit]: (params: { itemId: string }) => permits.acquire(params.itemId),
     [ROUTER_METHODS.permitDone]: (params: { permitId: string }) => permits.release(params.permitId),
@@ -47,6 +50,7 @@
     },
     [ROUTER_METHODS.abandon]: (params: { requestId: string; modelId: string }) => scheduler.abandon(params),
     [ROUTER_METHODS.release]: (params: ReleaseParams) => scheduler.release(params),
+    [ROUTER_METHODS.hasOtherServer]: (params: OtherServerParams) => scheduler.hasOtherServer(params),
     [ROUTER_METHODS.claim]: (params: ClaimParams) => claims.claim(params),
     [ROUTER_METHODS.recordOutcome]: (params: OutcomeParams) => claims.recordOutcome(params),
     [ROUTER_METHODS.permit]: (params: { remainingMs: number }, connection) =>
--- a/src/domain/PeerMessages.ts
+++ b/src/domain/PeerMessages.ts
@@ -22,11 +22,13 @@
 export const ROUTER_METHODS = {
   chunk: 'router.chunk',
   end: 'router.end',
+  stalled: 'router.stalled',
   report: 'router.report',
   loadPermit: 'router.loadPermit',
   assign: 'home.assign',
   abandon: 'home.abandon',
   release: 'home.release',
+  hasOtherServer: 'home.hasOtherServer',
   claim: 'home.claim',
   recordOutcome: 'home.recordOutcome',
   permit: 'pacer.permit',
@@ -144,6 +146,17 @@
       readonly retryAfterMs?: number;
     };
 
+/** Notifies a router that the backend server of an attempt does not respond; the attempt goes on. */
+export interface StalledParams {
+  readonly attemptId: AttemptId;
+}
+
+/** Asks the owner router whether a server other than the given one can take a request for a model. */
+export interface OtherServerParams {
+  readonly modelId: ModelId;
+  readonly serverId: ServerId;
+}
+
 /** Reports the outcome of an assigned attempt to the owner router. */
 export interface ReleaseParams {
   readonly requestId: RequestId;
--- a/src/home/SchedulerService.ts
+++ b/src/home/SchedulerService.ts
@@ -7,6 +7,7 @@
   toServerId,
   type AssignParams,
   type AssignReply,
+  type OtherServerParams,
   type ReleaseParams,
   type ReplicaReport,
   type WakeParams,
@@ -141,6 +142,14 @@
     this.updateScheduler(params.modelId, (scheduler, nowMs) => scheduler.onReleased(params, nowMs));
   }
 
+  /**
+   * Whether a server other than the given one can take a request for a model.
+   * @param params - The model and the server.
+   */
+  hasOtherServer({ modelId, serverId }: OtherServerParams): boolean {
+    return this.ownedModels.get(modelId)?.scheduler.hasOtherServer(serverId) ?? false;
+  }
+
   /** @param report - Report that an agent sent. */
   onReport(report: ReplicaReport): void {
     this.reviewQueue.add(report.modelId);
--- a/src/home/decisions/ModelScheduler.ts
+++ b/src/home/decisions/ModelScheduler.ts
@@ -86,6 +86,19 @@
     return this.replicas.get(serverId);
   }
 
+  /**
+   * Whether a server other than the given one accepts requests; it may have to load the model first.
+   * @param serverId - Server to leave out.
+   */
+  hasOtherServer(serverId: ServerId): boolean {
+    for (const replica of this.replicas.values()) {
+      if (replica.isUsable && replica.serverId !== serverId) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Sets the servers that may load the model.
    * @param serverIds - The servers, preferred ones first.
--- a/src/router/AttemptClient.ts
+++ b/src/router/AttemptClient.ts
@@ -10,6 +10,7 @@
   type RefusalReason,
   type RunParams,
   type RunReply,
+  type StalledParams,
 } from '../domain/index.js';
 import type { Metrics } from '../telemetry/index.js';
 import { ConnectionLostError, type PeerConnection, type PeerDialer } from '../transport/index.js';
@@ -41,11 +42,19 @@
       readonly detail: string;
     };
 
+/** Receives the response to an attempt. */
+export interface AttemptListener {
+  /** Called with each chunk of the response once, in order. */
+  onChunk(chunk: ResponseChunk): void;
+  /** Called again and again while the backend server does not respond; the attempt goes on. */
+  onStalled(): void;
+}
+
 interface ActiveAttempt {
   readonly params: RunParams;
   readonly target: AttemptTarget;
   readonly assembler: ResponseAssembler;
-  readonly deliver: (chunk: ResponseChunk) => void;
+  readonly listener: AttemptListener;
   readonly settle: (result: AttemptResult) => void;
   triesLeft: number;
   resuming: boolean;
@@ -77,13 +86,9 @@
    * Runs an attempt and resolves with its result.
    * @param target - Agent process that runs the attempt.
    * @param params - Parameters of the attempt.
-   * @param deliver - Called with each chunk of the response once, in order.
+   * @param listener - Receives the response.
    */
-  run(
-    target: AttemptTarget,
-    params: RunParams,
-    deliver: (chunk: ResponseChunk) => void,
-  ): Promise<AttemptResult> {
+  run(target: AttemptTarget, params: RunParams, listener: AttemptListener): Promise<AttemptResult> {
     return new Promise((resolve) => {
       const settle = (result: AttemptResult) => {
         if (this.active.delete(params.attemptId)) {
@@ -95,7 +100,7 @@
       const attempt: ActiveAttempt = {
         params,
         target,
-        deliver,
+        listener,
         settle,
         assembler: new ResponseAssembler(),
         triesLeft: MAX_RESUME_TRIES,
@@ -111,16 +116,15 @@
    * @param attemptId - Attempt to cancel.
    */
   cancel(attemptId: string): void {
-    const attempt = this.active.get(attemptId);
-    attempt?.settle({
-      kind: 'failed',
-      crashed: false,
-      reason: 'cancelled',
-      detail: 'The request was given up.',
-    });
-    if (attempt) {
-      this.notifyAgent(attempt.target, AGENT_METHODS.cancel, attemptId);
-    }
+    this.cancelWithReason(attemptId, 'cancelled', 'The request was given up.');
+  }
+
+  /**
+   * Cancels an attempt whose backend server does not respond, because the request can run on another one.
+   * @param attemptId - Attempt to cancel.
+   */
+  cancelStalled(attemptId: string): void {
+    this.cancelWithReason(attemptId, 'serverFailed', 'The backend server stopped answering.');
   }
 
   /**
@@ -152,10 +156,23 @@
     this.applyStep(attempt, attempt.assembler.onEnd(end));
   }
 
+  /** @param params - Attempt whose backend server does not respond. */
+  onStalled({ attemptId }: StalledParams): void {
+    this.active.get(attemptId)?.listener.onStalled();
+  }
+
+  private cancelWithReason(attemptId: string, reason: RefusalReason, detail: string): void {
+    const attempt = this.active.get(attemptId);
+    if (attempt) {
+      attempt.settle({ kind: 'failed', crashed: false, reason, detail });
+      this.notifyAgent(attempt.target, AGENT_METHODS.cancel, attemptId);
+    }
+  }
+
   private applyStep(attempt: ActiveAttempt, step: AssemblyStep): void {
     switch (step.kind) {
       case 'deliver':
-        attempt.deliver(step.chunk);
+        attempt.listener.onChunk(step.chunk);
         return;
       case 'resume':
         void this.resume(attempt);
--- a/src/router/OwnerClient.ts
+++ b/src/router/OwnerClient.ts
@@ -5,6 +5,7 @@
   type AssignReply,
   type ClaimParams,
   type ClaimReply,
+  type OtherServerParams,
   type OutcomeParams,
   type ReleaseParams,
   type RouterId,
@@ -84,6 +85,18 @@
     this.notify(ownerId, ROUTER_METHODS.release, params, () => this.scheduler.release(params));
   }
 
+  /**
+   * Whether a server other than the given one can take a request; false when the owner does not reply.
+   * @param ownerId - Router that assigned the request.
+   * @param params - The model and the server.
+   */
+  async hasOtherServer(ownerId: RouterId, params: OtherServerParams): Promise<boolean> {
+    const reply = await this.call<boolean>(ownerId, ROUTER_METHODS.hasOtherServer, params, () =>
+      Promise.resolve(this.scheduler.hasOtherServer(params)),
+    );
+    return reply === true;
+  }
+
   /** @param params - Claim to acquire. */
   async claim(params: ClaimParams): Promise<ClaimReply> {
     for (const ownerId of this.candidates(params.claimShard)) {
--- a/src/router/RequestHandler.ts
+++ b/src/router/RequestHandler.ts
@@ -81,6 +81,9 @@
   private loadMs = 0;
   private settled = false;
   private assigning = false;
+  private isMoving = false;
+  /** Whether a retry was taken from the budget before the attempt was cancelled for it. */
+  private hasTakenRetry = false;
   private finish: (result: RequestResult) => void = () => undefined;
 
   /**
@@ -263,7 +266,10 @@
     this.verdictTracker.markPossiblySent(attemptId);
     this.currentAttemptId = attemptId;
     const sentAtMs = this.deps.clock.nowMs();
-    const result = await this.deps.attempts.run(target, params, (chunk) => this.deliver(chunk));
+    const result = await this.deps.attempts.run(target, params, {
+      onChunk: (chunk) => this.deliver(chunk),
+      onStalled: () => void this.moveStalledAttempt(attemptId, target),
+    });
     this.currentAttemptId = undefined;
     this.release(toReleaseOutcome(result), this.deps.clock.nowMs() - sentAtMs);
     return result;
@@ -275,6 +281,22 @@
     }
   }
 
+  /** Cancels an attempt on a silent server once another server and a retry are available for the request. */
+  private async moveStalledAttempt(attemptId: AttemptId, target: AttemptTarget): Promise<void> {
+    if (this.isMoving || this.ownerId === undefined || this.attemptCount >= MAX_ATTEMPTS) {
+      return;
+    }
+    this.isMoving = true;
+    const params = { modelId: this.extras.modelId, serverId: target.serverId };
+    const hasOther = await this.deps.owners.hasOtherServer(this.ownerId, params);
+    this.isMoving = false;
+    const isRunning = !this.settled && this.currentAttemptId === attemptId && !this.sink.hasDelivered;
+    if (hasOther && isRunning && this.deps.retryBudget.tryTake(this.deps.clock.nowMs())) {
+      this.hasTakenRetry = true;
+      this.deps.attempts.cancelStalled(attemptId);
+    }
+  }
+
   /** Handles the result of an attempt; returns true when another attempt should be made. */
   private async handleResult(
     attemptId: AttemptId,
@@ -304,7 +326,9 @@
 
   private tryRetry(reason: RefusalReason, detail: string, retryAfterMs: number | undefined): boolean {
     const mayRetry =
-      this.attemptCount < MAX_ATTEMPTS && this.deps.retryBudget.tryTake(this.deps.clock.nowMs());
+      this.hasTakenRetry ||
+      (this.attemptCount < MAX_ATTEMPTS && this.deps.retryBudget.tryTake(this.deps.clock.nowMs()));
+    this.hasTakenRetry = false;
     if (!mayRetry) {
       this.refuse(reason, detail, retryAfterMs ?? DEFAULT_RETRY_AFTER_MS);
       return false;
--- a/test/process/failures.test.ts
+++ b/test/process/failures.test.ts
@@ -63,6 +63,21 @@
     });
   });
 
+  describe('an engine that stops responding', () => {
+    it('loses a request without a response to another engine, well before the deadline', async () => {
+      const request = system.chat('router-1', 'moved', { max_tokens: 100 });
+      await system.waitUntil('the request runs', () =>
+        system.engines.some((engine) => engine.runCountByPrompt.has('moved')),
+      );
+      const frozenEngine = system.engines.find((engine) => engine.runCountByPrompt.has('moved'));
+      frozenEngine!.frozen = true;
+      const response = await request;
+      expect(response.status, response.text).to.equal(200);
+      const otherEngine = system.engines.find((engine) => engine !== frozenEngine);
+      expect(otherEngine?.runCountByPrompt.get('moved')).to.equal(1);
+    });
+  });
+
   describe('planned stops complete requests in progress', () => {
     async function doTest(getDaemonId: () => string): Promise<void> {
       const { response, expectedText } = await startStream(system, 'router-1', 'stopped', 200);
