Failing test: a silent agent makes the outcome of a claimed request count as lost

The owner of a claim waits 1.5 s for the agent of an earlier request with the key. Silence beyond it, and a connection that was replaced for silence, count as "can no longer be determined": the retry gets 409 alreadyClaimed without Retry-After, which says that asking again is pointless. The test pauses the agents, and the first request is answered 201 once they go on.

--- a/test/process/orders.test.ts
+++ b/test/process/orders.test.ts
@@ -1,6 +1,10 @@
 import { expect } from 'chai';
+import { sleepMs } from '../waiting.js';
 import { ORDER_SERVICE, TestSystem, type CallerResponse } from './TestSystem.js';
 
+/** Time in which a claim is written, in milliseconds. */
+const CLAIM_TIME_MS = 300;
+
 /** Returns the verdict of a response; a success counts as `ran`. */
 function getVerdict(response: CallerResponse): string {
   return response.status < 300 ? 'ran' : (JSON.parse(response.text) as { verdict: string }).verdict;
@@ -97,6 +101,25 @@
     expectAtMostOnce(await pendingResponses);
   });
 
+  it('when its agent is silent meanwhile; a retry is told when to ask again and then receives the outcome', async () => {
+    const agents = ['orders-1', 'orders-2'].map((id) => system.fleet.getOrThrow(id).process);
+    for (const agent of agents) {
+      agent.kill('SIGSTOP');
+    }
+    const first = system.sendOrder('router-1', 'silent', 'silent', 9_000);
+    await sleepMs(CLAIM_TIME_MS);
+    const retry = await system.sendOrder('router-2', 'silent', 'silent', 9_000);
+    for (const agent of agents) {
+      agent.kill('SIGCONT');
+    }
+    expect([retry.status, getVerdict(retry)]).to.deep.equal([409, 'mayHaveRun']);
+    expect(retry.headers.get('retry-after')).to.equal('1');
+    expect((await first).status).to.equal(201);
+    const later = await system.sendOrder('router-2', 'silent', 'silent');
+    expect(later.headers.get('idempotent-replayed')).to.equal('true');
+    expect(system.orders.executions.get('silent')).to.equal(1);
+  });
+
   it('and is refused with didNotRun while the platform is unavailable', async () => {
     system.platform.faults.outage = true;
     const response = await system.sendOrder('router-1', 'later', 'later');
