A retry under a key whose agent is silent is told to ask again

Cause: ClaimLog took "the agent did not reply within 1.5 s" for "it can no longer be determined whether the request ran", like the answer of another incarnation. The caller got 409 alreadyClaimed without Retry-After while the request was running. Change: the claim is answered "agentSilent" then, and the router refuses with Retry-After of one second; verdict and status stay mayHaveRun and 409. An agent of another incarnation, or one whose attempt ended without an outcome, is undecided as before. Ruled out: asking the agent again until the deadline of the retry; a second request would hold a connection and a place in the claim log for as long as the first. "claimInProgress" for it: nobody knows that the request is running.

--- a/src/domain/PeerMessages.ts
+++ b/src/domain/PeerMessages.ts
@@ -200,6 +200,8 @@
   | { readonly kind: 'keyReused' }
   /** Whether the claimed request ran can no longer be determined. */
   | { readonly kind: 'undecided' }
+  /** The agent of the claimed request did not reply; a later claim may receive the outcome. */
+  | { readonly kind: 'agentSilent' }
   | { readonly kind: 'unavailable' };
 
 /** Records the outcome of a claimed request. */
--- a/src/home/decisions/ClaimLog.ts
+++ b/src/home/decisions/ClaimLog.ts
@@ -281,8 +281,9 @@
       case 'finished':
         return getRecordedOutcome(operation.resolvedAttempt.status) ? 'adopt' : { kind: 'undecided' };
       case 'otherIncarnation':
-      case 'unreachable':
         return { kind: 'undecided' };
+      case 'unreachable':
+        return { kind: 'agentSilent' };
     }
   }
 
--- a/src/router/RequestHandler.ts
+++ b/src/router/RequestHandler.ts
@@ -222,6 +222,14 @@
           'An earlier request with this key may have run; it is not repeated.',
         );
         return false;
+      case 'agentSilent':
+        this.refuseWithVerdict(
+          'mayHaveRun',
+          'alreadyClaimed',
+          'An earlier request with this key may have run; its server does not answer now.',
+          DEFAULT_RETRY_AFTER_MS,
+        );
+        return false;
       case 'unavailable':
         this.refuse('platformUnavailable', 'The claim could not be written.', DEFAULT_RETRY_AFTER_MS);
         return false;
