--- a/standins/users/ObjectStore.ts
+++ b/standins/users/ObjectStore.ts
@@ -39,6 +39,8 @@
  */
 export class ObjectStore {
   mode: StoreMode = 'up';
+  /** Delay added to each response, in milliseconds. */
+  delayMs = 0;
   /** Kinds whose writes are ignored, for tests that inject a fault. */
   readonly ignoredKinds = new Set<string>();
   private objects = new Map<string, StoredObject>();
@@ -192,8 +194,12 @@
   }
 
   private sendJson(response: ServerResponse, status: number, body: unknown): void {
-    response
-      .writeHead(status, { 'content-type': 'application/json', 'store-era': this.era })
-      .end(JSON.stringify(body));
+    response.writeHead(status, { 'content-type': 'application/json', 'store-era': this.era });
+    const text = JSON.stringify(body);
+    if (this.delayMs > 0) {
+      setTimeout(() => response.end(text), this.delayMs);
+    } else {
+      response.end(text);
+    }
   }
 }
