Test: a reset that arrives together with the last bytes

libuv reports the end of a connection, not its reset, if the reset arrives before the last bytes have been read. A response without a length or chunks that was reset on the way then counts as whole.

--- a/test/direct/BackendAttempt.test.ts
+++ b/test/direct/BackendAttempt.test.ts
@@ -51,6 +51,20 @@
       expect(received.status).to.equal(502);
     });
 
+    it('is broken by a reset that arrives together with the end of a response without a length', async () => {
+      await bench.addSocketServer('p', (socket) => {
+        socket.once('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n\r\nhalf');
+          socket.resetAndDestroy();
+        });
+      });
+      await bench.start([makeRoute({ isResumable: false, maxAttempts: 1, kind: 'idempotent' })]);
+      for (let index = 0; index < 20; index++) {
+        const received = await bench.sendRequest(`/drafts/${index}`);
+        expect(received.status).to.equal(502);
+      }
+    });
+
     const extras = {
       garbage: '\0garbage\r\n\r\n',
       'another answer': 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx',
