--- /dev/null
+++ b/test/platform/oddEntries.test.ts
@@ -0,0 +1,107 @@
+import { expect } from 'chai';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { CALLER_LIMITS, ObjectStore, PlainWorker } from '../../standins/users/index.js';
+import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
+import { waitUntil } from '../waiting.js';
+import { bundleProgram, callRouter, makeSettingsFile, startProgram } from './programs.js';
+
+const PORTS = { front: 9_481, ready: 9_482, peer: 9_483, spare: 9_484 };
+const WORKER_PORT = 9_485;
+/** Time limit for the router to become ready, in milliseconds. */
+const READY_LIMIT_MS = 12_000;
+const REQUEST_COUNT = 40;
+
+const CONFIGURATION = {
+  Version: 1,
+  Routes: [
+    {
+      Name: 'r',
+      Hostname: 'a.example',
+      PathPrefix: '/x/',
+      Kind: 'idempotent',
+      TimeoutMs: 1_000,
+      TargetLatencyMs: 100,
+      Service: 's',
+    },
+  ],
+  Services: [{ Name: 's', MaxConns: 10 }],
+  Limits: CALLER_LIMITS,
+};
+const ENTRY = { Service: 's', Address: '127.0.0.1:1', Zone: 'z1', Slots: 4, State: 'ready', born: 1 };
+
+/** Entries of other writers by their names; none names a server that can be used. */
+const ODD_ENTRIES: readonly (readonly [string, unknown])[] = [
+  ['i-\u20ac', ENTRY],
+  ['i\n1', ENTRY],
+  ['\ud800', ENTRY],
+  ['__proto__', ENTRY],
+  ['i-port', { ...ENTRY, Address: '127.0.0.1:99999' }],
+  ['i-host', { ...ENTRY, Address: '999.0.0.1:80' }],
+  ['i-service', { ...ENTRY, Service: '__proto__' }],
+  ['i-slots', { ...ENTRY, Slots: 1e300 }],
+  ['i-born', { ...ENTRY, born: -1 }],
+  ['i-models', { ...ENTRY, Models: [{ Name: 5 }] }],
+  ['i-cached', { ...ENTRY, AtHand: { InMemory: [null] } }],
+  ['i-null', null],
+  ['i-list', [[]]],
+  ['i-text', '\u0000'],
+];
+
+describe('main (router) with odd entries in the store', function () {
+  this.timeout(3 * READY_LIMIT_MS);
+  let store: ObjectStore;
+  let worker: PlainWorker;
+  let directory: string;
+  let child: ChildProcess;
+  let reservation: LoopbackReservation;
+
+  beforeEach(async () => {
+    reservation = await LoopbackReservation.create();
+    directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
+    store = new ObjectStore();
+    store.put('config', 'main', CONFIGURATION);
+    worker = new PlainWorker({
+      workerId: 'i-1',
+      service: 's',
+      host: reservation.getAddress(4),
+      port: WORKER_PORT,
+      store,
+      onRun: () => undefined,
+      drawFault: () => undefined,
+    });
+  });
+
+  afterEach(async () => {
+    child.kill('SIGKILL');
+    worker.stop();
+    store.stop();
+    await reservation.release();
+    await rm(directory, { recursive: true, force: true });
+  });
+
+  it('stays up and serves each request with the others', async () => {
+    const ip = reservation.getAddress(3);
+    const settingsFile = join(directory, 'node.json');
+    const storeAddress = await store.start();
+    const settings = { name: 'router-1', ip, ports: PORTS, storeAddress, graceS: 8 };
+    await writeFile(settingsFile, JSON.stringify(makeSettingsFile(settings)));
+    await bundleProgram(join(directory, 'main.cjs'));
+    await worker.start();
+    let output = '';
+    child = startProgram(join(directory, 'main.cjs'), settingsFile, (text) => (output += text));
+    await waitUntil(async () => (await callRouter(ip, PORTS.ready, '/'))?.status === 200, READY_LIMIT_MS);
+    for (const [name, entry] of ODD_ENTRIES) {
+      store.put('servers', name, entry);
+    }
+    await waitUntil(() => output.includes('server entry cannot be read'), READY_LIMIT_MS);
+    const statuses = new Set<number | undefined>();
+    for (let index = 0; index < REQUEST_COUNT; index++) {
+      statuses.add((await callRouter(ip, PORTS.front, `/x/${index}`))?.status);
+    }
+    expect([...statuses]).to.deep.equal([200]);
+    expect(child.exitCode, output.slice(-1_000)).to.equal(null);
+  });
+});
