--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -242,6 +242,24 @@
     });
   });
 
+  describe('applyLimits', () => {
+    it('does not end a request in progress on a kept connection when the idle time becomes shorter', async () => {
+      const respondLate: Handler = (incoming, response) => {
+        setTimeout(() => response.writeHead(200, makeResponseHeaders(incoming)).end('late'), 1_800);
+      };
+      await bench.addServer('p', respondLate, ORDERS);
+      const routes = [{ ...plainRoute, timeoutMs: 5_000 }];
+      await bench.start(routes);
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      await bench.sendRequest('/none', {}, 'x', undefined, agent);
+      const late = bench.sendRequest('/plain/x', {}, 'x', undefined, agent);
+      await delay(CLOCK, 100);
+      bench.applyCallerLimits(routes, { headerTimeoutMs: 50, idleTimeoutMs: 50 });
+      expect((await late).text).to.equal('late');
+      agent.destroy();
+    });
+  });
+
   describe('bytes after a request that are no request', () => {
     /** Sends a request and, while it runs, other bytes; resolves with what the router sends until it ends. */
     async function sendWithGarbage(path: string, headers = ''): Promise<string> {
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -23,6 +23,7 @@
   ModelLoader,
   SharedRetryBudget,
   ServerChooser,
+  type CallerLimits,
   type HeaderCodec,
   type Route,
 } from '../../src/direct/index.js';
@@ -143,6 +144,14 @@
     this.port = this.router.port;
   }
 
+  /** Applies a newer configuration with other limits for callers. */
+  applyCallerLimits(routes: readonly Route[], limits: Partial<CallerLimits>): void {
+    const configuration = makeConfiguration((this.view.configuration?.version ?? 0) + 1, routes);
+    const callerLimits = { ...configuration.callerLimits, ...limits };
+    this.view.applyConfiguration({ ...configuration, callerLimits });
+    this.router?.applyLimits();
+  }
+
   /** Sends a request; `disconnectAfterMs` closes its connection early, `agent` keeps it open for the next request. */
   sendRequest(
     path: string,
