--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -32,6 +32,7 @@
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
 import { ENGINES, makeHeldModel, makeConfiguration, makeEntry } from './fleetFixtures.js';
+import { onReset } from './onReset.js';
 
 const RETRY_LIMITS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
 export const CLOCK = new SystemClock();
@@ -171,7 +172,7 @@
       });
       let isBroken = false;
       outgoing.on('error', reject);
-      outgoing.on('error', () => (isBroken = true));
+      onReset(outgoing, () => (isBroken = true));
       outgoing.on('response', (response) => {
         outgoing.removeListener('error', reject);
         let text = '';
--- a/test/direct/keptConnections.fuzz.test.ts
+++ b/test/direct/keptConnections.fuzz.test.ts
@@ -6,6 +6,7 @@
 import type { HeaderCodec, ResponseHeaders } from '../../src/direct/index.js';
 import { ANSWER_PLANS, PlannedAnswer, type AnswerPlan } from './AnswerPlan.js';
 import { makeRoute } from './fleetFixtures.js';
+import { onReset } from './onReset.js';
 import { RouterBench, type ReceivedResponse } from './RouterBench.js';
 
 /** Number of runs; set for longer runs by hand. */
@@ -66,7 +67,7 @@
     let isBroken = false;
     const onError = () => resolve(undefined);
     outgoing.on('error', onError);
-    outgoing.on('error', () => (isBroken = true));
+    onReset(outgoing, () => (isBroken = true));
     outgoing.on('response', (response) => {
       outgoing.removeListener('error', onError);
       let text = '';
