--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -23,6 +23,7 @@
   ModelLoader,
   SharedRetryBudget,
   ServerChooser,
+  type CallerLimits,
   type HeaderCodec,
   type Route,
 } from '../../src/direct/index.js';
@@ -31,6 +32,7 @@
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
 import { ENGINES, makeHeldModel, makeConfiguration, makeEntry } from './fleetFixtures.js';
+import { onReset } from './onReset.js';
 
 const RETRY_LIMITS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
 export const CLOCK = new SystemClock();
@@ -144,6 +146,14 @@
     this.port = this.router.port;
   }
 
+  /** Applies a newer configuration with other limits for callers. */
+  applyCallerLimits(routes: readonly Route[], limits: Partial<CallerLimits>): void {
+    const configuration = makeConfiguration((this.view.configuration?.version ?? 0) + 1, routes);
+    const callerLimits = { ...configuration.callerLimits, ...limits };
+    this.view.applyConfiguration({ ...configuration, callerLimits });
+    this.router?.applyLimits();
+  }
+
   /** Sends a request; `disconnectAfterMs` closes its connection early, `agent` keeps it open for the next request. */
   sendRequest(
     path: string,
@@ -163,7 +173,7 @@
       });
       let isBroken = false;
       outgoing.on('error', reject);
-      outgoing.on('error', () => (isBroken = true));
+      onReset(outgoing, () => (isBroken = true));
       outgoing.on('response', (response) => {
         outgoing.removeListener('error', reject);
         let text = '';
