Log which prompt parts an attempt had when it broke off

The log could not tell whether requests that were cut by a crash had a part of their prompts in common: Prompt-Prefix was passed on and not decoded. The codec now decodes it into promptParts, and each broken attempt writes one line with the server, its start time, how long events had arrived and the parts that other requests may share. An agent names the start time of an engine that has become unreachable, so a broken attempt can be matched with a crash.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -120,7 +120,7 @@
         log.info('engine is reachable again', { bornAtMs: report.bornAtMs });
       } else {
         this.publisher.reset();
-        log.warn('engine is unreachable');
+        log.warn('engine is unreachable', { bornAtMs: this.planner.engineReport?.bornAtMs ?? 0 });
       }
     }
     if (!report) {
--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -1,6 +1,12 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 import type { ServerId } from '../domain/index.js';
 
+/** Part of a prompt; requests share all parts but the last. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokenCount: number;
+}
+
 /** Decoded headers of a caller's request. */
 export interface RequestHeaders {
   readonly requestId: string;
@@ -12,6 +18,8 @@
   readonly promptTokens: number;
   /** Maximum number of tokens of the response. */
   readonly maxOutputTokens: number;
+  /** Parts of the prompt in order; empty if the caller does not list them. */
+  readonly promptParts: readonly PromptPart[];
   /** ID of the last event of the stream that the caller has received. */
   readonly lastEventId?: string;
   /** Headers that are passed to the backend server unchanged. */
@@ -89,3 +97,11 @@
     retryAfterMs: number | undefined,
   ): OutgoingHttpHeaders;
 }
+
+/**
+ * Returns the IDs of the parts of a prompt that other requests may share: all but the last.
+ * @param parts - Parts of the prompt in order.
+ */
+export function getSharedParts(parts: readonly PromptPart[]): readonly string[] {
+  return parts.slice(0, -1).map(({ id }) => id);
+}
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -16,7 +16,7 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
+import { getSharedParts, type RequestHeaders, type HeaderCodec, type ServerNotice } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import { ServerSearch } from './ServerSearch.js';
 
@@ -28,6 +28,8 @@
 const MIN_ATTEMPT_MS = 20;
 /** Least urgent rank that engines accept. */
 const MAX_URGENCY_RANK = 9;
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
 
 /** Dependencies of {@link RequestForwarder}. */
 export interface RequestForwarderDependencies {
@@ -97,6 +99,8 @@
   private isClosed = false;
   private latencyMs: number | undefined;
   private lastEventAtMs: number | undefined;
+  /** When the first event of the current attempt arrived. */
+  private attemptFirstEventAtMs: number | undefined;
   private longestGapMs = 0;
 
   /**
@@ -223,6 +227,7 @@
     this.tracker.markPossiblySent(attemptId);
     this.attempt = attempt;
     this.latencyMs = undefined;
+    this.attemptFirstEventAtMs = undefined;
     const sentAtMs = clock.nowMs();
     chooser.recordSent(serverId, sentAtMs, headers.promptTokens + headers.maxOutputTokens);
     this.notifyModelUse(server, 'started');
@@ -241,6 +246,9 @@
       configurationVersion: this.deps.view.configuration?.version ?? 0,
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
+    if (end.kind === 'broken') {
+      this.logBroken(server, end, nowMs);
+    }
     if (end.kind === 'answered') {
       this.keepBuffered(end.body.length);
     }
@@ -257,6 +265,22 @@
     }
   }
 
+  /** Logs what a failed attempt had in common with others that may have failed in the same crash of the server. */
+  private logBroken({ entry }: KnownServer, end: AttemptEnd & { kind: 'broken' }, nowMs: number): void {
+    const { log, metrics } = this.deps;
+    const { requestId, promptParts } = this.request.headers;
+    metrics.count(end.isSilent ? 'attempts_silent' : 'attempts_broken');
+    log.decision('attempt broken off', {
+      requestId,
+      serverId: entry.serverId,
+      bornAtMs: entry.bornAtMs,
+      isSilent: end.isSilent,
+      streamedForMs:
+        this.attemptFirstEventAtMs === undefined ? -1 : Math.round(nowMs - this.attemptFirstEventAtMs),
+      promptParts: getSharedParts(promptParts).slice(0, MAX_LOGGED_PARTS).join(' '),
+    });
+  }
+
   /** Applies what a server states about itself; the response that carries it is handled as any other. */
   private applyNotice({ entry }: KnownServer, { isLeaving, pauseMs }: ServerNotice): void {
     const { view, clock, agentConnections, log, metrics } = this.deps;
@@ -371,6 +395,7 @@
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastEventAtMs ?? nowMs));
     this.lastEventAtMs = nowMs;
+    this.attemptFirstEventAtMs ??= nowMs;
     this.lastEventId = events.lastEventId ?? this.lastEventId;
     if (!this.sink.sendEvents(events.bytes)) {
       attempt.pause();
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -217,6 +217,22 @@
     });
   });
 
+  it('decodes the parts of a prompt and ignores those that cannot be read', () => {
+    const decode = (prefix?: string) =>
+      codec.decodeRequest({ 'request-id': 'r1', 'prompt-prefix': prefix })?.promptParts;
+    expect(decode('5c1e07a2:800, 91BD3F06:410,e4402b7d:250')).to.deep.equal([
+      { id: '5c1e07a2', tokenCount: 800 },
+      { id: '91bd3f06', tokenCount: 410 },
+      { id: 'e4402b7d', tokenCount: 250 },
+    ]);
+    expect(decode('5c:8,no:1,:2,aa,bb:x,cc:3')).to.deep.equal([
+      { id: '5c', tokenCount: 8 },
+      { id: 'cc', tokenCount: 3 },
+    ]);
+    expect(decode()).to.deep.equal([]);
+    expect(decode('aa:1,'.repeat(1_000))?.length).to.equal(64);
+  });
+
   it('is undefined for a request without an id', () =>
     expect(codec.decodeRequest({ host: 'h' })).to.equal(undefined));
 
