Failing test: requests with a crashing prompt part reach engine after engine

Four scripted engines with agents behind two routers crash when they begin an answer on one prompt part; requests with it are never equal, and sound ones share their first part.

--- /dev/null
+++ b/test/direct/EngineFleet.ts
@@ -0,0 +1,217 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { toServerId } from '../../src/domain/index.js';
+import {
+  EngineController,
+  EnginePort,
+  type EngineReport,
+  type OrderResult,
+  type ServerEntry,
+} from '../../src/direct/index.js';
+import { delay } from '../../src/kernel/index.js';
+import { Log, Metrics } from '../../src/telemetry/index.js';
+import { PeerServer, TrafficMeter } from '../../src/transport/index.js';
+import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
+import { makeEntry, makeHeldModel, makeRoute } from './fleetFixtures.js';
+import { CLOCK, makeResponseHeaders, PEER_SECRET, RouterBench } from './RouterBench.js';
+
+/** Time from the arrival of a request to its first event, in milliseconds. */
+const BEGIN_MS = 30;
+/** Time between two events of a stream, in milliseconds. */
+const EVENT_INTERVAL_MS = 60;
+const EVENT_COUNT = 6;
+/** Time from a crash to the restart, in milliseconds. */
+const DOWN_MS = 500;
+/** Time from a crash until the list of servers shows it, in milliseconds. */
+const LIST_DELAY_MS = 300;
+
+/** Arrival of a request at an engine. */
+export interface EngineArrival {
+  readonly atMs: number;
+  readonly promptParts: readonly string[];
+}
+
+/** Engine with its agent; it crashes when it begins an answer on a given prompt part. */
+class CrashingEngine extends EnginePort {
+  private server: Server | undefined;
+  private entry: ServerEntry | undefined;
+  private startCount = 0;
+  private isStopped = false;
+
+  constructor(
+    private readonly fleet: EngineFleet,
+    private readonly index: number,
+    readonly host: string,
+    private readonly port: number,
+  ) {
+    super();
+  }
+
+  get address(): string {
+    return `${this.host}:${this.port}`;
+  }
+
+  get currentEntry(): ServerEntry | undefined {
+    return this.entry;
+  }
+
+  override readReport(): Promise<EngineReport | undefined> {
+    const { entry } = this;
+    return Promise.resolve(
+      entry && {
+        bornAtMs: entry.bornAtMs,
+        heldModels: entry.heldModels,
+        comingAdapters: [],
+        isBusy: false,
+        orderCount: 0,
+        waitingCount: 0,
+        runningCount: 0,
+        usedCacheTokens: 0,
+        cacheTokens: 1_000,
+        modelsInMemory: [],
+        modelsOnDisk: [],
+      },
+    );
+  }
+
+  override sendOrder(): Promise<OrderResult> {
+    return Promise.resolve('refused');
+  }
+
+  async start(): Promise<void> {
+    const server = createServer((incoming, response) => this.handle(incoming, response));
+    this.server = server;
+    await new Promise<void>((resolve) => {
+      server.listen(this.port, this.host, resolve);
+    });
+    this.entry = makeEntry(`engine-${this.index}-${++this.startCount}`, {
+      address: this.address,
+      bornAtMs: Math.round(CLOCK.nowMs()),
+      heldModels: [makeHeldModel('a')],
+    });
+    this.fleet.publish(this.entry);
+  }
+
+  /** Ends the engine and all connections; it restarts later as another incarnation. */
+  crash(): void {
+    const { server, entry } = this;
+    if (!server || !entry) {
+      return;
+    }
+    this.server = undefined;
+    this.entry = undefined;
+    server.close();
+    server.closeAllConnections();
+    this.fleet.crashedAtMs.push(CLOCK.nowMs());
+    setTimeout(() => this.fleet.withdraw(entry), LIST_DELAY_MS);
+    setTimeout(() => this.isStopped || void this.start(), DOWN_MS);
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.server?.close();
+    this.server?.closeAllConnections();
+  }
+
+  private handle(incoming: IncomingMessage, response: ServerResponse): void {
+    const prefix = String(incoming.headers['prompt-prefix'] ?? '');
+    const promptParts = prefix.split(',').map((pair) => pair.split(':')[0] ?? '');
+    this.fleet.arrivals.push({ atMs: CLOCK.nowMs(), promptParts });
+    incoming.resume();
+    setTimeout(() => {
+      if (promptParts.includes(this.fleet.crashingPart)) {
+        this.crash();
+      } else {
+        void this.stream(incoming, response);
+      }
+    }, BEGIN_MS);
+  }
+
+  private async stream(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.writeHead(200, makeResponseHeaders(incoming, 'text/event-stream'));
+    for (let event = 1; event <= EVENT_COUNT; event++) {
+      response.write(`id: ${event}\ndata: x\n\n`);
+      await delay(CLOCK, EVENT_INTERVAL_MS);
+    }
+    response.end();
+  }
+}
+
+/** Several engines with their agents and several routers, all in this process. */
+export class EngineFleet {
+  readonly arrivals: EngineArrival[] = [];
+  readonly crashedAtMs: number[] = [];
+  readonly routers: RouterBench[] = [];
+  private readonly engines: CrashingEngine[] = [];
+  private readonly agents: { stop(): Promise<void> }[] = [];
+  private reservation: LoopbackReservation | undefined;
+  private agentPort = 0;
+
+  /** @param crashingPart - ID of the prompt part that crashes each engine that begins an answer on it. */
+  constructor(readonly crashingPart: string) {}
+
+  async start(engineCount: number, routerCount: number): Promise<void> {
+    const reservation = await LoopbackReservation.create();
+    this.reservation = reservation;
+    this.agentPort = await reservation.takePort();
+    const enginePort = await reservation.takePort();
+    for (let index = 1; index <= engineCount; index++) {
+      const engine = new CrashingEngine(this, index, reservation.getAddress(index), enginePort);
+      this.engines.push(engine);
+      await engine.start();
+      await this.startAgent(engine);
+    }
+    for (let count = 0; count < routerCount; count++) {
+      await this.addRouter();
+    }
+  }
+
+  /** Starts a router that knows all engines and waits until it is connected to their agents. */
+  async addRouter(): Promise<RouterBench> {
+    const router = new RouterBench(undefined, this.agentPort);
+    for (const { currentEntry } of this.engines) {
+      if (currentEntry) {
+        router.view.applyEntry(currentEntry);
+      }
+    }
+    this.routers.push(router);
+    await router.start([makeRoute()]);
+    await delay(CLOCK, 300);
+    return router;
+  }
+
+  publish(entry: ServerEntry): void {
+    for (const { view } of this.routers) {
+      view.applyEntry(entry);
+    }
+  }
+
+  withdraw({ serverId }: ServerEntry): void {
+    for (const { view } of this.routers) {
+      view.removeEntry(toServerId(serverId), CLOCK.nowMs());
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const engine of this.engines) {
+      engine.stop();
+    }
+    await Promise.all(this.routers.map((router) => router.close()));
+    await Promise.all(this.agents.map((agent) => agent.stop()));
+    await this.reservation?.release();
+  }
+
+  private async startAgent(engine: CrashingEngine): Promise<void> {
+    const controller = new EngineController({
+      clock: CLOCK,
+      engine,
+      engineAddress: engine.address,
+      log: new Log('test', () => undefined),
+      metrics: new Metrics(),
+    });
+    const address = { host: engine.host, port: this.agentPort };
+    const server = new PeerServer(address, PEER_SECRET, CLOCK, controller.getMethods(), new TrafficMeter());
+    await server.start();
+    await controller.start();
+    this.agents.push(server, controller);
+  }
+}
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -29,6 +29,8 @@
 
 const RETRY_LIMITS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
 export const CLOCK = new SystemClock();
+/** Secret that routers present to agents. */
+export const PEER_SECRET = 'secret';
 
 /** Response as received by a caller. */
 export interface ReceivedResponse {
@@ -49,10 +51,17 @@
   private readonly servers: (Server | SocketServer)[] = [];
   private router: CallerServer | undefined;
   private modelLoader: ModelLoader | undefined;
+  private agentConnections: AgentConnections | undefined;
   private port = 0;
 
-  /** @param codec - Codec for the headers of requests and responses; tests pass faulty ones. */
-  constructor(private readonly codec: HeaderCodec = new PlatformHeaderCodec()) {}
+  /**
+   * @param codec - Codec for the headers of requests and responses; tests pass faulty ones.
+   * @param agentPort - Port of the agents beside the engines; without it, the router connects to none.
+   */
+  constructor(
+    private readonly codec: HeaderCodec = new PlatformHeaderCodec(),
+    private readonly agentPort?: number,
+  ) {}
 
   async addServer(id: string, handler: Handler, serviceId = ENGINES): Promise<void> {
     const server = createServer((incoming, response) => {
@@ -89,14 +98,20 @@
     }
     const log = new Log('test', () => undefined);
     const metrics = new Metrics();
-    const dialer = new PeerDialer('test', '', CLOCK, new TrafficMeter());
-    const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort: 1, log });
+    const dialer = new PeerDialer('test', PEER_SECRET, CLOCK, new TrafficMeter());
+    const peerPort = this.agentPort ?? 1;
+    const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort, log });
     const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
     const modelLoader = new ModelLoader({ clock: CLOCK, view, chooser, agentConnections, log });
     const retryBudget = new SharedRetryBudget(() => RETRY_LIMITS);
     const crashTracker = new CrashTracker();
     const getRetryBudget = () => retryBudget;
     this.modelLoader = modelLoader;
+    if (this.agentPort !== undefined) {
+      this.agentConnections = agentConnections;
+      dialer.exposeMethods(agentConnections.getMethods());
+      await agentConnections.start();
+    }
     this.router = new CallerServer({
       address: { host: '127.0.0.1', port: 0 },
       clock: CLOCK,
@@ -170,6 +185,7 @@
 
   async close(): Promise<void> {
     await this.modelLoader?.stop();
+    await this.agentConnections?.stop();
     await Promise.race([this.router?.stop(), delay(CLOCK, 10)]);
     for (const server of this.servers) {
       server.close();
