Block the prompt parts that crash engines, by evidence of all routers

Cause: crashes were attributed to a fingerprint of the whole request. Requests with the part are never equal, so no count grew.

Change: routers report a connection that broke, with the parts of the prompt but the last, to the agent beside the engine. The agent alone sees whether the engine crashed at that time (EngineCrashRecorder), which rules out cut answers and lost links; it tells all routers, also while its engine is down and also those that connect later. Routers exonerate parts whose requests were answered or have streamed for 150 ms. What remains at three crashes at different times, or at five in doubt, is blocked (PromptPartSuspects); crashes that it explains no longer count against others. Blocking by first part, caller or model was ruled out: sound requests share them. The messages are new methods, which agents and routers of the version before ignore. Equal requests are handled as before.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -9,6 +9,7 @@
   FleetView,
   FleetWatcher,
   ModelLoader,
+  PromptPartSuspects,
   ReadinessServer,
   SharedRetryBudget,
   ServerChooser,
@@ -83,6 +84,16 @@
     return retryBudget;
   };
   const crashTracker = new CrashTracker();
+  const partSuspects = new PromptPartSuspects(({ promptPart, crashCount }) => {
+    metrics.count('prompt_parts_blocked');
+    log.decision('prompt part blocked', { promptPart, crashCount });
+  });
+  agentConnections.onEngineCrashes((address, crashes) => {
+    const promptParts = partSuspects.applyCrashes(address, crashes, clock.nowMs());
+    if (promptParts.length > 0) {
+      agentConnections.notifyPartsAnswered([address], { promptParts });
+    }
+  });
   const callerServer = new CallerServer({
     address: options.callerAddress,
     clock,
@@ -97,6 +108,7 @@
       agentConnections,
       codec,
       crashTracker,
+      partSuspects,
       log,
       metrics,
       bufferBudget: new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES),
--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -5,7 +5,9 @@
 import {
   applyReportChanges,
   isCompleteReport,
+  isEngineCrash,
   type AgentReport,
+  type EngineCrash,
   type EngineProfile,
   type FleetView,
   type ServerIncarnation,
@@ -15,8 +17,11 @@
   RESIDENCY_METHODS,
   ROUTING_METHODS,
   toFollowParams,
+  type BrokenOffParams,
+  type EngineCrashesParams,
   type EngineReportParams,
   type EnsureAdapterReply,
+  type PartsAnsweredParams,
   type WantModelParams,
 } from './messages.js';
 
@@ -51,6 +56,7 @@
   private readonly dialling = new Set<string>();
   private readonly dialTask: PeriodicTask;
   private reportListener: () => void = () => undefined;
+  private crashListener: (address: string, crashes: readonly EngineCrash[]) => void = () => undefined;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: AgentConnectionsDependencies) {
@@ -61,6 +67,7 @@
   getMethods(): PeerMethods {
     return {
       [ROUTING_METHODS.report]: (report: EngineReportParams) => this.applyReport(report),
+      [ROUTING_METHODS.engineCrashes]: (params: EngineCrashesParams) => this.applyCrashes(params),
     } as PeerMethods;
   }
 
@@ -72,6 +79,14 @@
     this.reportListener = listener;
   }
 
+  /**
+   * Sets the listener for crashes of engines.
+   * @param listener - Called with the address of an engine and its new or changed crashes.
+   */
+  onEngineCrashes(listener: (address: string, crashes: readonly EngineCrash[]) => void): void {
+    this.crashListener = listener;
+  }
+
   start(): Promise<void> {
     this.dialTask.start();
     this.updateConnections();
@@ -154,6 +169,26 @@
     }
   }
 
+  /**
+   * Notifies the agent of an engine that a connection to the engine broke while it carried a request.
+   * @param address - Address of the agent's engine.
+   * @param params - Incarnation of the engine and the parts of the request's prompt.
+   */
+  notifyBrokenOff(address: string, params: BrokenOffParams): void {
+    this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.brokenOff, params);
+  }
+
+  /**
+   * Notifies agents that requests with prompt parts that they have found at crashes were answered.
+   * @param addresses - Addresses of the agents' engines.
+   * @param params - The parts.
+   */
+  notifyPartsAnswered(addresses: readonly string[], params: PartsAnsweredParams): void {
+    for (const address of addresses) {
+      this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.partsAnswered, params);
+    }
+  }
+
   /**
    * Notifies a few agents of a server that has stated that it is leaving; their reports pass it on to the other routers.
    * All routers choose the same agents for a server.
@@ -185,6 +220,15 @@
     this.reportListener();
   }
 
+  private applyCrashes({ address, crashes }: EngineCrashesParams): void {
+    if (this.connections.has(address) && Array.isArray(crashes)) {
+      this.crashListener(
+        address,
+        crashes.filter((crash) => isEngineCrash(crash)),
+      );
+    }
+  }
+
   private ensureConnection(address: string, engine: EngineProfile): void {
     const agent = this.connections.get(address);
     if (agent) {
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -2,17 +2,28 @@
 import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
-import { ResidencyPlanner, setNewest, type AgentReport, type PlannedOrder } from './decisions/index.js';
+import {
+  EngineCrashRecorder,
+  isPartList,
+  ResidencyPlanner,
+  setNewest,
+  type AgentReport,
+  type EngineCrash,
+  type PlannedOrder,
+} from './decisions/index.js';
 import type { EnginePort, OrderResult } from './EnginePort.js';
 import { ReportPublisher } from './ReportPublisher.js';
 import {
   RESIDENCY_METHODS,
+  ROUTING_METHODS,
+  type BrokenOffParams,
   type CrashedParams,
   type EnsureAdapterParams,
   type EnsureAdapterReply,
   type FollowEngineParams,
   type LeavingParams,
   type ModelUseParams,
+  type PartsAnsweredParams,
   type WantModelParams,
 } from './messages.js';
 
@@ -28,6 +39,8 @@
 const MAX_LEAVING_SERVERS = 200;
 /** Maximum number of stored fingerprints of crashing requests. */
 const MAX_CRASH_COUNTS = 200;
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
 
 /** Dependencies of {@link EngineController}. */
 export interface EngineControllerDependencies {
@@ -49,6 +62,7 @@
   /** Numbers of running requests of each connected router, by model. */
   private readonly runningCounts = new Map<PeerConnection, Map<string, number>>();
   private readonly crashCounts = new Map<string, number>();
+  private readonly crashRecorder = new EngineCrashRecorder();
   /** Start times of servers that routers have found to be leaving. */
   private readonly leavingServers = new Map<ServerId, number>();
   private lastOrder: Promise<unknown> = Promise.resolve();
@@ -77,6 +91,8 @@
       [RESIDENCY_METHODS.ensureAdapter]: (params: EnsureAdapterParams) => this.ensureAdapter(params),
       [RESIDENCY_METHODS.crashed]: (params: CrashedParams) => this.onCrash(params),
       [RESIDENCY_METHODS.leaving]: (params: LeavingParams) => this.onLeaving(params),
+      [RESIDENCY_METHODS.brokenOff]: (params: BrokenOffParams) => this.onBrokenOff(params),
+      [RESIDENCY_METHODS.partsAnswered]: (params: PartsAnsweredParams) => this.onPartsAnswered(params),
     } as PeerMethods;
   }
 
@@ -99,6 +115,7 @@
         await this.runExclusively(() => this.sendOrder(order));
       }
       this.publishReport();
+      this.publishCrashes();
       const queuedCount = this.planner.queuedModels.length;
       const isActive = queuedCount > 0 || this.planner.engineReport?.isBusy === true;
       const intervalMs = isActive ? BUSY_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
@@ -112,8 +129,11 @@
   }
 
   private async readEngine(): Promise<void> {
-    const { clock, engine, log } = this.deps;
+    const { clock, engine, log, metrics } = this.deps;
     const report = await engine.readReport();
+    if (this.crashRecorder.recordReading(report?.bornAtMs, clock.nowMs())) {
+      metrics.count('engine_crashes');
+    }
     if ((report !== undefined) !== this.isEngineUp) {
       this.isEngineUp = report !== undefined;
       if (report) {
@@ -180,6 +200,7 @@
       this.runningCounts.set(from, new Map());
       from.onClose(() => this.onDisconnect(from));
       this.deps.log.info('router connected', { router: from.peerName });
+      this.sendCrashes(this.crashRecorder.getCrashes(this.deps.clock.nowMs()), from);
     }
     this.publishReport(true);
   }
@@ -270,6 +291,38 @@
     this.publishReport(true);
   }
 
+  private onBrokenOff({ bornAtMs, promptParts }: BrokenOffParams): void {
+    if (Number.isFinite(bornAtMs) && isPartList(promptParts)) {
+      this.crashRecorder.recordBreak(bornAtMs, promptParts, this.deps.clock.nowMs());
+    }
+  }
+
+  private onPartsAnswered({ promptParts }: PartsAnsweredParams): void {
+    if (isPartList(promptParts)) {
+      this.crashRecorder.exonerate(promptParts);
+    }
+  }
+
+  /** Sends the crashes that have changed to all routers, also while the engine is down and no report is sent. */
+  private publishCrashes(): void {
+    const changes = this.crashRecorder.takeChanges(this.deps.clock.nowMs());
+    for (const { bornAtMs, requestCounts } of changes) {
+      const promptParts = Object.keys(requestCounts);
+      this.deps.log.decision('engine crash recorded', {
+        bornAtMs,
+        partCount: promptParts.length,
+        promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(' '),
+      });
+    }
+    this.sendCrashes(changes, this.publisher);
+  }
+
+  private sendCrashes(crashes: readonly EngineCrash[], to: Pick<PeerConnection, 'notify'>): void {
+    if (crashes.length > 0) {
+      to.notify(ROUTING_METHODS.engineCrashes, { address: this.deps.engineAddress, crashes });
+    }
+  }
+
   private onLeaving({ serverId, bornAtMs }: LeavingParams): void {
     if (bornAtMs <= (this.leavingServers.get(serverId) ?? -Infinity)) {
       return;
--- a/src/direct/ReportPublisher.ts
+++ b/src/direct/ReportPublisher.ts
@@ -88,6 +88,17 @@
     }
   }
 
+  /**
+   * Sends a notification to all routers.
+   * @param method - Name of the method.
+   * @param params - Parameters.
+   */
+  notify(method: string, params: object): void {
+    for (const connection of this.followers.keys()) {
+      connection.notify(method, params);
+    }
+  }
+
   /** Makes the next report to each router a complete one. */
   reset(): void {
     for (const follower of this.followers.values()) {
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -12,6 +12,7 @@
   type CompleteEvents,
   type FleetView,
   type KnownServer,
+  type PromptPartSuspects,
   type SharedRetryBudget,
   type Route,
   type ServerChooser,
@@ -28,6 +29,10 @@
 const MIN_ATTEMPT_MS = 20;
 /** Least urgent rank that engines accept. */
 const MAX_URGENCY_RANK = 9;
+/**
+ * Time for which a stream must have delivered events to show that its prompt does not crash the server, in milliseconds.
+ */
+const PROVEN_STREAM_MS = 150;
 /** Maximum number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -40,6 +45,7 @@
   readonly agentConnections: AgentConnections;
   readonly codec: HeaderCodec;
   readonly crashTracker: CrashTracker;
+  readonly partSuspects: PromptPartSuspects;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Memory for responses that are buffered until they are complete. */
@@ -101,6 +107,10 @@
   private lastEventAtMs: number | undefined;
   /** When the first event of the current attempt arrived. */
   private attemptFirstEventAtMs: number | undefined;
+  /** When the stream of the current attempt next counts in favour of the parts of its prompt. */
+  private nextProofAtMs = Infinity;
+  /** Parts of the prompt that other requests may share. */
+  private readonly sharedParts: readonly string[];
   private longestGapMs = 0;
 
   /**
@@ -118,6 +128,7 @@
     this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs, maxInteractiveTargetMs);
     this.search = new ServerSearch(deps, request, this.limits, () => this.hasEnded);
     this.lastEventId = headers.lastEventId;
+    this.sharedParts = getSharedParts(headers.promptParts);
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
 
@@ -228,6 +239,7 @@
     this.attempt = attempt;
     this.latencyMs = undefined;
     this.attemptFirstEventAtMs = undefined;
+    this.nextProofAtMs = Infinity;
     const sentAtMs = clock.nowMs();
     chooser.recordSent(serverId, sentAtMs, headers.promptTokens + headers.maxOutputTokens);
     this.notifyModelUse(server, 'started');
@@ -247,7 +259,7 @@
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
     if (end.kind === 'broken') {
-      this.logBroken(server, end, nowMs);
+      this.recordBroken(server, end, nowMs);
     }
     if (end.kind === 'answered') {
       this.keepBuffered(end.body.length);
@@ -265,20 +277,32 @@
     }
   }
 
-  /** Logs what a failed attempt had in common with others that may have failed in the same crash of the server. */
-  private logBroken({ entry }: KnownServer, end: AttemptEnd & { kind: 'broken' }, nowMs: number): void {
-    const { log, metrics } = this.deps;
-    const { requestId, promptParts } = this.request.headers;
+  /** Records what a failed attempt has in common with others that may have failed in the same crash of the server. */
+  private recordBroken({ entry }: KnownServer, end: AttemptEnd & { kind: 'broken' }, nowMs: number): void {
+    const { log, metrics, agentConnections } = this.deps;
+    const { address, serverId, bornAtMs } = entry;
+    const streamedForMs = nowMs - (this.attemptFirstEventAtMs ?? nowMs);
     metrics.count(end.isSilent ? 'attempts_silent' : 'attempts_broken');
     log.decision('attempt broken off', {
-      requestId,
-      serverId: entry.serverId,
-      bornAtMs: entry.bornAtMs,
+      requestId: this.request.headers.requestId,
+      serverId,
+      bornAtMs,
       isSilent: end.isSilent,
-      streamedForMs:
-        this.attemptFirstEventAtMs === undefined ? -1 : Math.round(nowMs - this.attemptFirstEventAtMs),
-      promptParts: getSharedParts(promptParts).slice(0, MAX_LOGGED_PARTS).join(' '),
+      streamedForMs: this.attemptFirstEventAtMs === undefined ? -1 : Math.round(streamedForMs),
+      promptParts: this.sharedParts.slice(0, MAX_LOGGED_PARTS).join(' '),
     });
+    if (!end.isSilent && this.sharedParts.length > 0 && streamedForMs < PROVEN_STREAM_MS) {
+      agentConnections.notifyBrokenOff(address, { bornAtMs, promptParts: this.sharedParts });
+    }
+  }
+
+  /** Records that a server has answered the request, or a part of it, without a crash. */
+  private recordAnswered(nowMs: number): void {
+    const { partSuspects, agentConnections } = this.deps;
+    const { sharedParts: promptParts } = this;
+    if (promptParts.length > 0) {
+      agentConnections.notifyPartsAnswered(partSuspects.recordSuccess(promptParts, nowMs), { promptParts });
+    }
   }
 
   /** Applies what a server states about itself; the response that carries it is handled as any other. */
@@ -310,6 +334,7 @@
     switch (end.kind) {
       case 'streamed':
         this.recordCompleted();
+        this.recordAnswered(this.deps.clock.nowMs());
         this.end('complete');
         this.sink.endStream();
         return;
@@ -354,6 +379,9 @@
       return;
     }
     this.recordCompleted();
+    if (end.head.status < 300) {
+      this.recordAnswered(this.deps.clock.nowMs());
+    }
     this.end(`answered ${end.head.status}`);
     this.sink.sendResponse(end.head, end.body);
   }
@@ -395,7 +423,14 @@
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastEventAtMs ?? nowMs));
     this.lastEventAtMs = nowMs;
-    this.attemptFirstEventAtMs ??= nowMs;
+    if (this.attemptFirstEventAtMs === undefined) {
+      this.attemptFirstEventAtMs = nowMs;
+      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
+    }
+    if (nowMs >= this.nextProofAtMs) {
+      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
+      this.recordAnswered(nowMs);
+    }
     this.lastEventId = events.lastEventId ?? this.lastEventId;
     if (!this.sink.sendEvents(events.bytes)) {
       attempt.pause();
@@ -427,11 +462,18 @@
     return isAllowed;
   }
 
-  /** Ends the request if its fingerprint is blocked after crashes; returns true if it did. */
+  /** Ends the request if its fingerprint or a part of its prompt is blocked after crashes; returns true if it did. */
   private endIfBlocked(): boolean {
-    const { crashTracker, view, clock } = this.deps;
+    const { crashTracker, partSuspects, view, clock, metrics } = this.deps;
     const { fingerprint } = this.request;
-    if (!crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs())) {
+    const nowMs = clock.nowMs();
+    const blockedPart = partSuspects.findBlocked(this.sharedParts, nowMs);
+    if (blockedPart !== undefined) {
+      metrics.count('requests_with_blocked_part');
+      this.refuse(502, `servers crashed on the part ${blockedPart} of the prompt`);
+      return true;
+    }
+    if (!crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), nowMs)) {
       return false;
     }
     this.refuse(502, 'the request broke off on several servers');
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,5 +1,5 @@
 import type { ServerId } from '../domain/index.js';
-import type { EngineProfile, ModelFootprint, ReportChanges } from './decisions/index.js';
+import type { EngineCrash, EngineProfile, ModelFootprint, ReportChanges } from './decisions/index.js';
 
 /** Methods that agents offer to routers. */
 export const RESIDENCY_METHODS = {
@@ -10,10 +10,12 @@
   ensureAdapter: 'residency.ensureAdapter',
   crashed: 'residency.crashed',
   leaving: 'residency.leaving',
+  brokenOff: 'residency.brokenOff',
+  partsAnswered: 'residency.partsAnswered',
 } as const;
 
 /** Methods that routers offer to agents. */
-export const ROUTING_METHODS = { report: 'routing.report' } as const;
+export const ROUTING_METHODS = { report: 'routing.report', engineCrashes: 'routing.engineCrashes' } as const;
 
 /** Sends an agent the engine profile of its service and subscribes to its reports. */
 export interface FollowEngineParams {
@@ -54,6 +56,26 @@
   readonly crashCount: number;
 }
 
+/** Notifies an agent that a connection to its engine broke while it carried a request. */
+export interface BrokenOffParams {
+  /** When the engine's process started, in milliseconds since the epoch. */
+  readonly bornAtMs: number;
+  /** Parts of the request's prompt that other requests may share. */
+  readonly promptParts: readonly string[];
+}
+
+/** Notifies an agent that requests with prompt parts that it has found at crashes were answered. */
+export interface PartsAnsweredParams {
+  readonly promptParts: readonly string[];
+}
+
+/** New or changed crashes of an agent's engine; a router that connects receives all. */
+export interface EngineCrashesParams {
+  /** Host and port of the engine. */
+  readonly address: string;
+  readonly crashes: readonly EngineCrash[];
+}
+
 /** Notifies an agent of a server that has stated that it is leaving; the agent includes it in its reports to all routers. */
 export interface LeavingParams {
   readonly serverId: ServerId;
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -10,7 +10,7 @@
   type ReportChanges,
   type ResidencyOrder,
 } from '../../src/direct/index.js';
-import { toFollowParams } from '../../src/direct/messages.js';
+import { toFollowParams, type EngineCrashesParams } from '../../src/direct/messages.js';
 import { delay, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import type { PeerConnection } from '../../src/transport/index.js';
@@ -22,12 +22,16 @@
 class SlowEngine extends EnginePort {
   heldModels: HeldModel[] = [makeHeldModel('b'), makeHeldModel('c')];
   readonly orders: ResidencyOrder[] = [];
+  isDown = false;
   /** Number of next orders that get no response and are not carried out. */
   unansweredCount = 0;
   private orderCount = 0;
   private busyUntilMs = 0;
 
-  override readReport(): Promise<EngineReport> {
+  override readReport(): Promise<EngineReport | undefined> {
+    if (this.isDown) {
+      return Promise.resolve(undefined);
+    }
     return Promise.resolve({
       bornAtMs: 1,
       heldModels: this.heldModels,
@@ -70,10 +74,15 @@
   readonly reports: AgentReport[] = [];
   /** Changes as received, from which `reports` is assembled. */
   readonly receivedChanges: ReportChanges[] = [];
+  readonly crashes: EngineCrashesParams[] = [];
   readonly connection = {
     peerName: 'router-1',
     onClose: () => () => undefined,
-    notify: (_method: string, changes: ReportChanges) => {
+    notify: (method: string, changes: ReportChanges) => {
+      if (method === 'routing.engineCrashes') {
+        this.crashes.push(changes as unknown as EngineCrashesParams);
+        return;
+      }
       this.receivedChanges.push(changes);
       this.reports.push(applyReportChanges(this.reports.at(-1), changes));
     },
@@ -162,6 +171,19 @@
     expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 2 });
   });
 
+  it('tells all routers which prompt parts broke off at a crash, also while the engine is down', async () => {
+    router.call('residency.brokenOff', { bornAtMs: 1, promptParts: ['a', 'b'] });
+    engine.isDown = true;
+    await delay(CLOCK, 350);
+    expect(router.crashes.map(({ crashes }) => crashes[0]?.requestCounts)).to.deep.equal([{ a: 1, b: 1 }]);
+    router.call('residency.partsAnswered', { promptParts: ['a'] });
+    await delay(CLOCK, 150);
+    expect(router.crashes.at(-1)?.crashes[0]?.requestCounts).to.deep.equal({ b: 1 });
+    const second = new FakeRouter(controller);
+    second.call('residency.follow', toFollowParams(makeProfile(), 1));
+    expect(second.crashes.at(-1)?.crashes[0]?.requestCounts).to.deep.equal({ b: 1 });
+  });
+
   it('reports servers that routers found to be leaving, once each', () => {
     const { length } = router.receivedChanges;
     const notify = (bornAtMs: number) => router.call('residency.leaving', { serverId: 'i-9', bornAtMs });
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -16,6 +16,7 @@
   CrashTracker,
   FleetView,
   ModelLoader,
+  PromptPartSuspects,
   SharedRetryBudget,
   ServerChooser,
   type HeaderCodec,
@@ -105,6 +106,13 @@
     const modelLoader = new ModelLoader({ clock: CLOCK, view, chooser, agentConnections, log });
     const retryBudget = new SharedRetryBudget(() => RETRY_LIMITS);
     const crashTracker = new CrashTracker();
+    const partSuspects = new PromptPartSuspects();
+    agentConnections.onEngineCrashes((address, crashes) => {
+      const promptParts = partSuspects.applyCrashes(address, crashes, CLOCK.nowMs());
+      if (promptParts.length > 0) {
+        agentConnections.notifyPartsAnswered([address], { promptParts });
+      }
+    });
     const getRetryBudget = () => retryBudget;
     this.modelLoader = modelLoader;
     if (this.agentPort !== undefined) {
@@ -126,6 +134,7 @@
         agentConnections,
         codec,
         crashTracker,
+        partSuspects,
         log,
         metrics,
         bufferBudget: this.bufferBudget,
