--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -12,11 +12,12 @@
   type CompleteEvents,
   type FleetView,
   type KnownServer,
+  type PromptPartSuspects,
   type SharedRetryBudget,
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
+import { getSharedParts, type RequestHeaders, type HeaderCodec, type ServerNotice } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import { ServerSearch } from './ServerSearch.js';
 import {
@@ -33,6 +34,12 @@
 const MIN_ATTEMPT_MS = 20;
 /** Least urgent rank that engines accept. */
 const MAX_URGENCY_RANK = 9;
+/**
+ * Time for which a stream must have delivered events to show that its prompt does not crash the server, in milliseconds.
+ */
+const PROVEN_STREAM_MS = 150;
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
 
 /** Dependencies of {@link RequestForwarder}. */
 export interface RequestForwarderDependencies {
@@ -43,6 +50,7 @@
   readonly agentConnections: AgentConnections;
   readonly codec: HeaderCodec;
   readonly crashTracker: CrashTracker;
+  readonly partSuspects: PromptPartSuspects;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Memory for responses that are buffered until they are complete. */
@@ -112,6 +120,12 @@
   private isClosed = false;
   private latencyMs: number | undefined;
   private lastEventAtMs: number | undefined;
+  /** When the first event of the current attempt arrived. */
+  private attemptFirstEventAtMs: number | undefined;
+  /** When the stream of the current attempt next counts in favour of the parts of its prompt. */
+  private nextProofAtMs = Infinity;
+  /** Parts of the prompt that other requests may share. */
+  private readonly sharedParts: readonly string[];
   private longestGapMs = 0;
 
   /**
@@ -133,6 +147,7 @@
       this.createAttempt(server, this.runCount + 1),
     );
     this.lastEventId = headers.lastEventId;
+    this.sharedParts = getSharedParts(headers.promptParts);
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
 
@@ -292,6 +307,8 @@
     this.tracker.markPossiblySent(attemptId);
     this.attempt = attempt;
     this.latencyMs = undefined;
+    this.attemptFirstEventAtMs = undefined;
+    this.nextProofAtMs = Infinity;
     const sentAtMs = clock.nowMs();
     chooser.recordSent(serverId, sentAtMs, headers.promptTokens + headers.maxOutputTokens);
     this.notifyModelUse(server, 'started');
@@ -311,6 +328,9 @@
       configurationVersion: this.deps.view.configuration?.version ?? 0,
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
+    if (end.kind === 'broken') {
+      this.recordBroken(server, end, nowMs);
+    }
     if (end.kind === 'answered') {
       this.keepBuffered(end.body.length);
     }
@@ -367,6 +387,34 @@
     });
   }
 
+  /** Records what a failed attempt has in common with others that may have failed in the same crash of the server. */
+  private recordBroken({ entry }: KnownServer, end: AttemptEnd & { kind: 'broken' }, nowMs: number): void {
+    const { log, metrics, agentConnections } = this.deps;
+    const { address, serverId, bornAtMs } = entry;
+    const streamedForMs = nowMs - (this.attemptFirstEventAtMs ?? nowMs);
+    metrics.count(end.cause === 'silence' ? 'attempts_silent' : 'attempts_broken');
+    log.decision('attempt broken off', {
+      requestId: this.request.headers.requestId,
+      serverId,
+      bornAtMs,
+      cause: end.cause,
+      streamedForMs: this.attemptFirstEventAtMs === undefined ? -1 : Math.round(streamedForMs),
+      promptParts: this.sharedParts.slice(0, MAX_LOGGED_PARTS).join(' '),
+    });
+    if (end.cause === 'server' && this.sharedParts.length > 0 && streamedForMs < PROVEN_STREAM_MS) {
+      agentConnections.notifyBrokenOff(address, { bornAtMs, promptParts: this.sharedParts });
+    }
+  }
+
+  /** Records that a server has answered the request, or a part of it, without a crash. */
+  private recordAnswered(nowMs: number): void {
+    const { partSuspects, agentConnections } = this.deps;
+    const { sharedParts: promptParts } = this;
+    if (promptParts.length > 0) {
+      agentConnections.notifyPartsAnswered(partSuspects.recordSuccess(promptParts, nowMs), { promptParts });
+    }
+  }
+
   /** Applies what a server states about itself; the response that carries it is handled as any other. */
   private applyNotice({ entry }: KnownServer, { isLeaving, pauseMs }: ServerNotice): void {
     const { view, clock, agentConnections, log, metrics } = this.deps;
@@ -396,6 +444,7 @@
     switch (end.kind) {
       case 'streamed':
         this.recordCompleted();
+        this.recordAnswered(this.deps.clock.nowMs());
         this.end('complete');
         this.sink.endStream();
         return;
@@ -440,6 +489,9 @@
       return;
     }
     this.recordCompleted();
+    if (end.head.status < 300) {
+      this.recordAnswered(this.deps.clock.nowMs());
+    }
     this.end(`answered ${end.head.status}`);
     this.sink.sendResponse(end.head, end.body);
   }
@@ -482,6 +534,14 @@
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastEventAtMs ?? nowMs));
     this.lastEventAtMs = nowMs;
+    if (this.attemptFirstEventAtMs === undefined) {
+      this.attemptFirstEventAtMs = nowMs;
+      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
+    }
+    if (nowMs >= this.nextProofAtMs) {
+      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
+      this.recordAnswered(nowMs);
+    }
     this.lastEventId = events.lastEventId ?? this.lastEventId;
     if (!this.sink.sendEvents(events.bytes)) {
       attempt.pause();
@@ -523,8 +583,14 @@
     return this.deps.getRetryBudget(this.request.serviceId);
   }
 
-  /** Ends the request if its fingerprint is blocked after crashes; returns true if it did. */
+  /** Ends the request if its fingerprint or a part of its prompt is blocked after crashes; returns true if it did. */
   private endIfBlocked(): boolean {
+    const blockedPart = this.findBlockedPart();
+    if (blockedPart !== undefined) {
+      this.deps.metrics.count('requests_with_blocked_part');
+      this.refuse(502, `servers crashed on the part ${blockedPart} of the prompt`);
+      return true;
+    }
     if (!this.isBlocked()) {
       return false;
     }
@@ -532,10 +598,18 @@
     return true;
   }
 
+  /** Whether a server might crash on the request. */
   private isBlocked(): boolean {
     const { crashTracker, view, clock } = this.deps;
     const { fingerprint } = this.request;
-    return crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+    return (
+      this.findBlockedPart() !== undefined ||
+      crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs())
+    );
+  }
+
+  private findBlockedPart(): string | undefined {
+    return this.deps.partSuspects.findBlocked(this.sharedParts, this.deps.clock.nowMs());
   }
 
   private notifyModelUse(server: KnownServer, event: 'started' | 'ended'): void {
--- a/test/direct/SlowEngine.ts
+++ b/test/direct/SlowEngine.ts
@@ -14,6 +14,7 @@
 export class SlowEngine extends EnginePort {
   heldModels: HeldModel[] = [makeHeldModel('b'), makeHeldModel('c')];
   readonly orders: ResidencyOrder[] = [];
+  isDown = false;
   /** Number of next orders that get no response and are not carried out. */
   unansweredCount = 0;
   private orderCount = 0;
