--- a/test/direct/SlowEngine.ts
+++ b/test/direct/SlowEngine.ts
@@ -20,7 +20,10 @@
   private orderCount = 0;
   private busyUntilMs = 0;
 
-  override readReport(): Promise<EngineReport> {
+  override readReport(): Promise<EngineReport | undefined> {
+    if (this.isDown) {
+      return Promise.resolve(undefined);
+    }
     return Promise.resolve({
       bornAtMs: 1,
       heldModels: this.heldModels,
