--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -30,11 +30,14 @@
   /** Returns the ID of the event after which a stream is resumed. */
   readonly getLastEventId: () => string | undefined;
   /**
-   * Maximum time until the first event or chunk of the response, in milliseconds; absent if there is no alternative
-   * to waiting.
+   * Time without a first event or chunk of the response after which the server counts as silent, in milliseconds; absent
+   * if there is no alternative to waiting.
    */
   readonly firstChunkTimeoutMs?: number;
-  /** Maximum time between events, or for each 256 bytes of another body, after the first chunk, in milliseconds. */
+  /**
+   * Time without an event, or without 256 bytes of another body, after which the server counts as silent once the response
+   * has begun, in milliseconds.
+   */
   readonly gapTimeoutMs?: number;
 }
 
--- a/src/direct/decisions/RequestLimits.ts
+++ b/src/direct/decisions/RequestLimits.ts
@@ -1,7 +1,7 @@
 import { isRetryable, MIN_INTERACTIVE_TARGET_MS, type Route } from './ServingConfiguration.js';
 
 /**
- * Timeout of the first chunk, after which a retryable request is sent to another server, as a multiple of its latency
+ * Timeout of the first chunk, after which a retryable request may be moved to another server, as a multiple of its latency
  * target.
  */
 const FIRST_CHUNK_TIMEOUT_FACTOR = 2.5;
@@ -21,7 +21,7 @@
  */
 const FIRST_EVENT_RESERVE_MS = 300;
 
-/** Timeouts after which a request is sent to another server. */
+/** Timeouts after which a server counts as silent, and its request may be moved to another one. */
 export interface ChunkTimeouts {
   /** Timeout of the first chunk of the response, in milliseconds; absent where no other server can be used. */
   readonly firstChunkTimeoutMs?: number;
@@ -74,7 +74,7 @@
   }
 
   /**
-   * Returns the timeouts after which the request is sent to another server; empty when it can't be.
+   * Returns the timeouts after which the request may be moved to another server; empty when it can't be.
    * @param attemptCount - Number of servers that may already have run the request.
    * @param hasOtherServer - Checks whether another server can take the request.
    */
