The choice of the server that continues a stream leaves RequestForwarder

No change of behaviour: the moved code is the same, and 326 tests of direct/ and the codecs pass as before.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -20,14 +20,9 @@
 import { getSharedParts, type RequestHeaders, type HeaderCodec, type ServerNotice } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import { ServerSearch } from './ServerSearch.js';
-import {
-  SilentServerReplacement,
-  type PreparedAttempt,
-  type ReplacementResult,
-} from './SilentServerReplacement.js';
+import type { PreparedAttempt } from './SilentServerReplacement.js';
+import { MAX_SENDS, StreamResumption } from './StreamResumption.js';
 
-/** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
-const MAX_SENDS = 6;
 /** Default delay after which a caller should retry, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 /** Minimum remaining time for which another attempt is sent, in milliseconds. */
@@ -96,22 +91,13 @@
 export class RequestForwarder {
   private readonly tracker = new VerdictTracker();
   private readonly search: ServerSearch;
-  private readonly silentServerReplacement: SilentServerReplacement;
+  private readonly resumption: StreamResumption;
   private readonly limits: RequestLimits;
   private readonly deadlineTimer: Timer;
   private attempt: BackendAttempt | undefined;
-  /** Connected attempt at the server that replaces a silent one; its retry was taken from the budget. */
-  private replacement: PreparedAttempt | undefined;
-  private isReplacing = false;
-  /** Last decision on a silent server, which is logged when it changes. */
-  private lastSilenceDecision: string | undefined;
   private sendCount = 0;
   /** Number of servers that may have run the request. */
   private runCount = 0;
-  private lastEventId: string | undefined;
-  private hasBegun = false;
-  /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
-  private wasBrokenOff = false;
   private hasEnded = false;
   /** Error response of a server, delivered if no later attempt succeeds. */
   private fallback: { head: ResponseHead; body: Buffer } | undefined;
@@ -119,7 +105,6 @@
   private bufferedLength = 0;
   private isClosed = false;
   private latencyMs: number | undefined;
-  private lastEventAtMs: number | undefined;
   /** When the first event of the current attempt arrived. */
   private attemptFirstEventAtMs: number | undefined;
   /** When the stream of the current attempt next counts in favour of the parts of its prompt. */
@@ -143,10 +128,15 @@
     this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs, maxInteractiveTargetMs);
     this.search = new ServerSearch(deps, request, this.limits, () => this.hasEnded);
     const retries = { isLeft: () => this.isRetryLeft(), tryTake: () => this.tryTakeRetry() };
-    this.silentServerReplacement = new SilentServerReplacement(this.search, retries, (server) =>
-      this.createAttempt(server, this.runCount + 1),
+    this.resumption = new StreamResumption(
+      deps,
+      request,
+      this.limits,
+      this.search,
+      retries,
+      (server) => this.createAttempt(server, this.runCount + 1),
+      () => this.hasEnded,
     );
-    this.lastEventId = headers.lastEventId;
     this.sharedParts = getSharedParts(headers.promptParts);
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
@@ -161,7 +151,7 @@
       this.deps.modelLoader.recordInteractiveUse(this.request.serviceId, this.request.headers.model);
     }
     while (!this.hasEnded) {
-      const prepared = this.takeReplacement() ?? (await this.prepareAttempt());
+      const prepared = this.resumption.takeReplacement() ?? (await this.prepareAttempt());
       if (!prepared) {
         return;
       }
@@ -226,23 +216,13 @@
     return !this.hasEnded && (!isConnected || this.tryTakeRetry());
   }
 
-  private takeReplacement(): PreparedAttempt | undefined {
-    const { replacement } = this;
-    this.replacement = undefined;
-    return replacement;
-  }
-
   /** Finds the next server; ends the request and returns undefined if there is none. */
   private async findServer(): Promise<KnownServer | undefined> {
     if (this.endIfBlocked()) {
       return undefined;
     }
-    const { receivedAtMs } = this.request;
-    const mayWait = !this.hasBegun || !this.wasBrokenOff;
-    const found = await this.search.find({
-      waitUntilMs: mayWait ? this.limits.getWaitDeadlineMs(this.lastEventAtMs ?? receivedAtMs) : undefined,
-      mayRetryServers: this.sendCount < MAX_SENDS && (this.runCount === 0 || !this.wasBrokenOff),
-    });
+    const { sendCount, runCount } = this;
+    const found = await this.resumption.findServer({ sendCount, runCount });
     // Equal requests may have crashed their servers while this one was waiting.
     if (this.hasEnded || this.endIfBlocked()) {
       return undefined;
@@ -278,7 +258,7 @@
         headers,
         remainingMs: () => this.remainingMs(),
         urgency: headers.model === undefined ? undefined : Math.min(MAX_URGENCY_RANK, route.priority),
-        getLastEventId: () => this.lastEventId,
+        getLastEventId: () => this.resumption.lastEventId,
         ...chunkTimeouts,
       },
       {
@@ -347,44 +327,10 @@
     }
   }
 
-  /** Moves the request from a silent server to another one, if one takes it; otherwise the silent server keeps it. */
   private async handleSilence(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
-    if (this.isReplacing || !this.mayRunAgain(this.runCount + 1)) {
-      return;
-    }
-    this.isReplacing = true;
-    try {
-      const result = await this.silentServerReplacement.find(attempt, serverId);
-      this.logSilence(attempt, serverId, result);
-      if (result.kind === 'found') {
-        this.replacement = result.next;
-        attempt.abandon();
-      }
-    } finally {
-      this.isReplacing = false;
-    }
-  }
-
-  /** Logs the decision on a silent server, and records the silence as a failure if the server keeps the request. */
-  private logSilence(attempt: BackendAttempt, serverId: ServerId, result: ReplacementResult): void {
-    const { clock, chooser, log, metrics } = this.deps;
-    const outcome = result.kind === 'found' ? 'moved' : result.reason;
-    const decision = `${serverId} ${outcome}`;
-    if (this.hasEnded || decision === this.lastSilenceDecision) {
-      return;
-    }
-    this.lastSilenceDecision = decision;
-    metrics.count(result.kind === 'found' ? 'silent_servers_left' : 'silent_servers_kept');
-    if (outcome === 'noRetryLeft' || outcome === 'noOtherServer') {
-      chooser.recordOutcome(serverId, true, clock.nowMs());
+    if (this.mayRunAgain(this.runCount + 1)) {
+      await this.resumption.replaceSilent(attempt, serverId);
     }
-    log.decision('server fell silent', {
-      requestId: this.request.headers.requestId,
-      serverId,
-      silentMs: Math.round(clock.nowMs() - attempt.lastReceivedAtMs),
-      outcome,
-      nextServerId: result.kind === 'found' ? result.next.server.entry.serverId : '',
-    });
   }
 
   /** Records what a failed attempt has in common with others that may have failed in the same crash of the server. */
@@ -507,7 +453,7 @@
     const { crashTracker, agentConnections, clock } = this.deps;
     this.runCount++;
     this.search.exclude(serverId);
-    this.wasBrokenOff ||= end.cause !== 'silence';
+    this.resumption.recordBreak(end.cause);
     if (end.cause === 'server') {
       const count = crashTracker.recordCrash(this.request.fingerprint, serverId, clock.nowMs());
       if (count > 1) {
@@ -520,9 +466,9 @@
   }
 
   private beginStream(head: ResponseHead): void {
-    if (!this.hasBegun && !this.hasEnded) {
+    if (!this.resumption.hasBegun && !this.hasEnded) {
       this.sink.beginStream(head);
-      this.hasBegun = true;
+      this.resumption.recordBegin();
     }
   }
 
@@ -532,8 +478,8 @@
     }
     const nowMs = this.deps.clock.nowMs();
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
-    this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.lastEventAtMs ?? nowMs));
-    this.lastEventAtMs = nowMs;
+    this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.resumption.lastEventAtMs ?? nowMs));
+    this.resumption.recordEvents(events, nowMs);
     if (this.attemptFirstEventAtMs === undefined) {
       this.attemptFirstEventAtMs = nowMs;
       this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
@@ -542,7 +488,6 @@
       this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
       this.recordAnswered(nowMs);
     }
-    this.lastEventId = events.lastEventId ?? this.lastEventId;
     if (!this.sink.sendEvents(events.bytes)) {
       attempt.pause();
       this.sink.onceDrained(() => attempt.resume());
@@ -652,7 +597,7 @@
 
   private refuse(status: number, detail: string, retryAfterMs?: number): void {
     this.end(`refused ${status}`, detail);
-    if (this.hasBegun) {
+    if (this.resumption.hasBegun) {
       this.sink.closeConnection();
     } else {
       this.sink.refuse(status, detail, retryAfterMs);
@@ -665,7 +610,7 @@
     this.hasEnded = true;
     this.deadlineTimer.cancel();
     this.attempt?.cancel();
-    this.replacement?.attempt.cancel();
+    this.resumption.cancel();
     if (headers.model !== undefined) {
       modelLoader.stopWaiting(headers.model, headers.requestId);
     }
@@ -678,7 +623,7 @@
       outcome,
       detail,
       verdict: this.tracker.verdict,
-      isCut: this.hasBegun && outcome.startsWith('refused'),
+      isCut: this.resumption.hasBegun && outcome.startsWith('refused'),
       connectionRequestNumber: this.request.connectionRequestNumber,
       tookMs: Math.round(tookMs),
       sendCount: this.sendCount,
--- /dev/null
+++ b/src/direct/StreamResumption.ts
@@ -0,0 +1,176 @@
+import type { ServerId } from '../domain/index.js';
+import type { Clock } from '../kernel/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import type { BackendAttempt, BreakCause } from './BackendAttempt.js';
+import type { CompleteEvents, KnownServer, RequestLimits, ServerChooser } from './decisions/index.js';
+import type { CallerRequest } from './RequestForwarder.js';
+import type { SearchResult, ServerSearch } from './ServerSearch.js';
+import {
+  SilentServerReplacement,
+  type PreparedAttempt,
+  type ReplacementResult,
+  type RetryAllowance,
+} from './SilentServerReplacement.js';
+
+/** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
+export const MAX_SENDS = 6;
+
+/** Dependencies of {@link StreamResumption}. */
+export interface StreamResumptionDependencies {
+  readonly clock: Clock;
+  readonly chooser: ServerChooser;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Numbers of a request's attempts so far. */
+export interface AttemptCounts {
+  /** Number of sends, including those that servers refused. */
+  readonly sendCount: number;
+  /** Number of servers that may have run the request. */
+  readonly runCount: number;
+}
+
+/** Progress of one response, to which several servers may contribute, and the choice of the server that continues it. */
+export class StreamResumption {
+  private readonly silentServerReplacement: SilentServerReplacement;
+  private progressEventId: string | undefined;
+  private progressAtMs: number | undefined;
+  private isBegun = false;
+  /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
+  private wasBrokenOff = false;
+  /** Connected attempt at the server that replaces a silent one; its retry was taken from the budget. */
+  private replacement: PreparedAttempt | undefined;
+  private isReplacing = false;
+  /** Last decision on a silent server, which is logged when it changes. */
+  private lastSilenceDecision: string | undefined;
+
+  /**
+   * @param deps - Dependencies.
+   * @param request - The caller's request.
+   * @param limits - Limits of the request.
+   * @param search - Search for the servers of the request.
+   * @param retries - Retry budget.
+   * @param createAttempt - Creates an attempt at a server after one more server may have run the request.
+   * @param isOver - Returns whether the request has ended.
+   */
+  constructor(
+    private readonly deps: StreamResumptionDependencies,
+    private readonly request: CallerRequest,
+    private readonly limits: RequestLimits,
+    private readonly search: ServerSearch,
+    retries: RetryAllowance,
+    createAttempt: (server: KnownServer) => BackendAttempt,
+    private readonly isOver: () => boolean,
+  ) {
+    this.progressEventId = request.headers.lastEventId;
+    this.silentServerReplacement = new SilentServerReplacement(search, retries, createAttempt);
+  }
+
+  /** Whether the caller has received the head of a stream. */
+  get hasBegun(): boolean {
+    return this.isBegun;
+  }
+
+  /** ID of the event after which the stream continues. */
+  get lastEventId(): string | undefined {
+    return this.progressEventId;
+  }
+
+  /** When the last events were passed on; undefined before the first ones. */
+  get lastEventAtMs(): number | undefined {
+    return this.progressAtMs;
+  }
+
+  /** Records that the head of the stream was passed on. */
+  recordBegin(): void {
+    this.isBegun = true;
+  }
+
+  /**
+   * Records events that are passed on.
+   * @param events - The events.
+   * @param nowMs - Current time.
+   */
+  recordEvents(events: CompleteEvents, nowMs: number): void {
+    this.progressAtMs = nowMs;
+    this.progressEventId = events.lastEventId ?? this.progressEventId;
+  }
+
+  /**
+   * Records that an attempt ended without a complete response.
+   * @param cause - Why it ended.
+   */
+  recordBreak(cause: BreakCause): void {
+    this.wasBrokenOff ||= cause !== 'silence';
+  }
+
+  /**
+   * Finds the next server for the request.
+   * @param counts - Numbers of attempts so far.
+   */
+  findServer({ sendCount, runCount }: AttemptCounts): Promise<SearchResult> {
+    const mayWait = !this.isBegun || !this.wasBrokenOff;
+    const waitingSinceMs = this.progressAtMs ?? this.request.receivedAtMs;
+    return this.search.find({
+      waitUntilMs: mayWait ? this.limits.getWaitDeadlineMs(waitingSinceMs) : undefined,
+      mayRetryServers: sendCount < MAX_SENDS && (runCount === 0 || !this.wasBrokenOff),
+    });
+  }
+
+  /**
+   * Moves the request from a silent server to another one, if one takes it; otherwise the silent server keeps it.
+   * @param attempt - Attempt at the silent server.
+   * @param serverId - The silent server.
+   */
+  async replaceSilent(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
+    if (this.isReplacing) {
+      return;
+    }
+    this.isReplacing = true;
+    try {
+      const result = await this.silentServerReplacement.find(attempt, serverId);
+      this.logSilence(attempt, serverId, result);
+      if (result.kind === 'found') {
+        this.replacement = result.next;
+        attempt.abandon();
+      }
+    } finally {
+      this.isReplacing = false;
+    }
+  }
+
+  /** Returns the attempt that replaces a silent server, once; undefined if there is none. */
+  takeReplacement(): PreparedAttempt | undefined {
+    const { replacement } = this;
+    this.replacement = undefined;
+    return replacement;
+  }
+
+  /** Cancels an attempt that was prepared and not sent. */
+  cancel(): void {
+    this.replacement?.attempt.cancel();
+  }
+
+  /** Logs the decision on a silent server, and records the silence as a failure if the server keeps the request. */
+  private logSilence(attempt: BackendAttempt, serverId: ServerId, result: ReplacementResult): void {
+    const { clock, chooser, log, metrics } = this.deps;
+    const outcome = result.kind === 'found' ? 'moved' : result.reason;
+    const decision = `${serverId} ${outcome}`;
+    if (this.isOver() || decision === this.lastSilenceDecision) {
+      return;
+    }
+    this.lastSilenceDecision = decision;
+    metrics.count(result.kind === 'found' ? 'silent_servers_left' : 'silent_servers_kept');
+    if (outcome === 'noRetryLeft' || outcome === 'noOtherServer') {
+      chooser.recordOutcome(serverId, true, clock.nowMs());
+    }
+    log.decision('server fell silent', {
+      requestId: this.request.headers.requestId,
+      serverId,
+      silentMs: Math.round(clock.nowMs() - attempt.lastReceivedAtMs),
+      outcome,
+      nextServerId: result.kind === 'found' ? result.next.server.entry.serverId : '',
+    });
+  }
+}
