A server's limit on its requests is decoded and logged

Server-Limit is decoded once, in platform/, from the heads of responses (ServerNotice) and of engine reports (EngineReport); routers and agents log each change. A response counts as naming none only if it is signed or states that the request did not run. Nothing else follows from the limit yet. What a server states about itself is applied outside RequestForwarder now. The stand-ins of workers can name a limit.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -154,6 +154,14 @@
         onDisk: report.modelsOnDisk.join(' '),
       });
     }
+    if (this.planner.engineReport?.maxRequestsPerSecond !== report.maxRequestsPerSecond) {
+      const { maxRequestsPerSecond } = report;
+      const isLimited = maxRequestsPerSecond !== undefined;
+      log.decision(
+        'engine limits its requests',
+        isLimited ? { isLimited, maxRequestsPerSecond } : { isLimited },
+      );
+    }
     this.planner.applyReport(report, clock.nowMs());
     if (!report.isBusy) {
       this.loadingModel = undefined;
--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -42,6 +42,11 @@
   readonly isLeaving: boolean;
   /** Time for which the server wants no requests from this router, in milliseconds. */
   readonly pauseMs?: number;
+  /**
+   * Number of requests per second that the server accepts from all routers together, infinite if it names no limit; absent
+   * if the response does not tell.
+   */
+  readonly maxRequestsPerSecond?: number;
 }
 
 /** Decoded headers of a backend server's response. */
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -2,6 +2,7 @@
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
+import { applyServerNotice } from './applyServerNotice.js';
 import { describeEnd, isServerFault } from './attemptEnds.js';
 import { BackendAttempt, type AttemptEnd, type ResponseHead } from './BackendAttempt.js';
 import {
@@ -17,7 +18,7 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import { getSharedParts, type RequestHeaders, type HeaderCodec, type ServerNotice } from './HeaderCodec.js';
+import { getSharedParts, type RequestHeaders, type HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import { ServerSearch } from './ServerSearch.js';
 import type { PreparedAttempt } from './SilentServerReplacement.js';
@@ -262,7 +263,7 @@
         ...chunkTimeouts,
       },
       {
-        onServerNotice: (notice) => this.applyNotice(server, notice),
+        onServerNotice: (notice) => applyServerNotice(this.deps, server.entry, notice),
         onStreamStart: (head) => this.beginStream(head),
         onEvents: (events) => this.sendEvents(events, attempt),
         onSilence: () => {
@@ -361,22 +362,6 @@
     }
   }
 
-  /** Applies what a server states about itself; the response that carries it is handled as any other. */
-  private applyNotice({ entry }: KnownServer, { isLeaving, pauseMs }: ServerNotice): void {
-    const { view, clock, agentConnections, log, metrics } = this.deps;
-    const { serverId, bornAtMs } = entry;
-    if (isLeaving && view.recordLeaving(entry)) {
-      metrics.count('servers_stated_leaving');
-      log.decision('server states that it is leaving', { serverId, bornAtMs });
-      agentConnections.notifyLeaving({ serverId, bornAtMs });
-    }
-    if (pauseMs !== undefined) {
-      metrics.count('servers_paused');
-      log.decision('server asks for a pause', { serverId, bornAtMs, pauseMs });
-      view.holdServer(serverId, pauseMs, clock.nowMs());
-    }
-  }
-
   /** Keeps the part of the buffer budget that a body takes until the response to the caller is closed. */
   private keepBuffered(byteCount: number): void {
     if (this.isClosed) {
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -2,6 +2,7 @@
 import { rankByHash } from './rendezvous.js';
 import type { ServerEntry } from './ServerEntry.js';
 import { ServerHolds } from './ServerHolds.js';
+import { ServerRateLimits } from './ServerRateLimits.js';
 import { ServerRetirements, type ServerIncarnation } from './ServerRetirements.js';
 
 /**
@@ -25,6 +26,7 @@
   private readonly graceEndsAtMsByServer = new Map<ServerId, number>();
   private readonly retirements = new ServerRetirements();
   private readonly holds = new ServerHolds();
+  private readonly rateLimits = new ServerRateLimits();
   /** Servers that only the list of a restored store shows although they were removed before, and since when. */
   private readonly unconfirmedSinceMs = new Map<ServerId, number>();
   /** Cached ranks of the servers; undefined after the list has changed. */
@@ -111,6 +113,15 @@
     this.holds.hold(serverId, forMs, nowMs);
   }
 
+  /**
+   * Records the limit that a server names for its requests; returns whether that is a change.
+   * @param serverId - The server.
+   * @param maxRequestsPerSecond - Number of requests per second from all routers together; infinite if it names no limit.
+   */
+  recordRateLimit(serverId: ServerId, maxRequestsPerSecond: number): boolean {
+    return this.rateLimits.record(serverId, maxRequestsPerSecond);
+  }
+
   /**
    * Removes a server that is no longer listed, or starts its grace period around an outage of the store.
    * @param serverId - The server.
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -11,6 +11,7 @@
 export * from './watchTimes.js';
 export * from './ServerRetirements.js';
 export * from './ServerHolds.js';
+export * from './ServerRateLimits.js';
 export * from './ServerDirectory.js';
 export * from './FleetView.js';
 export * from './ArrivalRates.js';
--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -59,6 +59,8 @@
 export abstract class Worker {
   /** Time at which the worker reported that it is draining; undefined while it accepts requests. */
   drainingSinceMs: number | undefined;
+  /** Number of requests per second that the worker accepts from all machines together; undefined without a limit. */
+  maxRequestsPerSecond: number | undefined;
   /** Whether answers omit that the worker is leaving or wants a pause, for tests that inject a fault. */
   omitsNotices = false;
   protected bornAtMs = Date.now();
@@ -197,6 +199,9 @@
         if (this.drainingSinceMs !== undefined && !this.omitsNotices) {
           response.setHeader('server-leaving', '1');
         }
+        if (this.maxRequestsPerSecond !== undefined && !this.omitsNotices) {
+          response.setHeader('server-limit', String(this.maxRequestsPerSecond));
+        }
         if (!this.handleControlRequest(incoming, response, body)) {
           this.handleServiceRequest(incoming, response, arrivedAtMs);
         }
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -267,7 +267,7 @@
   it('decodes what a server states about itself', () => {
     const getNotice = (status: number, headers: Record<string, string>) =>
       codec.decodeResponse(status, headers, 'r1', serverId).serverNotice;
-    const none = { isLeaving: false, pauseMs: undefined };
+    const none = { isLeaving: false, pauseMs: undefined, maxRequestsPerSecond: undefined };
     expect(getNotice(200, {})).to.deep.equal(none);
     expect(getNotice(200, { 'server-leaving': '1' })).to.deep.equal({ ...none, isLeaving: true });
     expect(getNotice(503, { 'server-leaving': '0' })).to.deep.equal(none);
@@ -279,6 +279,21 @@
     expect(getNotice(421, { 'server-leaving': '1', 'instance-id': 'i-2' }).isLeaving).to.equal(false);
   });
 
+  it('decodes the limit that a server names, and that a credible response names none', () => {
+    const getLimit = (status: number, headers: Record<string, string>) =>
+      codec.decodeResponse(status, headers, 'r1', serverId).serverNotice.maxRequestsPerSecond;
+    const signed = { 'response-stamp': 's', 'request-id': 'r1' };
+    expect(getLimit(200, { ...signed, 'server-limit': '2.4' })).to.equal(2.4);
+    expect(getLimit(503, { 'server-limit': '0' })).to.equal(0);
+    expect(getLimit(200, signed)).to.equal(Infinity);
+    expect(getLimit(503, { 'not-run': '1' })).to.equal(Infinity);
+    expect(getLimit(200, {})).to.equal(undefined);
+    expect(getLimit(200, { 'server-limit': '2.4', 'instance-id': 'i-2' })).to.equal(undefined);
+    for (const value of ['-1', '1e9', 'soon', '', '2,4']) {
+      expect(getLimit(200, { ...signed, 'server-limit': value })).to.equal(Infinity);
+    }
+  });
+
   it('marks a response as authentic only with a stamp, the id of the request and no content encoding', () => {
     const authentic = { 'response-stamp': 's', 'request-id': 'r1' };
     const expectAuthentic = (headers: Record<string, string>, expected: boolean) =>
