--- a/test/direct/EngineFleet.ts
+++ b/test/direct/EngineFleet.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { toServerId } from '../../src/domain/index.js';
 import {
   EngineController,
@@ -11,7 +12,7 @@
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerServer, TrafficMeter } from '../../src/transport/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
-import { makeEntry, makeHeldModel, makeRoute } from './fleetFixtures.js';
+import { makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, PEER_SECRET, RouterBench } from './RouterBench.js';
 
 /** Time from the arrival of a request to its first event, in milliseconds. */
@@ -28,13 +29,25 @@
 export interface EngineArrival {
   readonly atMs: number;
   readonly promptParts: readonly string[];
+  /** Address of the engine or plain server. */
+  readonly address: string;
 }
 
+/** Route to the plain servers of a fleet. */
+const plainRoute = makeRoute({
+  pathPrefix: '/plain/',
+  kind: 'idempotent',
+  isResumable: false,
+  targets: [{ serviceId: ORDERS, weight: 1 }],
+});
+
 /** Engine with its agent; it crashes when it begins an answer on a given prompt part. */
 class CrashingEngine extends EnginePort {
   private server: Server | undefined;
   private entry: ServerEntry | undefined;
   private startCount = 0;
+  /** Number of requests per second that the engine accepts, named in its answers; undefined without a limit. */
+  maxRequestsPerSecond: number | undefined;
   private isStopped = false;
 
   constructor(
@@ -69,6 +82,7 @@
         cacheTokens: 1_000,
         modelsInMemory: [],
         modelsOnDisk: [],
+        maxRequestsPerSecond: this.maxRequestsPerSecond,
       },
     );
   }
@@ -115,7 +129,7 @@
   private handle(incoming: IncomingMessage, response: ServerResponse): void {
     const prefix = String(incoming.headers['prompt-prefix'] ?? '');
     const promptParts = prefix.split(',').map((pair) => pair.split(':')[0] ?? '');
-    this.fleet.arrivals.push({ atMs: CLOCK.nowMs(), promptParts });
+    this.fleet.arrivals.push({ atMs: CLOCK.nowMs(), promptParts, address: this.address });
     incoming.resume();
     setTimeout(() => {
       if (promptParts.includes(this.fleet.crashingPart)) {
@@ -127,7 +141,10 @@
   }
 
   private async stream(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    response.writeHead(200, makeResponseHeaders(incoming, 'text/event-stream'));
+    response.writeHead(200, {
+      ...makeResponseHeaders(incoming, 'text/event-stream'),
+      ...makeLimitHeaders(this.maxRequestsPerSecond),
+    });
     for (let event = 1; event <= EVENT_COUNT; event++) {
       response.write(`id: ${event}\ndata: x\n\n`);
       await delay(CLOCK, EVENT_INTERVAL_MS);
@@ -142,7 +159,9 @@
   readonly crashedAtMs: number[] = [];
   readonly routers: RouterBench[] = [];
   private readonly engines: CrashingEngine[] = [];
-  private readonly agents: { stop(): Promise<void> }[] = [];
+  /** Agents by the address of their engine. */
+  private readonly agents = new Map<string, { stop(): Promise<void> }[]>();
+  private readonly plainServers: { readonly server: Server; readonly entry: ServerEntry }[] = [];
   private reservation: LoopbackReservation | undefined;
   private agentPort = 0;
 
@@ -165,6 +184,45 @@
     }
   }
 
+  /** Address of the engines, in the order of their start. */
+  get engineAddresses(): readonly string[] {
+    return this.engines.map(({ address }) => address);
+  }
+
+  /** Makes all engines name a limit. */
+  limitEngines(maxRequestsPerSecond: number): void {
+    for (const engine of this.engines) {
+      engine.maxRequestsPerSecond = maxRequestsPerSecond;
+    }
+  }
+
+  /** Stops the agent beside an engine; the engine goes on. */
+  async stopAgent(address: string): Promise<void> {
+    await Promise.all((this.agents.get(address) ?? []).map((agent) => agent.stop()));
+    this.agents.delete(address);
+  }
+
+  /** Adds a server without an agent that names a limit; returns its address. */
+  async addPlainServer(id: string, maxRequestsPerSecond: number): Promise<string> {
+    const server = createServer((incoming, response) => {
+      this.arrivals.push({ atMs: CLOCK.nowMs(), promptParts: [], address });
+      incoming.resume();
+      response.writeHead(200, {
+        ...makeResponseHeaders(incoming),
+        ...makeLimitHeaders(maxRequestsPerSecond),
+      });
+      response.end('{}');
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const entry = makeEntry(id, { address, serviceId: ORDERS });
+    this.plainServers.push({ server, entry });
+    this.publish(entry);
+    return address;
+  }
+
   /** Starts a router that knows all engines and waits until it is connected to their agents. */
   async addRouter(): Promise<RouterBench> {
     const router = new RouterBench(undefined, this.agentPort);
@@ -173,8 +231,11 @@
         router.view.applyEntry(currentEntry);
       }
     }
+    for (const { entry } of this.plainServers) {
+      router.view.applyEntry(entry);
+    }
     this.routers.push(router);
-    await router.start([makeRoute()]);
+    await router.start([makeRoute(), plainRoute]);
     await delay(CLOCK, 300);
     return router;
   }
@@ -196,7 +257,11 @@
       engine.stop();
     }
     await Promise.all(this.routers.map((router) => router.close()));
-    await Promise.all(this.agents.map((agent) => agent.stop()));
+    await Promise.all([...this.agents.keys()].map((address) => this.stopAgent(address)));
+    for (const { server } of this.plainServers) {
+      server.close();
+      server.closeAllConnections();
+    }
     await this.reservation?.release();
   }
 
@@ -212,6 +277,10 @@
     const server = new PeerServer(address, PEER_SECRET, CLOCK, controller.getMethods(), new TrafficMeter());
     await server.start();
     await controller.start();
-    this.agents.push(server, controller);
+    this.agents.set(engine.address, [server, controller]);
   }
 }
+
+function makeLimitHeaders(maxRequestsPerSecond: number | undefined): Record<string, string> {
+  return maxRequestsPerSecond === undefined ? {} : { 'server-limit': String(maxRequestsPerSecond) };
+}
