Requests to a server that names a limit need a permit of its agent

Callers saw nothing; the servers did: five routers sent what they had, 24 requests in 4 s at limits of 1.1 and 2.4/s (allowed 12 and 19).

Class of fault: a bound on a sum over routers that no process keeps.

Change: a request to such a server is sent with a permit. The agent beside the server issues them from a token bucket, so retries, moves, and requests that waited for a model are counted like all others. If that agent is lost, the next one in an order common to all routers issues the share of those that ask it; without any agent a router keeps to limit / routers. When no server is left that permits the request, it is refused at once with a time; refused callers get times one permit apart. A router that loses all agents goes on with the last known number of routers, which was 1 before. Agents report the limit of their engine.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -9,8 +9,10 @@
   FleetView,
   FleetWatcher,
   ModelLoader,
+  PermitIssuer,
   PromptPartSuspects,
   ReadinessServer,
+  RequestPermits,
   SharedRetryBudget,
   ServerChooser,
   type EnginePort,
@@ -106,6 +108,7 @@
       chooser,
       modelLoader,
       agentConnections,
+      permits: new RequestPermits({ clock, view, agentConnections, log, metrics }),
       codec,
       crashTracker,
       partSuspects,
@@ -147,12 +150,14 @@
   const { services, clock, log, metrics } = startCommon(options);
   const { engine, engineAddress } = options;
   const controller = new EngineController({ clock, engine, engineAddress, log, metrics });
+  const getRouterCount = () => controller.routerCount;
+  const permitIssuer = new PermitIssuer({ clock, engineAddress, getRouterCount, metrics });
   await services.start(
     new PeerServer(
       options.peerAddress,
       options.peerSecret,
       clock,
-      controller.getMethods(),
+      { ...controller.getMethods(), ...permitIssuer.getMethods() },
       new TrafficMeter(),
     ),
   );
--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -1,4 +1,5 @@
-import type { Clock, Service } from '../kernel/index.js';
+import { JSONRPCErrorCode, JSONRPCErrorException } from 'json-rpc-2.0';
+import type { Clock, Service, Timer } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
 import type { Log } from '../telemetry/index.js';
 import type { PeerConnection, PeerDialer, PeerMethods } from '../transport/index.js';
@@ -20,16 +21,23 @@
   type BrokenOffParams,
   type EngineCrashesParams,
   type EngineReportParams,
+  type EnsureAdapterParams,
   type EnsureAdapterReply,
   type ModelUseParams,
   type PartsAnsweredParams,
   type WantModelParams,
 } from './messages.js';
+import { RunningModelUses } from './RunningModelUses.js';
 
 /** Interval at which missing connections are dialed, in milliseconds. */
 const DIAL_INTERVAL_MS = 200;
 /** Number of agents that are notified of a leaving server, so that the loss of one or two does not matter. */
 const LEAVING_NOTICE_COUNT = 3;
+/**
+ * Time after its last message for which an agent counts as in touch, in milliseconds; an idle router receives a report each
+ * second.
+ */
+const MAX_SILENCE_MS = 2_000;
 /** Timeout of a request for an adapter, in milliseconds; longer than the agent's timeout. */
 const ADAPTER_TIMEOUT_MS = 600;
 
@@ -49,14 +57,26 @@
   followedVersion: number;
   /** Latest report, to which the agent's next changes are applied. */
   report: AgentReport | undefined;
+  /** When the agent last sent a report or an answer. */
+  heardAtMs: number;
+  /** Methods that the agent does not offer, since it is of an older version. */
+  readonly missingMethods: Set<string>;
 }
 
+/** Result of a call of an agent's method. */
+export type AgentCallResult<T> =
+  | { readonly kind: 'answered'; readonly value: T }
+  /** No answer came in time, or the agent failed; it may have executed the call. */
+  | { readonly kind: 'silent' }
+  /** The agent does not offer the method. */
+  | { readonly kind: 'unsupported' };
+
 /** Keeps a router connected to the agents of all engines: receives their reports and sends them load requests. */
 export class AgentConnections implements Service {
   private readonly connections = new Map<string, AgentConnection>();
   private readonly dialling = new Set<string>();
-  /** Running requests on models, by address of the engine; an agent is notified of them again when it reconnects. */
-  private readonly runningUses = new Map<string, ModelUseParams[]>();
+  /** An agent is notified of its engine's running requests again when it reconnects. */
+  private readonly runningUses = new RunningModelUses();
   private readonly dialTask: PeriodicTask;
   private reportListener: () => void = () => undefined;
   private crashListener: (address: string, crashes: readonly EngineCrash[]) => void = () => undefined;
@@ -138,7 +158,7 @@
    */
   notifyModelUse(address: string, event: 'started' | 'ended', model: string, isInteractive: boolean): void {
     const use: ModelUseParams = { model, isInteractive };
-    this.recordUse(address, event, use);
+    this.runningUses.record(address, event, use);
     this.connections.get(address)?.connection.notify(RESIDENCY_METHODS[event], use);
   }
 
@@ -149,18 +169,72 @@
    * @param adapter - Name of the adapter.
    */
   async ensureAdapter(address: string, model: string, adapter: string): Promise<boolean> {
+    const params: EnsureAdapterParams = { model, adapter };
+    const method = RESIDENCY_METHODS.ensureAdapter;
+    const result = await this.call<EnsureAdapterReply>(address, method, params, ADAPTER_TIMEOUT_MS);
+    return result.kind === 'answered' && result.value.isReady;
+  }
+
+  /**
+   * Calls a method of an agent.
+   * @param address - Address of the agent's engine.
+   * @param method - Name of the method.
+   * @param params - Parameters.
+   * @param timeoutMs - Time to wait for the answer, in milliseconds.
+   */
+  async call<T>(
+    address: string,
+    method: string,
+    params: object,
+    timeoutMs: number,
+  ): Promise<AgentCallResult<T>> {
     const agent = this.connections.get(address);
     if (!agent) {
-      return false;
+      return { kind: 'silent' };
     }
-    const isReady = agent.connection
-      .call<EnsureAdapterReply>(RESIDENCY_METHODS.ensureAdapter, { model, adapter })
-      .then((reply) => reply.isReady)
-      .catch(() => false);
-    const timeout = new Promise<boolean>((resolve) => {
-      this.deps.clock.schedule(ADAPTER_TIMEOUT_MS, () => resolve(false));
+    let timer: Timer | undefined;
+    const timeout = new Promise<AgentCallResult<T>>((resolve) => {
+      timer = this.deps.clock.schedule(timeoutMs, () => resolve({ kind: 'silent' }));
     });
-    return Promise.race([isReady, timeout]);
+    const answer = agent.connection.call<T>(method, params).then(
+      (value): AgentCallResult<T> => ({ kind: 'answered', value }),
+      (error: unknown): AgentCallResult<T> => ({ kind: isMethodMissing(error) ? 'unsupported' : 'silent' }),
+    );
+    const result = await Promise.race([answer, timeout]);
+    timer?.cancel();
+    if (result.kind === 'answered') {
+      agent.heardAtMs = this.deps.clock.nowMs();
+    } else if (result.kind === 'unsupported') {
+      agent.missingMethods.add(method);
+    }
+    return result;
+  }
+
+  /**
+   * Whether an agent is connected, has sent something lately and offers a method, as far as is known.
+   * @param address - Address of the agent's engine.
+   * @param method - Name of the method.
+   */
+  isInTouch(address: string, method: string): boolean {
+    const agent = this.connections.get(address);
+    return (
+      agent !== undefined &&
+      this.deps.clock.nowMs() - agent.heardAtMs < MAX_SILENCE_MS &&
+      !agent.missingMethods.has(method)
+    );
+  }
+
+  /**
+   * Returns the addresses of the connected agents' engines in an order that depends on a key and is the same on all
+   * routers.
+   * @param key - The key.
+   */
+  rankAgents(key: string): string[] {
+    const weights = new Map<string, number>();
+    for (const address of this.connections.keys()) {
+      weights.set(address, hashToFraction(key, address));
+    }
+    return [...weights.keys()].sort((left, right) => (weights.get(right) ?? 0) - (weights.get(left) ?? 0));
   }
 
   /**
@@ -200,31 +274,8 @@
    * @param server - Incarnation of the server.
    */
   notifyLeaving(server: ServerIncarnation): void {
-    const candidates = [...this.connections].map(([address, agent]) => ({
-      agent,
-      weight: hashToFraction(server.serverId, address),
-    }));
-    candidates.sort((left, right) => right.weight - left.weight);
-    for (const { agent } of candidates.slice(0, LEAVING_NOTICE_COUNT)) {
-      agent.connection.notify(RESIDENCY_METHODS.leaving, server);
-    }
-  }
-
-  private recordUse(address: string, event: 'started' | 'ended', use: ModelUseParams): void {
-    const uses = this.runningUses.get(address) ?? [];
-    if (event === 'started') {
-      uses.push(use);
-      this.runningUses.set(address, uses);
-      return;
-    }
-    const index = uses.findIndex(
-      ({ model, isInteractive }) => model === use.model && isInteractive === use.isInteractive,
-    );
-    if (index >= 0) {
-      uses.splice(index, 1);
-    }
-    if (uses.length === 0) {
-      this.runningUses.delete(address);
+    for (const address of this.rankAgents(server.serverId).slice(0, LEAVING_NOTICE_COUNT)) {
+      this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.leaving, server);
     }
   }
 
@@ -233,6 +284,7 @@
     if (!agent) {
       return;
     }
+    agent.heardAtMs = this.deps.clock.nowMs();
     const report = applyReportChanges(agent.report, changes);
     if (!isCompleteReport(report)) {
       this.deps.log.warn('report of an agent cannot be read', { address: changes.address });
@@ -267,7 +319,13 @@
     const host = address.slice(0, address.lastIndexOf(':'));
     try {
       const connection = await dialer.connect(`${host}:${peerPort}`);
-      const agent: AgentConnection = { connection, followedVersion: -Infinity, report: undefined };
+      const agent: AgentConnection = {
+        connection,
+        followedVersion: -Infinity,
+        report: undefined,
+        heardAtMs: this.deps.clock.nowMs(),
+        missingMethods: new Set(),
+      };
       connection.acquire();
       this.connections.set(address, agent);
       connection.onClose(() => {
@@ -276,7 +334,7 @@
         log.warn('agent disconnected', { address });
       });
       this.sendFollow(agent, engine);
-      for (const use of this.runningUses.get(address) ?? []) {
+      for (const use of this.runningUses.get(address)) {
         connection.notify(RESIDENCY_METHODS.started, use);
       }
       log.info('agent connected', { address });
@@ -295,3 +353,7 @@
     }
   }
 }
+
+function isMethodMissing(error: unknown): boolean {
+  return error instanceof JSONRPCErrorException && error.code === (JSONRPCErrorCode.MethodNotFound as number);
+}
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -77,6 +77,11 @@
     this.publisher = new ReportPublisher(deps.clock);
   }
 
+  /** Number of routers that are connected to this agent. */
+  get routerCount(): number {
+    return this.publisher.followerCount;
+  }
+
   /** Returns the methods that routers call. */
   getMethods(): PeerMethods {
     return {
@@ -154,9 +159,9 @@
         onDisk: report.modelsOnDisk.join(' '),
       });
     }
-    if (this.planner.engineReport?.maxRequestsPerSecond !== report.maxRequestsPerSecond) {
-      const { maxRequestsPerSecond } = report;
-      const isLimited = maxRequestsPerSecond !== undefined;
+    const maxRequestsPerSecond = report.maxRequestsPerSecond ?? null;
+    if ((this.planner.engineReport?.maxRequestsPerSecond ?? null) !== maxRequestsPerSecond) {
+      const isLimited = maxRequestsPerSecond !== null;
       log.decision(
         'engine limits its requests',
         isLimited ? { isLimited, maxRequestsPerSecond } : { isLimited },
--- a/src/direct/ReportPublisher.ts
+++ b/src/direct/ReportPublisher.ts
@@ -24,7 +24,7 @@
   | 'none'
   /** Matters to routers that use the engine. */
   | 'load'
-  /** Matters to all routers: which models accept requests, and whether the engine stays. */
+  /** Matters to all routers: which models accept requests, whether the engine stays, and its limit. */
   | 'residency';
 
 /** A router that receives reports. */
@@ -143,6 +143,7 @@
   if (
     before?.bornAtMs !== now.bornAtMs ||
     before.isLeaving !== now.isLeaving ||
+    before.maxRequestsPerSecond !== now.maxRequestsPerSecond ||
     describeAcceptingModels(before) !== describeAcceptingModels(now)
   ) {
     return 'residency';
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -20,6 +20,7 @@
 } from './decisions/index.js';
 import { getSharedParts, type RequestHeaders, type HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
+import type { RequestPermits } from './RequestPermits.js';
 import { ServerSearch } from './ServerSearch.js';
 import type { PreparedAttempt } from './SilentServerReplacement.js';
 import { MAX_SENDS, StreamResumption } from './StreamResumption.js';
@@ -44,6 +45,7 @@
   readonly chooser: ServerChooser;
   readonly modelLoader: ModelLoader;
   readonly agentConnections: AgentConnections;
+  readonly permits: RequestPermits;
   readonly codec: HeaderCodec;
   readonly crashTracker: CrashTracker;
   readonly partSuspects: PromptPartSuspects;
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -11,9 +11,12 @@
 } from './decisions/index.js';
 import type { CallerRequest } from './RequestForwarder.js';
 import type { ModelLoader } from './ModelLoader.js';
+import type { RequestPermits } from './RequestPermits.js';
 
 /** Delay before servers that did not accept a request are tried again, in milliseconds. */
 const RETRY_DELAY_MS = 120;
+/** Longest wait for the permit of the last server that could run a request, in milliseconds. */
+const MAX_PERMIT_WAIT_MS = 250;
 
 /** Dependencies of {@link ServerSearch}. */
 export interface ServerSearchDependencies {
@@ -22,6 +25,7 @@
   readonly chooser: ServerChooser;
   readonly modelLoader: ModelLoader;
   readonly agentConnections: AgentConnections;
+  readonly permits: RequestPermits;
 }
 
 /** Options of one search. */
@@ -38,9 +42,19 @@
   /** No server can accept the request in time. */
   | { readonly kind: 'refused'; readonly detail: string; readonly retryAfterMs?: number };
 
+/** Whether a request can be sent to a chosen server. */
+type Usability =
+  | 'usable'
+  /** The server lacks the adapter, or accepts no requests any more. */
+  | 'unusable'
+  /** The server is at its limit. */
+  | 'limited';
+
 /** Finds servers for one request, one at a time, and keeps the set of excluded servers. */
 export class ServerSearch {
   private readonly excluded = new Set<ServerId>();
+  /** Servers that were at their limit, and when a request may be sent there. */
+  private readonly limitedUntilMs = new Map<ServerId, number>();
 
   /**
    * @param deps - Dependencies.
@@ -71,7 +85,7 @@
     const requirements = {
       ...this.toRequirements(),
       isInteractive: false,
-      excludedServerIds: new Set([...this.excluded, serverId]),
+      excludedServerIds: this.getExcludedIds(serverId),
     };
     return this.deps.chooser.hasServer(requirements, this.deps.clock.nowMs());
   }
@@ -91,10 +105,13 @@
         }
         continue;
       }
-      if (await this.isUsable(server)) {
+      const usability = await this.checkUsable(server, this.getMaxPermitWaitMs(server, options));
+      if (usability === 'usable') {
         return { kind: 'found', server };
       }
-      this.excluded.add(server.entry.serverId);
+      if (usability === 'unusable') {
+        this.excluded.add(server.entry.serverId);
+      }
     }
     return { kind: 'refused', detail: 'the request has ended' };
   }
@@ -105,10 +122,10 @@
    */
   async findReplacement(serverId: ServerId): Promise<KnownServer | undefined> {
     const { chooser, clock } = this.deps;
-    const excludedServerIds = new Set([...this.excluded, serverId]);
+    const excludedServerIds = this.getExcludedIds(serverId);
     while (!this.isOver()) {
       const server = chooser.chooseServer({ ...this.toRequirements(), excludedServerIds }, clock.nowMs());
-      if (!server || (await this.isUsable(server))) {
+      if (!server || (await this.checkUsable(server, 0)) === 'usable') {
         return server;
       }
       excludedServerIds.add(server.entry.serverId);
@@ -121,8 +138,15 @@
     const { headers, serviceId } = this.request;
     const untilMs = options.waitUntilMs;
     const holdMs = this.getHoldMs();
+    const limitMs = this.getShortestLimitMs();
     if (untilMs === undefined) {
-      return { kind: 'refused', detail: 'no server takes the rest of the stream', retryAfterMs: holdMs };
+      const detail = 'no server takes the rest of the stream';
+      return { kind: 'refused', detail, retryAfterMs: holdMs ?? limitMs };
+    }
+    if (limitMs !== undefined) {
+      return this.isLoadedInTime(untilMs)
+        ? this.delayRetry(options, untilMs)
+        : { kind: 'refused', detail: 'all servers are at their limits', retryAfterMs: limitMs };
     }
     if (holdMs !== undefined && !this.isLoadedInTime(untilMs)) {
       return { kind: 'refused', detail: 'all servers asked for a pause', retryAfterMs: holdMs };
@@ -182,18 +206,61 @@
     return undefined;
   }
 
-  /** Whether a server has the request's adapter, which is loaded there if necessary, and still accepts requests. */
-  private async isUsable(server: KnownServer): Promise<boolean> {
-    const { view, clock, agentConnections } = this.deps;
-    const { model, adapter } = this.request.headers;
-    if (model === undefined || adapter === undefined) {
-      return true;
+  /** Returns the time for which the request may wait for a server's permit; 0 while another server can run it. */
+  private getMaxPermitWaitMs({ entry }: KnownServer, { waitUntilMs }: SearchOptions): number {
+    if (waitUntilMs === undefined || this.hasOther(entry.serverId)) {
+      return 0;
+    }
+    return Math.max(0, Math.min(MAX_PERMIT_WAIT_MS, waitUntilMs - this.deps.clock.nowMs()));
+  }
+
+  /** Returns the time until the first of the servers that are at their limits accepts a request; undefined if none is. */
+  private getShortestLimitMs(): number | undefined {
+    const nowMs = this.deps.clock.nowMs();
+    let shortestMs: number | undefined;
+    for (const untilMs of this.limitedUntilMs.values()) {
+      if (untilMs > nowMs) {
+        shortestMs = Math.min(shortestMs ?? Infinity, untilMs - nowMs);
+      }
+    }
+    return shortestMs;
+  }
+
+  /**
+   * Whether a server has the request's adapter, which is loaded there if necessary, permits the request and still accepts
+   * requests.
+   */
+  private async checkUsable(server: KnownServer, maxPermitWaitMs: number): Promise<Usability> {
+    const { view, clock, permits } = this.deps;
+    const { entry } = server;
+    if (!(await this.ensureAdapter(server))) {
+      return 'unusable';
+    }
+    const permit = await permits.take(server, this.request.headers.requestId, maxPermitWaitMs);
+    if (!permit.isGranted) {
+      this.limitedUntilMs.set(entry.serverId, clock.nowMs() + permit.retryInMs);
+      return 'limited';
+    }
+    if (permit.waitMs > 0) {
+      await delay(clock, permit.waitMs);
     }
-    const isReady =
-      getHeldModel(server, model)?.adapters.includes(adapter) === true ||
-      (await agentConnections.ensureAdapter(server.entry.address, model, adapter));
     // The server may have stated meanwhile that it is leaving, or asked for a pause.
-    return isReady && view.acceptsRequests(server.entry, clock.nowMs());
+    return view.acceptsRequests(entry, clock.nowMs()) ? 'usable' : 'unusable';
+  }
+
+  private async ensureAdapter(server: KnownServer): Promise<boolean> {
+    const { model, adapter } = this.request.headers;
+    return (
+      model === undefined ||
+      adapter === undefined ||
+      getHeldModel(server, model)?.adapters.includes(adapter) === true ||
+      this.deps.agentConnections.ensureAdapter(server.entry.address, model, adapter)
+    );
+  }
+
+  /** Returns the servers that cannot be used now, and the given one. */
+  private getExcludedIds(serverId: ServerId): Set<ServerId> {
+    return new Set([...this.toRequirements().excludedServerIds, serverId]);
   }
 
   private toRequirements(): ServerRequirements {
@@ -201,6 +268,19 @@
     const isInteractive = this.limits.isInteractive && headers.model !== undefined;
     const { model, adapter } = headers;
     const tokenCount = headers.promptTokens + headers.maxOutputTokens;
-    return { serviceId, model, adapter, isInteractive, tokenCount, excludedServerIds: this.excluded };
+    const excludedServerIds = this.excludeLimited();
+    return { serviceId, model, adapter, isInteractive, tokenCount, excludedServerIds };
+  }
+
+  private excludeLimited(): ReadonlySet<ServerId> {
+    const nowMs = this.deps.clock.nowMs();
+    for (const [serverId, untilMs] of this.limitedUntilMs) {
+      if (nowMs >= untilMs) {
+        this.limitedUntilMs.delete(serverId);
+      }
+    }
+    return this.limitedUntilMs.size === 0
+      ? this.excluded
+      : new Set([...this.excluded, ...this.limitedUntilMs.keys()]);
   }
 }
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -26,6 +26,8 @@
   readonly report: AgentReport | undefined;
   /** When the latest report was received. */
   readonly reportedAtMs: number;
+  /** Number of requests per second that the server accepts from all routers together; undefined without a limit. */
+  readonly maxRequestsPerSecond: number | undefined;
 }
 
 /** A router's view of the fleet: the configuration and the backend servers. */
@@ -35,6 +37,7 @@
   private readonly crashReporters = new Set<string>();
   /** Cached number of routers; undefined after a report has changed it. */
   private cachedRouterCount: number | undefined;
+  private lastRouterCount = 1;
   /** Time until which a model counts as not loaded on a server, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
   private currentConfiguration: ServingConfiguration | undefined;
@@ -84,9 +87,11 @@
    * @param nowMs - Current time.
    */
   applyReport(report: AgentReport, nowMs: number): void {
-    if (this.reports.get(report.address)?.report.routerCount !== report.routerCount) {
+    const previous = this.reports.get(report.address)?.report;
+    if (previous?.routerCount !== report.routerCount) {
       this.cachedRouterCount = undefined;
     }
+    this.applyReportedLimit(previous, report);
     this.reports.set(report.address, { report, atMs: nowMs });
     this.crashReporters[Object.keys(report.crashCounts).length > 0 ? 'add' : 'delete'](report.address);
     this.applyLeavingServers(report);
@@ -157,14 +162,18 @@
     return shortestMs;
   }
 
-  /** Number of routers, as the largest number of connected routers that an agent reports; at least 1. */
+  /**
+   * Number of routers, as the largest number of connected routers that an agent reports; the last known number if no agent
+   * is connected, 1 before the first report.
+   */
   get routerCount(): number {
     if (this.cachedRouterCount === undefined) {
-      let count = 1;
+      let count = this.reports.size === 0 ? this.lastRouterCount : 1;
       for (const { report } of this.reports.values()) {
         count = Math.max(count, report.routerCount);
       }
       this.cachedRouterCount = count;
+      this.lastRouterCount = count;
     }
     return this.cachedRouterCount;
   }
@@ -194,6 +203,25 @@
     }
   }
 
+  /**
+   * Applies the limit that an agent reads from its engine. Where the engine named none before either, the report does not
+   * contradict what the engine names in its responses.
+   */
+  private applyReportedLimit(previous: AgentReport | undefined, report: AgentReport): void {
+    const { address, bornAtMs, maxRequestsPerSecond } = report;
+    if (maxRequestsPerSecond === undefined) {
+      return;
+    }
+    if (maxRequestsPerSecond === null && (previous?.maxRequestsPerSecond ?? null) === null) {
+      return;
+    }
+    for (const entry of this.getEntries()) {
+      if (entry.address === address && entry.bornAtMs === bornAtMs) {
+        this.recordRateLimit(entry.serverId, maxRequestsPerSecond ?? Infinity);
+      }
+    }
+  }
+
   private isHolder(entry: ServerEntry, model: string, nowMs: number): boolean {
     const heldModels = this.getCurrentReport(entry, nowMs)?.heldModels ?? entry.heldModels;
     const isHeld = heldModels.some(({ name }) => name === model);
@@ -223,7 +251,8 @@
     );
     const rank = this.getRank(entry.serverId);
     const rankShare = rank / this.getStayingCount(entry.serviceId);
-    return { entry, rank, rankShare, heldModels, report, reportedAtMs };
+    const maxRequestsPerSecond = this.getRateLimit(entry.serverId);
+    return { entry, rank, rankShare, heldModels, report, reportedAtMs, maxRequestsPerSecond };
   }
 
   private excludeRefusedModels(
--- /dev/null
+++ b/src/direct/decisions/PermitBuckets.ts
@@ -0,0 +1,80 @@
+import type { ServerId } from '../../domain/index.js';
+import { setNewest } from './setNewest.js';
+
+/** Rate at which a server that accepts fewer requests, or none, is still tried, in requests per second. */
+const MIN_PERMITS_PER_SECOND = 0.2;
+/** Time for which unused permits accumulate, in seconds; one permit is kept in any case. */
+const BURST_S = 0.5;
+/** Longest time after which a caller is asked to return, in milliseconds. */
+const MAX_RETRY_MS = 5_000;
+/** Maximum number of servers with a bucket. */
+const MAX_BUCKETS = 2_000;
+const MS_PER_SECOND = 1_000;
+
+/** Decision on a permit for one request. */
+export type PermitDecision =
+  /** The request may be sent after a wait. */
+  | { readonly isGranted: true; readonly waitMs: number }
+  /** The request may not be sent; its caller may return later. */
+  | { readonly isGranted: false; readonly retryInMs: number };
+
+/** Permits of one server. */
+interface PermitBucket {
+  /** Number of permits left; negative while granted ones are still waiting. */
+  permitCount: number;
+  updatedAtMs: number;
+  /** Time that the caller of the last refused request was given. */
+  returnsAtMs: number;
+}
+
+/**
+ * Issues permits for requests to servers that limit them: a token bucket for each server. It starts empty, since the
+ * server has just accepted the request whose response named the limit.
+ */
+export class PermitBuckets {
+  private readonly buckets = new Map<ServerId, PermitBucket>();
+
+  /**
+   * Decides on a permit for a request. Callers of refused requests are given times that are one permit apart.
+   * @param serverId - Server of the request.
+   * @param maxRequestsPerSecond - Rate of the permits.
+   * @param maxWaitMs - Time that the request may wait, in milliseconds.
+   * @param nowMs - Current time.
+   */
+  take(serverId: ServerId, maxRequestsPerSecond: number, maxWaitMs: number, nowMs: number): PermitDecision {
+    const permitsPerSecond = Math.max(MIN_PERMITS_PER_SECOND, maxRequestsPerSecond);
+    const permitMs = MS_PER_SECOND / permitsPerSecond;
+    const bucket = this.getOrCreate(serverId, nowMs);
+    const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
+    const maxCount = Math.max(1, permitsPerSecond * BURST_S);
+    bucket.permitCount = Math.min(maxCount, bucket.permitCount + elapsedMs / permitMs);
+    bucket.updatedAtMs = nowMs;
+    const waitMs = Math.max(0, (1 - bucket.permitCount) * permitMs);
+    if (waitMs <= maxWaitMs) {
+      bucket.permitCount--;
+      return { isGranted: true, waitMs };
+    }
+    const latestMs = nowMs + Math.max(waitMs, MAX_RETRY_MS);
+    bucket.returnsAtMs = Math.min(latestMs, Math.max(nowMs + waitMs, bucket.returnsAtMs + permitMs));
+    return { isGranted: false, retryInMs: bucket.returnsAtMs - nowMs };
+  }
+
+  private getOrCreate(serverId: ServerId, nowMs: number): PermitBucket {
+    const bucket = this.buckets.get(serverId) ?? {
+      permitCount: 0,
+      updatedAtMs: nowMs,
+      returnsAtMs: -Infinity,
+    };
+    setNewest(this.buckets, serverId, bucket, MAX_BUCKETS);
+    return bucket;
+  }
+}
+
+/**
+ * Whether a value is a decision on a permit. A process of another version may send other values.
+ * @param value - Value as received.
+ */
+export function isPermitDecision(value: unknown): value is PermitDecision {
+  const { isGranted, waitMs, retryInMs } = Object(value) as Record<string, unknown>;
+  return isGranted === true ? Number.isFinite(waitMs) : isGranted === false && Number.isFinite(retryInMs);
+}
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -122,6 +122,14 @@
     return this.rateLimits.record(serverId, maxRequestsPerSecond);
   }
 
+  /**
+   * Returns the limit that a server names, in requests per second; undefined if it names none.
+   * @param serverId - The server.
+   */
+  getRateLimit(serverId: ServerId): number | undefined {
+    return this.rateLimits.get(serverId);
+  }
+
   /**
    * Removes a server that is no longer listed, or starts its grace period around an outage of the store.
    * @param serverId - The server.
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -43,8 +43,11 @@
   readonly modelsOnDisk: readonly string[];
   /** Whether the engine states that it is leaving; absent in reports of older agents. */
   readonly isLeaving?: boolean;
-  /** Number of requests per second that the engine accepts from all routers together; absent if it names no limit. */
-  readonly maxRequestsPerSecond?: number;
+  /**
+   * Number of requests per second that the engine accepts from all routers together, null if it names no limit; absent in
+   * reports of older agents.
+   */
+  readonly maxRequestsPerSecond?: number | null;
 }
 
 /** Use of a model that is loaded on an engine. */
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -12,6 +12,7 @@
 export * from './ServerRetirements.js';
 export * from './ServerHolds.js';
 export * from './ServerRateLimits.js';
+export * from './PermitBuckets.js';
 export * from './ServerDirectory.js';
 export * from './FleetView.js';
 export * from './ArrivalRates.js';
--- a/src/direct/decisions/isCompleteReport.ts
+++ b/src/direct/decisions/isCompleteReport.ts
@@ -30,10 +30,15 @@
     report.heldModels.every((held: unknown) => isHeldModel(held)) &&
     isRecord(report.uses) &&
     Object.values(report.uses).every((use: unknown) => isRecord(use)) &&
-    isRecord(report.crashCounts)
+    isRecord(report.crashCounts) &&
+    isLimit(report.maxRequestsPerSecond)
   );
 }
 
+function isLimit(value: unknown): boolean {
+  return value === undefined || value === null || (Number.isFinite(value) && Number(value) >= 0);
+}
+
 function isHeldModel(value: unknown): boolean {
   return isRecord(value) && typeof value.name === 'string' && isNameList(value.adapters);
 }
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -5,6 +5,8 @@
 export * from './EnginePort.js';
 export * from './EngineController.js';
 export * from './AgentConnections.js';
+export * from './PermitIssuer.js';
+export * from './RequestPermits.js';
 export * from './modelWaits.js';
 export * from './ModelLoader.js';
 export * from './BackendAttempt.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -14,6 +14,9 @@
   partsAnswered: 'residency.partsAnswered',
 } as const;
 
+/** Methods that agents offer to routers for any server, not only for the engine beside them. */
+export const PERMIT_METHODS = { take: 'permits.take' } as const;
+
 /** Methods that routers offer to agents. */
 export const ROUTING_METHODS = { report: 'routing.report', engineCrashes: 'routing.engineCrashes' } as const;
 
@@ -45,6 +48,19 @@
   readonly adapter: string;
 }
 
+/** Asks for a permit for one request to a server that limits its requests. */
+export interface TakePermitParams {
+  readonly serverId: ServerId;
+  /** Host and port of the server. */
+  readonly address: string;
+  /** Number of requests per second that the server accepts from all routers together. */
+  readonly maxRequestsPerSecond: number;
+  /** Time that the request may wait, in milliseconds. */
+  readonly maxWaitMs: number;
+  /** Number of routers that share the limit. */
+  readonly routerCount: number;
+}
+
 /** An agent's reply: whether the adapter is ready. */
 export interface EnsureAdapterReply {
   readonly isReady: boolean;
--- a/test/direct/EngineFleet.ts
+++ b/test/direct/EngineFleet.ts
@@ -4,6 +4,7 @@
 import {
   EngineController,
   EnginePort,
+  PermitIssuer,
   type EngineReport,
   type OrderResult,
   type ServerEntry,
@@ -82,7 +83,7 @@
         cacheTokens: 1_000,
         modelsInMemory: [],
         modelsOnDisk: [],
-        maxRequestsPerSecond: this.maxRequestsPerSecond,
+        maxRequestsPerSecond: this.maxRequestsPerSecond ?? null,
       },
     );
   }
@@ -274,7 +275,14 @@
       metrics: new Metrics(),
     });
     const address = { host: engine.host, port: this.agentPort };
-    const server = new PeerServer(address, PEER_SECRET, CLOCK, controller.getMethods(), new TrafficMeter());
+    const permitIssuer = new PermitIssuer({
+      clock: CLOCK,
+      engineAddress: engine.address,
+      getRouterCount: () => controller.routerCount,
+      metrics: new Metrics(),
+    });
+    const methods = { ...controller.getMethods(), ...permitIssuer.getMethods() };
+    const server = new PeerServer(address, PEER_SECRET, CLOCK, methods, new TrafficMeter());
     await server.start();
     await controller.start();
     this.agents.set(engine.address, [server, controller]);
