Software versions and taken-up streams are decoded and logged

The stand-ins of workers state a version and record what they are told. Nothing else follows from them yet.

--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -22,6 +22,8 @@
   readonly promptParts: readonly PromptPart[];
   /** ID of the last event of the stream that the caller has received. */
   readonly lastEventId?: string;
+  /** ID of the caller's earlier request that brought the first event of the stream; absent if the stream is new. */
+  readonly resumedRequestId?: string;
   /** Headers that are passed to the backend server unchanged. */
   readonly forwarded: OutgoingHttpHeaders;
 }
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -309,6 +309,7 @@
       tookMs: Math.round(nowMs - sentAtMs),
       silentMs: Math.round(nowMs - attempt.lastReceivedAtMs),
       configurationVersion: this.deps.view.configuration?.version ?? 0,
+      softwareVersion: server.entry.softwareVersion ?? '',
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
     if (end.kind === 'broken') {
@@ -617,6 +618,7 @@
       firstPieceMs: Math.round(this.latencyMs ?? -1),
       longestPauseMs: Math.round(this.longestGapMs),
       model: headers.model ?? '',
+      resumedRequestId: headers.resumedRequestId ?? '',
     });
   }
 
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -13,6 +13,8 @@
   /** Host and port. */
   readonly address: string;
   readonly dataCentre: DataCentreId;
+  /** Version of the server's software; absent if the entry does not tell. */
+  readonly softwareVersion?: string;
   readonly slotCount: number;
   readonly isLeaving: boolean;
   /** When the server's process started, in milliseconds since the epoch; it changes with each restart. */
--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -18,6 +18,10 @@
   readonly arrivedAtMs: number;
   /** Fault that the worker injects into the request. */
   readonly fault?: InjectedFault;
+  /** Version of the worker's software. */
+  readonly softwareVersion?: string;
+  /** ID of the request that the client names as the one that brought the first event of the stream. */
+  readonly resumedRequestId?: string;
 }
 
 /** Arrival of a request at a worker. */
@@ -38,12 +42,16 @@
 /** Time for which a worker asks for a pause, in milliseconds. */
 export const PAUSE_MS = 1_500;
 
+const DEFAULT_VERSION = 'v1';
+
 /** Options and dependencies of a worker. */
 export interface WorkerOptions {
   readonly workerId: string;
   readonly service: string;
   readonly host: string;
   readonly port: number;
+  /** Version of the worker's software. */
+  readonly softwareVersion?: string;
   readonly store: ObjectStore;
   /** Called when a request arrives, whether it runs or is refused. */
   readonly onArrival?: (arrival: WorkerArrival) => void;
@@ -160,6 +168,7 @@
       Service: service,
       Address: `${host}:${port}`,
       Zone: 'z1',
+      Version: this.options.softwareVersion ?? DEFAULT_VERSION,
       Slots: 16,
       State: this.drainingSinceMs === undefined ? 'ready' : 'draining',
       born: this.bornAtMs,
@@ -237,7 +246,17 @@
       response.writeHead(refusalStatus ?? 503, { ...headers, ...pauseHeaders }).end();
       return;
     }
-    onRun({ requestId, workerId, service, startedAtMs: Date.now(), arrivedAtMs, fault });
+    const resumes = incoming.headers.resumes;
+    onRun({
+      requestId,
+      workerId,
+      service,
+      startedAtMs: Date.now(),
+      arrivedAtMs,
+      fault,
+      softwareVersion: this.options.softwareVersion ?? DEFAULT_VERSION,
+      resumedRequestId: resumes === undefined ? undefined : String(resumes),
+    });
     if (!isAwaited) {
       return;
     }
--- a/test/direct/fleetFixtures.ts
+++ b/test/direct/fleetFixtures.ts
@@ -74,6 +74,7 @@
     serviceId: ENGINES,
     address: `10.0.0.1:${id.length}`,
     dataCentre: toDataCentreId('here'),
+    softwareVersion: 'v1',
     slotCount: 48,
     isLeaving: false,
     bornAtMs: 1,
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -9,6 +9,7 @@
   Service: 'svc',
   Address: '10.0.0.1:80',
   Zone: 'north',
+  Version: 'v1.1',
   Slots: 48,
   State: 'ready',
   ColdLeftMs: 0,
@@ -24,6 +25,7 @@
       serviceId: 'svc',
       address: '10.0.0.1:80',
       dataCentre: 'north',
+      softwareVersion: 'v1.1',
       slotCount: 48,
       isLeaving: false,
       bornAtMs: 12,
@@ -42,6 +44,7 @@
       { ...ENTRY, State: 'odd' },
       { ...ENTRY, Address: 5 },
       { ...ENTRY, Slots: '48' },
+      { ...ENTRY, Version: 1 },
       { ...ENTRY, Service: undefined },
       { ...ENTRY, born: 1.5 },
       { ...ENTRY, Models: 'm' },
@@ -254,6 +257,14 @@
     expect(headers?.['last-event-id']).to.equal('7');
   });
 
+  it('decodes which request began the stream that a caller takes up', () => {
+    const decode = (headers: Record<string, string>) =>
+      codec.decodeRequest({ 'request-id': 'r2', ...headers });
+    expect(decode({ resumes: 'r1' })?.resumedRequestId).to.equal('r1');
+    expect(decode({ resumes: 'r1' })?.forwarded).to.include({ resumes: 'r1' });
+    expect(decode({})?.resumedRequestId).to.equal(undefined);
+  });
+
   it('marks a request as not run only when the server states it', () => {
     const expectNotRun = (status: number, headers: Record<string, string>, expected: boolean) =>
       expect(codec.decodeResponse(status, headers, 'r1', serverId).isNotRun).to.equal(expected);
