--- a/test/direct/EngineFleet.ts
+++ b/test/direct/EngineFleet.ts
@@ -30,6 +30,8 @@
 export interface EngineArrival {
   readonly atMs: number;
   readonly promptParts: readonly string[];
+  readonly requestId: string;
+  readonly softwareVersion: string;
   /** Address of the engine or plain server. */
   readonly address: string;
 }
@@ -56,6 +58,7 @@
     private readonly index: number,
     readonly host: string,
     private readonly port: number,
+    private readonly softwareVersion: string,
   ) {
     super();
   }
@@ -100,6 +103,7 @@
     });
     this.entry = makeEntry(`engine-${this.index}-${++this.startCount}`, {
       address: this.address,
+      softwareVersion: this.softwareVersion,
       bornAtMs: Math.round(CLOCK.nowMs()),
       heldModels: [makeHeldModel('a')],
     });
@@ -130,7 +134,9 @@
   private handle(incoming: IncomingMessage, response: ServerResponse): void {
     const prefix = String(incoming.headers['prompt-prefix'] ?? '');
     const promptParts = prefix.split(',').map((pair) => pair.split(':')[0] ?? '');
-    this.fleet.arrivals.push({ atMs: CLOCK.nowMs(), promptParts, address: this.address });
+    const { address, softwareVersion } = this;
+    const requestId = String(incoming.headers['request-id']);
+    this.fleet.arrivals.push({ atMs: CLOCK.nowMs(), promptParts, requestId, softwareVersion, address });
     incoming.resume();
     setTimeout(() => {
       if (promptParts.includes(this.fleet.crashingPart)) {
@@ -169,13 +175,25 @@
   /** @param crashingPart - ID of the prompt part that crashes each engine that begins an answer on it. */
   constructor(readonly crashingPart: string) {}
 
-  async start(engineCount: number, routerCount: number): Promise<void> {
+  /**
+   * Starts engines with agents, and routers.
+   * @param engineCount - Number of engines.
+   * @param routerCount - Number of routers.
+   * @param softwareVersions - Versions of the engines' software in turn.
+   */
+  async start(
+    engineCount: number,
+    routerCount: number,
+    softwareVersions: readonly string[] = ['v1'],
+  ): Promise<void> {
     const reservation = await LoopbackReservation.create();
     this.reservation = reservation;
     this.agentPort = await reservation.takePort();
     const enginePort = await reservation.takePort();
     for (let index = 1; index <= engineCount; index++) {
-      const engine = new CrashingEngine(this, index, reservation.getAddress(index), enginePort);
+      const softwareVersion = softwareVersions[(index - 1) % softwareVersions.length] ?? '';
+      const address = reservation.getAddress(index);
+      const engine = new CrashingEngine(this, index, address, enginePort, softwareVersion);
       this.engines.push(engine);
       await engine.start();
       await this.startAgent(engine);
@@ -206,7 +224,8 @@
   /** Adds a server without an agent that names a limit; returns its address. */
   async addPlainServer(id: string, maxRequestsPerSecond: number): Promise<string> {
     const server = createServer((incoming, response) => {
-      this.arrivals.push({ atMs: CLOCK.nowMs(), promptParts: [], address });
+      const requestId = String(incoming.headers['request-id']);
+      this.arrivals.push({ atMs: CLOCK.nowMs(), promptParts: [], requestId, softwareVersion: 'v1', address });
       incoming.resume();
       response.writeHead(200, {
         ...makeResponseHeaders(incoming),
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -28,6 +28,7 @@
   type CallerLimits,
   type HeaderCodec,
   type Route,
+  type ServerEntry,
 } from '../../src/direct/index.js';
 import { delay, Random, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
@@ -73,7 +74,12 @@
     private readonly agentPort?: number,
   ) {}
 
-  async addServer(id: string, handler: Handler, serviceId = ENGINES): Promise<void> {
+  async addServer(
+    id: string,
+    handler: Handler,
+    serviceId = ENGINES,
+    overrides: Partial<ServerEntry> = {},
+  ): Promise<void> {
     const server = createServer((incoming, response) => {
       let body = '';
       incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
@@ -84,7 +90,7 @@
     });
     // A process that dials a peer on a reused port is not a caller.
     server.on('upgrade', (_incoming, socket) => socket.destroy());
-    await this.listen(server, id, serviceId);
+    await this.listen(server, id, serviceId, overrides);
   }
 
   /** Adds a server that sends the given text for any request and then ends or resets the connection. */
@@ -240,14 +246,20 @@
     }
   }
 
-  private async listen(server: Server | SocketServer, id: string, serviceId: typeof ENGINES): Promise<void> {
+  private async listen(
+    server: Server | SocketServer,
+    id: string,
+    serviceId: typeof ENGINES,
+    overrides: Partial<ServerEntry> = {},
+  ): Promise<void> {
     this.servers.push(server);
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
     const heldModels = serviceId === ENGINES ? [makeHeldModel('a')] : [];
-    this.view.applyEntry(makeEntry(id, { address: `127.0.0.1:${port}`, serviceId, heldModels }));
+    const address = `127.0.0.1:${port}`;
+    this.view.applyEntry(makeEntry(id, { address, serviceId, heldModels, ...overrides }));
   }
 }
 
