A stream continues only at the software version that began it

Cause: the version was decoded nowhere, and a router that a caller returns to knew nothing of the stream. Class of fault: a state that spans several routers was kept by none. Ruled out: an entry of an earlier process as the main cause (all six moves in the logs were to servers listed with their right version); such an entry now counts as a version that is not known.

Change: the first events bind a stream to the version of their server; the search for servers, the wait for a model, replacements of silent servers and pauses look only at servers of that version.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -15,6 +15,8 @@
   RequestPermits,
   SharedRetryBudget,
   ServerChooser,
+  StreamOriginClient,
+  StreamOriginStore,
   type EnginePort,
   type FleetSource,
   type HeaderCodec,
@@ -108,6 +110,7 @@
       chooser,
       modelLoader,
       agentConnections,
+      streamOrigins: new StreamOriginClient({ agentConnections, log, metrics }),
       permits: new RequestPermits({ clock, view, agentConnections, log, metrics }),
       codec,
       crashTracker,
@@ -150,6 +153,7 @@
   const { services, clock, log, metrics } = startCommon(options);
   const { engine, engineAddress } = options;
   const controller = new EngineController({ clock, engine, engineAddress, log, metrics });
+  const originStore = new StreamOriginStore();
   const getRouterCount = () => controller.routerCount;
   const permitIssuer = new PermitIssuer({ clock, engineAddress, getRouterCount, metrics });
   await services.start(
@@ -157,7 +161,7 @@
       options.peerAddress,
       options.peerSecret,
       clock,
-      { ...controller.getMethods(), ...permitIssuer.getMethods() },
+      { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
       new TrafficMeter(),
     ),
   );
--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -146,7 +146,7 @@
     keptModels: readonly string[] = [],
   ): void {
     const params: WantModelParams = { model, isInteractive, keptModels };
-    this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.want, params);
+    this.notify(address, RESIDENCY_METHODS.want, params);
   }
 
   /**
@@ -159,7 +159,7 @@
   notifyModelUse(address: string, event: 'started' | 'ended', model: string, isInteractive: boolean): void {
     const use: ModelUseParams = { model, isInteractive };
     this.runningUses.record(address, event, use);
-    this.connections.get(address)?.connection.notify(RESIDENCY_METHODS[event], use);
+    this.notify(address, RESIDENCY_METHODS[event], use);
   }
 
   /**
@@ -175,6 +175,16 @@
     return result.kind === 'answered' && result.value.isReady;
   }
 
+  /**
+   * Sends a notification to an agent, if it is connected.
+   * @param address - Address of the agent's engine.
+   * @param method - Name of the method.
+   * @param params - Parameters.
+   */
+  notify(address: string, method: string, params: object): void {
+    this.connections.get(address)?.connection.notify(method, params);
+  }
+
   /**
    * Calls a method of an agent.
    * @param address - Address of the agent's engine.
@@ -254,7 +264,7 @@
    * @param params - Incarnation of the engine and the parts of the request's prompt.
    */
   notifyBrokenOff(address: string, params: BrokenOffParams): void {
-    this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.brokenOff, params);
+    this.notify(address, RESIDENCY_METHODS.brokenOff, params);
   }
 
   /**
@@ -264,7 +274,7 @@
    */
   notifyPartsAnswered(addresses: readonly string[], params: PartsAnsweredParams): void {
     for (const address of addresses) {
-      this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.partsAnswered, params);
+      this.notify(address, RESIDENCY_METHODS.partsAnswered, params);
     }
   }
 
@@ -275,7 +285,7 @@
    */
   notifyLeaving(server: ServerIncarnation): void {
     for (const address of this.rankAgents(server.serverId).slice(0, LEAVING_NOTICE_COUNT)) {
-      this.connections.get(address)?.connection.notify(RESIDENCY_METHODS.leaving, server);
+      this.notify(address, RESIDENCY_METHODS.leaving, server);
     }
   }
 
--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -5,6 +5,7 @@
 import type { AgentConnections } from './AgentConnections.js';
 import {
   getReplicatedModels,
+  getWaitKey,
   isWithoutPlace,
   toPlacementRequirements,
   type ModelWait,
@@ -130,15 +131,18 @@
    * none.
    * @param serviceId - Service of the model.
    * @param model - Name of the model.
+   * @param softwareVersion - Version that the server must have, if any.
    */
-  getPendingLoadMs(serviceId: ServiceId, model: string): number | undefined {
+  getPendingLoadMs(serviceId: ServiceId, model: string, softwareVersion?: string): number | undefined {
     const profile = this.getProfile(serviceId);
     const footprint = profile?.models.get(model);
     if (!profile || !footprint) {
       return undefined;
     }
     const requirements = { model, footprint, isInteractive: true, maxStartMs: Infinity, mayFetchCopy: true };
-    const servers = this.getServers(serviceId, this.deps.clock.nowMs());
+    const servers = this.getServers(serviceId, this.deps.clock.nowMs()).filter(
+      (server) => softwareVersion === undefined || server.softwareVersion === softwareVersion,
+    );
     return findPendingLoad(requirements, servers, profile)?.readyInMs;
   }
 
@@ -152,22 +156,24 @@
       return Promise.resolve({ kind: 'noPlace' });
     }
     return new Promise((resolve) => {
-      let waited = this.waitedModels.get(wait.model);
+      const key = getWaitKey(wait);
+      let waited = this.waitedModels.get(key);
       if (!waited) {
-        const { model, serviceId, isInteractive } = wait;
-        const sinceMs = this.withoutPlaceSinceMs.get(model) ?? this.deps.clock.nowMs();
+        const { model, serviceId, isInteractive, softwareVersion } = wait;
+        const sinceMs = this.withoutPlaceSinceMs.get(key) ?? this.deps.clock.nowMs();
         waited = {
           model,
           footprint,
           isInteractive,
           serviceId,
+          softwareVersion,
           sinceMs,
           placedAtMs: sinceMs,
           waiters: new Map(),
           requestedAtMs: -Infinity,
           requestedAddress: undefined,
         };
-        this.waitedModels.set(model, waited);
+        this.waitedModels.set(key, waited);
       }
       waited.waiters.set(wait.requestId, { wait, resolve });
       const nowMs = this.deps.clock.nowMs();
@@ -177,14 +183,14 @@
 
   /**
    * Removes a wait because its request has ended.
-   * @param model - Name of the model.
-   * @param requestId - ID of the request.
+   * @param wait - The request's wait.
    */
-  stopWaiting(model: string, requestId: string): void {
-    const waited = this.waitedModels.get(model);
-    waited?.waiters.delete(requestId);
+  stopWaiting(wait: Pick<ModelWait, 'model' | 'softwareVersion' | 'requestId'>): void {
+    const key = getWaitKey(wait);
+    const waited = this.waitedModels.get(key);
+    waited?.waiters.delete(wait.requestId);
     if (waited?.waiters.size === 0) {
-      this.waitedModels.delete(model);
+      this.waitedModels.delete(key);
     }
   }
 
@@ -208,7 +214,12 @@
     }
   }
 
-  private review(waited: WaitedModel, servers: readonly KnownServer[], nowMs: number): void {
+  private review(waited: WaitedModel, allServers: readonly KnownServer[], nowMs: number): void {
+    const { softwareVersion } = waited;
+    const servers =
+      softwareVersion === undefined
+        ? allServers
+        : allServers.filter((server) => server.softwareVersion === softwareVersion);
     if (servers.some((server) => getHeldModel(server, waited.model))) {
       this.resolveAll(waited, { kind: 'ready' });
       return;
@@ -222,7 +233,7 @@
       }
     }
     if (waited.waiters.size === 0) {
-      this.waitedModels.delete(waited.model);
+      this.waitedModels.delete(getWaitKey(waited));
     }
   }
 
@@ -231,15 +242,15 @@
    * the model are then refused at once as long as that does not change.
    */
   private updatePlace(waited: WaitedModel, hasPlace: boolean, nowMs: number): boolean {
-    const { model } = waited;
+    const key = getWaitKey(waited);
     if (hasPlace) {
       waited.placedAtMs = nowMs;
-      this.withoutPlaceSinceMs.delete(model);
+      this.withoutPlaceSinceMs.delete(key);
       return false;
     }
     const isInVain = isWithoutPlace(waited, nowMs);
     if (isInVain) {
-      this.withoutPlaceSinceMs.set(model, waited.placedAtMs);
+      this.withoutPlaceSinceMs.set(key, waited.placedAtMs);
     }
     return isInVain;
   }
@@ -324,7 +335,7 @@
   }
 
   private resolveAll(waited: WaitedModel, result: WaitResult): void {
-    this.waitedModels.delete(waited.model);
+    this.waitedModels.delete(getWaitKey(waited));
     for (const { resolve } of waited.waiters.values()) {
       resolve(result);
     }
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -21,6 +21,7 @@
 import { getSharedParts, type RequestHeaders, type HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
+import type { StreamOriginClient } from './StreamOriginClient.js';
 import { ServerSearch } from './ServerSearch.js';
 import type { PreparedAttempt } from './SilentServerReplacement.js';
 import { MAX_SENDS, StreamResumption } from './StreamResumption.js';
@@ -46,6 +47,7 @@
   readonly modelLoader: ModelLoader;
   readonly agentConnections: AgentConnections;
   readonly permits: RequestPermits;
+  readonly streamOrigins: StreamOriginClient;
   readonly codec: HeaderCodec;
   readonly crashTracker: CrashTracker;
   readonly partSuspects: PromptPartSuspects;
@@ -267,7 +269,7 @@
       {
         onServerNotice: (notice) => applyServerNotice(this.deps, server.entry, notice),
         onStreamStart: (head) => this.beginStream(head),
-        onEvents: (events) => this.sendEvents(events, attempt),
+        onEvents: (events) => this.sendEvents(events, server, attempt),
         onSilence: () => {
           this.handleSilence(attempt, serverId).catch((error: unknown) => {
             this.deps.log.warn('replacement of a silent server failed', {
@@ -460,14 +462,14 @@
     }
   }
 
-  private sendEvents(events: CompleteEvents, attempt: BackendAttempt): void {
+  private sendEvents(events: CompleteEvents, server: KnownServer, attempt: BackendAttempt): void {
     if (this.hasEnded) {
       return;
     }
     const nowMs = this.deps.clock.nowMs();
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.resumption.lastEventAtMs ?? nowMs));
-    this.resumption.recordEvents(events, nowMs);
+    this.resumption.recordEvents(events, server, nowMs);
     if (this.attemptFirstEventAtMs === undefined) {
       this.attemptFirstEventAtMs = nowMs;
       this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
@@ -600,7 +602,8 @@
     this.attempt?.cancel();
     this.resumption.cancel();
     if (headers.model !== undefined) {
-      modelLoader.stopWaiting(headers.model, headers.requestId);
+      const { model, requestId } = headers;
+      modelLoader.stopWaiting({ model, requestId, softwareVersion: this.search.softwareVersion });
     }
     const tookMs = clock.nowMs() - receivedAtMs;
     metrics.count(`requests_${outcome.replaceAll(' ', '_')}`);
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -55,6 +55,7 @@
   private readonly excluded = new Set<ServerId>();
   /** Servers that were at their limit, and when a request may be sent there. */
   private readonly limitedUntilMs = new Map<ServerId, number>();
+  private requiredVersion: string | undefined;
 
   /**
    * @param deps - Dependencies.
@@ -77,6 +78,19 @@
     this.excluded.add(serverId);
   }
 
+  /** Software version that servers must have; undefined if any will do. */
+  get softwareVersion(): string | undefined {
+    return this.requiredVersion;
+  }
+
+  /**
+   * Restricts further results to servers of one software version.
+   * @param softwareVersion - The version.
+   */
+  requireVersion(softwareVersion: string): void {
+    this.requiredVersion = softwareVersion;
+  }
+
   /**
    * Whether another server can accept the request now.
    * @param serverId - Server to leave out of the search.
@@ -136,7 +150,11 @@
   /** Waits until a new search may succeed; returns the refusal if none can in time. */
   private async wait(options: SearchOptions): Promise<SearchResult | undefined> {
     const { headers, serviceId } = this.request;
+    const { softwareVersion } = this;
     const untilMs = options.waitUntilMs;
+    if (softwareVersion !== undefined && !this.deps.view.hasVersion(serviceId, softwareVersion)) {
+      return { kind: 'refused', detail: `no server of the software version ${softwareVersion} is left` };
+    }
     const holdMs = this.getHoldMs();
     const limitMs = this.getShortestLimitMs();
     if (untilMs === undefined) {
@@ -159,6 +177,7 @@
       serviceId,
       model: headers.model,
       isInteractive: this.limits.isInteractive,
+      softwareVersion,
       untilMs,
     });
     switch (result.kind) {
@@ -180,7 +199,9 @@
     const { modelLoader, clock } = this.deps;
     const { headers, serviceId } = this.request;
     const pendingMs =
-      headers.model === undefined ? undefined : modelLoader.getPendingLoadMs(serviceId, headers.model);
+      headers.model === undefined
+        ? undefined
+        : modelLoader.getPendingLoadMs(serviceId, headers.model, this.softwareVersion);
     return pendingMs !== undefined && clock.nowMs() + pendingMs < untilMs;
   }
 
@@ -192,7 +213,7 @@
     const requirements = { ...this.toRequirements(), excludedServerIds: new Set<ServerId>() };
     return chooser.hasServer(requirements, nowMs)
       ? undefined
-      : view.getShortestHoldMs(serviceId, headers.model, nowMs);
+      : view.getShortestHoldMs(serviceId, headers.model, nowMs, this.softwareVersion);
   }
 
   /** Waits and then clears the excluded servers, or returns a refusal if no time is left for that. */
@@ -269,7 +290,8 @@
     const { model, adapter } = headers;
     const tokenCount = headers.promptTokens + headers.maxOutputTokens;
     const excludedServerIds = this.excludeLimited();
-    return { serviceId, model, adapter, isInteractive, tokenCount, excludedServerIds };
+    const { softwareVersion } = this;
+    return { serviceId, model, adapter, isInteractive, tokenCount, excludedServerIds, softwareVersion };
   }
 
   private excludeLimited(): ReadonlySet<ServerId> {
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -2,8 +2,15 @@
 import type { Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { BackendAttempt, BreakCause } from './BackendAttempt.js';
-import type { CompleteEvents, KnownServer, RequestLimits, ServerChooser } from './decisions/index.js';
+import type {
+  CompleteEvents,
+  FleetView,
+  KnownServer,
+  RequestLimits,
+  ServerChooser,
+} from './decisions/index.js';
 import type { CallerRequest } from './RequestForwarder.js';
+import type { StreamOriginClient } from './StreamOriginClient.js';
 import type { SearchResult, ServerSearch } from './ServerSearch.js';
 import {
   SilentServerReplacement,
@@ -15,10 +22,15 @@
 /** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
 export const MAX_SENDS = 6;
 
+/** Stands for a version that is not known; no server has it, so the stream continues nowhere else. */
+const UNKNOWN_VERSION = '';
+
 /** Dependencies of {@link StreamResumption}. */
 export interface StreamResumptionDependencies {
   readonly clock: Clock;
   readonly chooser: ServerChooser;
+  readonly view: FleetView;
+  readonly streamOrigins: StreamOriginClient;
   readonly log: Log;
   readonly metrics: Metrics;
 }
@@ -37,6 +49,8 @@
   private progressEventId: string | undefined;
   private progressAtMs: number | undefined;
   private isBegun = false;
+  /** Whether the software version that the stream is bound to was determined. */
+  private isOriginKnown = false;
   /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
   private wasBrokenOff = false;
   /** Connected attempt at the server that replaces a silent one; its retry was taken from the budget. */
@@ -88,11 +102,15 @@
   }
 
   /**
-   * Records events that are passed on.
+   * Records events that are passed on. The first ones bind the stream to the software version of their server.
    * @param events - The events.
+   * @param server - Server that sent them.
    * @param nowMs - Current time.
    */
-  recordEvents(events: CompleteEvents, nowMs: number): void {
+  recordEvents(events: CompleteEvents, server: KnownServer, nowMs: number): void {
+    if (this.progressAtMs === undefined) {
+      this.bindTo(server.softwareVersion);
+    }
     this.progressAtMs = nowMs;
     this.progressEventId = events.lastEventId ?? this.progressEventId;
   }
@@ -109,7 +127,10 @@
    * Finds the next server for the request.
    * @param counts - Numbers of attempts so far.
    */
-  findServer({ sendCount, runCount }: AttemptCounts): Promise<SearchResult> {
+  async findServer({ sendCount, runCount }: AttemptCounts): Promise<SearchResult> {
+    if (!(await this.ensureOrigin())) {
+      return { kind: 'refused', detail: 'the software version that began the stream is not known' };
+    }
     const mayWait = !this.isBegun || !this.wasBrokenOff;
     const waitingSinceMs = this.progressAtMs ?? this.request.receivedAtMs;
     return this.search.find({
@@ -152,6 +173,44 @@
     this.replacement?.attempt.cancel();
   }
 
+  /** Whether the request takes up a stream that an earlier request has begun. */
+  private get isTakenUp(): boolean {
+    const { lastEventId, resumedRequestId } = this.request.headers;
+    return lastEventId !== undefined || resumedRequestId !== undefined;
+  }
+
+  /**
+   * Determines the software version of a stream that the caller takes up; returns false if it is not known. While the
+   * servers have one version only, the stream is taken to have begun there.
+   */
+  private async ensureOrigin(): Promise<boolean> {
+    if (this.isOriginKnown || !this.isTakenUp || this.request.route.kind !== 'stream') {
+      return true;
+    }
+    const { streamOrigins, view, clock } = this.deps;
+    const { headers, serviceId } = this.request;
+    const { resumedRequestId } = headers;
+    const foundVersion =
+      resumedRequestId === undefined ? undefined : await streamOrigins.find(resumedRequestId);
+    const softwareVersion = foundVersion ?? view.getOnlyVersion(serviceId, clock.nowMs());
+    if (softwareVersion === undefined) {
+      return false;
+    }
+    this.isOriginKnown = true;
+    this.search.requireVersion(softwareVersion);
+    return true;
+  }
+
+  private bindTo(softwareVersion: string | undefined): void {
+    const { headers } = this.request;
+    this.isOriginKnown = true;
+    this.search.requireVersion(softwareVersion ?? UNKNOWN_VERSION);
+    if (softwareVersion !== undefined) {
+      const requestId = headers.resumedRequestId ?? headers.requestId;
+      this.deps.streamOrigins.record({ requestId, softwareVersion });
+    }
+  }
+
   /** Logs the decision on a silent server, and records the silence as a failure if the server keeps the request. */
   private logSilence(attempt: BackendAttempt, serverId: ServerId, result: ReplacementResult): void {
     const { clock, chooser, log, metrics } = this.deps;
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -28,6 +28,8 @@
   readonly reportedAtMs: number;
   /** Number of requests per second that the server accepts from all routers together; undefined without a limit. */
   readonly maxRequestsPerSecond: number | undefined;
+  /** Version of the server's software; undefined if it is not known of the process that runs now. */
+  readonly softwareVersion: string | undefined;
 }
 
 /** A router's view of the fleet: the configuration and the backend servers. */
@@ -144,17 +146,61 @@
     }
   }
 
+  /**
+   * Whether a server of a service has a software version and stays, also if it has asked for a pause.
+   * @param serviceId - The service.
+   * @param softwareVersion - The version.
+   */
+  hasVersion(serviceId: ServiceId, softwareVersion: string): boolean {
+    for (const entry of this.getEntries()) {
+      if (
+        entry.serviceId === serviceId &&
+        this.isStaying(entry) &&
+        this.getSoftwareVersion(entry) === softwareVersion
+      ) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Returns the only software version that the servers of a service have, or had lately; undefined if there are several or
+   * one is not known.
+   * @param serviceId - The service.
+   * @param nowMs - Current time.
+   */
+  getOnlyVersion(serviceId: ServiceId, nowMs: number): string | undefined {
+    const versions = new Set(this.goneVersions.get(serviceId, nowMs));
+    for (const entry of this.getEntries()) {
+      if (entry.serviceId === serviceId) {
+        versions.add(this.getSoftwareVersion(entry));
+      }
+    }
+    const [only] = versions;
+    return versions.size === 1 ? only : undefined;
+  }
+
   /**
    * Returns the shortest remaining hold among servers that hold a model, or among all servers of a service without
    * models, in milliseconds; undefined if none of them is on hold.
    * @param serviceId - The service.
    * @param model - Name of the model, if any.
    * @param nowMs - Current time.
+   * @param softwareVersion - Version that the server must have, if any.
    */
-  getShortestHoldMs(serviceId: ServiceId, model: string | undefined, nowMs: number): number | undefined {
+  getShortestHoldMs(
+    serviceId: ServiceId,
+    model: string | undefined,
+    nowMs: number,
+    softwareVersion?: string,
+  ): number | undefined {
     let shortestMs: number | undefined;
     for (const entry of this.getEntries()) {
-      const holdMs = entry.serviceId === serviceId ? this.getHoldMs(entry, nowMs) : 0;
+      const isCandidate =
+        entry.serviceId === serviceId &&
+        (softwareVersion === undefined || this.getSoftwareVersion(entry) === softwareVersion);
+      const holdMs = isCandidate ? this.getHoldMs(entry, nowMs) : 0;
       if (holdMs > 0 && (model === undefined || this.isHolder(entry, model, nowMs))) {
         shortestMs = Math.min(shortestMs ?? Infinity, holdMs);
       }
@@ -252,7 +298,23 @@
     const rank = this.getRank(entry.serverId);
     const rankShare = rank / this.getStayingCount(entry.serviceId);
     const maxRequestsPerSecond = this.getRateLimit(entry.serverId);
-    return { entry, rank, rankShare, heldModels, report, reportedAtMs, maxRequestsPerSecond };
+    const softwareVersion = this.getSoftwareVersion(entry);
+    return {
+      entry,
+      rank,
+      rankShare,
+      heldModels,
+      report,
+      reportedAtMs,
+      maxRequestsPerSecond,
+      softwareVersion,
+    };
+  }
+
+  /** Returns the version of a server's software; undefined if a later process runs there than the list shows. */
+  private getSoftwareVersion({ address, bornAtMs, softwareVersion }: ServerEntry): string | undefined {
+    const reportedBornAtMs = this.reports.get(address)?.report.bornAtMs ?? bornAtMs;
+    return reportedBornAtMs > bornAtMs ? undefined : softwareVersion;
   }
 
   private excludeRefusedModels(
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -61,6 +61,8 @@
   /** Number of tokens that the request takes in the memory of an engine. */
   readonly tokenCount?: number;
   readonly excludedServerIds: ReadonlySet<ServerId>;
+  /** Version that the server's software must have; absent if any will do. */
+  readonly softwareVersion?: string;
 }
 
 /** Chooses the backend server of a request by load, locally observed failures and latency, and data centre. */
@@ -105,9 +107,9 @@
    * @param requirements - Requirements of the request.
    * @param nowMs - Current time.
    */
-  hasServer({ serviceId, model, excludedServerIds }: ServerRequirements, nowMs: number): boolean {
-    for (const server of this.fleet.getHolders(serviceId, model, nowMs)) {
-      if (!excludedServerIds.has(server.entry.serverId)) {
+  hasServer(requirements: ServerRequirements, nowMs: number): boolean {
+    for (const server of this.fleet.getHolders(requirements.serviceId, requirements.model, nowMs)) {
+      if (isCandidate(server, requirements)) {
         return true;
       }
     }
@@ -183,7 +185,7 @@
   private scoreCandidates(requirements: ServerRequirements, nowMs: number): ScoredCandidate<KnownServer>[] {
     const candidates: ScoredCandidate<KnownServer>[] = [];
     for (const server of this.fleet.getHolders(requirements.serviceId, requirements.model, nowMs)) {
-      if (requirements.excludedServerIds.has(server.entry.serverId)) {
+      if (!isCandidate(server, requirements)) {
         continue;
       }
       const held = requirements.model === undefined ? undefined : getHeldModel(server, requirements.model);
@@ -246,6 +248,16 @@
   }
 }
 
+function isCandidate(
+  { entry, softwareVersion }: KnownServer,
+  { excludedServerIds, softwareVersion: requiredVersion }: ServerRequirements,
+): boolean {
+  return (
+    !excludedServerIds.has(entry.serverId) &&
+    (requiredVersion === undefined || softwareVersion === requiredVersion)
+  );
+}
+
 /** Returns the requests to a server that its latest report can't show yet. */
 function getUnseen(
   { sends }: LocalServerStats,
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -1,6 +1,7 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
 import { rankByHash } from './rendezvous.js';
 import type { ServerEntry } from './ServerEntry.js';
+import { GoneVersions } from './GoneVersions.js';
 import { ServerHolds } from './ServerHolds.js';
 import { ServerRateLimits } from './ServerRateLimits.js';
 import { ServerRetirements, type ServerIncarnation } from './ServerRetirements.js';
@@ -27,6 +28,7 @@
   private readonly retirements = new ServerRetirements();
   private readonly holds = new ServerHolds();
   private readonly rateLimits = new ServerRateLimits();
+  protected readonly goneVersions = new GoneVersions();
   /** Servers that only the list of a restored store shows although they were removed before, and since when. */
   private readonly unconfirmedSinceMs = new Map<ServerId, number>();
   /** Cached ranks of the servers; undefined after the list has changed. */
@@ -142,7 +144,7 @@
     }
     const graceEndsAtMs = this.storeRecoveredAtMs + EXPIRY_GRACE_MS;
     if (nowMs >= graceEndsAtMs || entry.isLeaving) {
-      this.deleteEntry(entry);
+      this.deleteEntry(entry, nowMs);
       return;
     }
     if (!this.graceEndsAtMsByServer.has(serverId)) {
@@ -174,7 +176,7 @@
       if (nowMs >= untilMs) {
         const entry = this.entries.get(serverId);
         if (entry) {
-          this.deleteEntry(entry);
+          this.deleteEntry(entry, nowMs);
         }
         removedIds.push(serverId);
       }
@@ -251,7 +253,7 @@
   }
 
   /** Whether a listed server is neither leaving nor waiting for a sign of life. */
-  private isStaying(entry: ServerEntry): boolean {
+  protected isStaying(entry: ServerEntry): boolean {
     return (
       !entry.isLeaving && !this.unconfirmedSinceMs.has(entry.serverId) && !this.retirements.isLeaving(entry)
     );
@@ -278,8 +280,9 @@
     this.ranks = undefined;
   }
 
-  private deleteEntry(entry: ServerEntry): void {
-    const { serverId } = entry;
+  private deleteEntry(entry: ServerEntry, nowMs: number): void {
+    const { serverId, serviceId, softwareVersion } = entry;
+    this.goneVersions.record(serviceId, softwareVersion, nowMs);
     this.entries.delete(serverId);
     this.graceEndsAtMsByServer.delete(serverId);
     this.unconfirmedSinceMs.delete(serverId);
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -6,6 +6,8 @@
 export * from './EngineController.js';
 export * from './AgentConnections.js';
 export * from './PermitIssuer.js';
+export * from './StreamOriginClient.js';
+export * from './StreamOriginStore.js';
 export * from './RequestPermits.js';
 export * from './modelWaits.js';
 export * from './ModelLoader.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -17,6 +17,9 @@
 /** Methods that agents offer to routers for any server, not only for the engine beside them. */
 export const PERMIT_METHODS = { take: 'permits.take' } as const;
 
+/** Methods that agents offer to routers for streams of any engine. */
+export const STREAM_METHODS = { began: 'streams.began', findOrigin: 'streams.findOrigin' } as const;
+
 /** Methods that routers offer to agents. */
 export const ROUTING_METHODS = { report: 'routing.report', engineCrashes: 'routing.engineCrashes' } as const;
 
@@ -61,6 +64,17 @@
   readonly routerCount: number;
 }
 
+/** Asks for the software version at which a stream began. */
+export interface FindOriginParams {
+  /** ID of the request whose response brought the first event. */
+  readonly requestId: string;
+}
+
+/** An agent's reply: the version, null if it does not know the stream. */
+export interface FindOriginReply {
+  readonly softwareVersion: string | null;
+}
+
 /** An agent's reply: whether the adapter is ready. */
 export interface EnsureAdapterReply {
   readonly isReady: boolean;
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -16,6 +16,8 @@
   readonly serviceId: ServiceId;
   readonly model: string;
   readonly isInteractive: boolean;
+  /** Version that the server's software must have; absent if any will do. */
+  readonly softwareVersion?: string;
   /** Time at which the wait ends unsuccessfully. */
   readonly untilMs: number;
 }
@@ -34,6 +36,8 @@
   readonly footprint: ModelFootprint;
   readonly isInteractive: boolean;
   readonly serviceId: ServiceId;
+  /** Version that the software of the model's server must have; absent if any will do. */
+  readonly softwareVersion?: string;
   readonly sinceMs: number;
   readonly waiters: Map<string, { wait: ModelWait; resolve: (result: WaitResult) => void }>;
   /** When a server was last found that loads the model or could do so; the start of the wait before that. */
@@ -42,6 +46,11 @@
   requestedAddress: string | undefined;
 }
 
+/** Returns the key of the waits for a model at servers of one software version, or of any. */
+export function getWaitKey({ model, softwareVersion }: Pick<ModelWait, 'model' | 'softwareVersion'>): string {
+  return softwareVersion === undefined ? model : `${model} ${softwareVersion}`;
+}
+
 /** Whether no server has had room for a model for so long that its requests wait in vain. */
 export function isWithoutPlace({ placedAtMs }: WaitedModel, nowMs: number): boolean {
   return nowMs - placedAtMs >= NO_PLACE_AFTER_MS;
