A silent server keeps its request until the next one shows that it takes it

Traced: the next server accepted the connection and closed it on the request, or refused; the silent one had been left by then, and the request had used its two servers.

Change: for up to 300 ms both servers have the request. If the next one fails, or the silent one goes on, the silent one keeps it; if the next one sends anything, or after 300 ms, the silent one is left. Ruled out: both until one responds, which is against the platform's rules beyond 400 ms.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -103,9 +103,14 @@
   private hasEnded = false;
   private receivedAtMs: number;
   private isServerSilent = false;
+  private isSent = false;
+  private result: AttemptEnd | undefined;
   private connected: Promise<boolean> | undefined;
   private readonly ended: Promise<AttemptEnd>;
   private resolveEnded: (end: AttemptEnd) => void = () => undefined;
+  private readonly firstSign: Promise<void>;
+  private resolveFirstSign: () => void = () => undefined;
+  private progressListeners: (() => void)[] = [];
 
   /**
    * @param clock - Source of timers.
@@ -125,6 +130,14 @@
     this.ended = new Promise((resolve) => {
       this.resolveEnded = resolve;
     });
+    this.firstSign = new Promise((resolve) => {
+      this.resolveFirstSign = resolve;
+    });
+  }
+
+  /** Result of the attempt; undefined while it is in progress. */
+  get end(): AttemptEnd | undefined {
+    return this.result;
   }
 
   /** When the server last sent anything; the start of the attempt until then. */
@@ -151,6 +164,18 @@
     return this.ended;
   }
 
+  /** Resolves when the server has sent the first bytes, or the attempt has ended. */
+  waitForSign(): Promise<void> {
+    return this.firstSign;
+  }
+
+  /** Resolves when a silent server goes on, or the attempt has ended. */
+  async waitForProgress(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.progressListeners.push(resolve);
+    });
+  }
+
   /** Cancels the attempt; the server stops the request when the connection is closed. */
   cancel(): void {
     this.finish({ kind: 'cancelled' });
@@ -201,9 +226,10 @@
 
   private send(): void {
     const { socket } = this;
-    if (this.hasEnded || !socket) {
+    if (this.hasEnded || !socket || this.isSent) {
       return;
     }
+    this.isSent = true;
     socket.off('error', this.onConnectError);
     const { params } = this;
     const headers = this.codec.encodeAttempt(params.headers, {
@@ -234,6 +260,7 @@
     socket.prependOnceListener('end', () => this.checkReset(socket));
     socket.on('data', (chunk: Buffer) => {
       this.receivedAtMs = this.clock.nowMs();
+      this.resolveFirstSign();
       this.progress.recordReceived(chunk.length);
       this.checkProgress();
     });
@@ -377,11 +404,20 @@
     this.silenceTimer?.cancel();
     this.silenceTimer = undefined;
     this.isServerSilent = false;
+    this.notifyProgress();
     if (timeoutMs !== undefined && !this.hasEnded) {
       this.silenceTimer = this.clock.schedule(timeoutMs, () => this.notifySilence());
     }
   }
 
+  private notifyProgress(): void {
+    const listeners = this.progressListeners;
+    this.progressListeners = [];
+    for (const listener of listeners) {
+      listener();
+    }
+  }
+
   private notifySilence(): void {
     this.isServerSilent = true;
     this.silenceTimer = this.clock.schedule(SILENCE_INTERVAL_MS, () => this.notifySilence());
@@ -393,6 +429,9 @@
       return;
     }
     this.hasEnded = true;
+    this.result = end;
+    this.resolveFirstSign();
+    this.notifyProgress();
     this.silenceTimer?.cancel();
     this.clientRequest?.destroy();
     this.socket?.destroy();
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -23,7 +23,7 @@
 import type { RequestPermits } from './RequestPermits.js';
 import type { StreamOriginClient } from './StreamOriginClient.js';
 import { ServerSearch } from './ServerSearch.js';
-import type { PreparedAttempt } from './SilentServerReplacement.js';
+import type { PreparedAttempt, SentAttempt } from './SilentServerReplacement.js';
 import { MAX_SENDS, StreamResumption } from './StreamResumption.js';
 
 /** Default delay after which a caller should retry, in milliseconds. */
@@ -139,7 +139,11 @@
       this.limits,
       this.search,
       retries,
-      (server) => this.createAttempt(server, this.runCount + 1),
+      {
+        create: (server) => this.createAttempt(server, this.runCount + 1),
+        send: (prepared) => this.start(prepared),
+        discard: (sent) => this.discard(sent),
+      },
       () => this.hasEnded,
     );
     this.sharedParts = getSharedParts(headers.promptParts);
@@ -156,12 +160,19 @@
       this.deps.modelLoader.recordInteractiveUse(this.request.serviceId, this.request.headers.model);
     }
     while (!this.hasEnded) {
-      const prepared = this.resumption.takeReplacement() ?? (await this.prepareAttempt());
-      if (!prepared) {
+      const sent = this.resumption.takeReplacement() ?? (await this.sendNext());
+      if (!sent) {
         return;
       }
-      await this.send(prepared);
+      await this.complete(sent);
     }
+    await this.resumption.discardReplacement();
+  }
+
+  /** Sends the request to the next server; ends it and returns undefined if it cannot be sent. */
+  private async sendNext(): Promise<SentAttempt | undefined> {
+    const prepared = await this.prepareAttempt();
+    return prepared && this.start(prepared);
   }
 
   /** Ends the request, if it has not ended, because the response was sent or the caller closed the connection. */
@@ -284,21 +295,55 @@
     return attempt;
   }
 
-  private async send({ server, attempt }: PreparedAttempt): Promise<void> {
-    const { clock, chooser, log } = this.deps;
+  /** Records that an attempt is sent. */
+  private start(prepared: PreparedAttempt): SentAttempt {
+    const { clock, chooser } = this.deps;
     const { headers } = this.request;
-    const { serverId } = server.entry;
     const attemptId = `${headers.requestId}.${++this.sendCount}`;
     this.tracker.markPossiblySent(attemptId);
+    const sentAtMs = clock.nowMs();
+    const tokenCount = headers.promptTokens + headers.maxOutputTokens;
+    chooser.recordSent(prepared.server.entry.serverId, sentAtMs, tokenCount);
+    this.notifyModelUse(prepared.server, 'started');
+    return { ...prepared, attemptId, sentAtMs };
+  }
+
+  /** Waits for the end of the attempt that has the request, and handles it. */
+  private async complete(sent: SentAttempt): Promise<void> {
+    const { attempt, server } = sent;
     this.attempt = attempt;
     this.latencyMs = undefined;
     this.attemptFirstEventAtMs = undefined;
     this.nextProofAtMs = Infinity;
-    const sentAtMs = clock.nowMs();
-    chooser.recordSent(serverId, sentAtMs, headers.promptTokens + headers.maxOutputTokens);
-    this.notifyModelUse(server, 'started');
     const end = await attempt.run();
     this.attempt = undefined;
+    this.recordEnd(sent, end);
+    if (!this.hasEnded) {
+      this.handleEnd(end, server.entry.serverId);
+    }
+  }
+
+  /** Records the end of an attempt at a server that was to replace a silent one, which keeps the request. */
+  private async discard(sent: SentAttempt): Promise<void> {
+    const end = await sent.attempt.run();
+    const { serverId } = sent.server.entry;
+    this.recordEnd(sent, end);
+    // A server that refused the request may accept it a little later.
+    if (end.kind !== 'notRun' || end.isOtherServer) {
+      this.search.exclude(serverId);
+    }
+    if (end.kind === 'broken') {
+      this.recordCrash(end, serverId);
+    }
+    if (end.kind === 'broken' || end.kind === 'cancelled') {
+      this.runCount++;
+    }
+  }
+
+  private recordEnd({ server, attempt, attemptId, sentAtMs }: SentAttempt, end: AttemptEnd): void {
+    const { clock, chooser, log } = this.deps;
+    const { headers } = this.request;
+    const { serverId } = server.entry;
     this.notifyModelUse(server, 'ended');
     const nowMs = clock.nowMs();
     const latencyMs = end.kind === 'answered' ? nowMs - sentAtMs : this.latencyMs;
@@ -328,9 +373,6 @@
       // Nothing was sent, so this does not count as a send.
       this.sendCount--;
     }
-    if (!this.hasEnded) {
-      this.handleEnd(end, serverId);
-    }
   }
 
   private async handleSilence(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
@@ -440,21 +482,24 @@
   }
 
   private handleBroken(end: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
-    const { crashTracker, agentConnections, clock } = this.deps;
     this.runCount++;
     this.search.exclude(serverId);
     this.resumption.recordBreak(end.cause);
-    if (end.cause === 'server') {
-      const count = crashTracker.recordCrash(this.request.fingerprint, serverId, clock.nowMs());
-      if (count > 1) {
-        agentConnections.notifyCrash(this.request.fingerprint, count);
-      }
-    }
+    this.recordCrash(end, serverId);
     if (!this.mayRunAgain()) {
       this.endWithFallback(end.detail);
     }
   }
 
+  private recordCrash({ cause }: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
+    const { crashTracker, agentConnections, clock } = this.deps;
+    const { fingerprint } = this.request;
+    const count = cause === 'server' ? crashTracker.recordCrash(fingerprint, serverId, clock.nowMs()) : 0;
+    if (count > 1) {
+      agentConnections.notifyCrash(fingerprint, count);
+    }
+  }
+
   private beginStream(head: ResponseHead): void {
     if (!this.resumption.hasBegun && !this.hasEnded) {
       this.sink.beginStream(head);
@@ -600,7 +645,6 @@
     this.hasEnded = true;
     this.deadlineTimer.cancel();
     this.attempt?.cancel();
-    this.resumption.cancel();
     if (headers.model !== undefined) {
       const { model, requestId } = headers;
       modelLoader.stopWaiting({ model, requestId, softwareVersion: this.search.softwareVersion });
--- a/src/direct/SilentServerReplacement.ts
+++ b/src/direct/SilentServerReplacement.ts
@@ -9,12 +9,21 @@
   readonly attempt: BackendAttempt;
 }
 
+/** Attempt that has been sent. */
+export interface SentAttempt extends PreparedAttempt {
+  readonly attemptId: string;
+  readonly sentAtMs: number;
+}
+
 /** Result of the search for a server that replaces a silent one. */
 export type ReplacementResult =
   /** Another server has accepted a connection, and a retry was taken from the budget. */
   | { readonly kind: 'found'; readonly next: PreparedAttempt }
   /** The silent server keeps the request. */
-  | { readonly kind: 'kept'; readonly reason: 'resumed' | 'noRetryLeft' | 'noOtherServer' };
+  | {
+      readonly kind: 'kept';
+      readonly reason: 'resumed' | 'noRetryLeft' | 'noOtherServer' | 'replacementFailed';
+    };
 
 /** Access of one request to the retry budget. */
 export interface RetryAllowance {
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -1,7 +1,7 @@
 import type { ServerId } from '../domain/index.js';
-import type { Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import type { BackendAttempt, BreakCause } from './BackendAttempt.js';
+import { delay, type Clock } from '../kernel/index.js';
+import type { AttemptEnd, BackendAttempt, BreakCause } from './BackendAttempt.js';
 import type {
   CompleteEvents,
   FleetView,
@@ -17,11 +17,17 @@
   type PreparedAttempt,
   type ReplacementResult,
   type RetryAllowance,
+  type SentAttempt,
 } from './SilentServerReplacement.js';
 
 /** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
 export const MAX_SENDS = 6;
 
+/**
+ * Time for which a silent server keeps a request after it was sent to another one too, in milliseconds; servers that work on
+ * the same stream for longer than 400 ms are against the platform's rules.
+ */
+const HANDOVER_MS = 300;
 /** Stands for a version that is not known; no server has it, so the stream continues nowhere else. */
 const UNKNOWN_VERSION = '';
 
@@ -43,6 +49,16 @@
   readonly runCount: number;
 }
 
+/** Operations on the attempts of a request. */
+export interface AttemptOperations {
+  /** Creates an attempt at a server after one more server may have run the request. */
+  create(server: KnownServer): BackendAttempt;
+  /** Sends a request. */
+  send(prepared: PreparedAttempt): SentAttempt;
+  /** Records the end of an attempt that does not replace the one of a silent server. */
+  discard(sent: SentAttempt): Promise<void>;
+}
+
 /** Progress of one response, to which several servers may contribute, and the choice of the server that continues it. */
 export class StreamResumption {
   private readonly silentServerReplacement: SilentServerReplacement;
@@ -53,8 +69,8 @@
   private isOriginKnown = false;
   /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
   private wasBrokenOff = false;
-  /** Connected attempt at the server that replaces a silent one; its retry was taken from the budget. */
-  private replacement: PreparedAttempt | undefined;
+  /** Attempt that was sent to the server that replaces a silent one. */
+  private replacement: SentAttempt | undefined;
   private isReplacing = false;
   /** Last decision on a silent server, which is logged when it changes. */
   private lastSilenceDecision: string | undefined;
@@ -65,7 +81,7 @@
    * @param limits - Limits of the request.
    * @param search - Search for the servers of the request.
    * @param retries - Retry budget.
-   * @param createAttempt - Creates an attempt at a server after one more server may have run the request.
+   * @param attempts - Operations on the request's attempts.
    * @param isOver - Returns whether the request has ended.
    */
   constructor(
@@ -74,11 +90,13 @@
     private readonly limits: RequestLimits,
     private readonly search: ServerSearch,
     retries: RetryAllowance,
-    createAttempt: (server: KnownServer) => BackendAttempt,
+    private readonly attempts: AttemptOperations,
     private readonly isOver: () => boolean,
   ) {
     this.progressEventId = request.headers.lastEventId;
-    this.silentServerReplacement = new SilentServerReplacement(search, retries, createAttempt);
+    this.silentServerReplacement = new SilentServerReplacement(search, retries, (server) =>
+      attempts.create(server),
+    );
   }
 
   /** Whether the caller has received the head of a stream. */
@@ -150,10 +168,10 @@
     }
     this.isReplacing = true;
     try {
-      const result = await this.silentServerReplacement.find(attempt, serverId);
+      const found = await this.silentServerReplacement.find(attempt, serverId);
+      const result = found.kind === 'found' ? await this.handOver(attempt, found.next) : found;
       this.logSilence(attempt, serverId, result);
       if (result.kind === 'found') {
-        this.replacement = result.next;
         attempt.abandon();
       }
     } finally {
@@ -161,16 +179,42 @@
     }
   }
 
+  /**
+   * Sends the request to another server too. The silent one keeps it until the other one shows that it takes it: it may
+   * have gone on by then, and the other one may have failed.
+   */
+  private async handOver(silent: BackendAttempt, next: PreparedAttempt): Promise<ReplacementResult> {
+    const sent = this.attempts.send(next);
+    this.replacement = sent;
+    void next.attempt.run();
+    await Promise.race([
+      next.attempt.waitForSign(),
+      silent.waitForProgress(),
+      delay(this.deps.clock, HANDOVER_MS),
+    ]);
+    const hasFailed = next.attempt.end !== undefined && !isResponse(next.attempt.end);
+    const isKept = silent.end === undefined && (hasFailed || !silent.isSilent);
+    if (isKept || this.isOver()) {
+      await this.discardReplacement();
+      return { kind: 'kept', reason: hasFailed ? 'replacementFailed' : 'resumed' };
+    }
+    return { kind: 'found', next };
+  }
+
   /** Returns the attempt that replaces a silent server, once; undefined if there is none. */
-  takeReplacement(): PreparedAttempt | undefined {
+  takeReplacement(): SentAttempt | undefined {
     const { replacement } = this;
     this.replacement = undefined;
     return replacement;
   }
 
-  /** Cancels an attempt that was prepared and not sent. */
-  cancel(): void {
-    this.replacement?.attempt.cancel();
+  /** Cancels an attempt that replaces a silent server and records its end, if it is not in use. */
+  async discardReplacement(): Promise<void> {
+    const sent = this.takeReplacement();
+    if (sent) {
+      sent.attempt.cancel();
+      await this.attempts.discard(sent);
+    }
   }
 
   /** Whether the request takes up a stream that an earlier request has begun. */
@@ -233,3 +277,8 @@
     });
   }
 }
+
+/** Whether an attempt ended with a response of its server. */
+function isResponse({ kind }: AttemptEnd): boolean {
+  return kind === 'answered' || kind === 'streamed';
+}
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -140,6 +140,23 @@
     expect([received.status, received.text]).to.deep.equal([200, 'whole']);
   });
 
+  // Soak seeds 506, 600, 602 and others: the request was moved to a crashed server and got 502.
+  it('keep a request if the server that was to replace them fails at once', async () => {
+    let requestCount = 0;
+    const respond: Handler = (incoming, response, body) => {
+      if (++requestCount === 1) {
+        pauseBeforeResponse(incoming, response, body);
+      } else {
+        incoming.socket.destroy();
+      }
+    };
+    await bench.addServer('p', respond, ORDERS);
+    await bench.addServer('pp', respond, ORDERS);
+    await bench.start([plainRoute]);
+    const received = await bench.sendRequest('/plain/x');
+    expect([received.status, received.text, requestCount]).to.deep.equal([200, 'whole', 2]);
+  });
+
   it('leave the retry budget alone when a connection to another server fails', async () => {
     bench.retryLimits = { ratio: 0, slack: 1.25, windowMs: 10_000 };
     let requestCount = 0;
