Streams without a length are passed on in chunks

Change: the router sends such a stream in chunks, so only the router itself can complete it; breaks of the server are found as before.

Ruled out: SO_LINGER, for which Node.js has no call; holding back the end of each event, which delays it by a pause. The new case of CallerServer.test.ts fails without the change; with it 49 tests of CallerServer, BackendAttempt, streams.fuzz and keptConnections.fuzz pass.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -45,8 +45,8 @@
 export interface ResponseHead {
   readonly status: number;
   /**
-   * Whether the response has a length or a chunked encoding. The end of a response without either may be a failure of the
-   * server, so it is passed on without a length too.
+   * Whether the response is passed on with a length or in chunks. The end of a response without either may be a failure of
+   * the server, so it is passed on without a length too, unless it is a stream.
    */
   readonly isFramed: boolean;
   readonly headers: OutgoingHttpHeaders;
@@ -293,7 +293,8 @@
     const head: ResponseHead = { status, isFramed, headers: decoded.forwarded };
     const isStream = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
     if (isStream && status < 300) {
-      this.readStream(response, head);
+      // Events show where a stream breaks; chunks show its caller that this process has ended in the middle of it.
+      this.readStream(response, { ...head, isFramed: true });
     } else {
       this.readBody(response, head);
     }
--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -217,6 +217,18 @@
       expect(received.headers['transfer-encoding']).to.equal(undefined);
     });
 
+    // Soak seeds 502, 603, 606 and others: a router that was killed ended such a stream as if it was complete.
+    it('are forwarded in chunks if they are a stream, so that the end of the router does not complete them', async () => {
+      const events = 'id: 1\ndata: 1\n\n';
+      const stream = (requestId: string) =>
+        head(requestId).replace('text/plain', STREAM).replace('half', events);
+      await bench.addRawServer('e', stream, false);
+      await bench.start([route]);
+      const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+      expect([received.status, received.text, received.isComplete]).to.deep.equal([200, events, true]);
+      expect(received.headers['transfer-encoding']).to.equal('chunked');
+    });
+
     it('are discarded if the connection was reset', async () => {
       await bench.addRawServer('e', head, true);
       await bench.start([route]);
