--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -369,6 +369,41 @@
       agent.destroy();
     });
 
+    // The day deploy/days/cling.toml: callers keep using their connections until the process is gone.
+    it('answers each request that it passes on for callers that keep sending on open connections', async () => {
+      await bench.addServer(
+        'p',
+        (incoming, response) => {
+          setTimeout(() => response.writeHead(200, makeResponseHeaders(incoming)).end('late'), 30);
+        },
+        ORDERS,
+      );
+      await bench.start([plainRoute]);
+      const agent = new Agent({ keepAlive: true, maxSockets: 4 });
+      const answeredIds = new Set<string>();
+      let isStopped = false;
+      const keepSending = async (caller: number) => {
+        for (let count = 0; !isStopped; count++) {
+          const id = `r${caller}-${count}`;
+          const response = await bench
+            .sendRequest('/plain/x', { 'request-id': id }, 'x', undefined, agent)
+            .catch(() => delay(CLOCK, 5));
+          if (response?.isComplete === true) {
+            answeredIds.add(id);
+          }
+        }
+      };
+      const callers = [1, 2, 3, 4].map((caller) => keepSending(caller));
+      await delay(CLOCK, 200);
+      await bench.stopRouter();
+      isStopped = true;
+      await Promise.all(callers);
+      agent.destroy();
+      const passedOnIds = bench.receivedRequests.map(({ headers }) => String(headers['request-id']));
+      expect(passedOnIds.length).to.be.greaterThan(100);
+      expect(passedOnIds.filter((id) => !answeredIds.has(id))).to.deep.equal([]);
+    });
+
     it('completes responses that their callers read slowly', async () => {
       const length = 7 * 1024 * 1024;
       await bench.addServer(
