A silent server is left only for one that responds, found before the move

That check is taken out again.

Change: a server takes over from a silent one only if it is idle as far as this router knows, or has sent a part of a response within 800 ms, or its agent has reported within that time.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -362,6 +362,9 @@
     if (end.kind === 'broken') {
       this.recordBroken(server, end, nowMs);
     }
+    if (end.kind === 'answered' || end.kind === 'notRun') {
+      chooser.recordHeard(serverId, nowMs);
+    }
     if (end.kind === 'answered') {
       this.keepBuffered(end.body.length);
     }
@@ -512,6 +515,7 @@
       return;
     }
     const nowMs = this.deps.clock.nowMs();
+    this.deps.chooser.recordHeard(server.entry.serverId, nowMs);
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.resumption.lastEventAtMs ?? nowMs));
     this.resumption.recordEvents(events, server, nowMs);
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -139,7 +139,11 @@
     const excludedServerIds = this.getExcludedIds(serverId);
     while (!this.isOver()) {
       const server = chooser.chooseServer({ ...this.toRequirements(), excludedServerIds }, clock.nowMs());
-      if (!server || (await this.checkUsable(server, 0)) === 'usable') {
+      if (!server) {
+        return undefined;
+      }
+      // A server that is silent too would not take the request any sooner.
+      if (chooser.isResponsive(server, clock.nowMs()) && (await this.checkUsable(server, 0)) === 'usable') {
         return server;
       }
       excludedServerIds.add(server.entry.serverId);
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -28,8 +28,6 @@
  * the same stream for longer than 400 ms are against the platform's rules.
  */
 const HANDOVER_MS = 300;
-/** Age of an engine's report up to which it shows that the engine responds, in milliseconds. */
-const MAX_REPORT_AGE_MS = 800;
 /** Stands for a version that is not known; no server has it, so the stream continues nowhere else. */
 const UNKNOWN_VERSION = '';
 
@@ -197,8 +195,7 @@
       delay(this.deps.clock, HANDOVER_MS),
     ]);
     const hasFailed = next.attempt.end !== undefined && !isResponse(next.attempt.end);
-    const isKept =
-      silent.end === undefined && (hasFailed || !silent.isSilent || !this.isAlive(next, sent.sentAtMs));
+    const isKept = silent.end === undefined && (hasFailed || !silent.isSilent);
     if (isKept || this.isOver()) {
       await this.discardReplacement();
       return { kind: 'kept', reason: hasFailed ? 'replacementFailed' : 'resumed' };
@@ -206,15 +203,6 @@
     return { kind: 'found', next };
   }
 
-  /** Whether a server has sent something since an attempt began there, or its agent has reported lately. */
-  private isAlive({ server, attempt }: PreparedAttempt, sentAtMs: number): boolean {
-    const { view, clock } = this.deps;
-    return (
-      attempt.lastReceivedAtMs > sentAtMs ||
-      clock.nowMs() - view.getReportedAtMs(server.entry.address) < MAX_REPORT_AGE_MS
-    );
-  }
-
   /** Returns the attempt that replaces a silent server, once; undefined if there is none. */
   takeReplacement(): SentAttempt | undefined {
     const { replacement } = this;
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -100,14 +100,6 @@
     this.confirm(report.address, report.bornAtMs);
   }
 
-  /**
-   * Returns when the latest report of an agent was received.
-   * @param address - Host and port of its engine.
-   */
-  getReportedAtMs(address: string): number {
-    return this.reports.get(address)?.atMs ?? -Infinity;
-  }
-
   /**
    * Records that a server refused a request because the model is not loaded there.
    * @param serverId - The server.
@@ -297,7 +289,7 @@
 
   private toKnownServer(entry: ServerEntry, nowMs: number): KnownServer {
     const report = this.getCurrentReport(entry, nowMs);
-    const reportedAtMs = this.getReportedAtMs(entry.address);
+    const reportedAtMs = this.reports.get(entry.address)?.atMs ?? -Infinity;
     const heldModels = this.excludeRefusedModels(
       entry.serverId,
       report?.heldModels ?? entry.heldModels,
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -30,6 +30,11 @@
 const SAME_KNOWLEDGE_S = 0.7;
 /** Time for which a request is remembered as possibly missing in a report, in milliseconds. */
 const SEND_MEMORY_MS = 3_000;
+/**
+ * Time since its last sign of life after which a server with requests in progress counts as unresponsive, in milliseconds;
+ * agents report twice a second.
+ */
+const UNRESPONSIVE_AFTER_MS = 800;
 /** Weight of a new measurement in the moving average of a server's latency. */
 const LATENCY_SMOOTHING = 0.2;
 /** Penalty of each 100 ms of average latency on a server without models. */
@@ -49,6 +54,8 @@
   failureShare: number;
   failureUpdatedAtMs: number;
   latencyMs: number | undefined;
+  /** When the server last sent a part of a response. */
+  heardAtMs: number;
 }
 
 /** Requirements of a request on its server. */
@@ -160,6 +167,26 @@
     }
   }
 
+  /**
+   * Records that a server has sent a part of a response.
+   * @param serverId - The server.
+   * @param nowMs - Current time.
+   */
+  recordHeard(serverId: ServerId, nowMs: number): void {
+    this.getOrCreateStats(serverId).heardAtMs = nowMs;
+  }
+
+  /**
+   * Whether a server is idle, as far as this router knows, or has shown lately that it responds.
+   * @param server - The server.
+   * @param nowMs - Current time.
+   */
+  isResponsive({ entry, report, reportedAtMs }: KnownServer, nowMs: number): boolean {
+    const { inFlightCount, heardAtMs } = this.getOrCreateStats(entry.serverId);
+    const isIdle = report === undefined && inFlightCount === 0;
+    return isIdle || nowMs - Math.max(heardAtMs, reportedAtMs) < UNRESPONSIVE_AFTER_MS;
+  }
+
   /**
    * Records a success or failure of a server that is not the end of a request.
    * @param serverId - The server.
@@ -241,7 +268,14 @@
   private getOrCreateStats(serverId: ServerId): LocalServerStats {
     let stats = this.statsByServer.get(serverId);
     if (!stats) {
-      stats = { inFlightCount: 0, sends: [], failureShare: 0, failureUpdatedAtMs: 0, latencyMs: undefined };
+      stats = {
+        inFlightCount: 0,
+        sends: [],
+        failureShare: 0,
+        failureUpdatedAtMs: 0,
+        latencyMs: undefined,
+        heardAtMs: -Infinity,
+      };
       this.statsByServer.set(serverId, stats);
     }
     return stats;
