A server whose report is outdated does not take over from a silent one

Now a server counts as idle only if no agent has ever reported, as plain servers.

The two cases of ServerChooser.test.ts cover it; the second failed before.

--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -177,13 +177,13 @@
   }
 
   /**
-   * Whether a server is idle, as far as this router knows, or has shown lately that it responds.
+   * Whether a server has shown lately that it responds, or is idle and has no agent whose reports would show it.
    * @param server - The server.
    * @param nowMs - Current time.
    */
-  isResponsive({ entry, report, reportedAtMs }: KnownServer, nowMs: number): boolean {
+  isResponsive({ entry, reportedAtMs }: KnownServer, nowMs: number): boolean {
     const { inFlightCount, heardAtMs } = this.getOrCreateStats(entry.serverId);
-    const isIdle = report === undefined && inFlightCount === 0;
+    const isIdle = reportedAtMs === -Infinity && inFlightCount === 0;
     return isIdle || nowMs - Math.max(heardAtMs, reportedAtMs) < UNRESPONSIVE_AFTER_MS;
   }
 
--- a/test/direct/decisions/ServerChooser.test.ts
+++ b/test/direct/decisions/ServerChooser.test.ts
@@ -19,6 +19,38 @@
 };
 
 describe('ServerChooser', () => {
+  describe('isResponsive', () => {
+    const entry = makeEntry('x', { heldModels: [makeHeldModel('a')] });
+    const serverId = toServerId('x');
+
+    function isResponsive(reportedAtMs: number | undefined, heardAtMs: number | undefined): boolean {
+      const { view, chooser } = makeChooser([entry]);
+      if (reportedAtMs !== undefined) {
+        view.applyReport(makeReport(entry), reportedAtMs);
+      }
+      if (heardAtMs !== undefined) {
+        chooser.recordSent(serverId, heardAtMs);
+        chooser.recordHeard(serverId, heardAtMs);
+      }
+      const [server] = view.getReadyServers(ENGINES, 10_000);
+      return server !== undefined && chooser.isResponsive(server, 10_000);
+    }
+
+    it('is true after a recent report or response, and without any sign for an idle server', () => {
+      expect(isResponsive(9_500, undefined)).to.equal(true);
+      expect(isResponsive(5_000, 9_500)).to.equal(true);
+      expect(isResponsive(undefined, 9_500)).to.equal(true);
+      expect(isResponsive(undefined, undefined)).to.equal(true);
+    });
+
+    // Soak seed 5: a stream moved to an engine that had been silent for so long that its report was discarded.
+    it('is false if the last report or response is old, however old', () => {
+      expect(isResponsive(9_000, undefined)).to.equal(false);
+      expect(isResponsive(1_000, undefined)).to.equal(false);
+      expect(isResponsive(undefined, 9_000)).to.equal(false);
+    });
+  });
+
   describe('chooseServer', () => {
     it('chooses a server on which the model is loaded', () => {
       const { chooser } = makeChooser([makeEntry('x'), makeEntry('y', { heldModels: [makeHeldModel('a')] })]);
