A part that this router has not seen counts as first in its prompts again

Cause: an unseen part counted as the last of its prompts and kept a guilty one of another prompt from being blocked.

--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -234,8 +234,7 @@
 
   /** Omits parts if one that comes later in prompts was found at half as many crashes; the earlier one may be shared. */
   private omitShared(suspects: readonly Suspect[]): readonly Suspect[] {
-    // A part that this router has not seen may come at any position.
-    const getPosition = ({ promptPart }: Suspect) => this.positions.get(promptPart) ?? Infinity;
+    const getPosition = ({ promptPart }: Suspect) => this.positions.get(promptPart) ?? 0;
     return suspects.filter(
       (suspect) =>
         !suspects.some(
