--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -31,8 +31,8 @@
 
 /** Interval at which missing connections are dialed, in milliseconds. */
 const DIAL_INTERVAL_MS = 200;
-/** Number of agents that are notified of a leaving server, so that the loss of one or two does not matter. */
-const LEAVING_NOTICE_COUNT = 3;
+/** Number of agents that keep what routers must learn of each other, so that the loss of one or two does not matter. */
+const KEEPER_COUNT = 3;
 /**
  * Time after its last message for which an agent counts as in touch, in milliseconds; an idle router receives a report each
  * second.
@@ -247,6 +247,14 @@
     return [...weights.keys()].sort((left, right) => (weights.get(right) ?? 0) - (weights.get(left) ?? 0));
   }
 
+  /**
+   * Returns the addresses of the engines of the few connected agents that keep something for all routers.
+   * @param key - Identifies what they keep.
+   */
+  chooseKeepers(key: string): string[] {
+    return this.rankAgents(key).slice(0, KEEPER_COUNT);
+  }
+
   /**
    * Notifies all agents of a request that crashed a server; their reports pass it on to the other routers.
    * @param fingerprint - Fingerprint of the request.
@@ -284,7 +292,7 @@
    * @param server - Incarnation of the server.
    */
   notifyLeaving(server: ServerIncarnation): void {
-    for (const address of this.rankAgents(server.serverId).slice(0, LEAVING_NOTICE_COUNT)) {
+    for (const address of this.chooseKeepers(server.serverId)) {
       this.notify(address, RESIDENCY_METHODS.leaving, server);
     }
   }
--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -100,7 +100,6 @@
   private silenceTimer: Timer | undefined;
   private readonly progress = new ResponseProgress();
   private bufferedLength = 0;
-  private hasEnded = false;
   private receivedAtMs: number;
   private isServerSilent = false;
   private isSent = false;
@@ -135,6 +134,10 @@
     });
   }
 
+  private get hasEnded(): boolean {
+    return this.result !== undefined;
+  }
+
   /** Result of the attempt; undefined while it is in progress. */
   get end(): AttemptEnd | undefined {
     return this.result;
@@ -170,8 +173,8 @@
   }
 
   /** Resolves when a silent server goes on, or the attempt has ended. */
-  async waitForProgress(): Promise<void> {
-    await new Promise<void>((resolve) => {
+  waitForProgress(): Promise<void> {
+    return new Promise((resolve) => {
       this.progressListeners.push(resolve);
     });
   }
@@ -429,7 +432,6 @@
     if (this.hasEnded) {
       return;
     }
-    this.hasEnded = true;
     this.result = end;
     this.resolveFirstSign();
     this.notifyProgress();
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -3,6 +3,7 @@
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
 import {
+  describeRateLimit,
   EngineCrashRecorder,
   isPartList,
   ResidencyPlanner,
@@ -161,11 +162,7 @@
     }
     const maxRequestsPerSecond = report.maxRequestsPerSecond ?? null;
     if ((this.planner.engineReport?.maxRequestsPerSecond ?? null) !== maxRequestsPerSecond) {
-      const isLimited = maxRequestsPerSecond !== null;
-      log.decision(
-        'engine limits its requests',
-        isLimited ? { isLimited, maxRequestsPerSecond } : { isLimited },
-      );
+      log.decision('engine limits its requests', describeRateLimit(maxRequestsPerSecond));
     }
     this.planner.applyReport(report, clock.nowMs());
     if (!report.isBusy) {
--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -17,6 +17,7 @@
   findPendingLoad,
   findUnderReplicatedModels,
   getHeldModel,
+  isRequiredVersion,
   type EngineProfile,
   type FleetView,
   type KnownServer,
@@ -140,8 +141,8 @@
       return undefined;
     }
     const requirements = { model, footprint, isInteractive: true, maxStartMs: Infinity, mayFetchCopy: true };
-    const servers = this.getServers(serviceId, this.deps.clock.nowMs()).filter(
-      (server) => softwareVersion === undefined || server.softwareVersion === softwareVersion,
+    const servers = this.getServers(serviceId, this.deps.clock.nowMs()).filter((server) =>
+      isRequiredVersion(server.softwareVersion, softwareVersion),
     );
     return findPendingLoad(requirements, servers, profile)?.readyInMs;
   }
@@ -215,11 +216,9 @@
   }
 
   private review(waited: WaitedModel, allServers: readonly KnownServer[], nowMs: number): void {
-    const { softwareVersion } = waited;
-    const servers =
-      softwareVersion === undefined
-        ? allServers
-        : allServers.filter((server) => server.softwareVersion === softwareVersion);
+    const servers = allServers.filter(({ softwareVersion }) =>
+      isRequiredVersion(softwareVersion, waited.softwareVersion),
+    );
     if (servers.some((server) => getHeldModel(server, waited.model))) {
       this.resolveAll(waited, { kind: 'ready' });
       return;
--- a/src/direct/PermitIssuer.ts
+++ b/src/direct/PermitIssuer.ts
@@ -49,8 +49,8 @@
       return { isGranted: false, retryInMs: UNREADABLE_RETRY_MS };
     }
     const nowMs = clock.nowMs();
-    const askerCount = this.countAskers(serverId, from, nowMs);
-    const dependentCount = address === engineAddress ? getRouterCount() : askerCount;
+    const dependentCount =
+      address === engineAddress ? getRouterCount() : this.countAskers(serverId, from, nowMs);
     const share = Math.min(1, dependentCount / Math.max(1, routerCount));
     const decision = this.buckets.take(serverId, share * maxRequestsPerSecond, maxWaitMs, nowMs);
     metrics.count(decision.isGranted ? 'permits_granted' : 'permits_refused');
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -3,6 +3,7 @@
 import type { AgentConnections } from './AgentConnections.js';
 import {
   getHeldModel,
+  ServerHolds,
   type FleetView,
   type KnownServer,
   type RequestLimits,
@@ -53,8 +54,8 @@
 /** Finds servers for one request, one at a time, and keeps the set of excluded servers. */
 export class ServerSearch {
   private readonly excluded = new Set<ServerId>();
-  /** Servers that were at their limit, and when a request may be sent there. */
-  private readonly limitedUntilMs = new Map<ServerId, number>();
+  /** Periods in which servers at their limits permit no request. */
+  private readonly limitHolds = new ServerHolds();
   private requiredVersion: string | undefined;
 
   /**
@@ -241,14 +242,8 @@
 
   /** Returns the time until the first of the servers that are at their limits accepts a request; undefined if none is. */
   private getShortestLimitMs(): number | undefined {
-    const nowMs = this.deps.clock.nowMs();
-    let shortestMs: number | undefined;
-    for (const untilMs of this.limitedUntilMs.values()) {
-      if (untilMs > nowMs) {
-        shortestMs = Math.min(shortestMs ?? Infinity, untilMs - nowMs);
-      }
-    }
-    return shortestMs;
+    const held = this.limitHolds.getHeld(this.deps.clock.nowMs());
+    return held.size === 0 ? undefined : Math.min(...held.values());
   }
 
   /**
@@ -263,7 +258,7 @@
     }
     const permit = await permits.take(server, this.request.headers.requestId, maxPermitWaitMs);
     if (!permit.isGranted) {
-      this.limitedUntilMs.set(entry.serverId, clock.nowMs() + permit.retryInMs);
+      this.limitHolds.hold(entry.serverId, permit.retryInMs, clock.nowMs());
       return 'limited';
     }
     if (permit.waitMs > 0) {
@@ -299,14 +294,7 @@
   }
 
   private excludeLimited(): ReadonlySet<ServerId> {
-    const nowMs = this.deps.clock.nowMs();
-    for (const [serverId, untilMs] of this.limitedUntilMs) {
-      if (nowMs >= untilMs) {
-        this.limitedUntilMs.delete(serverId);
-      }
-    }
-    return this.limitedUntilMs.size === 0
-      ? this.excluded
-      : new Set([...this.excluded, ...this.limitedUntilMs.keys()]);
+    const held = this.limitHolds.getHeld(this.deps.clock.nowMs());
+    return held.size === 0 ? this.excluded : new Set([...this.excluded, ...held.keys()]);
   }
 }
--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -3,8 +3,6 @@
 import { isStreamOrigin, StreamOrigins, type StreamOrigin } from './decisions/index.js';
 import { STREAM_METHODS, type FindOriginReply } from './messages.js';
 
-/** Number of agents that keep the origin of a stream, so that the loss of one or two does not matter. */
-const KEEPER_COUNT = 3;
 /** Timeout of the question to an agent, in milliseconds; it answers within a few milliseconds. */
 const FIND_TIMEOUT_MS = 200;
 
@@ -32,7 +30,7 @@
   record(origin: StreamOrigin): void {
     this.ownOrigins.record(origin);
     const { agentConnections } = this.deps;
-    for (const address of this.getKeepers(origin.requestId)) {
+    for (const address of agentConnections.chooseKeepers(origin.requestId)) {
       agentConnections.notify(address, STREAM_METHODS.began, origin);
     }
   }
@@ -57,7 +55,7 @@
 
   /** Asks all keepers; resolves with the first version that one of them knows. */
   private async askKeepers(requestId: string): Promise<string | undefined> {
-    const answers = this.getKeepers(requestId).map(async (address) => {
+    const answers = this.deps.agentConnections.chooseKeepers(requestId).map(async (address) => {
       const softwareVersion = await this.ask(address, requestId);
       return softwareVersion ?? Promise.reject(new Error('The agent does not know the stream.'));
     });
@@ -74,8 +72,4 @@
     const softwareVersion = result.kind === 'answered' ? result.value.softwareVersion : undefined;
     return isStreamOrigin({ requestId, softwareVersion }) ? (softwareVersion ?? undefined) : undefined;
   }
-
-  private getKeepers(requestId: string): string[] {
-    return this.deps.agentConnections.rankAgents(requestId).slice(0, KEEPER_COUNT);
-  }
 }
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -65,8 +65,6 @@
   private progressEventId: string | undefined;
   private progressAtMs: number | undefined;
   private isBegun = false;
-  /** Whether the software version that the stream is bound to was determined. */
-  private isOriginKnown = false;
   /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
   private wasBrokenOff = false;
   /** Attempt that was sent to the server that replaces a silent one. */
@@ -230,7 +228,8 @@
    * servers have one version only, the stream is taken to have begun there.
    */
   private async ensureOrigin(): Promise<boolean> {
-    if (this.isOriginKnown || !this.isTakenUp || this.request.route.kind !== 'stream') {
+    const isBound = this.search.softwareVersion !== undefined;
+    if (isBound || !this.isTakenUp || this.request.route.kind !== 'stream') {
       return true;
     }
     const { streamOrigins, view, clock } = this.deps;
@@ -242,14 +241,12 @@
     if (softwareVersion === undefined) {
       return false;
     }
-    this.isOriginKnown = true;
     this.search.requireVersion(softwareVersion);
     return true;
   }
 
   private bindTo(softwareVersion: string | undefined): void {
     const { headers } = this.request;
-    this.isOriginKnown = true;
     this.search.requireVersion(softwareVersion ?? UNKNOWN_VERSION);
     if (softwareVersion !== undefined) {
       const requestId = headers.resumedRequestId ?? headers.requestId;
--- a/src/direct/applyServerNotice.ts
+++ b/src/direct/applyServerNotice.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
-import type { FleetView, ServerEntry } from './decisions/index.js';
+import { describeRateLimit, type FleetView, type ServerEntry } from './decisions/index.js';
 import type { ServerNotice } from './HeaderCodec.js';
 
 /** Dependencies of {@link applyServerNotice}. */
@@ -41,13 +41,7 @@
     log.decision('server limits its requests', {
       serverId,
       bornAtMs,
-      ...describeLimit(maxRequestsPerSecond),
+      ...describeRateLimit(maxRequestsPerSecond),
     });
   }
 }
-
-/** Returns the fields of a log line that describe a limit. */
-function describeLimit(maxRequestsPerSecond: number): Record<string, number | boolean> {
-  const isLimited = Number.isFinite(maxRequestsPerSecond);
-  return isLimited ? { isLimited, maxRequestsPerSecond } : { isLimited };
-}
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -198,8 +198,7 @@
     let shortestMs: number | undefined;
     for (const entry of this.getEntries()) {
       const isCandidate =
-        entry.serviceId === serviceId &&
-        (softwareVersion === undefined || this.getSoftwareVersion(entry) === softwareVersion);
+        entry.serviceId === serviceId && isRequiredVersion(this.getSoftwareVersion(entry), softwareVersion);
       const holdMs = isCandidate ? this.getHoldMs(entry, nowMs) : 0;
       if (holdMs > 0 && (model === undefined || this.isHolder(entry, model, nowMs))) {
         shortestMs = Math.min(shortestMs ?? Infinity, holdMs);
@@ -240,12 +239,8 @@
     for (const [serverId, leavingBornAtMs] of Object.entries(leavingServers ?? {})) {
       this.recordLeaving({ serverId: toServerId(serverId), bornAtMs: leavingBornAtMs });
     }
-    if (isLeaving === true) {
-      for (const entry of this.getEntries()) {
-        if (entry.address === address && entry.bornAtMs === bornAtMs) {
-          this.recordLeaving(entry);
-        }
-      }
+    for (const entry of isLeaving === true ? this.getEntriesOfProcess(address, bornAtMs) : []) {
+      this.recordLeaving(entry);
     }
   }
 
@@ -261,9 +256,15 @@
     if (maxRequestsPerSecond === null && (previous?.maxRequestsPerSecond ?? null) === null) {
       return;
     }
+    for (const { serverId } of this.getEntriesOfProcess(address, bornAtMs)) {
+      this.recordRateLimit(serverId, maxRequestsPerSecond ?? Infinity);
+    }
+  }
+
+  private *getEntriesOfProcess(address: string, bornAtMs: number): IterableIterator<ServerEntry> {
     for (const entry of this.getEntries()) {
       if (entry.address === address && entry.bornAtMs === bornAtMs) {
-        this.recordRateLimit(entry.serverId, maxRequestsPerSecond ?? Infinity);
+        yield entry;
       }
     }
   }
@@ -337,6 +338,18 @@
   }
 }
 
+/**
+ * Whether a software version is the required one, or none is required.
+ * @param softwareVersion - Version of a server's software, if known.
+ * @param requiredVersion - Version that it must have, if any.
+ */
+export function isRequiredVersion(
+  softwareVersion: string | undefined,
+  requiredVersion: string | undefined,
+): boolean {
+  return requiredVersion === undefined || softwareVersion === requiredVersion;
+}
+
 /**
  * Returns a model that is loaded on a server; undefined when it is not.
  * @param server - The server.
--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -74,7 +74,8 @@
  * Finds the prompt parts that crash each engine that begins an answer on them, and blocks requests with them.
  *
  * The guilty part is found at each of the crashes that it causes and no request with it is answered, while the parts that
- * were found beside it are answered elsewhere. Of the parts that remain, the one with the most crashes is blocked; the
+ * were found beside it are answered elsewhere. Of the parts that remain, except those that come before another one with
+ * half as many crashes in prompts, the one with the most crashes is blocked; the
  * crashes that it explains no longer count against others. If several are equal, those with the fewest requests are
  * blocked, since a part that many harmless requests share was found at the crashes for that reason; of these, the last in
  * the order of prompts, since the parts before it are those that more requests share.
@@ -225,29 +226,34 @@
   }
 
   /** Whether a part was found at crashes at enough different times to exclude that they have another cause in common. */
-  private isRepeated({ promptPart, eventCount, spacedCount, missingCount }: Suspect): boolean {
+  private isRepeated(suspect: Suspect): boolean {
+    const { eventCount, spacedCount, missingCount } = suspect;
     return (
       eventCount >= MIN_EVENTS_IN_DOUBT ||
-      (spacedCount >= MIN_SPACED_CRASHES && missingCount === 0 && (this.positions.get(promptPart) ?? 0) > 0)
+      (spacedCount >= MIN_SPACED_CRASHES && missingCount === 0 && this.getPosition(suspect) > 0)
     );
   }
 
   /** Omits parts if one that comes later in prompts was found at half as many crashes; the earlier one may be shared. */
   private omitShared(suspects: readonly Suspect[]): readonly Suspect[] {
-    const getPosition = ({ promptPart }: Suspect) => this.positions.get(promptPart) ?? 0;
     return suspects.filter(
       (suspect) =>
         !suspects.some(
           (other) =>
-            getPosition(other) > getPosition(suspect) && 2 * other.atMs.length >= suspect.atMs.length,
+            this.getPosition(other) > this.getPosition(suspect) &&
+            2 * other.atMs.length >= suspect.atMs.length,
         ),
     );
   }
 
   private omitEarlierParts(suspects: readonly Suspect[]): readonly Suspect[] {
-    const getPosition = ({ promptPart }: Suspect) => this.positions.get(promptPart) ?? 0;
-    const lastPosition = Math.max(...suspects.map(getPosition));
-    return suspects.filter((suspect) => getPosition(suspect) === lastPosition);
+    const lastPosition = Math.max(...suspects.map((suspect) => this.getPosition(suspect)));
+    return suspects.filter((suspect) => this.getPosition(suspect) === lastPosition);
+  }
+
+  /** Returns the position of a part in prompts; 0 if this router has not seen it. */
+  private getPosition({ promptPart }: Suspect): number {
+    return this.positions.get(promptPart) ?? 0;
   }
 
   /** Returns the parts that were found at crashes that no blocked part explains. */
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -2,7 +2,7 @@
 import { ArrivalRates } from './ArrivalRates.js';
 import { drawByRoom, type ScoredCandidate } from './drawByRoom.js';
 import type { FleetView, KnownServer } from './FleetView.js';
-import { getHeldModel } from './FleetView.js';
+import { getHeldModel, isRequiredVersion } from './FleetView.js';
 
 /** Weight of a new outcome in the moving average of a server's failure share. */
 const FAILURE_SMOOTHING = 0.2;
@@ -286,10 +286,7 @@
   { entry, softwareVersion }: KnownServer,
   { excludedServerIds, softwareVersion: requiredVersion }: ServerRequirements,
 ): boolean {
-  return (
-    !excludedServerIds.has(entry.serverId) &&
-    (requiredVersion === undefined || softwareVersion === requiredVersion)
-  );
+  return !excludedServerIds.has(entry.serverId) && isRequiredVersion(softwareVersion, requiredVersion);
 }
 
 /** Returns the requests to a server that its latest report can't show yet. */
--- a/src/direct/decisions/ServerHolds.ts
+++ b/src/direct/decisions/ServerHolds.ts
@@ -4,7 +4,7 @@
 const MAX_HOLD_MS = 60_000;
 
 /**
- * Periods for which servers have asked this router to send them no requests. A hold applies to all incarnations of its
+ * Periods in which servers want no requests. A hold applies to all incarnations of its
  * server, since an answer may come from a newer one than the router knows.
  */
 export class ServerHolds {
@@ -31,6 +31,20 @@
     return Math.max(0, (this.untilMsByServer.get(serverId) ?? -Infinity) - nowMs);
   }
 
+  /**
+   * Returns the servers with a hold and the remaining time of each, in milliseconds.
+   * @param nowMs - Current time.
+   */
+  getHeld(nowMs: number): ReadonlyMap<ServerId, number> {
+    const remainingMs = new Map<ServerId, number>();
+    for (const [serverId, untilMs] of this.untilMsByServer) {
+      if (untilMs > nowMs) {
+        remainingMs.set(serverId, untilMs - nowMs);
+      }
+    }
+    return remainingMs;
+  }
+
   private discardEnded(nowMs: number): void {
     for (const [serverId, untilMs] of this.untilMsByServer) {
       if (nowMs >= untilMs) {
--- a/src/direct/decisions/ServerRateLimits.ts
+++ b/src/direct/decisions/ServerRateLimits.ts
@@ -36,3 +36,13 @@
     return this.limits.get(serverId);
   }
 }
+
+/**
+ * Returns the fields of a log line that describe a limit.
+ * @param maxRequestsPerSecond - Number of requests per second; infinite or null if the server names no limit.
+ */
+export function describeRateLimit(maxRequestsPerSecond: number | null): Record<string, number | boolean> {
+  return maxRequestsPerSecond === null || !Number.isFinite(maxRequestsPerSecond)
+    ? { isLimited: false }
+    : { isLimited: true, maxRequestsPerSecond };
+}
