Evidence of crashes leaves RequestForwarder

What a request shows about crashes (its fingerprint, the shared parts of its prompt, the times of its first event and next proof) and whether it is blocked move into CrashEvidence. A blocked part is looked up once at a refusal, where it was looked up twice. Behaviour is unchanged: same calls, same log lines and metrics.

--- /dev/null
+++ b/src/direct/CrashEvidence.ts
@@ -0,0 +1,151 @@
+import type { ServerId } from '../domain/index.js';
+import type { Clock } from '../kernel/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import type { AgentConnections } from './AgentConnections.js';
+import type { BreakCause } from './BackendAttempt.js';
+import type { CrashTracker, FleetView, PromptPartSuspects, ServerEntry } from './decisions/index.js';
+import { getSharedParts } from './HeaderCodec.js';
+import type { CallerRequest } from './RequestForwarder.js';
+
+/**
+ * Time for which a stream must have delivered events to show that its prompt does not crash the server, in milliseconds.
+ */
+const PROVEN_STREAM_MS = 150;
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
+
+/** Dependencies of {@link CrashEvidence}. */
+export interface CrashEvidenceDependencies {
+  readonly clock: Clock;
+  readonly view: FleetView;
+  readonly agentConnections: AgentConnections;
+  readonly crashTracker: CrashTracker;
+  readonly partSuspects: PromptPartSuspects;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Why a request is not sent to any server. */
+export interface CrashBlock {
+  /** Whether a part of its prompt is blocked, in contrast to the request itself. */
+  readonly isPart: boolean;
+  readonly detail: string;
+}
+
+/**
+ * What one request shows about crashes of servers, by its fingerprint and by the parts of its prompt that other requests may
+ * share, and whether it is blocked for what others have shown.
+ */
+export class CrashEvidence {
+  private readonly promptParts: readonly string[];
+  /** When the first event of the current attempt arrived. */
+  private firstEventAtMs: number | undefined;
+  /** When the stream of the current attempt next counts in favour of the parts of its prompt. */
+  private nextProofAtMs = Infinity;
+
+  /**
+   * @param deps - Dependencies.
+   * @param request - The request.
+   */
+  constructor(
+    private readonly deps: CrashEvidenceDependencies,
+    private readonly request: CallerRequest,
+  ) {
+    this.promptParts = getSharedParts(request.headers.promptParts);
+  }
+
+  /** Whether a server might crash on the request. */
+  isBlocked(): boolean {
+    return this.findBlock() !== undefined;
+  }
+
+  /** Returns what a server might crash on; undefined if nothing suggests it. */
+  findBlock(): CrashBlock | undefined {
+    const { crashTracker, partSuspects, view, clock } = this.deps;
+    const nowMs = clock.nowMs();
+    const blockedPart = partSuspects.findBlocked(this.promptParts, nowMs);
+    if (blockedPart !== undefined) {
+      return { isPart: true, detail: `servers crashed on the part ${blockedPart} of the prompt` };
+    }
+    const { fingerprint } = this.request;
+    return crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), nowMs)
+      ? { isPart: false, detail: 'the request broke off on several servers' }
+      : undefined;
+  }
+
+  /** Records that another attempt has the request. */
+  recordAttempt(): void {
+    this.firstEventAtMs = undefined;
+    this.nextProofAtMs = Infinity;
+  }
+
+  /**
+   * Records events of the current attempt.
+   * @param nowMs - Current time.
+   */
+  recordEvents(nowMs: number): void {
+    if (this.firstEventAtMs === undefined) {
+      this.firstEventAtMs = nowMs;
+      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
+    }
+    if (nowMs >= this.nextProofAtMs) {
+      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
+      this.recordAnswered();
+    }
+  }
+
+  /** Records that a server has answered the request, or a part of it, without a crash. */
+  recordAnswered(): void {
+    const { partSuspects, agentConnections, clock } = this.deps;
+    const { promptParts } = this;
+    if (promptParts.length > 0) {
+      const addresses = partSuspects.recordSuccess(promptParts, clock.nowMs());
+      agentConnections.notifyPartsAnswered(addresses, { promptParts });
+    }
+  }
+
+  /** Records that a server has run the request to its end. */
+  recordCompleted(): void {
+    const { crashTracker, view, clock } = this.deps;
+    const { fingerprint } = this.request;
+    crashTracker.recordSuccess(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+  }
+
+  /**
+   * Records what a failed attempt has in common with others that may have failed in the same crash of the server.
+   * @param entry - Entry of the server.
+   * @param cause - Why the attempt ended.
+   */
+  recordBroken({ address, serverId, bornAtMs }: ServerEntry, cause: BreakCause): void {
+    const { log, metrics, agentConnections, clock } = this.deps;
+    const { promptParts } = this;
+    const nowMs = clock.nowMs();
+    const streamedForMs = nowMs - (this.firstEventAtMs ?? nowMs);
+    metrics.count(cause === 'silence' ? 'attempts_silent' : 'attempts_broken');
+    log.decision('attempt broken off', {
+      requestId: this.request.headers.requestId,
+      serverId,
+      bornAtMs,
+      cause,
+      streamedForMs: this.firstEventAtMs === undefined ? -1 : Math.round(streamedForMs),
+      promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(' '),
+    });
+    if (cause === 'server' && promptParts.length > 0 && streamedForMs < PROVEN_STREAM_MS) {
+      agentConnections.notifyBrokenOff(address, { bornAtMs, promptParts });
+    }
+  }
+
+  /**
+   * Counts a crash against the request's fingerprint if its attempt may have crashed the server.
+   * @param serverId - The server.
+   * @param cause - Why the attempt ended.
+   */
+  recordCrash(serverId: ServerId, cause: BreakCause): void {
+    const { crashTracker, agentConnections, clock } = this.deps;
+    const { fingerprint } = this.request;
+    const count = cause === 'server' ? crashTracker.recordCrash(fingerprint, serverId, clock.nowMs()) : 0;
+    if (count > 1) {
+      agentConnections.notifyCrash(fingerprint, count);
+    }
+  }
+}
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -5,6 +5,7 @@
 import { applyServerNotice } from './applyServerNotice.js';
 import { describeEnd, isServerFault } from './attemptEnds.js';
 import { BackendAttempt, type AttemptEnd, type ResponseHead } from './BackendAttempt.js';
+import { CrashEvidence } from './CrashEvidence.js';
 import {
   isRetryable,
   type ByteBudget,
@@ -18,7 +19,7 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import { getSharedParts, type RequestHeaders, type HeaderCodec } from './HeaderCodec.js';
+import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
 import type { StreamOriginClient } from './StreamOriginClient.js';
@@ -32,12 +33,6 @@
 const MIN_ATTEMPT_MS = 20;
 /** Least urgent rank that engines accept. */
 const MAX_URGENCY_RANK = 9;
-/**
- * Time for which a stream must have delivered events to show that its prompt does not crash the server, in milliseconds.
- */
-const PROVEN_STREAM_MS = 150;
-/** Maximum number of prompt parts in a log line. */
-const MAX_LOGGED_PARTS = 8;
 
 /** Dependencies of {@link RequestForwarder}. */
 export interface RequestForwarderDependencies {
@@ -110,12 +105,7 @@
   private bufferedLength = 0;
   private isClosed = false;
   private latencyMs: number | undefined;
-  /** When the first event of the current attempt arrived. */
-  private attemptFirstEventAtMs: number | undefined;
-  /** When the stream of the current attempt next counts in favour of the parts of its prompt. */
-  private nextProofAtMs = Infinity;
-  /** Parts of the prompt that other requests may share. */
-  private readonly sharedParts: readonly string[];
+  private readonly crashEvidence: CrashEvidence;
   private longestGapMs = 0;
 
   /**
@@ -146,7 +136,7 @@
       },
       () => this.hasEnded,
     );
-    this.sharedParts = getSharedParts(headers.promptParts);
+    this.crashEvidence = new CrashEvidence(deps, request);
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
 
@@ -313,8 +303,7 @@
     const { attempt, server } = sent;
     this.attempt = attempt;
     this.latencyMs = undefined;
-    this.attemptFirstEventAtMs = undefined;
-    this.nextProofAtMs = Infinity;
+    this.crashEvidence.recordAttempt();
     const end = await attempt.run();
     this.attempt = undefined;
     this.recordEnd(sent, end);
@@ -333,7 +322,7 @@
       this.search.exclude(serverId);
     }
     if (end.kind === 'broken') {
-      this.recordCrash(end, serverId);
+      this.crashEvidence.recordCrash(serverId, end.cause);
     }
     if (end.kind === 'broken' || end.kind === 'cancelled') {
       this.runCount++;
@@ -360,7 +349,7 @@
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
     if (end.kind === 'broken') {
-      this.recordBroken(server, end, nowMs);
+      this.crashEvidence.recordBroken(server.entry, end.cause);
     }
     if (end.kind === 'answered' || end.kind === 'notRun') {
       chooser.recordHeard(serverId, nowMs);
@@ -384,34 +373,6 @@
     }
   }
 
-  /** Records what a failed attempt has in common with others that may have failed in the same crash of the server. */
-  private recordBroken({ entry }: KnownServer, end: AttemptEnd & { kind: 'broken' }, nowMs: number): void {
-    const { log, metrics, agentConnections } = this.deps;
-    const { address, serverId, bornAtMs } = entry;
-    const streamedForMs = nowMs - (this.attemptFirstEventAtMs ?? nowMs);
-    metrics.count(end.cause === 'silence' ? 'attempts_silent' : 'attempts_broken');
-    log.decision('attempt broken off', {
-      requestId: this.request.headers.requestId,
-      serverId,
-      bornAtMs,
-      cause: end.cause,
-      streamedForMs: this.attemptFirstEventAtMs === undefined ? -1 : Math.round(streamedForMs),
-      promptParts: this.sharedParts.slice(0, MAX_LOGGED_PARTS).join(' '),
-    });
-    if (end.cause === 'server' && this.sharedParts.length > 0 && streamedForMs < PROVEN_STREAM_MS) {
-      agentConnections.notifyBrokenOff(address, { bornAtMs, promptParts: this.sharedParts });
-    }
-  }
-
-  /** Records that a server has answered the request, or a part of it, without a crash. */
-  private recordAnswered(nowMs: number): void {
-    const { partSuspects, agentConnections } = this.deps;
-    const { sharedParts: promptParts } = this;
-    if (promptParts.length > 0) {
-      agentConnections.notifyPartsAnswered(partSuspects.recordSuccess(promptParts, nowMs), { promptParts });
-    }
-  }
-
   /** Keeps the part of the buffer budget that a body takes until the response to the caller is closed. */
   private keepBuffered(byteCount: number): void {
     if (this.isClosed) {
@@ -425,7 +386,7 @@
     switch (end.kind) {
       case 'streamed':
         this.recordCompleted();
-        this.recordAnswered(this.deps.clock.nowMs());
+        this.crashEvidence.recordAnswered();
         this.end('complete');
         this.sink.endStream();
         return;
@@ -471,38 +432,27 @@
     }
     this.recordCompleted();
     if (end.head.status < 300) {
-      this.recordAnswered(this.deps.clock.nowMs());
+      this.crashEvidence.recordAnswered();
     }
     this.end(`answered ${end.head.status}`);
     this.sink.sendResponse(end.head, end.body);
   }
 
   private recordCompleted(): void {
-    const { crashTracker, view, clock } = this.deps;
-    const { fingerprint } = this.request;
     this.tracker.markCompleted();
-    crashTracker.recordSuccess(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+    this.crashEvidence.recordCompleted();
   }
 
   private handleBroken(end: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
     this.runCount++;
     this.search.exclude(serverId);
     this.resumption.recordBreak(end.cause);
-    this.recordCrash(end, serverId);
+    this.crashEvidence.recordCrash(serverId, end.cause);
     if (!this.mayRunAgain()) {
       this.endWithFallback(end.detail);
     }
   }
 
-  private recordCrash({ cause }: AttemptEnd & { kind: 'broken' }, serverId: ServerId): void {
-    const { crashTracker, agentConnections, clock } = this.deps;
-    const { fingerprint } = this.request;
-    const count = cause === 'server' ? crashTracker.recordCrash(fingerprint, serverId, clock.nowMs()) : 0;
-    if (count > 1) {
-      agentConnections.notifyCrash(fingerprint, count);
-    }
-  }
-
   private beginStream(head: ResponseHead): void {
     if (!this.resumption.hasBegun && !this.hasEnded) {
       this.sink.beginStream(head);
@@ -519,14 +469,7 @@
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.resumption.lastEventAtMs ?? nowMs));
     this.resumption.recordEvents(events, server, nowMs);
-    if (this.attemptFirstEventAtMs === undefined) {
-      this.attemptFirstEventAtMs = nowMs;
-      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
-    }
-    if (nowMs >= this.nextProofAtMs) {
-      this.nextProofAtMs = nowMs + PROVEN_STREAM_MS;
-      this.recordAnswered(nowMs);
-    }
+    this.crashEvidence.recordEvents(nowMs);
     if (!this.sink.sendEvents(events.bytes)) {
       attempt.pause();
       this.sink.onceDrained(() => attempt.resume());
@@ -541,7 +484,7 @@
 
   /** Takes one retry from the retry budget; returns false if no retry is allowed. */
   private tryTakeRetry(): boolean {
-    if (!this.isRetryInTime() || this.isBlocked()) {
+    if (!this.isRetryInTime() || this.crashEvidence.isBlocked()) {
       return false;
     }
     const { view, clock, metrics } = this.deps;
@@ -554,7 +497,7 @@
     const { view, clock } = this.deps;
     return (
       this.isRetryInTime() &&
-      !this.isBlocked() &&
+      !this.crashEvidence.isBlocked() &&
       this.getRetryBudget().isLeft(clock.nowMs(), view.routerCount)
     );
   }
@@ -569,33 +512,17 @@
 
   /** Ends the request if its fingerprint or a part of its prompt is blocked after crashes; returns true if it did. */
   private endIfBlocked(): boolean {
-    const blockedPart = this.findBlockedPart();
-    if (blockedPart !== undefined) {
-      this.deps.metrics.count('requests_with_blocked_part');
-      this.refuse(502, `servers crashed on the part ${blockedPart} of the prompt`);
-      return true;
-    }
-    if (!this.isBlocked()) {
+    const block = this.crashEvidence.findBlock();
+    if (!block) {
       return false;
     }
-    this.refuse(502, 'the request broke off on several servers');
+    if (block.isPart) {
+      this.deps.metrics.count('requests_with_blocked_part');
+    }
+    this.refuse(502, block.detail);
     return true;
   }
 
-  /** Whether a server might crash on the request. */
-  private isBlocked(): boolean {
-    const { crashTracker, view, clock } = this.deps;
-    const { fingerprint } = this.request;
-    return (
-      this.findBlockedPart() !== undefined ||
-      crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs())
-    );
-  }
-
-  private findBlockedPart(): string | undefined {
-    return this.deps.partSuspects.findBlocked(this.sharedParts, this.deps.clock.nowMs());
-  }
-
   private notifyModelUse(server: KnownServer, event: 'started' | 'ended'): void {
     const { model } = this.request.headers;
     if (model !== undefined) {
