Tests: idle reports, plain configurations and watchers are set up once

EngineFleet, SlowEngine and makeReport share IDLE_ENGINE; oddEntries and processes share PLAIN_CONFIGURATION; restoredStore, silentWatch and slowStore share makeWatcher. All assertions and bounds are the same as before.

--- a/test/direct/EngineFleet.ts
+++ b/test/direct/EngineFleet.ts
@@ -14,7 +14,7 @@
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerServer, TrafficMeter } from '../../src/transport/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
-import { makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
+import { IDLE_ENGINE, makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, PEER_SECRET, RouterBench } from './RouterBench.js';
 
 /** Time from the arrival of a request to its first event, in milliseconds. */
@@ -76,17 +76,9 @@
     const { entry } = this;
     return Promise.resolve(
       entry && {
+        ...IDLE_ENGINE,
         bornAtMs: entry.bornAtMs,
         heldModels: entry.heldModels,
-        comingAdapters: [],
-        isBusy: false,
-        orderCount: 0,
-        waitingCount: 0,
-        runningCount: 0,
-        usedCacheTokens: 0,
-        cacheTokens: 1_000,
-        modelsInMemory: [],
-        modelsOnDisk: [],
         maxRequestsPerSecond: this.maxRequestsPerSecond ?? null,
       },
     );
--- a/test/direct/SlowEngine.ts
+++ b/test/direct/SlowEngine.ts
@@ -6,7 +6,7 @@
   type ResidencyOrder,
 } from '../../src/direct/index.js';
 import { SystemClock } from '../../src/kernel/index.js';
-import { makeHeldModel } from './fleetFixtures.js';
+import { IDLE_ENGINE, makeHeldModel } from './fleetFixtures.js';
 
 const CLOCK = new SystemClock();
 
@@ -25,16 +25,11 @@
       return Promise.resolve(undefined);
     }
     return Promise.resolve({
-      bornAtMs: 1,
+      ...IDLE_ENGINE,
       heldModels: this.heldModels,
-      comingAdapters: [],
       isBusy: CLOCK.nowMs() < this.busyUntilMs,
       orderCount: this.orderCount,
-      waitingCount: 0,
-      runningCount: 0,
-      usedCacheTokens: 0,
       cacheTokens: 1,
-      modelsInMemory: [],
       modelsOnDisk: ['a'],
     });
   }
--- a/test/direct/fleetFixtures.ts
+++ b/test/direct/fleetFixtures.ts
@@ -2,6 +2,7 @@
 import type {
   AgentReport,
   EngineProfile,
+  EngineReport,
   HeldModel,
   ModelUse,
   Route,
@@ -90,22 +91,29 @@
   return { name, adapters };
 }
 
+/** State of an engine without requests, orders or models. */
+export const IDLE_ENGINE: EngineReport = {
+  bornAtMs: 1,
+  heldModels: [],
+  comingAdapters: [],
+  isBusy: false,
+  orderCount: 0,
+  waitingCount: 0,
+  runningCount: 0,
+  usedCacheTokens: 0,
+  cacheTokens: 1_000,
+  modelsInMemory: [],
+  modelsOnDisk: [],
+};
+
 /** Creates a report of an engine's agent. */
 export function makeReport(entry: ServerEntry, overrides: Partial<AgentReport> = {}): AgentReport {
   const idle: ModelUse = { runningCount: 0, idleForMs: 10_000, isProtected: false };
   const heldModels = overrides.heldModels ?? entry.heldModels;
   return {
+    ...IDLE_ENGINE,
     bornAtMs: entry.bornAtMs,
     heldModels,
-    comingAdapters: [],
-    isBusy: false,
-    orderCount: 0,
-    waitingCount: 0,
-    runningCount: 0,
-    usedCacheTokens: 0,
-    cacheTokens: 1_000,
-    modelsInMemory: [],
-    modelsOnDisk: [],
     address: entry.address,
     uses: Object.fromEntries(heldModels.map(({ name }) => [name, idle])),
     loadingForMs: 0,
--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -3,10 +3,16 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { CALLER_LIMITS, ObjectStore, PlainWorker } from '../../standins/users/index.js';
+import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { waitUntil } from '../waiting.js';
-import { bundleProgram, callRouter, makeSettingsFile, startProgram } from './programs.js';
+import {
+  bundleProgram,
+  callRouter,
+  makeSettingsFile,
+  PLAIN_CONFIGURATION,
+  startProgram,
+} from './programs.js';
 
 const PORTS = { front: 9_481, ready: 9_482, peer: 9_483, spare: 9_484 };
 const WORKER_PORT = 9_485;
@@ -14,22 +20,6 @@
 const READY_LIMIT_MS = 12_000;
 const REQUEST_COUNT = 40;
 
-const CONFIGURATION = {
-  Version: 1,
-  Routes: [
-    {
-      Name: 'r',
-      Hostname: 'a.example',
-      PathPrefix: '/x/',
-      Kind: 'idempotent',
-      TimeoutMs: 1_000,
-      TargetLatencyMs: 100,
-      Service: 's',
-    },
-  ],
-  Services: [{ Name: 's', MaxConns: 10 }],
-  Limits: CALLER_LIMITS,
-};
 const ENTRY = { Service: 's', Address: '127.0.0.1:1', Zone: 'z1', Slots: 4, State: 'ready', born: 1 };
 
 /** Entries of other writers by their names; none names a server that can be used. */
@@ -62,7 +52,7 @@
     reservation = await LoopbackReservation.create();
     directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
     store = new ObjectStore();
-    store.put('config', 'main', CONFIGURATION);
+    store.put('config', 'main', PLAIN_CONFIGURATION);
     worker = new PlainWorker({
       workerId: 'i-1',
       service: 's',
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -4,33 +4,22 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { CALLER_LIMITS, ObjectStore, PlainWorker, makePlainText } from '../../standins/users/index.js';
+import { ObjectStore, PlainWorker, makePlainText } from '../../standins/users/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { waitUntil } from '../waiting.js';
-import { bundleProgram, callRouter, makeSettingsFile, startProgram } from './programs.js';
+import {
+  bundleProgram,
+  callRouter,
+  makeSettingsFile,
+  PLAIN_CONFIGURATION,
+  startProgram,
+} from './programs.js';
 
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
 const WORKER_PORT = 9_475;
 /** Time limit for a process to become ready or to exit, in milliseconds; the platform allows 12 seconds. */
 const PROCESS_TIMEOUT_MS = 12_000;
 
-const CONFIGURATION = {
-  Version: 1,
-  Routes: [
-    {
-      Name: 'r',
-      Hostname: 'a.example',
-      PathPrefix: '/x/',
-      Kind: 'idempotent',
-      TimeoutMs: 1_000,
-      TargetLatencyMs: 100,
-      Service: 's',
-    },
-  ],
-  Services: [{ Name: 's', MaxConns: 10 }],
-  Limits: CALLER_LIMITS,
-};
-
 describe('main (bundled)', function () {
   this.timeout(3 * PROCESS_TIMEOUT_MS);
   let store: ObjectStore;
@@ -50,7 +39,7 @@
     await bundleProgram(join(directory, 'main.cjs'));
     store = new ObjectStore();
     storeAddress = await store.start();
-    store.put('config', 'main', CONFIGURATION);
+    store.put('config', 'main', PLAIN_CONFIGURATION);
     worker = new PlainWorker({
       workerId: 'i-1',
       service: 's',
--- a/test/platform/programs.ts
+++ b/test/platform/programs.ts
@@ -1,6 +1,25 @@
 import { build } from 'esbuild';
 import { spawn, type ChildProcess } from 'node:child_process';
 import { request } from 'node:http';
+import { CALLER_LIMITS } from '../../standins/users/index.js';
+
+/** Configuration with one route to a plain service. */
+export const PLAIN_CONFIGURATION = {
+  Version: 1,
+  Routes: [
+    {
+      Name: 'r',
+      Hostname: 'a.example',
+      PathPrefix: '/x/',
+      Kind: 'idempotent',
+      TimeoutMs: 1_000,
+      TargetLatencyMs: 100,
+      Service: 's',
+    },
+  ],
+  Services: [{ Name: 's', MaxConns: 10 }],
+  Limits: CALLER_LIMITS,
+};
 
 /** Ports of a program, the same on each loopback address. */
 export interface ProgramPorts {
--- a/test/platform/restoredStore.test.ts
+++ b/test/platform/restoredStore.test.ts
@@ -1,12 +1,10 @@
 import { expect } from 'chai';
-import { StoreClient } from '../../platform/StoreClient.js';
-import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
 import { toServiceId } from '../../src/domain/index.js';
-import { FleetView, FleetWatcher } from '../../src/direct/index.js';
-import { Random, SystemClock } from '../../src/kernel/index.js';
-import { Log, Metrics } from '../../src/telemetry/index.js';
+import { FleetView, type FleetWatcher } from '../../src/direct/index.js';
+import { SystemClock } from '../../src/kernel/index.js';
 import { CALLER_LIMITS, ObjectStore } from '../../standins/users/index.js';
 import { sleepMs, waitUntil } from '../waiting.js';
+import { makeWatcher } from './makeWatcher.js';
 
 /** Shorter of the platform's time limits for a new configuration (`ConfigApplyMs`) and for a leaving server (`DrainMs`). */
 const UPDATE_LIMIT_MS = 2_000;
@@ -40,15 +38,7 @@
     writeServer(store, 'i-1');
     writeServer(store, 'i-2');
     view = new FleetView();
-    watcher = new FleetWatcher({
-      clock,
-      random: new Random(1),
-      source: new StoreFleetSource(new StoreClient(() => address)),
-      view,
-      log: new Log('test', () => undefined),
-      metrics: new Metrics(),
-      getUpdateLimitMs: () => 2_000,
-    });
+    watcher = makeWatcher(address, view);
     await watcher.start();
     await waitUntil(() => view.isComplete, 1_000);
   });
--- a/test/platform/silentWatch.test.ts
+++ b/test/platform/silentWatch.test.ts
@@ -1,12 +1,9 @@
 import { expect } from 'chai';
-import { StoreClient } from '../../platform/StoreClient.js';
-import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
 import { toServerId } from '../../src/domain/index.js';
-import { FleetView, FleetWatcher } from '../../src/direct/index.js';
-import { Random, SystemClock } from '../../src/kernel/index.js';
-import { Log, Metrics } from '../../src/telemetry/index.js';
+import { FleetView, type FleetWatcher } from '../../src/direct/index.js';
 import { CALLER_LIMITS, ObjectStore } from '../../standins/users/index.js';
 import { sleepMs, waitUntil } from '../waiting.js';
+import { makeWatcher } from './makeWatcher.js';
 
 /** Shorter of the time limits for a new configuration (`ConfigApplyMs`) and a leaving server (`DrainMs`) of the sites. */
 const UPDATE_LIMITS_MS = [2_000, 3_000, 4_000];
@@ -30,15 +27,7 @@
       const address = await store.start();
       writeObjects(store, 1, 'ready');
       view = new FleetView();
-      watcher = new FleetWatcher({
-        clock: new SystemClock(),
-        random: new Random(1),
-        source: new StoreFleetSource(new StoreClient(() => address)),
-        view,
-        log: new Log('test', () => undefined),
-        metrics: new Metrics(),
-        getUpdateLimitMs: () => updateLimitMs,
-      });
+      watcher = makeWatcher(address, view, updateLimitMs);
       await watcher.start();
       await waitUntil(() => view.isComplete, 1_000);
     });
--- a/test/platform/slowStore.test.ts
+++ b/test/platform/slowStore.test.ts
@@ -1,11 +1,8 @@
 import { expect } from 'chai';
-import { StoreClient } from '../../platform/StoreClient.js';
-import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
-import { FleetView, FleetWatcher } from '../../src/direct/index.js';
-import { Random, SystemClock } from '../../src/kernel/index.js';
-import { Log, Metrics } from '../../src/telemetry/index.js';
+import { FleetView, type FleetWatcher } from '../../src/direct/index.js';
 import { CALLER_LIMITS, ObjectStore } from '../../standins/users/index.js';
 import { waitUntil } from '../waiting.js';
+import { makeWatcher } from './makeWatcher.js';
 
 /** Time in which a router must read a slow store after its start, in milliseconds. */
 const START_LIMIT_MS = 8_000;
@@ -29,15 +26,7 @@
       store.delayMs = delayMs;
       writeConfiguration(1);
       view = new FleetView();
-      watcher = new FleetWatcher({
-        clock: new SystemClock(),
-        random: new Random(1),
-        source: new StoreFleetSource(new StoreClient(() => address)),
-        view,
-        log: new Log('test', () => undefined),
-        metrics: new Metrics(),
-        getUpdateLimitMs: () => 2_000,
-      });
+      watcher = makeWatcher(address, view);
       await watcher.start();
     });
 
