--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -75,6 +75,7 @@
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.onProtocolError(error, socket),
     );
+    this.http.on('timeout', (socket: Socket) => this.closeIdle(socket));
     this.applyLimits();
   }
 
@@ -145,12 +146,26 @@
     return this.deps.view.configuration?.callerLimits ?? INITIAL_LIMITS;
   }
 
+  private closeIdle(socket: Socket): void {
+    this.deps.metrics.count('caller_connections_idle_closed');
+    this.deps.log.decision('idle connection closed', {
+      requestCount: this.requestCounts.get(socket) ?? 0,
+      idleTimeoutMs: this.getLimits().idleTimeoutMs,
+      configurationVersion: this.deps.view.configuration?.version ?? 0,
+    });
+    socket.destroy();
+  }
+
   /**
    * Closes a connection on which other bytes than a request arrived, with status 400 if no request is being served; else
    * after the response of that request.
    */
   private onProtocolError(error: NodeJS.ErrnoException, socket: Duplex): void {
     this.deps.metrics.count('caller_protocol_errors');
+    this.deps.log.decision('caller connection failed', {
+      code: error.code ?? '',
+      receivedBytes: socket instanceof Socket ? socket.bytesRead : -1,
+    });
     const response = [...this.activeForwarders.values()].find((active) => active.socket === socket);
     if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
       socket.destroy();
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -268,6 +268,8 @@
       this.deps.log.info('configuration applied', {
         version: configuration.version,
         routeCount: configuration.routes.length,
+        headerTimeoutMs: configuration.callerLimits.headerTimeoutMs,
+        idleTimeoutMs: configuration.callerLimits.idleTimeoutMs,
       });
       this.changeListener();
     }
