A raised idle limit reaches connections of callers that are idle already

What callers saw: after the operator raised IdleTimeoutMs, kept connections still closed at the old limit (plus Node's second), while callers reused them by the new one; a request sent at that moment got a reset, neither an answer nor a refusal.

Cause: Node.js takes keepAliveTimeout per socket when a response ends, so a limit of the configuration lived on in each connection. The class of fault is a setting that is copied into state with a life of its own.

CallerConnections now decides when an idle connection closes: at the longest limit in force since its last request (its response announced the limit of that time in Keep-Alive), plus three seconds, since callers learn of a raise up to two seconds before this router does. A lower limit thus holds from the next request on. Connections without any request go by the same rule; before, only the header timeout ended them.

Ruled out: setting the timeout of all idle sockets at each change, which breaks the time announced in Keep-Alive when the limit drops.

--- /dev/null
+++ b/src/direct/CallerConnections.ts
@@ -0,0 +1,139 @@
+import type { Socket } from 'node:net';
+import type { ServerResponse } from 'node:http';
+import { PeriodicTask, type Clock } from '../kernel/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+
+/** Interval at which idle connections are checked, in milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+/**
+ * Time for which an idle connection stays open beyond its limit, in milliseconds: callers may go by a raised limit before it
+ * reaches this router, which takes up to two seconds, and their requests take time to arrive.
+ */
+const CLOSE_DELAY_MS = 3_000;
+
+/** Dependencies of {@link CallerConnections}. */
+export interface CallerConnectionsDependencies {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** State of one open connection. */
+interface ConnectionState {
+  requestCount: number;
+  /** Number of requests without a complete response. */
+  openRequestCount: number;
+  /** When the last response was complete, or bytes arrived after it. */
+  idleSinceMs: number;
+  /** Number of bytes received by then. */
+  receivedBytes: number;
+  /** Longest limit in force since its last request, whose response announced the limit of that time. */
+  idleTimeoutMs: number;
+}
+
+/** Counts the requests on callers' connections, and closes those that stay idle for longer than their limit. */
+export class CallerConnections {
+  private readonly states = new Map<Socket, ConnectionState>();
+  private readonly checkTask: PeriodicTask;
+  private idleTimeoutMs = 0;
+
+  /** @param deps - Dependencies. */
+  constructor(private readonly deps: CallerConnectionsDependencies) {
+    this.checkTask = new PeriodicTask(deps.clock, CHECK_INTERVAL_MS, () => this.closeIdle());
+  }
+
+  /** Starts to close idle connections. */
+  start(): void {
+    this.checkTask.start();
+  }
+
+  /** Stops closing idle connections. */
+  stop(): void {
+    this.checkTask.stop();
+  }
+
+  /**
+   * Applies a limit; a higher one also applies to connections that are idle already, a lower one from their next request on.
+   * @param idleTimeoutMs - Time for which a connection may be idle, in milliseconds.
+   */
+  applyIdleTimeout(idleTimeoutMs: number): void {
+    this.idleTimeoutMs = idleTimeoutMs;
+    for (const state of this.states.values()) {
+      state.idleTimeoutMs = Math.max(state.idleTimeoutMs, idleTimeoutMs);
+    }
+  }
+
+  /**
+   * Adds a connection that was accepted.
+   * @param socket - The connection.
+   */
+  add(socket: Socket): void {
+    this.states.set(socket, {
+      requestCount: 0,
+      openRequestCount: 0,
+      idleSinceMs: this.deps.clock.nowMs(),
+      receivedBytes: 0,
+      idleTimeoutMs: this.idleTimeoutMs,
+    });
+    socket.once('close', () => this.states.delete(socket));
+  }
+
+  /**
+   * Records that a request has begun on a connection, which is not idle until its response is complete.
+   * @param socket - The connection.
+   * @param response - Response to the request.
+   */
+  recordRequest(socket: Socket, response: ServerResponse): void {
+    const state = this.states.get(socket);
+    if (!state) {
+      return;
+    }
+    state.requestCount++;
+    state.openRequestCount++;
+    state.idleTimeoutMs = this.idleTimeoutMs;
+    response.once('close', () => {
+      state.openRequestCount--;
+      this.recordActivity(socket, state);
+    });
+  }
+
+  /**
+   * Returns the number of requests that have begun on a connection.
+   * @param socket - The connection.
+   */
+  getRequestCount(socket: Socket): number {
+    return this.states.get(socket)?.requestCount ?? 0;
+  }
+
+  private recordActivity(socket: Socket, state: ConnectionState): void {
+    state.idleSinceMs = this.deps.clock.nowMs();
+    state.receivedBytes = socket.bytesRead;
+  }
+
+  private closeIdle(): void {
+    for (const [socket, state] of this.states) {
+      if (socket.bytesRead !== state.receivedBytes) {
+        this.recordActivity(socket, state);
+      }
+      if (this.isExpired(state)) {
+        this.close(socket, state);
+      }
+    }
+  }
+
+  private isExpired({ openRequestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): boolean {
+    return openRequestCount === 0 && this.deps.clock.nowMs() - idleSinceMs >= idleTimeoutMs + CLOSE_DELAY_MS;
+  }
+
+  private close(socket: Socket, { requestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): void {
+    const { clock, log, metrics } = this.deps;
+    metrics.count('caller_connections_idle_closed');
+    log.decision('idle connection closed', {
+      requestCount,
+      idleMs: Math.round(clock.nowMs() - idleSinceMs),
+      idleTimeoutMs,
+      currentIdleTimeoutMs: this.idleTimeoutMs,
+    });
+    socket.destroy();
+  }
+}
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -13,6 +13,7 @@
 } from './RequestForwarder.js';
 import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
 import type { ResponseHead } from './BackendAttempt.js';
+import { CallerConnections } from './CallerConnections.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 
 /** Limits used until a configuration is known. */
@@ -60,8 +61,7 @@
   private readonly http: Server;
   /** Responses that are not complete, by the forwarder of the request. */
   private readonly activeForwarders = new Map<RequestForwarder, ServerResponse>();
-  /** Number of requests received on each open connection. */
-  private readonly requestCounts = new WeakMap<Socket, number>();
+  private readonly connections: CallerConnections;
   private stopping = false;
   /** Whether new requests are refused because the process is stopping. */
   private closing = false;
@@ -75,7 +75,10 @@
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.onProtocolError(error, socket),
     );
-    this.http.on('timeout', (socket: Socket) => this.closeIdle(socket));
+    this.connections = new CallerConnections(deps);
+    this.http.on('connection', (socket: Socket) => this.connections.add(socket));
+    // With a listener, the server does not close idle connections itself: it would do so at the limit of their last response.
+    this.http.on('timeout', () => undefined);
     this.applyLimits();
   }
 
@@ -91,6 +94,7 @@
 
   async start(): Promise<void> {
     await listenOrThrow(this.http, this.deps.address, 'entry');
+    this.connections.start();
     this.deps.log.info('callers accepted', { port: this.port });
   }
 
@@ -110,6 +114,7 @@
     while (this.hasUnwrittenResponse && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
     }
+    this.connections.stop();
     const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeForwarders.size > 0 && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
@@ -129,7 +134,9 @@
   applyLimits(): void {
     const limits = this.getLimits();
     this.http.headersTimeout = limits.headerTimeoutMs;
+    // Announced to callers with each response.
     this.http.keepAliveTimeout = limits.idleTimeoutMs;
+    this.connections.applyIdleTimeout(limits.idleTimeoutMs);
   }
 
   /** Whether a response has ended but its caller has yet to read a part that does not fit into the socket's buffer. */
@@ -146,16 +153,6 @@
     return this.deps.view.configuration?.callerLimits ?? INITIAL_LIMITS;
   }
 
-  private closeIdle(socket: Socket): void {
-    this.deps.metrics.count('caller_connections_idle_closed');
-    this.deps.log.decision('idle connection closed', {
-      requestCount: this.requestCounts.get(socket) ?? 0,
-      idleTimeoutMs: this.getLimits().idleTimeoutMs,
-      configurationVersion: this.deps.view.configuration?.version ?? 0,
-    });
-    socket.destroy();
-  }
-
   /**
    * Closes a connection on which other bytes than a request arrived, with status 400 if no request is being served; else
    * after the response of that request.
@@ -179,7 +176,7 @@
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
-    this.requestCounts.set(request.socket, (this.requestCounts.get(request.socket) ?? 0) + 1);
+    this.connections.recordRequest(request.socket, response);
     if (this.stopping) {
       response.shouldKeepAlive = false;
     }
@@ -231,7 +228,7 @@
     }
     const { serviceId } = target;
     const fingerprint = getFingerprint(method, path, headers.model, body);
-    const connectionRequestNumber = this.requestCounts.get(request.socket) ?? 1;
+    const connectionRequestNumber = this.connections.getRequestCount(request.socket);
     const callerRequest = {
       headers,
       route,
--- /dev/null
+++ b/test/direct/idleConnections.test.ts
@@ -0,0 +1,153 @@
+import { expect } from 'chai';
+import { connect, type Socket } from 'node:net';
+import { delay } from '../../src/kernel/index.js';
+import type { CallerLimits } from '../../src/direct/index.js';
+import { makeRoute, ORDERS } from './fleetFixtures.js';
+import { CLOCK, makeResponseHeaders, RouterBench } from './RouterBench.js';
+
+const ROUTE = makeRoute({
+  pathPrefix: '/once/',
+  kind: 'nonIdempotent',
+  isResumable: false,
+  maxAttempts: 1,
+  targets: [{ serviceId: ORDERS, weight: 1 }],
+});
+/** Time after which Node.js closes a connection with an idle limit of 100 ms, in milliseconds. */
+const BEYOND_SHORT_LIMIT_MS = 1_400;
+/** Time after which a connection with an idle limit of 100 ms is closed, in milliseconds. */
+const BEYOND_CLOSE_DELAY_MS = 3_600;
+
+/** A caller's connection on which the test writes the bytes itself. */
+class CallerConnection {
+  private readonly socket: Socket;
+  /** What the router sent since the last request. */
+  received = '';
+  isEnded = false;
+
+  constructor(port: number) {
+    this.socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true });
+    this.socket.on('data', (chunk: Buffer) => (this.received += chunk.toString()));
+    this.socket.on('end', () => (this.isEnded = true));
+    this.socket.on('error', () => (this.isEnded = true));
+  }
+
+  /** Status of the last response; undefined before it. */
+  get status(): number | undefined {
+    const status = /^HTTP\/1\.1 (\d+)/.exec(this.received)?.[1];
+    return status === undefined ? undefined : Number(status);
+  }
+
+  write(text: string): void {
+    this.received = '';
+    this.socket.write(text);
+  }
+
+  /** Sends a request; resolves with the status of its response, or undefined if the connection ends without one. */
+  async sendRequest(requestId: string): Promise<number | undefined> {
+    this.write(makeRequest(requestId));
+    return this.waitForStatus();
+  }
+
+  /** Resolves with the status of the response, or undefined if the connection ends without one. */
+  async waitForStatus(): Promise<number | undefined> {
+    while (this.status === undefined && !this.isEnded) {
+      await delay(CLOCK, 5);
+    }
+    return this.status;
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+}
+
+function makeRequest(requestId: string): string {
+  return `POST /once/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${requestId}\r\nContent-Length: 1\r\n\r\nx`;
+}
+
+describe('idle connections of callers', function () {
+  this.timeout(20_000);
+  let bench: RouterBench;
+  let connection: CallerConnection;
+
+  beforeEach(async () => {
+    bench = new RouterBench();
+    await bench.addServer(
+      'p',
+      (incoming, response) => response.writeHead(200, makeResponseHeaders(incoming)).end('ok'),
+      ORDERS,
+    );
+    await bench.start([ROUTE]);
+  });
+  afterEach(async () => {
+    connection.close();
+    await bench.close();
+  });
+
+  const applyLimits = (limits: Partial<CallerLimits>) => bench.applyCallerLimits([ROUTE], limits);
+
+  /** Connects and sends a first request, after which the connection is idle. */
+  async function openIdle(): Promise<void> {
+    connection = new CallerConnection(bench.callerPort);
+    expect(await connection.sendRequest('first')).to.equal(200);
+  }
+
+  // Issue 30, LOST beside a configuration: connections were closed at the old limit under requests of callers that already
+  // went by the new one.
+  it('are not closed at an old limit after the limit was raised', async () => {
+    applyLimits({ idleTimeoutMs: 100 });
+    await openIdle();
+    applyLimits({ idleTimeoutMs: 5_000 });
+    await delay(CLOCK, BEYOND_SHORT_LIMIT_MS);
+    expect(await connection.sendRequest('next')).to.equal(200);
+  });
+
+  it('stay open for the longest limit in force while they were idle', async () => {
+    applyLimits({ idleTimeoutMs: 100 });
+    await openIdle();
+    for (const idleTimeoutMs of [200, 5_000, 50, 100]) {
+      applyLimits({ idleTimeoutMs });
+      await delay(CLOCK, 20);
+    }
+    await delay(CLOCK, BEYOND_CLOSE_DELAY_MS);
+    expect(await connection.sendRequest('next')).to.equal(200);
+  });
+
+  it('stay open for the limit that their last response announced', async () => {
+    applyLimits({ idleTimeoutMs: 5_000 });
+    await openIdle();
+    expect(connection.received).to.contain('Keep-Alive: timeout=5\r\n');
+    applyLimits({ idleTimeoutMs: 100 });
+    await delay(CLOCK, BEYOND_CLOSE_DELAY_MS);
+    expect(await connection.sendRequest('next')).to.equal(200);
+  });
+
+  it('are closed some time after the limit of their last request', async () => {
+    applyLimits({ idleTimeoutMs: 5_000 });
+    await openIdle();
+    applyLimits({ idleTimeoutMs: 100 });
+    expect(await connection.sendRequest('next')).to.equal(200);
+    await delay(CLOCK, BEYOND_CLOSE_DELAY_MS);
+    expect(connection.isEnded).to.equal(true);
+  });
+
+  it('are closed if they never had a request', async () => {
+    applyLimits({ idleTimeoutMs: 100 });
+    connection = new CallerConnection(bench.callerPort);
+    await delay(CLOCK, BEYOND_SHORT_LIMIT_MS);
+    expect(connection.isEnded).to.equal(false);
+    await delay(CLOCK, BEYOND_CLOSE_DELAY_MS);
+    expect([connection.isEnded, connection.received]).to.deep.equal([true, '']);
+  });
+
+  it('do not include those whose request is being received or served', async () => {
+    applyLimits({ idleTimeoutMs: 100 });
+    connection = new CallerConnection(bench.callerPort);
+    const text = makeRequest('slow');
+    for (let sent = 0; sent < text.length; sent += 15) {
+      connection.write(text.slice(sent, sent + 15));
+      await delay(CLOCK, 500);
+    }
+    expect(await connection.waitForStatus()).to.equal(200);
+  });
+});
