Idle connections are read once more before they are closed

What callers saw: a router whose process had stood still for longer than the idle limit closed its idle connections under requests that had arrived meanwhile; each got a reset. The same at the moment at which a stopping router closes its idle connections.

Cause: timers run before sockets are polled, so what was read last decided although more was there to read. The class of fault is a decision on time alone with knowledge that is as old as the pause.

Before an idle connection is closed, all sockets are now polled once and the connection is checked again; a stopping router does so before it closes the server.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -111,18 +111,27 @@
   }
 
   private closeIdle(): void {
-    for (const [socket, state] of this.states) {
-      if (socket.bytesRead !== state.receivedBytes) {
-        this.recordActivity(socket, state);
-      }
-      if (this.isExpired(state)) {
+    const expired = [...this.states].filter(([socket, state]) => this.isExpired(socket, state));
+    if (expired.length > 0) {
+      void this.closeIfExpired(expired);
+    }
+  }
+
+  private async closeIfExpired(candidates: readonly [Socket, ConnectionState][]): Promise<void> {
+    await pollSockets();
+    for (const [socket, state] of candidates) {
+      if (this.isExpired(socket, state)) {
         this.close(socket, state);
       }
     }
   }
 
-  private isExpired({ openRequestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): boolean {
-    return openRequestCount === 0 && this.deps.clock.nowMs() - idleSinceMs >= idleTimeoutMs + CLOSE_DELAY_MS;
+  private isExpired(socket: Socket, state: ConnectionState): boolean {
+    if (socket.bytesRead !== state.receivedBytes) {
+      this.recordActivity(socket, state);
+    }
+    const idleMs = this.deps.clock.nowMs() - state.idleSinceMs;
+    return state.openRequestCount === 0 && idleMs >= state.idleTimeoutMs + CLOSE_DELAY_MS;
   }
 
   private close(socket: Socket, { requestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): void {
@@ -137,3 +146,13 @@
     socket.destroy();
   }
 }
+
+/**
+ * Reads what has arrived on all sockets. Timers run before: after a pause of the process, they would see connections as idle
+ * whose requests have arrived meanwhile.
+ */
+export function pollSockets(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -13,7 +13,7 @@
 } from './RequestForwarder.js';
 import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
 import type { ResponseHead } from './BackendAttempt.js';
-import { CallerConnections } from './CallerConnections.js';
+import { CallerConnections, pollSockets } from './CallerConnections.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 
 /** Limits used until a configuration is known. */
@@ -115,6 +115,7 @@
       await delay(clock, STOP_POLL_MS);
     }
     this.connections.stop();
+    await pollSockets();
     const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeForwarders.size > 0 && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
--- a/test/direct/idleConnections.test.ts
+++ b/test/direct/idleConnections.test.ts
@@ -65,6 +65,11 @@
   return `POST /once/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${requestId}\r\nContent-Length: 1\r\n\r\nx`;
 }
 
+/** Blocks the process. */
+function standStill(durationMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+}
+
 describe('idle connections of callers', function () {
   this.timeout(20_000);
   let bench: RouterBench;
@@ -150,4 +155,25 @@
     }
     expect(await connection.waitForStatus()).to.equal(200);
   });
+
+  // Issue 30, LOST: a router that had stood still closed idle connections before it read the requests that had arrived.
+  it('are not closed under a request that arrived while the process stood still', async () => {
+    applyLimits({ idleTimeoutMs: 100 });
+    await openIdle();
+    connection.write(makeRequest('next'));
+    standStill(BEYOND_CLOSE_DELAY_MS);
+    expect(await connection.waitForStatus()).to.equal(200);
+  });
+
+  // The same before a stopping router closes all idle connections, 2.8 s after the signal.
+  it('are not closed by a stopping router under a request that arrived while the process stood still', async () => {
+    await openIdle();
+    const stopped = bench.stopRouter();
+    await delay(CLOCK, 2_500);
+    connection.write(makeRequest('next'));
+    standStill(600);
+    // Read before or after the router began to refuse requests.
+    expect(await connection.waitForStatus()).to.be.oneOf([200, 503]);
+    await stopped;
+  });
 });
