A request that arrives as its connection is refused for a late head never runs

What callers saw: a connection that had had no request when the header timeout was checked was answered 400 and ended; a request that arrived then was read all the same and run at a server, while its caller had a 400 and a closed connection. A changed HeaderTimeoutMs applied to such connections at once.

Cause: Node.js reports a connection without a request as one with a late head, and the parser goes on after the connection has been ended for sending. The class of fault: a refusal that doesn't stop what it refuses.

A connection without any bytes now goes by the idle limit; a late head is refused with 408 (has not run and never will), after the sockets were polled once more; whatever is read on a connection that has ended for sending is not served. The timeout is checked every second instead of every 30.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -10,6 +10,8 @@
  * reaches this router, which takes up to two seconds, and their requests take time to arrive.
  */
 const CLOSE_DELAY_MS = 3_000;
+/** Response to a request whose head takes too long. */
+const LATE_HEAD_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
 /** Dependencies of {@link CallerConnections}. */
 export interface CallerConnectionsDependencies {
@@ -105,6 +107,24 @@
     return this.states.get(socket)?.requestCount ?? 0;
   }
 
+  /**
+   * Refuses a request whose head exceeds its timeout, unless the rest has arrived, and ends its connection. A connection
+   * without any bytes is idle, so its limit is another one.
+   * @param socket - The connection.
+   */
+  async endLate(socket: Socket): Promise<void> {
+    const state = this.states.get(socket);
+    if (!state || socket.bytesRead === 0) {
+      return;
+    }
+    const { requestCount } = state;
+    await pollSockets();
+    if (state.requestCount === requestCount && state.openRequestCount === 0 && socket.writable) {
+      this.deps.metrics.count('refusals_408');
+      socket.end(LATE_HEAD_RESPONSE);
+    }
+  }
+
   private recordActivity(socket: Socket, state: ConnectionState): void {
     state.idleSinceMs = this.deps.clock.nowMs();
     state.receivedBytes = socket.bytesRead;
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -25,6 +25,8 @@
 };
 /** Maximum size of a request's headers that the parser accepts, in bytes; configured limits are lower. */
 const PARSER_HEADER_BYTES = 64 * 1024;
+/** Interval at which the header timeout is checked, in milliseconds. */
+const HEADER_CHECK_INTERVAL_MS = 1_000;
 /** Delay after which a caller should retry if no configuration is known yet, in milliseconds. */
 const STARTING_RETRY_MS = 500;
 /**
@@ -68,8 +70,9 @@
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: CallerServerDependencies) {
-    this.http = createServer({ maxHeaderSize: PARSER_HEADER_BYTES }, (request, response) =>
-      this.handle(request, response),
+    this.http = createServer(
+      { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS },
+      (request, response) => this.handle(request, response),
     );
     this.http.requestTimeout = 0;
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
@@ -156,7 +159,7 @@
 
   /**
    * Closes a connection on which other bytes than a request arrived, with status 400 if no request is being served; else
-   * after the response of that request.
+   * after the response of that request. Also ends connections on which a request's head takes too long.
    */
   private onProtocolError(error: NodeJS.ErrnoException, socket: Duplex): void {
     this.deps.metrics.count('caller_protocol_errors');
@@ -164,6 +167,10 @@
       code: error.code ?? '',
       receivedBytes: socket instanceof Socket ? socket.bytesRead : -1,
     });
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket instanceof Socket) {
+      void this.connections.endLate(socket);
+      return;
+    }
     const response = [...this.activeForwarders.values()].find((active) => active.socket === socket);
     if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
       socket.destroy();
@@ -177,6 +184,11 @@
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
+    if (request.socket.writableEnded) {
+      // The caller has received a refusal, so the request must not run.
+      request.resume();
+      return;
+    }
     this.connections.recordRequest(request.socket, response);
     if (this.stopping) {
       response.shouldKeepAlive = false;
--- a/test/direct/idleConnections.test.ts
+++ b/test/direct/idleConnections.test.ts
@@ -17,6 +17,9 @@
 /** Time after which a connection with an idle limit of 100 ms is closed, in milliseconds. */
 const BEYOND_CLOSE_DELAY_MS = 3_600;
 
+/** Time after which a header timeout of 100 ms has ended a connection, in milliseconds. */
+const BEYOND_HEADER_CHECK_MS = 2_500;
+
 /** A caller's connection on which the test writes the bytes itself. */
 class CallerConnection {
   private readonly socket: Socket;
@@ -176,4 +179,37 @@
     expect(await connection.waitForStatus()).to.be.oneOf([200, 503]);
     await stopped;
   });
+
+  // Issue 30, LOST: at the check of the header timeout, connections without a request were answered 400 and ended, but
+  // requests that arrived then were still read and run.
+  it('are not ended by the header timeout if they never had a request', async () => {
+    applyLimits({ headerTimeoutMs: 100 });
+    connection = new CallerConnection(bench.callerPort);
+    await delay(CLOCK, BEYOND_HEADER_CHECK_MS);
+    expect([connection.isEnded, connection.received]).to.deep.equal([false, '']);
+    expect(await connection.sendRequest('first')).to.equal(200);
+  });
+
+  it('are ended with 408 if a head exceeds the header timeout, and its request is never run', async () => {
+    applyLimits({ headerTimeoutMs: 100 });
+    await openIdle();
+    const text = makeRequest('late');
+    connection.write(text.slice(0, 30));
+    await delay(CLOCK, BEYOND_HEADER_CHECK_MS);
+    expect([connection.status, connection.isEnded]).to.deep.equal([408, true]);
+    connection.write(text.slice(30));
+    await delay(CLOCK, 200);
+    expect(bench.receivedRequests.map(({ headers }) => headers['request-id'])).to.deep.equal(['first']);
+  });
+
+  it('are not ended if the rest of a late head arrived while the process stood still', async () => {
+    applyLimits({ headerTimeoutMs: 1_000 });
+    await openIdle();
+    const text = makeRequest('next');
+    connection.write(text.slice(0, 30));
+    await delay(CLOCK, 100);
+    connection.write(text.slice(30));
+    standStill(BEYOND_HEADER_CHECK_MS);
+    expect(await connection.waitForStatus()).to.equal(200);
+  });
 });
