Bytes that arrive together with a request don't replace its answer

What callers saw: status 400 and the end of the connection in place of the answer to a whole request, if bytes that are no request (or a further request after 'Connection: close') arrived in the same packet; the request ran all the same.

Cause: whether a request is in progress was looked up among the forwarders, and the forwarder of a request starts only after its body was emitted. The class of fault is the one of the late heads: a refusal that doesn't stop what it refuses, decided on a record that is later than the fact.

The connection now knows the responses of all requests that the parser has read completely.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -23,8 +23,8 @@
 /** State of one open connection. */
 interface ConnectionState {
   requestCount: number;
-  /** Number of requests without a complete response. */
-  openRequestCount: number;
+  /** Responses that are not complete, in the order of their requests. */
+  readonly openResponses: Set<ServerResponse>;
   /** When the last response was complete, or bytes arrived after it. */
   idleSinceMs: number;
   /** Number of bytes received by then. */
@@ -72,7 +72,7 @@
   add(socket: Socket): void {
     this.states.set(socket, {
       requestCount: 0,
-      openRequestCount: 0,
+      openResponses: new Set(),
       idleSinceMs: this.deps.clock.nowMs(),
       receivedBytes: 0,
       idleTimeoutMs: this.idleTimeoutMs,
@@ -91,14 +91,22 @@
       return;
     }
     state.requestCount++;
-    state.openRequestCount++;
+    state.openResponses.add(response);
     state.idleTimeoutMs = this.idleTimeoutMs;
     response.once('close', () => {
-      state.openRequestCount--;
+      state.openResponses.delete(response);
       this.recordActivity(socket, state);
     });
   }
 
+  /**
+   * Returns the last open response on a connection whose request has been received completely; undefined if there is none.
+   * @param socket - The connection.
+   */
+  getOpenResponse(socket: Socket): ServerResponse | undefined {
+    return [...(this.states.get(socket)?.openResponses ?? [])].findLast(({ req }) => req.complete);
+  }
+
   /**
    * Returns the number of requests that have begun on a connection.
    * @param socket - The connection.
@@ -119,7 +127,7 @@
     }
     const { requestCount } = state;
     await pollSockets();
-    if (state.requestCount === requestCount && state.openRequestCount === 0 && socket.writable) {
+    if (state.requestCount === requestCount && state.openResponses.size === 0 && socket.writable) {
       this.deps.metrics.count('refusals_408');
       socket.end(LATE_HEAD_RESPONSE);
     }
@@ -151,7 +159,7 @@
       this.recordActivity(socket, state);
     }
     const idleMs = this.deps.clock.nowMs() - state.idleSinceMs;
-    return state.openRequestCount === 0 && idleMs >= state.idleTimeoutMs + CLOSE_DELAY_MS;
+    return state.openResponses.size === 0 && idleMs >= state.idleTimeoutMs + CLOSE_DELAY_MS;
   }
 
   private close(socket: Socket, { requestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): void {
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -171,7 +171,7 @@
       void this.connections.endLate(socket);
       return;
     }
-    const response = [...this.activeForwarders.values()].find((active) => active.socket === socket);
+    const response = socket instanceof Socket ? this.connections.getOpenResponse(socket) : undefined;
     if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
       socket.destroy();
     } else if (!response) {
--- /dev/null
+++ b/test/direct/pipelinedRequests.test.ts
@@ -0,0 +1,50 @@
+import { expect } from 'chai';
+import { delay } from '../../src/kernel/index.js';
+import { CallerConnection, formatRequest } from './CallerConnection.js';
+import { makeRoute, ORDERS } from './fleetFixtures.js';
+import { CLOCK, makeResponseHeaders, RouterBench, type Handler } from './RouterBench.js';
+
+const ROUTE = makeRoute({
+  pathPrefix: '/once/',
+  kind: 'nonIdempotent',
+  isResumable: false,
+  maxAttempts: 1,
+  targets: [{ serviceId: ORDERS, weight: 1 }],
+});
+const makeRequest = (requestId: string, headers: readonly string[] = []) =>
+  formatRequest(requestId, '/once/x', headers);
+const respondLate: Handler = (incoming, response) => {
+  setTimeout(() => response.writeHead(200, makeResponseHeaders(incoming)).end('ok'), 300);
+};
+
+describe('requests sent before the response to the one before', () => {
+  let bench: RouterBench;
+  let connection: CallerConnection;
+  beforeEach(async () => {
+    bench = new RouterBench();
+    await bench.addServer('p', respondLate, ORDERS);
+    await bench.start([ROUTE]);
+    connection = new CallerConnection(bench.callerPort);
+  });
+  afterEach(async () => {
+    connection.close();
+    await bench.close();
+  });
+
+  const getRunIds = () => bench.receivedRequests.map(({ headers }) => headers['request-id']);
+
+  it('are answered in order', async () => {
+    connection.write(makeRequest('first') + makeRequest('second'));
+    await delay(CLOCK, 900);
+    expect(connection.received.match(/HTTP\/1\.1 200/g)).to.have.length(2);
+    expect(connection.received.indexOf('first')).to.be.lessThan(connection.received.indexOf('second'));
+  });
+
+  // Issue 30, LOST: bytes that arrived together with a request replaced its answer by status 400, and yet it ran.
+  it('do not run if that response ends the connection', async () => {
+    connection.write(makeRequest('first', ['Connection: close']) + makeRequest('second'));
+    await delay(CLOCK, 900);
+    expect([connection.status, connection.isEnded]).to.deep.equal([200, true]);
+    expect(getRunIds()).to.deep.equal(['first']);
+  });
+});
