A request behind the last response of its connection is not passed on

What callers saw: two requests sent one behind the other to a stopping router; the answer to the first ended the connection as announced, and the second had been run at a server, its answer lost.

Cause: Connection: close was set on the first response without a consequence for what was read later on the same connection. Such a request is now left unread, which a caller may take as not run. The callers at hand send one request at a time, so this is a fault in the code and not known to be that of the report.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -107,6 +107,15 @@
     return [...(this.states.get(socket)?.openResponses ?? [])].findLast(({ req }) => req.complete);
   }
 
+  /**
+   * Whether a connection was ended for sending, or ends with a response that is open, so that no later request can be answered.
+   * @param socket - The connection.
+   */
+  isEnding(socket: Socket): boolean {
+    const openResponses = this.states.get(socket)?.openResponses ?? [];
+    return socket.writableEnded || [...openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive);
+  }
+
   /**
    * Returns the number of requests that have begun on a connection.
    * @param socket - The connection.
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -184,8 +184,8 @@
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
-    if (request.socket.writableEnded) {
-      // The caller has received a refusal, so the request must not run.
+    if (this.connections.isEnding(request.socket)) {
+      // Its caller could not receive the response, so the request must not run.
       request.resume();
       return;
     }
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -47,4 +47,13 @@
     expect([connection.status, connection.isEnded]).to.deep.equal([200, true]);
     expect(getRunIds()).to.deep.equal(['first']);
   });
+
+  // Issue 30, LOST: a request was passed on although the response before it was announced as the last one of its connection.
+  it('do not run if that response ends the connection because the router is stopping', async () => {
+    void bench.stopRouter();
+    connection.write(makeRequest('first') + makeRequest('second'));
+    await delay(CLOCK, 900);
+    expect([connection.status, connection.isEnded]).to.deep.equal([200, true]);
+    expect(getRunIds()).to.deep.equal(['first']);
+  });
 });
