The product's entry router polls its sockets before it closes idle connections

The same cause as at the callers' server on the platform: a process that stood still when it stops closed idle connections before it read the requests that had arrived on them; their callers got a reset.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { PeriodicTask, type Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
+import { pollSockets } from '../transport/index.js';
 
 /** Interval at which idle connections are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
@@ -183,13 +184,3 @@
     socket.destroy();
   }
 }
-
-/**
- * Reads what has arrived on all sockets. Timers run before: after a pause of the process, they would see connections as idle
- * whose requests have arrived meanwhile.
- */
-export function pollSockets(): Promise<void> {
-  return new Promise((resolve) => {
-    setImmediate(resolve);
-  });
-}
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -4,7 +4,7 @@
 import type { Duplex } from 'node:stream';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import { listenOrThrow, type ListenAddress } from '../transport/index.js';
+import { listenOrThrow, pollSockets, type ListenAddress } from '../transport/index.js';
 import {
   RequestForwarder,
   type RequestForwarderDependencies,
@@ -13,7 +13,7 @@
 } from './RequestForwarder.js';
 import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
 import type { ResponseHead } from './BackendAttempt.js';
-import { CallerConnections, pollSockets } from './CallerConnections.js';
+import { CallerConnections } from './CallerConnections.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 
 /** Limits used until a configuration is known. */
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -7,7 +7,7 @@
   type RequestId,
 } from '../domain/index.js';
 import type { Metrics } from '../telemetry/index.js';
-import { listenOrThrow, type ListenAddress } from '../transport/index.js';
+import { listenOrThrow, pollSockets, type ListenAddress } from '../transport/index.js';
 import type { AttemptClient } from './AttemptClient.js';
 import type { Authenticator } from './Authenticator.js';
 import type { BudgetReservation, BudgetService } from './BudgetService.js';
@@ -80,6 +80,7 @@
   async stop(): Promise<void> {
     this.stopping = true;
     await delay(this.deps.clock, STOP_GRACE_MS);
+    await pollSockets();
     const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeCount > 0) {
       await new Promise<void>((resolve) => this.idleListeners.push(resolve));
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -2,3 +2,4 @@
 export * from './PeerConnection.js';
 export * from './PeerServer.js';
 export * from './PeerDialer.js';
+export * from './pollSockets.js';
--- /dev/null
+++ b/test/router/EntryServer.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai';
+import { delay, SystemClock } from '../../src/kernel/index.js';
+import { EntryServer, type EntryServerDependencies } from '../../src/router/index.js';
+import { Metrics } from '../../src/telemetry/index.js';
+import { CallerConnection } from '../direct/CallerConnection.js';
+
+const CLOCK = new SystemClock();
+const GET_MODELS = 'GET /v1/models HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer t\r\n\r\n';
+/** Port on which the router accepts callers. */
+const PORT = 9_481;
+/** Time after the stop signal after which a stopping router closes idle connections, in milliseconds. */
+const STOP_GRACE_MS = 1_000;
+
+/** Creates a router that only lists models. */
+function createServer(models: readonly string[]): EntryServer {
+  const deps: Partial<Record<keyof EntryServerDependencies, unknown>> = {
+    address: { host: '127.0.0.1', port: PORT },
+    incarnation: 'i',
+    clock: CLOCK,
+    metrics: new Metrics(),
+    authenticator: { getOrganisation: () => ({}) },
+    parser: { listModels: () => models },
+  };
+  return new EntryServer(deps as unknown as EntryServerDependencies);
+}
+
+describe('EntryServer', function () {
+  this.timeout(20_000);
+
+  describe('stop', () => {
+    // Issue 30, LOST: a router that had stood still closed idle connections before it read the requests that had arrived.
+    it('does not close a connection under a request that arrived while the process stood still', async () => {
+      const server = createServer(['a']);
+      await server.start();
+      const connection = new CallerConnection(PORT);
+      connection.write(GET_MODELS);
+      expect(await connection.waitForStatus()).to.equal(200);
+      const stopped = server.stop();
+      await delay(CLOCK, STOP_GRACE_MS - 300);
+      connection.write(GET_MODELS);
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+      expect(await connection.waitForStatus()).to.equal(200);
+      connection.close();
+      await stopped;
+    });
+  });
+});
