The product's entry router writes ended responses before it closes connections

What callers saw: a caller that read its whole answer slowly while the router stopped got a part of it and a closed connection.

Cause: a request counted as over when its response had ended, not when it was written, and closing the server destroys connections whose response has ended. The callers' server on the platform had this fault before and was fixed; the product's own had not been looked at. Bounded at 10 s for callers that never read. The test failed before (cut), it passes now.

--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -33,6 +33,10 @@
  * milliseconds.
  */
 const STOP_GRACE_MS = 1_000;
+/** Time for which a stopping router waits for callers that read their responses slowly, in milliseconds. */
+const MAX_WRITE_MS = 10_000;
+/** Interval at which a stopping router checks whether they have, in milliseconds. */
+const STOP_POLL_MS = 50;
 /** Retry delay sent to a caller whose budget is exhausted, in milliseconds. */
 const BUDGET_RETRY_AFTER_MS = 600_000;
 
@@ -54,6 +58,7 @@
   private readonly http: Server;
   private readonly retryBudgets = new Map<string, RetryBudget>();
   private readonly idleListeners: (() => void)[] = [];
+  private readonly openResponses = new Set<ServerResponse>();
   private nextRequestNumber = 1;
   private activeCount = 0;
   private stopping = false;
@@ -80,18 +85,40 @@
   async stop(): Promise<void> {
     this.stopping = true;
     await delay(this.deps.clock, STOP_GRACE_MS);
+    // Closing the server also closes connections whose response has ended but is not written yet.
+    await this.waitForWrites();
     await pollSockets();
     const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeCount > 0) {
       await new Promise<void>((resolve) => this.idleListeners.push(resolve));
     }
-    this.http.closeIdleConnections();
+    await this.waitForWrites();
     this.http.closeAllConnections();
     await closed;
   }
 
+  /** Waits until callers have read the responses that have ended. */
+  private async waitForWrites(): Promise<void> {
+    const { clock } = this.deps;
+    const endsAtMs = clock.nowMs() + MAX_WRITE_MS;
+    while (this.hasUnwrittenResponse && clock.nowMs() < endsAtMs) {
+      await delay(clock, STOP_POLL_MS);
+    }
+  }
+
+  private get hasUnwrittenResponse(): boolean {
+    for (const response of this.openResponses) {
+      if (response.writableEnded && !response.writableFinished) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private async onRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.activeCount++;
+    this.openResponses.add(response);
+    response.once('close', () => this.openResponses.delete(response));
     const requestId = toRequestId(`${this.deps.incarnation}-${this.nextRequestNumber++}`);
     const receivedAtMs = this.deps.clock.nowMs();
     const writer = new ResponseWriter(response, requestId);
--- a/test/router/EntryServer.test.ts
+++ b/test/router/EntryServer.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { request } from 'node:http';
 import { delay, SystemClock } from '../../src/kernel/index.js';
 import { EntryServer, type EntryServerDependencies } from '../../src/router/index.js';
 import { Metrics } from '../../src/telemetry/index.js';
@@ -43,5 +44,25 @@
       connection.close();
       await stopped;
     });
+
+    // Issue 30, LOST: a response that was complete, but not yet written, was cut.
+    it('completes responses that their callers read slowly', async () => {
+      const server = createServer(Array.from({ length: 100_000 }, (_, index) => `model-${index}`));
+      await server.start();
+      const isComplete = new Promise<boolean>((resolve) => {
+        const outgoing = request({ port: PORT, path: '/v1/models', headers: { authorization: 'Bearer t' } });
+        outgoing.on('error', () => resolve(false));
+        outgoing.on('response', (response) => {
+          response.on('error', () => resolve(false));
+          response.on('end', () => resolve(response.complete));
+          setTimeout(() => response.resume(), 1_600);
+        });
+        outgoing.end();
+      });
+      await delay(CLOCK, 300);
+      const stopped = server.stop();
+      expect(await isComplete).to.equal(true);
+      await stopped;
+    });
   });
 });
