--- a/test/direct/fleetFixtures.ts
+++ b/test/direct/fleetFixtures.ts
@@ -31,6 +31,15 @@
   };
 }
 
+/** Route to plain servers whose requests must not run twice. */
+export const ONCE_ROUTE = makeRoute({
+  pathPrefix: '/once/',
+  kind: 'nonIdempotent',
+  isResumable: false,
+  maxAttempts: 1,
+  targets: [{ serviceId: ORDERS, weight: 1 }],
+});
+
 /** Creates the profile of engines with memory for two models of 100 MB and two adapters. */
 export function makeProfile(models: readonly string[] = ['a', 'b', 'c', 'd']): EngineProfile {
   const footprint = {
--- a/test/direct/idleConnections.test.ts
+++ b/test/direct/idleConnections.test.ts
@@ -2,16 +2,9 @@
 import { delay } from '../../src/kernel/index.js';
 import type { CallerLimits } from '../../src/direct/index.js';
 import { CallerConnection, formatRequest } from './CallerConnection.js';
-import { makeRoute, ORDERS } from './fleetFixtures.js';
+import { ONCE_ROUTE, ORDERS } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, RouterBench } from './RouterBench.js';
 
-const ROUTE = makeRoute({
-  pathPrefix: '/once/',
-  kind: 'nonIdempotent',
-  isResumable: false,
-  maxAttempts: 1,
-  targets: [{ serviceId: ORDERS, weight: 1 }],
-});
 /** Time after which Node.js closes a connection with an idle limit of 100 ms, in milliseconds. */
 const BEYOND_SHORT_LIMIT_MS = 1_400;
 /** Time after which a connection with an idle limit of 100 ms is closed, in milliseconds. */
@@ -38,14 +31,14 @@
       (incoming, response) => response.writeHead(200, makeResponseHeaders(incoming)).end('ok'),
       ORDERS,
     );
-    await bench.start([ROUTE]);
+    await bench.start([ONCE_ROUTE]);
   });
   afterEach(async () => {
     connection.close();
     await bench.close();
   });
 
-  const applyLimits = (limits: Partial<CallerLimits>) => bench.applyCallerLimits([ROUTE], limits);
+  const applyLimits = (limits: Partial<CallerLimits>) => bench.applyCallerLimits([ONCE_ROUTE], limits);
 
   /** Sends a request on the connection; resolves with the status of its response, or undefined if there is none. */
   function sendRequest(requestId: string): Promise<number | undefined> {
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -1,16 +1,9 @@
 import { expect } from 'chai';
 import { delay } from '../../src/kernel/index.js';
 import { CallerConnection, formatRequest } from './CallerConnection.js';
-import { makeRoute, ORDERS } from './fleetFixtures.js';
+import { ONCE_ROUTE, ORDERS } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, RouterBench, type Handler } from './RouterBench.js';
 
-const ROUTE = makeRoute({
-  pathPrefix: '/once/',
-  kind: 'nonIdempotent',
-  isResumable: false,
-  maxAttempts: 1,
-  targets: [{ serviceId: ORDERS, weight: 1 }],
-});
 const makeRequest = (requestId: string, headers: readonly string[] = []) =>
   formatRequest(requestId, '/once/x', headers);
 const respondLate: Handler = (incoming, response) => {
@@ -23,7 +16,7 @@
   beforeEach(async () => {
     bench = new RouterBench();
     await bench.addServer('p', respondLate, ORDERS);
-    await bench.start([ROUTE]);
+    await bench.start([ONCE_ROUTE]);
     connection = new CallerConnection(bench.callerPort);
   });
   afterEach(async () => {
