A refused connection closes although its caller goes on sending

Cause: any byte counted as activity, also on a connection that had been ended and on which nothing is served. Such bytes no longer count, so the connection closes by the idle limit.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -165,7 +165,8 @@
   }
 
   private isExpired(socket: Socket, state: ConnectionState): boolean {
-    if (socket.bytesRead !== state.receivedBytes) {
+    // Bytes that arrive after the connection was ended belong to no request that will be served.
+    if (!socket.writableEnded && socket.bytesRead !== state.receivedBytes) {
       this.recordActivity(socket, state);
     }
     const idleMs = this.deps.clock.nowMs() - state.idleSinceMs;
--- a/test/direct/CallerConnection.ts
+++ b/test/direct/CallerConnection.ts
@@ -29,6 +29,11 @@
     return status === undefined ? undefined : Number(status);
   }
 
+  /** Whether the connection is closed, not only ended by the router. */
+  get isClosed(): boolean {
+    return this.socket.destroyed;
+  }
+
   /** Whether the response is complete, by its length or its last chunk. */
   get isComplete(): boolean {
     const headEnd = this.received.indexOf('\r\n\r\n');
--- a/test/direct/idleConnections.test.ts
+++ b/test/direct/idleConnections.test.ts
@@ -154,6 +154,20 @@
     expect(bench.receivedRequests.map(({ headers }) => headers['request-id'])).to.deep.equal(['first']);
   });
 
+  // Issue 30, review: after a refusal, a caller that went on to send held the connection open for ever.
+  it('are closed after a refusal although their callers go on sending', async () => {
+    applyLimits({ headerTimeoutMs: 100, idleTimeoutMs: 100 });
+    await openIdle();
+    connection.write(makeRequest('late').slice(0, 30));
+    await delay(CLOCK, BEYOND_HEADER_CHECK_MS);
+    expect(connection.status).to.equal(408);
+    for (let sentMs = 0; sentMs < BEYOND_CLOSE_DELAY_MS; sentMs += 200) {
+      connection.write('x');
+      await delay(CLOCK, 200);
+    }
+    expect(connection.isClosed).to.equal(true);
+  });
+
   it('are not ended if the rest of a late head arrived while the process stood still', async () => {
     applyLimits({ headerTimeoutMs: 1_000 });
     await openIdle();
