--- /dev/null
+++ b/src/direct/CallerConnections.ts
@@ -0,0 +1,187 @@
+import type { Socket } from 'node:net';
+import type { ServerResponse } from 'node:http';
+import { PeriodicTask, type Clock } from '../kernel/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import { pollSockets } from '../transport/index.js';
+
+/** Interval at which idle connections are checked, in milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+/**
+ * Time for which an idle connection stays open beyond its limit, in milliseconds: callers may go by a raised limit before it
+ * reaches this router, which takes up to two seconds, and their requests take time to arrive.
+ */
+const CLOSE_DELAY_MS = 3_000;
+/** Response to a request whose head takes too long. */
+const LATE_HEAD_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
+/** Dependencies of {@link CallerConnections}. */
+export interface CallerConnectionsDependencies {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** State of one open connection. */
+interface ConnectionState {
+  requestCount: number;
+  /** Responses that are not complete, in the order of their requests. */
+  readonly openResponses: Set<ServerResponse>;
+  /** When the last response was complete, or bytes arrived after it. */
+  idleSinceMs: number;
+  /** Number of bytes received by then. */
+  receivedBytes: number;
+  /** Longest limit in force since its last request, whose response announced the limit of that time. */
+  idleTimeoutMs: number;
+}
+
+/** Counts the requests on callers' connections, and closes those that stay idle for longer than their limit. */
+export class CallerConnections {
+  private readonly states = new Map<Socket, ConnectionState>();
+  private readonly checkTask: PeriodicTask;
+  private idleTimeoutMs = 0;
+
+  /** @param deps - Dependencies. */
+  constructor(private readonly deps: CallerConnectionsDependencies) {
+    this.checkTask = new PeriodicTask(deps.clock, CHECK_INTERVAL_MS, () => this.closeIdle());
+  }
+
+  /** Starts to close idle connections. */
+  start(): void {
+    this.checkTask.start();
+  }
+
+  /** Stops closing idle connections. */
+  stop(): void {
+    this.checkTask.stop();
+  }
+
+  /**
+   * Applies a limit; a higher one also applies to connections that are idle already, a lower one from their next request on.
+   * @param idleTimeoutMs - Time for which a connection may be idle, in milliseconds.
+   */
+  applyIdleTimeout(idleTimeoutMs: number): void {
+    this.idleTimeoutMs = idleTimeoutMs;
+    for (const state of this.states.values()) {
+      state.idleTimeoutMs = Math.max(state.idleTimeoutMs, idleTimeoutMs);
+    }
+  }
+
+  /**
+   * Adds a connection that was accepted.
+   * @param socket - The connection.
+   */
+  add(socket: Socket): void {
+    this.states.set(socket, {
+      requestCount: 0,
+      openResponses: new Set(),
+      idleSinceMs: this.deps.clock.nowMs(),
+      receivedBytes: 0,
+      idleTimeoutMs: this.idleTimeoutMs,
+    });
+    socket.once('close', () => this.states.delete(socket));
+  }
+
+  /**
+   * Records that a request has begun on a connection, which is not idle until its response is complete.
+   * @param socket - The connection.
+   * @param response - Response to the request.
+   */
+  recordRequest(socket: Socket, response: ServerResponse): void {
+    const state = this.states.get(socket);
+    if (!state) {
+      return;
+    }
+    state.requestCount++;
+    state.openResponses.add(response);
+    state.idleTimeoutMs = this.idleTimeoutMs;
+    response.once('close', () => {
+      state.openResponses.delete(response);
+      this.recordActivity(socket, state);
+    });
+  }
+
+  /**
+   * Returns the last open response on a connection whose request has been received completely; undefined if there is none.
+   * @param socket - The connection.
+   */
+  getOpenResponse(socket: Socket): ServerResponse | undefined {
+    return [...(this.states.get(socket)?.openResponses ?? [])].findLast(({ req }) => req.complete);
+  }
+
+  /**
+   * Whether a connection was ended for sending, or ends with a response that is open, so that no later request can be answered.
+   * @param socket - The connection.
+   */
+  isEnding(socket: Socket): boolean {
+    const openResponses = this.states.get(socket)?.openResponses ?? [];
+    return socket.writableEnded || [...openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive);
+  }
+
+  /**
+   * Returns the number of requests that have begun on a connection.
+   * @param socket - The connection.
+   */
+  getRequestCount(socket: Socket): number {
+    return this.states.get(socket)?.requestCount ?? 0;
+  }
+
+  /**
+   * Refuses a request whose head exceeds its timeout, unless the rest has arrived, and ends its connection. A connection
+   * without any bytes is idle, so its limit is another one.
+   * @param socket - The connection.
+   */
+  async endLate(socket: Socket): Promise<void> {
+    const state = this.states.get(socket);
+    if (!state || socket.bytesRead === 0) {
+      return;
+    }
+    const { requestCount } = state;
+    await pollSockets();
+    if (state.requestCount === requestCount && state.openResponses.size === 0 && socket.writable) {
+      this.deps.metrics.count('refusals_408');
+      socket.end(LATE_HEAD_RESPONSE);
+    }
+  }
+
+  private recordActivity(socket: Socket, state: ConnectionState): void {
+    state.idleSinceMs = this.deps.clock.nowMs();
+    state.receivedBytes = socket.bytesRead;
+  }
+
+  private closeIdle(): void {
+    const expired = [...this.states].filter(([socket, state]) => this.isExpired(socket, state));
+    if (expired.length > 0) {
+      void this.closeIfExpired(expired);
+    }
+  }
+
+  private async closeIfExpired(candidates: readonly [Socket, ConnectionState][]): Promise<void> {
+    await pollSockets();
+    for (const [socket, state] of candidates) {
+      if (this.isExpired(socket, state)) {
+        this.close(socket, state);
+      }
+    }
+  }
+
+  private isExpired(socket: Socket, state: ConnectionState): boolean {
+    // Bytes that arrive after the connection was ended belong to no request that will be served.
+    if (!socket.writableEnded && socket.bytesRead !== state.receivedBytes) {
+      this.recordActivity(socket, state);
+    }
+    const idleMs = this.deps.clock.nowMs() - state.idleSinceMs;
+    return state.openResponses.size === 0 && idleMs >= state.idleTimeoutMs + CLOSE_DELAY_MS;
+  }
+
+  private close(socket: Socket, { requestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): void {
+    const { clock, log, metrics } = this.deps;
+    metrics.count('caller_connections_idle_closed');
+    log.decision('idle connection closed', {
+      requestCount,
+      idleMs: Math.round(clock.nowMs() - idleSinceMs),
+      idleTimeoutMs,
+      currentIdleTimeoutMs: this.idleTimeoutMs,
+    });
+    socket.destroy();
+  }
+}
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -4,7 +4,7 @@
 import type { Duplex } from 'node:stream';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import { listenOrThrow, type ListenAddress } from '../transport/index.js';
+import { listenOrThrow, pollSockets, type ListenAddress } from '../transport/index.js';
 import {
   RequestForwarder,
   type RequestForwarderDependencies,
@@ -13,6 +13,7 @@
 } from './RequestForwarder.js';
 import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
 import type { ResponseHead } from './BackendAttempt.js';
+import { CallerConnections } from './CallerConnections.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 
 /** Limits used until a configuration is known. */
@@ -24,6 +25,8 @@
 };
 /** Maximum size of a request's headers that the parser accepts, in bytes; configured limits are lower. */
 const PARSER_HEADER_BYTES = 64 * 1024;
+/** Interval at which the header timeout is checked, in milliseconds. */
+const HEADER_CHECK_INTERVAL_MS = 1_000;
 /** Delay after which a caller should retry if no configuration is known yet, in milliseconds. */
 const STARTING_RETRY_MS = 500;
 /**
@@ -60,21 +63,25 @@
   private readonly http: Server;
   /** Responses that are not complete, by the forwarder of the request. */
   private readonly activeForwarders = new Map<RequestForwarder, ServerResponse>();
-  /** Number of requests received on each open connection. */
-  private readonly requestCounts = new WeakMap<Socket, number>();
+  private readonly connections: CallerConnections;
   private stopping = false;
   /** Whether new requests are refused because the process is stopping. */
   private closing = false;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: CallerServerDependencies) {
-    this.http = createServer({ maxHeaderSize: PARSER_HEADER_BYTES }, (request, response) =>
-      this.handle(request, response),
+    this.http = createServer(
+      { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS },
+      (request, response) => this.handle(request, response),
     );
     this.http.requestTimeout = 0;
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.onProtocolError(error, socket),
     );
+    this.connections = new CallerConnections(deps);
+    this.http.on('connection', (socket: Socket) => this.connections.add(socket));
+    // With a listener, the server does not close idle connections itself: it would do so at the limit of their last response.
+    this.http.on('timeout', () => undefined);
     this.applyLimits();
   }
 
@@ -90,6 +97,7 @@
 
   async start(): Promise<void> {
     await listenOrThrow(this.http, this.deps.address, 'entry');
+    this.connections.start();
     this.deps.log.info('callers accepted', { port: this.port });
   }
 
@@ -109,6 +117,8 @@
     while (this.hasUnwrittenResponse && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
     }
+    this.connections.stop();
+    await pollSockets();
     const closed = new Promise((resolve) => this.http.close(resolve));
     while (this.activeForwarders.size > 0 && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
@@ -128,7 +138,9 @@
   applyLimits(): void {
     const limits = this.getLimits();
     this.http.headersTimeout = limits.headerTimeoutMs;
+    // Announced to callers with each response.
     this.http.keepAliveTimeout = limits.idleTimeoutMs;
+    this.connections.applyIdleTimeout(limits.idleTimeoutMs);
   }
 
   /** Whether a response has ended but its caller has yet to read a part that does not fit into the socket's buffer. */
@@ -147,11 +159,19 @@
 
   /**
    * Closes a connection on which other bytes than a request arrived, with status 400 if no request is being served; else
-   * after the response of that request.
+   * after the response of that request. Also ends connections on which a request's head takes too long.
    */
   private onProtocolError(error: NodeJS.ErrnoException, socket: Duplex): void {
     this.deps.metrics.count('caller_protocol_errors');
-    const response = [...this.activeForwarders.values()].find((active) => active.socket === socket);
+    this.deps.log.decision('caller connection failed', {
+      code: error.code ?? '',
+      receivedBytes: socket instanceof Socket ? socket.bytesRead : -1,
+    });
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket instanceof Socket) {
+      void this.connections.endLate(socket);
+      return;
+    }
+    const response = socket instanceof Socket ? this.connections.getOpenResponse(socket) : undefined;
     if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
       socket.destroy();
     } else if (!response) {
@@ -164,7 +184,12 @@
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.deps.clock.nowMs();
-    this.requestCounts.set(request.socket, (this.requestCounts.get(request.socket) ?? 0) + 1);
+    if (this.connections.isEnding(request.socket)) {
+      // Its caller could not receive the response, so the request must not run.
+      request.resume();
+      return;
+    }
+    this.connections.recordRequest(request.socket, response);
     if (this.stopping) {
       response.shouldKeepAlive = false;
     }
@@ -216,7 +241,7 @@
     }
     const { serviceId } = target;
     const fingerprint = getFingerprint(method, path, headers.model, body);
-    const connectionRequestNumber = this.requestCounts.get(request.socket) ?? 1;
+    const connectionRequestNumber = this.connections.getRequestCount(request.socket);
     const callerRequest = {
       headers,
       route,
