A body has two silent servers until one of them has answered

Callers got 502 for idempotent requests whose sound server had been silent for half a second and went on: 300 ms after the request was sent to another server too, the first one was left although neither had sent a byte; the other one stalled as well and then crashed. The limit of 300 ms is for streams and models, where two servers must not go on with the same work. Bodies of plain services don't interfere, so both servers keep the request until one has answered. With a third attempt left, the server that was silent first gives way to a third server, once that one has accepted a connection.

The first new test failed before (502 instead of 200); the other two passed before and guard the change.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -130,7 +130,7 @@
       this.search,
       retries,
       {
-        create: (server) => this.createAttempt(server, this.runCount + 1),
+        create: (server) => this.createAttempt(server, this.runCount + this.resumption.runningCount),
         send: (prepared) => this.start(prepared),
         discard: (sent) => this.discard(sent),
       },
@@ -156,7 +156,7 @@
       }
       await this.complete(sent);
     }
-    await this.resumption.discardReplacement();
+    await this.resumption.discardReplacements();
   }
 
   /** Sends the request to the next server; ends it and returns undefined if it cannot be sent. */
@@ -368,7 +368,7 @@
   }
 
   private async handleSilence(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
-    if (this.mayRunAgain(this.runCount + 1)) {
+    if (this.mayRunAgain(this.runCount + this.resumption.runningCount)) {
       await this.resumption.replaceSilent(attempt, serverId);
     }
   }
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -67,9 +67,12 @@
   private isBegun = false;
   /** Whether a server broke off the response, in contrast to a silent one, which may go on. */
   private wasBrokenOff = false;
-  /** Attempt that was sent to the server that replaces a silent one. */
-  private replacement: SentAttempt | undefined;
-  private isReplacing = false;
+  /** Attempts that were sent to replace silent servers, in the order in which they get the request. */
+  private readonly replacements: SentAttempt[] = [];
+  /** Attempts at silent servers for which a replacement is being found or has the request too. */
+  private readonly replacedAttempts = new Set<BackendAttempt>();
+  /** Attempt at a silent server that keeps the request until the last replacement shows that it takes it. */
+  private keepingAttempt: BackendAttempt | undefined;
   /** Last decision on a silent server, which is logged when it changes. */
   private lastSilenceDecision: string | undefined;
 
@@ -102,6 +105,11 @@
     return this.isBegun;
   }
 
+  /** Number of attempts that have the request at the moment. */
+  get runningCount(): number {
+    return 1 + this.replacements.length;
+  }
+
   /** ID of the event after which the stream continues. */
   get lastEventId(): string | undefined {
     return this.progressEventId;
@@ -161,10 +169,10 @@
    * @param serverId - The silent server.
    */
   async replaceSilent(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
-    if (this.isReplacing) {
+    if (this.replacedAttempts.has(attempt)) {
       return;
     }
-    this.isReplacing = true;
+    this.replacedAttempts.add(attempt);
     try {
       const found = await this.silentServerReplacement.find(attempt, serverId);
       const result = found.kind === 'found' ? await this.handOver(attempt, found.next) : found;
@@ -173,7 +181,7 @@
         attempt.abandon();
       }
     } finally {
-      this.isReplacing = false;
+      this.replacedAttempts.delete(attempt);
     }
   }
 
@@ -182,36 +190,60 @@
    * have gone on by then, and the other one may have failed.
    */
   private async handOver(silent: BackendAttempt, next: PreparedAttempt): Promise<ReplacementResult> {
+    if (this.keepingAttempt?.isSilent === false) {
+      next.attempt.cancel();
+      return { kind: 'kept', reason: 'resumed' };
+    }
+    // Two servers at most have the request at a time.
+    this.keepingAttempt?.abandon();
+    this.keepingAttempt = silent;
     const sent = this.attempts.send(next);
-    this.replacement = sent;
+    this.replacements.push(sent);
     void next.attempt.run();
-    // Two bodies don't interfere, since only whole ones are passed on.
-    const isStream = this.request.route.kind === 'stream';
-    await Promise.race([
-      next.attempt.waitForSign(),
-      isStream ? silent.waitForProgress() : silent.run(),
-      delay(this.deps.clock, HANDOVER_MS),
-    ]);
+    await this.waitForHandover(silent, next.attempt);
+    if (this.keepingAttempt === silent) {
+      this.keepingAttempt = undefined;
+    }
     const hasFailed = next.attempt.end !== undefined && !isResponse(next.attempt.end);
     const isKept = silent.end === undefined && (hasFailed || !silent.isSilent);
     if (isKept || this.isOver()) {
-      await this.discardReplacement();
+      await this.discard(sent);
       return { kind: 'kept', reason: hasFailed ? 'replacementFailed' : 'resumed' };
     }
     return { kind: 'found', next };
   }
 
+  /** Resolves when it shows which of two servers has the request from now on. */
+  private async waitForHandover(silent: BackendAttempt, next: BackendAttempt): Promise<void> {
+    const { route, headers } = this.request;
+    if (route.kind !== 'stream' && headers.model === undefined) {
+      // Only whole bodies are passed on, so the first one may come from either.
+      await Promise.race([next.run(), silent.run()]);
+      return;
+    }
+    await Promise.race([
+      next.waitForSign(),
+      route.kind === 'stream' ? silent.waitForProgress() : silent.run(),
+      delay(this.deps.clock, HANDOVER_MS),
+    ]);
+  }
+
   /** Returns the attempt that replaces a silent server, once; undefined if there is none. */
   takeReplacement(): SentAttempt | undefined {
-    const { replacement } = this;
-    this.replacement = undefined;
-    return replacement;
+    return this.replacements.shift();
+  }
+
+  /** Cancels the attempts that replace silent servers and records their ends, if they are not in use. */
+  async discardReplacements(): Promise<void> {
+    for (const sent of [...this.replacements]) {
+      await this.discard(sent);
+    }
   }
 
-  /** Cancels an attempt that replaces a silent server and records its end, if it is not in use. */
-  async discardReplacement(): Promise<void> {
-    const sent = this.takeReplacement();
-    if (sent) {
+  private async discard(sent: SentAttempt): Promise<void> {
+    const index = this.replacements.indexOf(sent);
+    if (index >= 0) {
+      this.replacements.splice(index, 1);
       sent.attempt.cancel();
       await this.attempts.discard(sent);
     }
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -10,6 +10,8 @@
 const SILENCE_MS = 1_000;
 /** Time after which servers crash, in milliseconds; shorter than the timeout of a silent server. */
 const CRASH_DELAY_MS = 60;
+/** Time after which servers crash that were sent a request beside a silent one, in milliseconds; shorter than the silence. */
+const LATE_CRASH_DELAY_MS = 500;
 const FIRST_EVENT = 'id: 1\ndata: one\n\n';
 const SECOND_EVENT = 'id: 2\ndata: two\n\n';
 /** Retry budget that is exhausted from the start. */
@@ -157,6 +159,55 @@
     expect([received.status, received.text, requestCount]).to.deep.equal([200, 'whole', 2]);
   });
 
+  // Soak seed 6044: a server that went on a second later was left for one that crashed after it had the request alone.
+  it('keep a request until the server that was to replace them has answered', async () => {
+    const respond: Handler = (incoming, response, body) => {
+      if (bench.receivedRequests.length === 1) {
+        pauseBeforeResponse(incoming, response, body);
+      } else {
+        setTimeout(() => incoming.socket.destroy(), LATE_CRASH_DELAY_MS);
+      }
+    };
+    await bench.addServer('p', respond, ORDERS);
+    await bench.addServer('pp', respond, ORDERS);
+    await bench.start([plainRoute]);
+    const received = await bench.sendRequest('/plain/x');
+    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
+    expect(bench.receivedRequests).to.have.length(2);
+  });
+
+  // The same the other way round: the replacement goes on, and the first server crashes.
+  it('may crash after the request was sent to another one that is silent too', async () => {
+    const respond: Handler = (incoming, response, body) => {
+      if (bench.receivedRequests.length === 2) {
+        pauseBeforeResponse(incoming, response, body);
+      } else {
+        setTimeout(() => incoming.socket.destroy(), LATE_CRASH_DELAY_MS);
+      }
+    };
+    await bench.addServer('p', respond, ORDERS);
+    await bench.addServer('pp', respond, ORDERS);
+    await bench.start([plainRoute]);
+    const received = await bench.sendRequest('/plain/x');
+    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
+  });
+
+  // Guards against requests that wait for two silent servers to their deadline although a third one would answer.
+  it('are left for a third server if the second one is silent too', async () => {
+    const respond: Handler = (incoming, response) => {
+      if (bench.receivedRequests.length === 3) {
+        response.writeHead(200, makeResponseHeaders(incoming)).end('whole');
+      }
+    };
+    for (const id of ['p', 'pp', 'ppp']) {
+      await bench.addServer(id, respond, ORDERS);
+    }
+    await bench.start([{ ...plainRoute, maxAttempts: 3 }]);
+    const received = await bench.sendRequest('/plain/x');
+    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
+    expect(bench.receivedRequests).to.have.length(3);
+  });
+
   it('leave the retry budget alone when a connection to another server fails', async () => {
     bench.retryLimits = { ratio: 0, slack: 1.25, windowMs: 10_000 };
     let requestCount = 0;
