An engine whose agent is gone no longer counts as idle and responsive

A silent stream was left for an engine that was stalled too. Its agent had been killed 400 ms earlier; the router discards the report of an agent that is no longer connected, and a server without any report counts as one without an agent, responsive while it is idle. The time of the last report is now kept beyond the connection.

The new test failed before (the stream was cut); the positive case beside it passed before and after.

--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -24,7 +24,7 @@
   readonly heldModels: readonly HeldModel[];
   /** Latest report of its agent; undefined when it is outdated. */
   readonly report: AgentReport | undefined;
-  /** When the latest report was received. */
+  /** When the latest report was received, also if its agent is no longer connected; -Infinity if none ever was. */
   readonly reportedAtMs: number;
   /** Number of requests per second that the server accepts from all routers together; undefined without a limit. */
   readonly maxRequestsPerSecond: number | undefined;
@@ -35,6 +35,8 @@
 /** A router's view of the fleet: the configuration and the backend servers. */
 export class FleetView extends ServerDirectory {
   private readonly reports = new Map<string, { report: AgentReport; atMs: number }>();
+  /** When the latest report of each agent was received, including agents that are no longer connected. */
+  private readonly reportedAtMs = new Map<string, number>();
   /** Addresses of the agents whose reports contain crashed requests. */
   private readonly crashReporters = new Set<string>();
   /** Cached number of routers; undefined after a report has changed it. */
@@ -95,6 +97,7 @@
     }
     this.applyReportedLimit(previous, report);
     this.reports.set(report.address, { report, atMs: nowMs });
+    this.reportedAtMs.set(report.address, nowMs);
     this.crashReporters[Object.keys(report.crashCounts).length > 0 ? 'add' : 'delete'](report.address);
     this.applyLeavingServers(report);
     this.confirm(report.address, report.bornAtMs);
@@ -290,7 +293,7 @@
 
   private toKnownServer(entry: ServerEntry, nowMs: number): KnownServer {
     const report = this.getCurrentReport(entry, nowMs);
-    const reportedAtMs = this.reports.get(entry.address)?.atMs ?? -Infinity;
+    const reportedAtMs = this.reportedAtMs.get(entry.address) ?? -Infinity;
     const heldModels = this.excludeRefusedModels(
       entry.serverId,
       report?.heldModels ?? entry.heldModels,
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { delay } from '../../src/kernel/index.js';
-import { makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
+import { ENGINES, makeEntry, makeHeldModel, makeReport, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
 
 /** Longest pause between the events of the test's streams, in milliseconds; servers are silent for longer. */
@@ -10,6 +10,8 @@
 const SILENCE_MS = 1_000;
 /** Time after which servers crash, in milliseconds; shorter than the timeout of a silent server. */
 const CRASH_DELAY_MS = 60;
+/** Age of a report that says nothing about the present, in milliseconds. */
+const LONG_AGO_MS = 2_000;
 /** Time after which servers crash that were sent a request beside a silent one, in milliseconds; shorter than the silence. */
 const LATE_CRASH_DELAY_MS = 500;
 const FIRST_EVENT = 'id: 1\ndata: one\n\n';
@@ -107,6 +109,48 @@
     expect(bench.receivedRequests.map(({ server }) => server)).to.have.members(['s', 'ss']);
   });
 
+  /** Applies a report of each engine as received some time ago. */
+  const applyReports = (ageMs: number) => {
+    const nowMs = CLOCK.nowMs();
+    const entries = [...bench.view.getReadyServers(ENGINES, nowMs)].map(({ entry }) => entry);
+    for (const entry of entries) {
+      bench.view.applyReport(makeReport(entry), nowMs - ageMs);
+    }
+    return entries;
+  };
+
+  /** Pauses the first stream and never responds to a request that is sent to the other server. */
+  const pauseOnlyFirst: Handler = (incoming, response, body) => {
+    if (bench.receivedRequests.length === 1) {
+      pauseMidStream(incoming, response, body);
+    }
+  };
+
+  // Soak seed 4011: a stream was left for a stalled engine whose agent had been killed, and which counted as idle.
+  it('keep their streams if the agent of the other server is gone', async () => {
+    await bench.addServer('s', pauseOnlyFirst);
+    await bench.addServer('ss', pauseOnlyFirst);
+    await bench.start([streamRoute]);
+    for (const { address } of applyReports(LONG_AGO_MS)) {
+      bench.view.discardReport(address);
+    }
+    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+    expect(bench.receivedRequests).to.have.length(1);
+  });
+
+  it('pass their streams on to a server that has reported since they fell silent', async () => {
+    await bench.addServer('s', passOnMidStream);
+    await bench.addServer('ss', passOnMidStream);
+    await bench.start([streamRoute]);
+    const pending = bench.sendRequest('/drafts/x', { model: 'a' });
+    await delay(CLOCK, CRASH_DELAY_MS);
+    applyReports(0);
+    const received = await pending;
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+    expect(bench.receivedRequests.map(({ server }) => server)).to.have.members(['s', 'ss']);
+  });
+
   it('continue a stream that the server which took it over refuses', async () => {
     let resumeCount = 0;
     const respond: Handler = (incoming, response) => {
