A silent server is left only for one that was heard since it fell silent

Servers that stall at once, because of the router's own network or a cause that they share, looked to a router like one silent server and others that had responded 0.5 s ago: the stream moved to a server that was silent too, and was cut. A sign of life counts only if it is later than the last byte of the silent server.

The new test in silentServers.test.ts failed before (the stream was cut). streams.fuzz, attempts.fuzz and keptConnections.fuzz hold.

--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -134,8 +134,9 @@
   /**
    * Finds another server that can take the request over now; undefined if there is none.
    * @param serverId - Server that has the request.
+   * @param silentSinceMs - When that server fell silent; others that were not heard since may be silent for the same reason.
    */
-  async findReplacement(serverId: ServerId): Promise<KnownServer | undefined> {
+  async findReplacement(serverId: ServerId, silentSinceMs: number): Promise<KnownServer | undefined> {
     const { chooser, clock } = this.deps;
     const excludedServerIds = this.getExcludedIds(serverId);
     while (!this.isOver()) {
@@ -144,7 +145,8 @@
         return undefined;
       }
       // A server that is silent too would not take the request any sooner.
-      if (chooser.isResponsive(server, clock.nowMs()) && (await this.checkUsable(server, 0)) === 'usable') {
+      const isResponsive = chooser.isResponsive(server, clock.nowMs(), silentSinceMs);
+      if (isResponsive && (await this.checkUsable(server, 0)) === 'usable') {
         return server;
       }
       excludedServerIds.add(server.entry.serverId);
--- a/src/direct/SilentServerReplacement.ts
+++ b/src/direct/SilentServerReplacement.ts
@@ -58,7 +58,7 @@
     if (!this.retries.isLeft()) {
       return { kind: 'kept', reason: 'noRetryLeft' };
     }
-    const server = await this.search.findReplacement(serverId);
+    const server = await this.search.findReplacement(serverId, silentAttempt.lastReceivedAtMs);
     if (!server) {
       return { kind: 'kept', reason: 'noOtherServer' };
     }
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -180,11 +180,13 @@
    * Whether a server has shown lately that it responds, or is idle and has no agent whose reports would show it.
    * @param server - The server.
    * @param nowMs - Current time.
+   * @param sinceMs - Time since which it must have responded; absent if any recent sign of life will do.
    */
-  isResponsive({ entry, reportedAtMs }: KnownServer, nowMs: number): boolean {
+  isResponsive({ entry, reportedAtMs }: KnownServer, nowMs: number, sinceMs = -Infinity): boolean {
     const { inFlightCount, heardAtMs } = this.getOrCreateStats(entry.serverId);
     const isIdle = reportedAtMs === -Infinity && inFlightCount === 0;
-    return isIdle || nowMs - Math.max(heardAtMs, reportedAtMs) < UNRESPONSIVE_AFTER_MS;
+    const signAtMs = Math.max(heardAtMs, reportedAtMs);
+    return isIdle || (signAtMs > sinceMs && nowMs - signAtMs < UNRESPONSIVE_AFTER_MS);
   }
 
   /**
--- a/test/direct/decisions/ServerChooser.test.ts
+++ b/test/direct/decisions/ServerChooser.test.ts
@@ -23,7 +23,11 @@
     const entry = makeEntry('x', { heldModels: [makeHeldModel('a')] });
     const serverId = toServerId('x');
 
-    function isResponsive(reportedAtMs: number | undefined, heardAtMs: number | undefined): boolean {
+    function isResponsive(
+      reportedAtMs: number | undefined,
+      heardAtMs: number | undefined,
+      sinceMs?: number,
+    ): boolean {
       const { view, chooser } = makeChooser([entry]);
       if (reportedAtMs !== undefined) {
         view.applyReport(makeReport(entry), reportedAtMs);
@@ -33,7 +37,7 @@
         chooser.recordHeard(serverId, heardAtMs);
       }
       const [server] = view.getReadyServers(ENGINES, 10_000);
-      return server !== undefined && chooser.isResponsive(server, 10_000);
+      return server !== undefined && chooser.isResponsive(server, 10_000, sinceMs);
     }
 
     it('is true after a recent report or response, and without any sign for an idle server', () => {
@@ -49,6 +53,13 @@
       expect(isResponsive(1_000, undefined)).to.equal(false);
       expect(isResponsive(undefined, 9_000)).to.equal(false);
     });
+
+    // Several servers that stall at once: the last sign of each is from before the stall.
+    it('is false if the last report or response is from before the given time', () => {
+      expect(isResponsive(9_500, undefined, 9_600)).to.equal(false);
+      expect(isResponsive(undefined, 9_500, 9_600)).to.equal(false);
+      expect(isResponsive(9_700, 9_500, 9_600)).to.equal(true);
+    });
   });
 
   describe('chooseServer', () => {
--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -139,6 +139,17 @@
     expect(bench.receivedRequests).to.have.length(1);
   });
 
+  // Servers that stall at once, as in the soak: a report from before the silence says nothing about the time after it.
+  it('keep their streams if the other server has not reported since they fell silent', async () => {
+    await bench.addServer('s', pauseOnlyFirst);
+    await bench.addServer('ss', pauseOnlyFirst);
+    await bench.start([streamRoute]);
+    applyReports(0);
+    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+    expect(bench.receivedRequests).to.have.length(1);
+  });
+
   it('pass their streams on to a server that has reported since they fell silent', async () => {
     await bench.addServer('s', passOnMidStream);
     await bench.addServer('ss', passOnMidStream);
