Soak: a held request names its stages and the delays of all event loops

A violation now says when the request was written and its head arrived; the outputs hold each delay of 150 ms or more of the event loops of routers, agents and the soak itself, with the processor time used meanwhile.

--- a/test/platform/programs.ts
+++ b/test/platform/programs.ts
@@ -77,13 +77,16 @@
  * @param bundle - Path of the bundle.
  * @param settingsFile - Path of the settings file.
  * @param onOutput - Called with each chunk of standard output or standard error.
+ * @param preloadedUrl - URL of a module that is loaded before the program; absent for none.
  */
 export function startProgram(
   bundle: string,
   settingsFile: string,
   onOutput: (text: string) => void,
+  preloadedUrl?: string,
 ): ChildProcess {
-  const child = spawn(process.execPath, [bundle], {
+  const preloadArgs = preloadedUrl === undefined ? [] : ['--import', preloadedUrl];
+  const child = spawn(process.execPath, [...preloadArgs, bundle], {
     env: { MONSOONGLADE_NODE_FILE: settingsFile, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
--- a/test/soak/SoakCallers.ts
+++ b/test/soak/SoakCallers.ts
@@ -139,6 +139,7 @@
       socket.once('connect', () => (record.isSent = true));
     }
   });
+  outgoing.on('finish', () => (record.writtenAtMs = Date.now()));
   let hasFailed = false;
   outgoing.on('error', () => {
     hasFailed = true;
@@ -146,6 +147,7 @@
   });
   outgoing.on('response', (response) => {
     record.status = response.statusCode;
+    record.headAtMs = Date.now();
     response.on('data', (chunk: Buffer) => (record.text += chunk.toString()));
     response.on('error', () => undefined);
     response.on('close', () => {
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -16,6 +16,8 @@
 
 /** Ports that every process and worker uses on its loopback address. */
 const PORTS = { front: 9_511, ready: 9_512, peer: 9_513, spare: 9_514, worker: 9_515 };
+/** Module that adds the delays of a process's event loop to its output. */
+const PRELOADED_URL = new URL('./reportEventLoopDelays.js', import.meta.url).href;
 /** Grace time of a process that is stopping, in milliseconds. */
 export const GRACE_MS = 3_000;
 const ROUTER_COUNT = 2;
@@ -160,9 +162,8 @@
   /** Starts a process, for the first time or after it has exited. */
   spawn(process: SoakProcess): void {
     process.disturbedAtMs = Date.now();
-    process.child = startProgram(this.bundle, process.settingsFile, (text) => {
-      process.output.push(...text.split('\n'));
-    });
+    const collect = (text: string) => process.output.push(...text.split('\n'));
+    process.child = startProgram(this.bundle, process.settingsFile, collect, PRELOADED_URL);
   }
 
   private async startWorkers(): Promise<void> {
--- a/test/soak/SoakRecorder.ts
+++ b/test/soak/SoakRecorder.ts
@@ -38,6 +38,9 @@
   wasDisturbed: boolean;
   /** Whether the connection was established, so that the request could be sent. */
   isSent: boolean;
+  /** When its last byte was handed to the operating system, and when the head of the response arrived. */
+  writtenAtMs?: number;
+  headAtMs?: number;
 }
 
 /** Configuration that changed the service of the route `/moved/`. */
@@ -77,8 +80,10 @@
       const runs = runsById.get(request.requestId) ?? [];
       for (const violation of [...this.checkResponse(request, runs), ...this.checkTiming(request, runs)]) {
         const { kind, requestId, router, status, sentAtMs, endedAtMs = Infinity } = request;
+        const { writtenAtMs = NaN, headAtMs = NaN } = request;
         const workers = runs.map(({ workerId, fault = 'sound' }) => `${workerId} (${fault})`).join(', ');
-        const outcome = `${status ?? 'no status'} after ${endedAtMs - sentAtMs} ms`;
+        const stages = `sent ${sentAtMs}, written after ${writtenAtMs - sentAtMs}, head after ${headAtMs - sentAtMs}`;
+        const outcome = `${status ?? 'no status'} after ${endedAtMs - sentAtMs} ms (${stages})`;
         violations.push(`${violation}: ${kind} ${requestId} by ${router}, ${outcome}, runs: ${workers}`);
       }
     }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -5,6 +5,7 @@
 import { SoakFaultInjector } from './SoakFaultInjector.js';
 import { SoakFleet, type SoakProcess } from './SoakFleet.js';
 import { SoakRecorder } from './SoakRecorder.js';
+import { DELAY_PREFIX, watchEventLoop } from './watchEventLoop.js';
 
 /** Deliberately injected violations, each of which an oracle must detect. */
 export const INJECTED_VIOLATIONS = [
@@ -87,6 +88,8 @@
     (service) => drawWorkerFault(service),
     () => random.nextFraction() < UNFRAMED_PROBABILITY,
   );
+  const ownDelays: string[] = [];
+  const watch = watchEventLoop((line) => ownDelays.push(line));
   const callers = new SoakCallers(fleet, recorder, random);
   const faultInjector = new SoakFaultInjector(fleet, recorder, faultRandom, options.injectedViolation);
   try {
@@ -123,18 +126,24 @@
       completedCount: recorder.requests.filter(({ status, isComplete }) => status === 200 && isComplete)
         .length,
       faults: faultInjector.faultLog,
-      outputs: Object.fromEntries(outputs) as Record<string, string>,
+      outputs: {
+        ...(Object.fromEntries(outputs) as Record<string, string>),
+        ...(violations.length > 0 && { 'soak, callers, workers and store': ownDelays.join('\n') }),
+      },
     };
   } finally {
+    clearInterval(watch);
     await callers.stop();
     await fleet.stop();
   }
 }
 
-/** Returns the lines of a process's output that concern violations, and its last lines. */
+/** Returns the lines of a process's output that concern violations or delays of its event loop, and its last lines. */
 function selectOutput({ output }: SoakProcess, violations: readonly string[]): string {
   const marks = violations.flatMap((violation) => /\bq\d+\b/.exec(violation) ?? []).map((id) => `"${id}"`);
-  const lines = output.filter((line) => marks.some((mark) => line.includes(mark)));
+  const lines = output.filter(
+    (line) => line.startsWith(DELAY_PREFIX) || marks.some((mark) => line.includes(mark)),
+  );
   return [...lines, '...', ...output.slice(-OUTPUT_TAIL_LENGTH)].join('\n');
 }
 
