--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -126,28 +126,32 @@
     }
   };
 
-  // Soak seed 4011: a stream was left for a stalled engine whose agent had been killed, and which counted as idle.
-  it('keep their streams if the agent of the other server is gone', async () => {
+  const addPausingEngines = async () => {
     await bench.addServer('s', pauseOnlyFirst);
     await bench.addServer('ss', pauseOnlyFirst);
     await bench.start([streamRoute]);
-    for (const { address } of applyReports(LONG_AGO_MS)) {
-      bench.view.discardReport(address);
-    }
+  };
+
+  const expectStreamIsKept = async () => {
     const received = await bench.sendRequest('/drafts/x', { model: 'a' });
     expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
     expect(bench.receivedRequests).to.have.length(1);
+  };
+
+  // Soak seed 4011: a stream was left for a stalled engine whose agent had been killed, and which counted as idle.
+  it('keep their streams if the agent of the other server is gone', async () => {
+    await addPausingEngines();
+    for (const { address } of applyReports(LONG_AGO_MS)) {
+      bench.view.discardReport(address);
+    }
+    await expectStreamIsKept();
   });
 
   // Servers that stall at once, as in the soak: a report from before the silence says nothing about the time after it.
   it('keep their streams if the other server has not reported since they fell silent', async () => {
-    await bench.addServer('s', pauseOnlyFirst);
-    await bench.addServer('ss', pauseOnlyFirst);
-    await bench.start([streamRoute]);
+    await addPausingEngines();
     applyReports(0);
-    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
-    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
-    expect(bench.receivedRequests).to.have.length(1);
+    await expectStreamIsKept();
   });
 
   it('pass their streams on to a server that has reported since they fell silent', async () => {
@@ -214,53 +218,45 @@
     expect([received.status, received.text, requestCount]).to.deep.equal([200, 'whole', 2]);
   });
 
-  // Soak seed 6044: a server that went on a second later was left for one that crashed after it had the request alone.
-  it('keep a request until the server that was to replace them has answered', async () => {
-    const respond: Handler = (incoming, response, body) => {
-      if (bench.receivedRequests.length === 1) {
+  /** Sends a request to servers of a plain service that share a handler. */
+  const sendToServers = async (respond: Handler, serverIds: readonly string[]) => {
+    for (const id of serverIds) {
+      await bench.addServer(id, respond, ORDERS);
+    }
+    await bench.start([{ ...plainRoute, maxAttempts: serverIds.length }]);
+    const { status, text } = await bench.sendRequest('/plain/x');
+    return [status, text, bench.receivedRequests.length];
+  };
+
+  /** Pauses one of the sends of a request, by its number from 1, and crashes the servers of all others during the pause. */
+  const crashOthersLate =
+    (pausedSendNumber: number): Handler =>
+    (incoming, response, body) => {
+      if (bench.receivedRequests.length === pausedSendNumber) {
         pauseBeforeResponse(incoming, response, body);
       } else {
         setTimeout(() => incoming.socket.destroy(), LATE_CRASH_DELAY_MS);
       }
     };
-    await bench.addServer('p', respond, ORDERS);
-    await bench.addServer('pp', respond, ORDERS);
-    await bench.start([plainRoute]);
-    const received = await bench.sendRequest('/plain/x');
-    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
-    expect(bench.receivedRequests).to.have.length(2);
+
+  // Soak seed 6044: a server that went on a second later was left for one that crashed after it had the request alone.
+  it('keep a request until the server that was to replace them has answered', async () => {
+    expect(await sendToServers(crashOthersLate(1), ['p', 'pp'])).to.deep.equal([200, 'whole', 2]);
   });
 
   // The same the other way round: the replacement goes on, and the first server crashes.
   it('may crash after the request was sent to another one that is silent too', async () => {
-    const respond: Handler = (incoming, response, body) => {
-      if (bench.receivedRequests.length === 2) {
-        pauseBeforeResponse(incoming, response, body);
-      } else {
-        setTimeout(() => incoming.socket.destroy(), LATE_CRASH_DELAY_MS);
-      }
-    };
-    await bench.addServer('p', respond, ORDERS);
-    await bench.addServer('pp', respond, ORDERS);
-    await bench.start([plainRoute]);
-    const received = await bench.sendRequest('/plain/x');
-    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
+    expect(await sendToServers(crashOthersLate(2), ['p', 'pp'])).to.deep.equal([200, 'whole', 2]);
   });
 
   // Guards against requests that wait for two silent servers to their deadline although a third one would answer.
   it('are left for a third server if the second one is silent too', async () => {
-    const respond: Handler = (incoming, response) => {
+    const respondToThird: Handler = (incoming, response) => {
       if (bench.receivedRequests.length === 3) {
         response.writeHead(200, makeResponseHeaders(incoming)).end('whole');
       }
     };
-    for (const id of ['p', 'pp', 'ppp']) {
-      await bench.addServer(id, respond, ORDERS);
-    }
-    await bench.start([{ ...plainRoute, maxAttempts: 3 }]);
-    const received = await bench.sendRequest('/plain/x');
-    expect([received.status, received.text]).to.deep.equal([200, 'whole']);
-    expect(bench.receivedRequests).to.have.length(3);
+    expect(await sendToServers(respondToThird, ['p', 'pp', 'ppp'])).to.deep.equal([200, 'whole', 3]);
   });
 
   it('leave the retry budget alone when a connection to another server fails', async () => {
