--- a/test/direct/silentServers.test.ts
+++ b/test/direct/silentServers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { delay } from '../../src/kernel/index.js';
-import { makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
+import { ENGINES, makeEntry, makeHeldModel, makeReport, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, makeResponseHeaders, type Handler } from './RouterBench.js';
 
 /** Longest pause between the events of the test's streams, in milliseconds; servers are silent for longer. */
@@ -10,6 +10,10 @@
 const SILENCE_MS = 1_000;
 /** Time after which servers crash, in milliseconds; shorter than the timeout of a silent server. */
 const CRASH_DELAY_MS = 60;
+/** Age of a report that says nothing about the present, in milliseconds. */
+const LONG_AGO_MS = 2_000;
+/** Time after which servers crash that were sent a request beside a silent one, in milliseconds; shorter than the silence. */
+const LATE_CRASH_DELAY_MS = 500;
 const FIRST_EVENT = 'id: 1\ndata: one\n\n';
 const SECOND_EVENT = 'id: 2\ndata: two\n\n';
 /** Retry budget that is exhausted from the start. */
@@ -105,6 +109,63 @@
     expect(bench.receivedRequests.map(({ server }) => server)).to.have.members(['s', 'ss']);
   });
 
+  /** Applies a report of each engine as received some time ago. */
+  const applyReports = (ageMs: number) => {
+    const nowMs = CLOCK.nowMs();
+    const entries = [...bench.view.getReadyServers(ENGINES, nowMs)].map(({ entry }) => entry);
+    for (const entry of entries) {
+      bench.view.applyReport(makeReport(entry), nowMs - ageMs);
+    }
+    return entries;
+  };
+
+  /** Pauses the first stream and never responds to a request that is sent to the other server. */
+  const pauseOnlyFirst: Handler = (incoming, response, body) => {
+    if (bench.receivedRequests.length === 1) {
+      pauseMidStream(incoming, response, body);
+    }
+  };
+
+  const addPausingEngines = async () => {
+    await bench.addServer('s', pauseOnlyFirst);
+    await bench.addServer('ss', pauseOnlyFirst);
+    await bench.start([streamRoute]);
+  };
+
+  const expectStreamIsKept = async () => {
+    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+    expect(bench.receivedRequests).to.have.length(1);
+  };
+
+  // Soak seed 4011: a stream was left for a stalled engine whose agent had been killed, and which counted as idle.
+  it('keep their streams if the agent of the other server is gone', async () => {
+    await addPausingEngines();
+    for (const { address } of applyReports(LONG_AGO_MS)) {
+      bench.view.discardReport(address);
+    }
+    await expectStreamIsKept();
+  });
+
+  // Servers that stall at once, as in the soak: a report from before the silence says nothing about the time after it.
+  it('keep their streams if the other server has not reported since they fell silent', async () => {
+    await addPausingEngines();
+    applyReports(0);
+    await expectStreamIsKept();
+  });
+
+  it('pass their streams on to a server that has reported since they fell silent', async () => {
+    await bench.addServer('s', passOnMidStream);
+    await bench.addServer('ss', passOnMidStream);
+    await bench.start([streamRoute]);
+    const pending = bench.sendRequest('/drafts/x', { model: 'a' });
+    await delay(CLOCK, CRASH_DELAY_MS);
+    applyReports(0);
+    const received = await pending;
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+    expect(bench.receivedRequests.map(({ server }) => server)).to.have.members(['s', 'ss']);
+  });
+
   it('continue a stream that the server which took it over refuses', async () => {
     let resumeCount = 0;
     const respond: Handler = (incoming, response) => {
@@ -157,6 +218,47 @@
     expect([received.status, received.text, requestCount]).to.deep.equal([200, 'whole', 2]);
   });
 
+  /** Sends a request to servers of a plain service that share a handler. */
+  const sendToServers = async (respond: Handler, serverIds: readonly string[]) => {
+    for (const id of serverIds) {
+      await bench.addServer(id, respond, ORDERS);
+    }
+    await bench.start([{ ...plainRoute, maxAttempts: serverIds.length }]);
+    const { status, text } = await bench.sendRequest('/plain/x');
+    return [status, text, bench.receivedRequests.length];
+  };
+
+  /** Pauses one of the sends of a request, by its number from 1, and crashes the servers of all others during the pause. */
+  const crashOthersLate =
+    (pausedSendNumber: number): Handler =>
+    (incoming, response, body) => {
+      if (bench.receivedRequests.length === pausedSendNumber) {
+        pauseBeforeResponse(incoming, response, body);
+      } else {
+        setTimeout(() => incoming.socket.destroy(), LATE_CRASH_DELAY_MS);
+      }
+    };
+
+  // Soak seed 6044: a server that went on a second later was left for one that crashed after it had the request alone.
+  it('keep a request until the server that was to replace them has answered', async () => {
+    expect(await sendToServers(crashOthersLate(1), ['p', 'pp'])).to.deep.equal([200, 'whole', 2]);
+  });
+
+  // The same the other way round: the replacement goes on, and the first server crashes.
+  it('may crash after the request was sent to another one that is silent too', async () => {
+    expect(await sendToServers(crashOthersLate(2), ['p', 'pp'])).to.deep.equal([200, 'whole', 2]);
+  });
+
+  // Guards against requests that wait for two silent servers to their deadline although a third one would answer.
+  it('are left for a third server if the second one is silent too', async () => {
+    const respondToThird: Handler = (incoming, response) => {
+      if (bench.receivedRequests.length === 3) {
+        response.writeHead(200, makeResponseHeaders(incoming)).end('whole');
+      }
+    };
+    expect(await sendToServers(respondToThird, ['p', 'pp', 'ppp'])).to.deep.equal([200, 'whole', 3]);
+  });
+
   it('leave the retry budget alone when a connection to another server fails', async () => {
     bench.retryLimits = { ratio: 0, slack: 1.25, windowMs: 10_000 };
     let requestCount = 0;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -5,6 +5,7 @@
 import { SoakFaultInjector } from './SoakFaultInjector.js';
 import { SoakFleet, type SoakProcess } from './SoakFleet.js';
 import { SoakRecorder } from './SoakRecorder.js';
+import { DELAY_PREFIX, formatDelay, watchEventLoop } from './watchEventLoop.js';
 
 /** Deliberately injected violations, each of which an oracle must detect. */
 export const INJECTED_VIOLATIONS = [
@@ -87,6 +88,7 @@
     (service) => drawWorkerFault(service),
     () => random.nextFraction() < UNFRAMED_PROBABILITY,
   );
+  const watch = watchEventLoop((delay) => recorder.ownDelays.push(delay));
   const callers = new SoakCallers(fleet, recorder, random);
   const faultInjector = new SoakFaultInjector(fleet, recorder, faultRandom, options.injectedViolation);
   try {
@@ -123,18 +125,28 @@
       completedCount: recorder.requests.filter(({ status, isComplete }) => status === 200 && isComplete)
         .length,
       faults: faultInjector.faultLog,
-      outputs: Object.fromEntries(outputs) as Record<string, string>,
+      outputs: {
+        ...(Object.fromEntries(outputs) as Record<string, string>),
+        ...(violations.length > 0 && {
+          'soak, callers, workers and store': recorder.ownDelays
+            .map((delay) => formatDelay(delay))
+            .join('\n'),
+        }),
+      },
     };
   } finally {
+    clearInterval(watch);
     await callers.stop();
     await fleet.stop();
   }
 }
 
-/** Returns the lines of a process's output that concern violations, and its last lines. */
+/** Returns the lines of a process's output that concern violations or delays of its event loop, and its last lines. */
 function selectOutput({ output }: SoakProcess, violations: readonly string[]): string {
   const marks = violations.flatMap((violation) => /\bq\d+\b/.exec(violation) ?? []).map((id) => `"${id}"`);
-  const lines = output.filter((line) => marks.some((mark) => line.includes(mark)));
+  const lines = output.filter(
+    (line) => line.startsWith(DELAY_PREFIX) || marks.some((mark) => line.includes(mark)),
+  );
   return [...lines, '...', ...output.slice(-OUTPUT_TAIL_LENGTH)].join('\n');
 }
 
