Log line for models without a place, with the use of the places

The log did not tell who holds the places when a model gets none: replicas of models in interactive use, batch models, loads or evictions in progress. `no place for model` names these counts when the requests for a model are refused for lack of place.

--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -14,6 +14,7 @@
 } from './modelWaits.js';
 import {
   choosePlacement,
+  countPlaces,
   findPendingLoad,
   findUnderReplicatedModels,
   getHeldModel,
@@ -224,7 +225,7 @@
       return;
     }
     const readyInMs = this.ensureLoading(waited, servers, nowMs);
-    const isInVain = this.updatePlace(waited, readyInMs !== undefined, nowMs);
+    const isInVain = this.updatePlace(waited, servers, readyInMs !== undefined, nowMs);
     for (const [requestId, { wait, resolve }] of [...waited.waiters]) {
       if (isInVain || nowMs + (readyInMs ?? 0) >= wait.untilMs) {
         waited.waiters.delete(requestId);
@@ -240,7 +241,12 @@
    * Records whether a server loads a model or could do so; returns whether its requests wait in vain. Later requests for
    * the model are then refused at once as long as that does not change.
    */
-  private updatePlace(waited: WaitedModel, hasPlace: boolean, nowMs: number): boolean {
+  private updatePlace(
+    waited: WaitedModel,
+    servers: readonly KnownServer[],
+    hasPlace: boolean,
+    nowMs: number,
+  ): boolean {
     const key = getWaitKey(waited);
     if (hasPlace) {
       waited.placedAtMs = nowMs;
@@ -250,6 +256,14 @@
     const isInVain = isWithoutPlace(waited, nowMs);
     if (isInVain) {
       this.withoutPlaceSinceMs.set(key, waited.placedAtMs);
+      this.deps.log.decision('no place for model', {
+        model: waited.model,
+        isInteractive: waited.isInteractive,
+        waitingCount: waited.waiters.size,
+        withoutPlaceForMs: Math.round(nowMs - waited.placedAtMs),
+        serverCount: servers.length,
+        ...countPlaces(servers),
+      });
     }
     return isInVain;
   }
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -21,6 +21,7 @@
 export * from './drawByRoom.js';
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
+export * from './countPlaces.js';
 export * from './isCompleteReport.js';
 export * from './isEngineCrash.js';
 export * from './reportChanges.js';
