Models that have waited two seconds may take the place of spare replicas

Models in interactive use kept two replicas and more: any interactive request within 3 s protects each of them, so none was ever evicted for batch work. Where both engines with a model on their disks hold two protected models, the model had no place; 68 batch models shared the 14 to 17 places that were left.

A load request now names the models in interactive use that the agent may evict for it: those whose first replicas by hash carry the load without this one, the same on all routers. While models wait for places, spare replicas are not loaded again. The field is optional: older agents evict as before. One replica of each model in interactive use stays.

ModelLoader.test: 'refuses waits in vain' had engines that both held the same two models with one request each, which is room now. It loads them to 40 of 48 requests instead; its assertions are unchanged.

--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -135,17 +135,9 @@
   /**
    * Requests that an agent load a model.
    * @param address - Address of the agent's engine.
-   * @param model - Name of the model.
-   * @param isInteractive - Whether interactive requests wait for it.
-   * @param keptModels - Models that must not be evicted for it.
+   * @param params - The model, and what may be evicted for it.
    */
-  requestModel(
-    address: string,
-    model: string,
-    isInteractive: boolean,
-    keptModels: readonly string[] = [],
-  ): void {
-    const params: WantModelParams = { model, isInteractive, keptModels };
+  requestModel(address: string, params: WantModelParams): void {
     this.notify(address, RESIDENCY_METHODS.want, params);
   }
 
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -227,9 +227,10 @@
     this.deps.log.info('router disconnected', { router: from.peerName });
   }
 
-  private onLoadRequest({ model, isInteractive, keptModels }: WantModelParams, from: PeerConnection): void {
+  private onLoadRequest(params: WantModelParams, from: PeerConnection): void {
     this.publisher.recordUse(from);
-    this.planner.requestModel(model, isInteractive, this.deps.clock.nowMs(), keptModels);
+    const { model, isInteractive, ...evictions } = params;
+    this.planner.requestModel(model, isInteractive, this.deps.clock.nowMs(), evictions);
     this.endDelay();
   }
 
--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -5,6 +5,7 @@
 import type { AgentConnections } from './AgentConnections.js';
 import {
   getReplicatedModels,
+  getSurplusModels,
   getWaitKey,
   isWithoutPlace,
   toPlacementRequirements,
@@ -16,13 +17,16 @@
   choosePlacement,
   countPlaces,
   findPendingLoad,
+  findSurplusReplicas,
   findUnderReplicatedModels,
   getHeldModel,
   isRequiredVersion,
+  MAX_REPLICA_LOAD,
   type EngineProfile,
   type FleetView,
   type KnownServer,
   type PlacementChoice,
+  type PlacementRequirements,
   type ServerChooser,
 } from './decisions/index.js';
 
@@ -48,8 +52,6 @@
 const INTERACTIVE_USE_MS = 2_000;
 /** Minimum replicas of a model in interactive use, so that it stays available when one server is lost. */
 const MIN_INTERACTIVE_REPLICAS = 2;
-/** Mean load of a model's servers, as a fraction of their slots, from which another replica is loaded. */
-const MAX_REPLICA_LOAD = 0.45;
 /**
  * Delay between two new replicas of one model, in milliseconds: a replica loaded from disk affects the load by then.
  */
@@ -274,7 +276,7 @@
     servers: readonly KnownServer[],
     nowMs: number,
   ): number | undefined {
-    const requirements = toPlacementRequirements(waited, nowMs);
+    const requirements = toPlacementRequirements(waited, servers, nowMs);
     const profile = this.getProfile(waited.serviceId);
     if (!profile) {
       return undefined;
@@ -299,7 +301,7 @@
     }
     waited.requestedAtMs = nowMs;
     waited.requestedAddress = choice?.server.entry.address;
-    return choice && this.requestLoad(waited, choice);
+    return choice && this.requestLoad(waited, choice, requirements);
   }
 
   /**
@@ -317,7 +319,7 @@
     if (nowMs - waited.requestedAtMs < RENEWAL_INTERVAL_MS) {
       return pendingMs;
     }
-    const requirements = toPlacementRequirements(waited, nowMs);
+    const requirements = toPlacementRequirements(waited, servers, nowMs);
     const choice =
       waited.isInteractive && pendingMs > MIN_TIME_SAVED_MS
         ? choosePlacement(requirements, servers, profile)
@@ -325,22 +327,40 @@
     if (choice && choice.readyInMs + MIN_TIME_SAVED_MS < pendingMs) {
       waited.requestedAtMs = nowMs;
       waited.requestedAddress = choice.server.entry.address;
-      return this.requestLoad(waited, choice);
+      return this.requestLoad(waited, choice, requirements);
     }
     // A load request of another router is renewed too, since that router's callers may have left by now.
     waited.requestedAddress ??= pending.server.entry.address;
     waited.requestedAtMs = nowMs;
-    this.deps.agentConnections.requestModel(waited.requestedAddress, waited.model, waited.isInteractive);
+    const surplusReplicas = findSurplusReplicas(servers);
+    this.deps.agentConnections.requestModel(waited.requestedAddress, {
+      model: waited.model,
+      isInteractive: waited.isInteractive,
+      keptModels: [],
+      evictableModels: getSurplusModels({ surplusReplicas }, waited.requestedAddress),
+    });
     return pendingMs;
   }
 
   /** Requests the model from the chosen agent; returns the time until it is ready. */
-  private requestLoad(waited: WaitedModel, choice: PlacementChoice): number {
+  private requestLoad(
+    waited: WaitedModel,
+    choice: PlacementChoice,
+    requirements: PlacementRequirements,
+  ): number {
     const { model, isInteractive } = waited;
-    this.deps.agentConnections.requestModel(choice.server.entry.address, model, isInteractive);
+    const { address } = choice.server.entry;
+    const evictableModels = getSurplusModels(requirements, address);
+    this.deps.agentConnections.requestModel(address, {
+      model,
+      isInteractive,
+      keptModels: [],
+      evictableModels,
+    });
     this.deps.log.decision('model load requested', {
       model,
-      address: choice.server.entry.address,
+      address,
+      evictableModels: evictableModels.join(' '),
       readyInMs: choice.readyInMs,
       waitingCount: waited.waiters.size,
     });
@@ -395,13 +415,10 @@
         if (choice) {
           requestedAddresses.add(choice.server.entry.address);
           this.lastFetchAtMs = nowMs;
-          agentConnections.requestModel(
-            choice.server.entry.address,
-            model,
-            false,
-            getReplicatedModels(servers),
-          );
-          log.decision('model load requested ahead of use', { model, address: choice.server.entry.address });
+          const keptModels = getReplicatedModels(servers);
+          const { address } = choice.server.entry;
+          agentConnections.requestModel(address, { model, isInteractive: false, keptModels });
+          log.decision('model load requested ahead of use', { model, address });
         }
       }
     }
@@ -427,16 +444,21 @@
     for (const holder of holders) {
       load += chooser.getLoad(holder) / holders.length;
     }
-    if (holders.length >= MIN_INTERACTIVE_REPLICAS && load < MAX_REPLICA_LOAD) {
+    // A spare replica must not take the place of a model that has none.
+    const isContended =
+      this.waitedModels.size > 0 || servers.some(({ report }) => (report?.queuedModels.length ?? 0) > 0);
+    const minReplicaCount = isContended ? 1 : MIN_INTERACTIVE_REPLICAS;
+    if (holders.length >= minReplicaCount && load < MAX_REPLICA_LOAD) {
       return;
     }
     const choice = choosePlacement(requirements, servers, profile);
     if (choice) {
       use.replicaRequestedAtMs = nowMs;
-      agentConnections.requestModel(choice.server.entry.address, model, true);
+      const { address } = choice.server.entry;
+      agentConnections.requestModel(address, { model, isInteractive: true, keptModels: [] });
       log.decision('replica load requested', {
         model,
-        address: choice.server.entry.address,
+        address,
         replicaCount: holders.length,
         load,
       });
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -60,6 +60,8 @@
   readonly maxStartMs: number;
   /** Whether the model may be loaded from the weight store although a server has it on disk. */
   readonly mayFetchCopy: boolean;
+  /** Models that may be evicted although they are in interactive use, by address of the server. */
+  readonly surplusReplicas?: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
 /**
@@ -278,6 +280,7 @@
   profile: EngineProfile,
 ): EvictionPlan | undefined {
   const { report } = server;
+  const surplusModels = requirements.surplusReplicas?.get(server.entry.address);
   let freeMb = profile.weightsMb;
   const candidates: { use: ModelUse; sizeMb: number }[] = [];
   for (const { name, adapters } of report?.heldModels ?? []) {
@@ -288,7 +291,8 @@
     const sizeMb = footprint.weightsMb + adapters.length * footprint.adapterMb;
     freeMb -= sizeMb;
     const use = report?.uses[name];
-    if (use && (!use.isProtected || (requirements.isInteractive && use.runningCount === 0))) {
+    const isEvictable = use?.isProtected !== true || surplusModels?.has(name) === true;
+    if (use && (isEvictable || (requirements.isInteractive && use.runningCount === 0))) {
       candidates.push({ use, sizeMb });
     }
   }
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -36,12 +36,20 @@
   readonly adapter?: string;
 }
 
+/** What may be evicted for a requested model. */
+export interface RequestedEvictions {
+  /** Models that must not be evicted. */
+  readonly keptModels: readonly string[];
+  /** Models that may be evicted although they are in interactive use; none if absent. */
+  readonly evictableModels?: readonly string[];
+}
+
 /** Request of a router to load a model. */
 interface LoadRequest {
   readonly requestedAtMs: number;
   renewedAtMs: number;
   isInteractive: boolean;
-  keptModels: readonly string[];
+  evictions: RequestedEvictions;
   /** Time since which not enough memory can be freed for the model. */
   blockedSinceMs: number | undefined;
 }
@@ -123,13 +131,13 @@
    * @param model - Model to load.
    * @param isInteractive - Whether interactive requests wait for the model.
    * @param nowMs - Current time.
-   * @param keptModels - Models that must not be evicted for it.
+   * @param evictions - What may be evicted for it.
    */
   requestModel(
     model: string,
     isInteractive: boolean,
     nowMs: number,
-    keptModels: readonly string[] = [],
+    evictions: RequestedEvictions = { keptModels: [] },
   ): void {
     if (this.capacity?.models.has(model) !== true || this.isLoaded(model)) {
       return;
@@ -138,13 +146,13 @@
     if (existing) {
       existing.renewedAtMs = nowMs;
       existing.isInteractive ||= isInteractive;
-      existing.keptModels = keptModels;
+      existing.evictions = evictions;
     } else {
       this.loadRequests.set(model, {
         requestedAtMs: nowMs,
         renewedAtMs: nowMs,
         isInteractive,
-        keptModels,
+        evictions,
         blockedSinceMs: undefined,
       });
     }
@@ -317,14 +325,16 @@
 
   /** Chooses the models to evict, by ascending eviction cost; undefined when not enough memory can be freed. */
   private chooseModelsToEvict(neededMb: number, request: LoadRequest, nowMs: number): string[] | undefined {
+    const { keptModels, evictableModels = [] } = request.evictions;
     const candidates: { name: string; sizeMb: number; evictionCostMs: number }[] = [];
     for (const held of this.report?.heldModels ?? []) {
       const use = this.getModelUse(held.name, nowMs);
       const isDraining = this.drainingSinceMsByModel.has(held.name);
-      if (request.keptModels.includes(held.name)) {
+      if (keptModels.includes(held.name)) {
         continue;
       }
-      if (!use.isProtected || isDraining || (request.isInteractive && use.runningCount === 0)) {
+      const isEvictable = !use.isProtected || evictableModels.includes(held.name);
+      if (isEvictable || isDraining || (request.isInteractive && use.runningCount === 0)) {
         const costMs = getEvictionCostMs(use) - (isDraining ? DRAINING_COST_DISCOUNT_MS : 0);
         candidates.push({ name: held.name, sizeMb: this.getSizeMb(held), evictionCostMs: costMs });
       }
--- /dev/null
+++ b/src/direct/decisions/findSurplusReplicas.ts
@@ -0,0 +1,52 @@
+import type { KnownServer } from './FleetView.js';
+import { hashToFraction } from './rendezvous.js';
+
+/** Mean load of a model's servers, as a fraction of their slots, from which another replica is loaded. */
+export const MAX_REPLICA_LOAD = 0.45;
+
+/**
+ * Returns the models that each server may evict although they are in interactive use, by address: their other replicas
+ * carry the load without it.
+ *
+ * All routers get the same result from the same reports, and each model keeps the replicas that come first by hash, so
+ * that routers which evict at the same time leave one.
+ * @param servers - Servers of one service that accept new requests.
+ */
+export function findSurplusReplicas(servers: readonly KnownServer[]): Map<string, ReadonlySet<string>> {
+  const holdersByModel = new Map<string, KnownServer[]>();
+  for (const server of servers) {
+    for (const [model, { isProtected }] of Object.entries(server.report?.uses ?? {})) {
+      if (isProtected) {
+        holdersByModel.set(model, [...(holdersByModel.get(model) ?? []), server]);
+      }
+    }
+  }
+  const surplusByAddress = new Map<string, Set<string>>();
+  for (const [model, holders] of holdersByModel) {
+    const order = (server: KnownServer) => hashToFraction(model, server.entry.serverId);
+    holders.sort((left, right) => order(left) - order(right));
+    for (const { entry } of holders.slice(getRequiredCount(model, holders))) {
+      const models = surplusByAddress.get(entry.address) ?? new Set();
+      surplusByAddress.set(entry.address, models.add(model));
+    }
+  }
+  return surplusByAddress;
+}
+
+/** Returns the number of holders, from the first on, that carry the requests of all holders on a model. */
+function getRequiredCount(model: string, holders: readonly KnownServer[]): number {
+  let modelLoad = 0;
+  for (const { report, entry } of holders) {
+    modelLoad += (report?.uses[model]?.runningCount ?? 0) / Math.max(1, entry.slotCount);
+  }
+  let totalLoad = 0;
+  for (const [index, { report, entry }] of holders.entries()) {
+    const count = index + 1;
+    totalLoad += (report?.runningCount ?? 0) / Math.max(1, entry.slotCount);
+    modelLoad -= (report?.uses[model]?.runningCount ?? 0) / Math.max(1, entry.slotCount);
+    if ((totalLoad + modelLoad) / count < MAX_REPLICA_LOAD) {
+      return count;
+    }
+  }
+  return holders.length;
+}
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -22,6 +22,7 @@
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
 export * from './countPlaces.js';
+export * from './findSurplusReplicas.js';
 export * from './isCompleteReport.js';
 export * from './isEngineCrash.js';
 export * from './reportChanges.js';
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -5,7 +5,7 @@
 export * from './EnginePort.js';
 export * from './EngineController.js';
 export * from './AgentConnections.js';
-export type { TakePermitParams } from './messages.js';
+export type { TakePermitParams, WantModelParams } from './messages.js';
 export * from './PermitIssuer.js';
 export * from './StreamOriginClient.js';
 export * from './StreamOriginStore.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -37,6 +37,8 @@
   readonly isInteractive: boolean;
   /** Models that must not be evicted for it. */
   readonly keptModels: readonly string[];
+  /** Models that may be evicted for it although they are in interactive use; absent in requests of older routers. */
+  readonly evictableModels?: readonly string[];
 }
 
 /** Notifies an agent that a request on a model started or ended at its engine. */
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -1,5 +1,10 @@
 import type { ServiceId } from '../domain/index.js';
-import type { KnownServer, ModelFootprint, PlacementRequirements } from './decisions/index.js';
+import {
+  findSurplusReplicas,
+  type KnownServer,
+  type ModelFootprint,
+  type PlacementRequirements,
+} from './decisions/index.js';
 
 /** Time for which a model waits for an idle engine before a busy one is accepted, in milliseconds. */
 const IDLE_ONLY_MS = 300;
@@ -56,15 +61,32 @@
   return nowMs - placedAtMs >= NO_PLACE_AFTER_MS;
 }
 
-/** Returns the placement requirements of a model; they loosen the longer requests have been waiting for it. */
-export function toPlacementRequirements(waited: WaitedModel, nowMs: number): PlacementRequirements {
+/**
+ * Returns the placement requirements of a model; they loosen the longer requests have been waiting for it, until it may
+ * take the place of another model's second replica.
+ */
+export function toPlacementRequirements(
+  waited: WaitedModel,
+  servers: readonly KnownServer[],
+  nowMs: number,
+): PlacementRequirements {
   const { model, footprint, isInteractive } = waited;
   const waitedMs = nowMs - waited.sinceMs;
   let maxStartMs = Infinity;
   if (!isInteractive && waitedMs < ANY_SERVER_AFTER_MS) {
     maxStartMs = waitedMs < IDLE_ONLY_MS ? 0 : MAX_SHORT_START_MS;
   }
-  return { model, footprint, isInteractive, maxStartMs, mayFetchCopy: waitedMs >= ANY_SERVER_AFTER_MS };
+  const mayUseAny = waitedMs >= ANY_SERVER_AFTER_MS;
+  const surplusReplicas = mayUseAny ? findSurplusReplicas(servers) : undefined;
+  return { model, footprint, isInteractive, maxStartMs, mayFetchCopy: mayUseAny, surplusReplicas };
+}
+
+/** Returns the models in interactive use that a server may evict for a model. */
+export function getSurplusModels(
+  { surplusReplicas }: Pick<PlacementRequirements, 'surplusReplicas'>,
+  address: string,
+): string[] {
+  return [...(surplusReplicas?.get(address) ?? [])];
 }
 
 /**
--- a/test/direct/AgentConnections.test.ts
+++ b/test/direct/AgentConnections.test.ts
@@ -102,7 +102,7 @@
         agentConnections.notifyModelUse(ENGINE_ADDRESS, 'started', model, false);
       }
       await replaceSilentConnection();
-      agentConnections.requestModel(ENGINE_ADDRESS, 'a', false);
+      agentConnections.requestModel(ENGINE_ADDRESS, { model: 'a', isInteractive: false, keptModels: [] });
       await sleepMs(UNLOAD_LIMIT_MS);
       expect(engine.orders).to.deep.equal([]);
     });
@@ -114,7 +114,7 @@
       const replaced = replaceSilentConnection();
       agentConnections.notifyModelUse(ENGINE_ADDRESS, 'ended', 'c', false);
       await replaced;
-      agentConnections.requestModel(ENGINE_ADDRESS, 'a', false);
+      agentConnections.requestModel(ENGINE_ADDRESS, { model: 'a', isInteractive: false, keptModels: [] });
       await sleepMs(UNLOAD_LIMIT_MS);
       expect(engine.orders.map(({ kind, model }) => `${kind} ${model}`)).to.deep.equal([
         'unload c',
--- a/test/direct/ModelLoader.test.ts
+++ b/test/direct/ModelLoader.test.ts
@@ -7,6 +7,7 @@
   type AgentConnections,
   type AgentReport,
   type ModelWait,
+  type WantModelParams,
   type WaitResult,
 } from '../../src/direct/index.js';
 import { Log } from '../../src/telemetry/index.js';
@@ -29,7 +30,7 @@
     this.view.applyConfiguration(makeConfiguration(1));
     this.view.applyList(this.entries, 0);
     const agentConnections = {
-      requestModel: (address: string, model: string) =>
+      requestModel: (address: string, { model }: WantModelParams) =>
         this.loadRequests.push(`${model} at ${address.slice(-1)}`),
     } as unknown as AgentConnections;
     this.loader = new ModelLoader({
@@ -163,8 +164,8 @@
 
     it('refuses waits in vain after three seconds, and later ones at once until an engine has room', async () => {
       const bench = new ModelLoaderBench();
-      const inUse = { runningCount: 1, idleForMs: 0, isProtected: true };
-      const isFull = { modelsOnDisk: ['a'], uses: { b: inUse, c: inUse } };
+      const inUse = { runningCount: 20, idleForMs: 0, isProtected: true };
+      const isFull = { modelsOnDisk: ['a'], runningCount: 40, uses: { b: inUse, c: inUse } };
       bench.report(isFull, isFull);
       const first = bench.wait({ untilMs: 9_000 });
       bench.clock.advance(2_900);
@@ -183,6 +184,21 @@
       expect(bench.loadRequests).to.deep.equal(['a at 2']);
     });
 
+    // Guards against models that never get a place because others keep two replicas in interactive use (issue 30).
+    it('evicts a spare replica for a model that has waited for two seconds', () => {
+      const bench = new ModelLoaderBench();
+      const inUse = { runningCount: 1, idleForMs: 0, isProtected: true };
+      const isSpare = { modelsOnDisk: ['a'], runningCount: 2, uses: { b: inUse, c: inUse } };
+      bench.report(isSpare, isSpare);
+      bench.wait();
+      bench.clock.advance(1_900);
+      bench.report(isSpare, isSpare);
+      expect(bench.loadRequests).to.deep.equal([]);
+      bench.clock.advance(200);
+      bench.report(isSpare, isSpare);
+      expect(bench.loadRequests.length).to.equal(1);
+    });
+
     it('refuses a model that is not configured', async () => {
       const bench = new ModelLoaderBench();
       const pending = bench.wait({ model: 'unknown' });
--- a/test/direct/decisions/ResidencyPlanner.test.ts
+++ b/test/direct/decisions/ResidencyPlanner.test.ts
@@ -196,7 +196,7 @@
 
     it('does not evict a model that must be kept', () => {
       const planner = makePlanner([makeHeldModel('b'), makeHeldModel('c')]);
-      planner.requestModel('a', false, 1_000, ['b']);
+      planner.requestModel('a', false, 1_000, { keptModels: ['b'] });
       planner.getNextOrder(1_000);
       expect(planner.getNextOrder(1_050)).to.deep.equal({ kind: 'unload', model: 'c' });
     });
