Models queued behind a slow load are requested from other servers too

Batch requests got 503 `the model is not ready in time` for as long as 35 s while other engines could load their model. A model in an agent's queue counted as pending; behind a load from the store (13.2 s, longer beside others) its requests were refused at once, so that none of them waited long enough to be placed elsewhere, and those that came renewed the request at the blocked agent. Only interactive requests looked for another server. A queued load behind one that takes over 3 s more no longer counts as pending for any request.

The new case of ModelLoader.test fails without the change ('a at 1' instead of 'a at 2').

--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -28,6 +28,7 @@
   type PlacementChoice,
   type PlacementRequirements,
   type ServerChooser,
+  type SurplusReplicas,
 } from './decisions/index.js';
 
 /** Interval at which all waits are reviewed, in milliseconds. */
@@ -57,6 +58,8 @@
  */
 const REPLICA_DELAY_MS = 1_500;
 
+/** Time for which the replicas that may be evicted are reused, in milliseconds: many waits are reviewed after each other. */
+const SURPLUS_LIFETIME_MS = 50;
 /** Delay after models were requested ahead of use, in milliseconds: reports show by then which agent loads what. */
 const FETCH_DELAY_MS = 600;
 /** Number of servers that should have each model on disk, used until the first request arrives. */
@@ -83,6 +86,8 @@
   private readonly waitedModels = new Map<string, WaitedModel>();
   /** Since when no server has room for a model whose requests were refused for that, by model. */
   private readonly withoutPlaceSinceMs = new Map<string, number>();
+  /** Replicas that may be evicted, and when they were found, by service. */
+  private readonly surplusReplicas = new Map<ServiceId, { atMs: number; replicas: SurplusReplicas }>();
   private readonly interactiveUses = new Map<string, InteractiveUse>();
   private lastFetchAtMs = -Infinity;
   /** Time of the first request; undefined before it. */
@@ -276,13 +281,17 @@
     servers: readonly KnownServer[],
     nowMs: number,
   ): number | undefined {
-    const requirements = toPlacementRequirements(waited, servers, nowMs);
+    const requirements = toPlacementRequirements(
+      waited,
+      () => this.getSurplusReplicas(waited.serviceId, nowMs),
+      nowMs,
+    );
     const profile = this.getProfile(waited.serviceId);
     if (!profile) {
       return undefined;
     }
     const pending = findPendingLoad(requirements, servers, profile);
-    if (pending) {
+    if (pending?.isBlocked === false) {
       return this.renewLoadRequest(waited, servers, profile, nowMs, pending);
     }
     const sinceRequestMs = nowMs - waited.requestedAtMs;
@@ -319,7 +328,11 @@
     if (nowMs - waited.requestedAtMs < RENEWAL_INTERVAL_MS) {
       return pendingMs;
     }
-    const requirements = toPlacementRequirements(waited, servers, nowMs);
+    const requirements = toPlacementRequirements(
+      waited,
+      () => this.getSurplusReplicas(waited.serviceId, nowMs),
+      nowMs,
+    );
     const choice =
       waited.isInteractive && pendingMs > MIN_TIME_SAVED_MS
         ? choosePlacement(requirements, servers, profile)
@@ -332,7 +345,7 @@
     // A load request of another router is renewed too, since that router's callers may have left by now.
     waited.requestedAddress ??= pending.server.entry.address;
     waited.requestedAtMs = nowMs;
-    const surplusReplicas = findSurplusReplicas(servers);
+    const surplusReplicas = this.getSurplusReplicas(waited.serviceId, nowMs);
     this.deps.agentConnections.requestModel(waited.requestedAddress, {
       model: waited.model,
       isInteractive: waited.isInteractive,
@@ -429,6 +442,7 @@
     const profile = this.getProfile(use.serviceId);
     const footprint = profile?.models.get(model);
     const servers = this.getServers(use.serviceId, nowMs);
+    const holders = servers.filter((server) => getHeldModel(server, model));
     const requirements = footprint && {
       model,
       footprint,
@@ -439,7 +453,6 @@
     if (!profile || !requirements || findPendingLoad(requirements, servers, profile)) {
       return;
     }
-    const holders = servers.filter((server) => getHeldModel(server, model));
     let load = 0;
     for (const holder of holders) {
       load += chooser.getLoad(holder) / holders.length;
@@ -465,6 +478,15 @@
     }
   }
 
+  private getSurplusReplicas(serviceId: ServiceId, nowMs: number): SurplusReplicas {
+    let found = this.surplusReplicas.get(serviceId);
+    if (!found || nowMs - found.atMs >= SURPLUS_LIFETIME_MS) {
+      found = { atMs: nowMs, replicas: findSurplusReplicas(this.getServers(serviceId, nowMs)) };
+      this.surplusReplicas.set(serviceId, found);
+    }
+    return found.replicas;
+  }
+
   private getProfile(serviceId: ServiceId): EngineProfile | undefined {
     return this.deps.view.configuration?.services.get(serviceId)?.engine;
   }
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -1,3 +1,4 @@
+import type { SurplusReplicas } from './findSurplusReplicas.js';
 import { hashToFraction } from './rendezvous.js';
 import type { KnownServer } from './FleetView.js';
 import { getHeldModel } from './FleetView.js';
@@ -17,6 +18,11 @@
  * unloaded and one is loaded from disk.
  */
 const QUEUED_MODEL_MS = 2_000;
+/**
+ * Remaining time of a load, in milliseconds, from which it blocks the models queued behind it: a load from the store would
+ * otherwise keep them from all other servers until it ends.
+ */
+const MAX_QUEUE_DELAY_MS = 3_000;
 /** Estimated time to unload an idle model, in milliseconds. */
 const UNLOAD_MS = 100;
 /** Estimated time until a running request ends, in milliseconds: half the duration of a common request. */
@@ -48,6 +54,12 @@
   readonly readyInMs: number;
 }
 
+/** Load of a model that is in progress or queued. */
+export interface PendingLoad extends PlacementChoice {
+  /** Whether it waits behind a load that takes long, so that another server may be ready sooner. */
+  readonly isBlocked: boolean;
+}
+
 /** Model that is to be loaded, and the requirements on its server. */
 export interface PlacementRequirements {
   readonly model: string;
@@ -61,7 +73,7 @@
   /** Whether the model may be loaded from the weight store although a server has it on disk. */
   readonly mayFetchCopy: boolean;
   /** Models that may be evicted although they are in interactive use, by address of the server. */
-  readonly surplusReplicas?: ReadonlyMap<string, ReadonlySet<string>>;
+  readonly surplusReplicas?: SurplusReplicas;
 }
 
 /**
@@ -136,17 +148,18 @@
   requirements: PlacementRequirements,
   servers: readonly KnownServer[],
   profile: EngineProfile,
-): PlacementChoice | undefined {
-  let best: PlacementChoice | undefined;
+): PendingLoad | undefined {
+  let best: PendingLoad | undefined;
   for (const server of servers) {
     const { report } = server;
     const queueIndex = report?.queuedModels.indexOf(requirements.model) ?? -1;
     const isLoading = report?.loadingModel === requirements.model;
+    const busyMs = getRemainingBusyMs(server, profile);
     if (isLoading || queueIndex >= 0) {
       const queuedMs = getLoadTimeMs(requirements, server) + Math.max(0, queueIndex) * QUEUED_MODEL_MS;
-      const readyInMs = getRemainingBusyMs(server, profile) + (isLoading ? 0 : queuedMs);
+      const readyInMs = busyMs + (isLoading ? 0 : queuedMs);
       if (readyInMs < (best?.readyInMs ?? Infinity)) {
-        best = { server, readyInMs };
+        best = { server, readyInMs, isBlocked: !isLoading && busyMs > MAX_QUEUE_DELAY_MS };
       }
     }
   }
--- a/src/direct/decisions/findSurplusReplicas.ts
+++ b/src/direct/decisions/findSurplusReplicas.ts
@@ -4,6 +4,9 @@
 /** Mean load of a model's servers, as a fraction of their slots, from which another replica is loaded. */
 export const MAX_REPLICA_LOAD = 0.45;
 
+/** Models in interactive use that each server may evict, by its address. */
+export type SurplusReplicas = ReadonlyMap<string, ReadonlySet<string>>;
+
 /**
  * Returns the models that each server may evict although they are in interactive use, by address: their other replicas
  * carry the load without it.
@@ -12,7 +15,7 @@
  * that routers which evict at the same time leave one.
  * @param servers - Servers of one service that accept new requests.
  */
-export function findSurplusReplicas(servers: readonly KnownServer[]): Map<string, ReadonlySet<string>> {
+export function findSurplusReplicas(servers: readonly KnownServer[]): SurplusReplicas {
   const holdersByModel = new Map<string, KnownServer[]>();
   for (const server of servers) {
     for (const [model, { isProtected }] of Object.entries(server.report?.uses ?? {})) {
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -1,10 +1,5 @@
 import type { ServiceId } from '../domain/index.js';
-import {
-  findSurplusReplicas,
-  type KnownServer,
-  type ModelFootprint,
-  type PlacementRequirements,
-} from './decisions/index.js';
+import type { KnownServer, ModelFootprint, PlacementRequirements } from './decisions/index.js';
 
 /** Time for which a model waits for an idle engine before a busy one is accepted, in milliseconds. */
 const IDLE_ONLY_MS = 300;
@@ -67,7 +62,7 @@
  */
 export function toPlacementRequirements(
   waited: WaitedModel,
-  servers: readonly KnownServer[],
+  getSurplusReplicas: () => PlacementRequirements['surplusReplicas'],
   nowMs: number,
 ): PlacementRequirements {
   const { model, footprint, isInteractive } = waited;
@@ -77,7 +72,7 @@
     maxStartMs = waitedMs < IDLE_ONLY_MS ? 0 : MAX_SHORT_START_MS;
   }
   const mayUseAny = waitedMs >= ANY_SERVER_AFTER_MS;
-  const surplusReplicas = mayUseAny ? findSurplusReplicas(servers) : undefined;
+  const surplusReplicas = mayUseAny ? getSurplusReplicas() : undefined;
   return { model, footprint, isInteractive, maxStartMs, mayFetchCopy: mayUseAny, surplusReplicas };
 }
 
--- a/test/direct/ModelLoader.test.ts
+++ b/test/direct/ModelLoader.test.ts
@@ -109,6 +109,15 @@
       expect(bench.loadRequests).to.deep.equal(['a at 2']);
     });
 
+    // Guards against batch requests that are refused while the only agent that queues their model is blocked (issue 30).
+    it('requests a model for a batch request elsewhere if it is queued behind a long load', () => {
+      const bench = new ModelLoaderBench();
+      const isLoading = { loadingModel: 'd', loadingForMs: 1_000, isBusy: true };
+      bench.report({ modelsOnDisk: ['a'], queuedModels: ['a'], ...isLoading }, { modelsOnDisk: ['a'] });
+      bench.wait({ untilMs: 3_000 });
+      expect(bench.loadRequests).to.deep.equal(['a at 2']);
+    });
+
     it('renews a load request of another router', () => {
       const bench = new ModelLoaderBench();
       const isQueued = { modelsOnDisk: ['a'], queuedModels: ['a'] };
