Another replica of a held model waits for the weight store like batch loads

Interactive requests pass over the limit of concurrent loads so that a model without a server comes back; a replica beside a server that holds the model does not need that.

The new case of ModelPlacement.test fails without the change.

--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -449,6 +449,7 @@
       isInteractive: true,
       maxStartMs: Infinity,
       mayFetchCopy: true,
+      isReplica: holders.length > 0,
     };
     if (!profile || !requirements || findPendingLoad(requirements, servers, profile)) {
       return;
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -72,6 +72,8 @@
   readonly maxStartMs: number;
   /** Whether the model may be loaded from the weight store although a server has it on disk. */
   readonly mayFetchCopy: boolean;
+  /** Whether another server holds the model already, so that its load must not slow others from the store down. */
+  readonly isReplica?: boolean;
   /** Models that may be evicted although they are in interactive use, by address of the server. */
   readonly surplusReplicas?: SurplusReplicas;
 }
@@ -93,8 +95,9 @@
   const isOnSomeDisk = servers.some(
     (server) => getLoadTimeMs(requirements, server) < requirements.footprint.storeLoadMs,
   );
+  const isUrgent = requirements.isInteractive && requirements.isReplica !== true;
   const mayUseStore =
-    requirements.isInteractive ||
+    isUrgent ||
     ((!isOnSomeDisk || requirements.mayFetchCopy) &&
       countStoreLoads(servers) < getMaxConcurrentStoreLoads(profile));
   let best: PlacementChoice | undefined;
--- a/test/direct/decisions/ModelPlacement.test.ts
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -73,6 +73,14 @@
     doTest([loading, loading, loading, loading, {}], { isInteractive: true }, 'xxxxx');
   });
 
+  // Guards against replicas whose loads slow each other down until none ends, with the queues of their engines blocked (issue 30).
+  it('counts another replica of a held model among the loads from the store', () => {
+    const loading = { isBusy: true, loadingModel: 'd' };
+    const requirements = { isInteractive: true, isReplica: true };
+    doTest([loading, loading, loading, {}], requirements, 'xxxx');
+    doTest([loading, loading, loading, loading, {}], requirements, undefined);
+  });
+
   it('does not evict protected models', () => {
     const interactiveUse = { runningCount: 1, idleForMs: 0, isProtected: true };
     doTest(
