Spare replicas are chosen so that no server keeps all of its models

The replicas that stay are now spread: a model keeps those on servers that keep the fewest models, by hash where several do. With more servers than models in interactive use, each server has a place that a waiting model can get.

Ruled out: to let any replica of a model go after 2.5 s of waiting (trial).

The simulation delivers reports to routers at different times, up to 40 ms apart, which is nearer to what routers see.

--- a/src/direct/decisions/findSurplusReplicas.ts
+++ b/src/direct/decisions/findSurplusReplicas.ts
@@ -11,8 +11,8 @@
  * Returns the models that each server may evict although they are in interactive use, by address: their other replicas
  * carry the load without it.
  *
- * All routers get the same result from the same reports, and each model keeps the replicas that come first by hash, so
- * that routers which evict at the same time leave one.
+ * All routers get the same result from the same reports, so that routers which evict at the same time leave one. Each
+ * server keeps as few models as possible: one that kept all of its models could load no other.
  * @param servers - Servers of one service that accept new requests.
  */
 export function findSurplusReplicas(servers: readonly KnownServer[]): SurplusReplicas {
@@ -25,12 +25,22 @@
     }
   }
   const surplusByAddress = new Map<string, Set<string>>();
-  for (const [model, holders] of holdersByModel) {
-    const order = (server: KnownServer) => hashToFraction(model, server.entry.serverId);
+  const keptCounts = new Map<KnownServer, number>();
+  const models = [...holdersByModel].sort(
+    ([left, leftHolders], [right, rightHolders]) =>
+      leftHolders.length - rightHolders.length || (left < right ? -1 : 1),
+  );
+  for (const [model, holders] of models) {
+    const order = (server: KnownServer) =>
+      (keptCounts.get(server) ?? 0) + hashToFraction(model, server.entry.serverId);
     holders.sort((left, right) => order(left) - order(right));
-    for (const { entry } of holders.slice(getRequiredCount(model, holders))) {
-      const models = surplusByAddress.get(entry.address) ?? new Set();
-      surplusByAddress.set(entry.address, models.add(model));
+    const requiredCount = getRequiredCount(model, holders);
+    for (const server of holders.slice(0, requiredCount)) {
+      keptCounts.set(server, (keptCounts.get(server) ?? 0) + 1);
+    }
+    for (const { entry } of holders.slice(requiredCount)) {
+      const surplusModels = surplusByAddress.get(entry.address) ?? new Set();
+      surplusByAddress.set(entry.address, surplusModels.add(model));
     }
   }
   return surplusByAddress;
--- a/test/direct/ModelTurnSimulation.ts
+++ b/test/direct/ModelTurnSimulation.ts
@@ -11,6 +11,8 @@
 const POLL_INTERVAL_MS = 50;
 /** Interval of reports without a change, in milliseconds. */
 const REPORT_INTERVAL_MS = 500;
+/** Maximum difference between the delays of a report to two routers, in milliseconds. */
+const MAX_REPORT_JITTER_MS = 40;
 /** Time from a crash until the list of servers shows it, in milliseconds. */
 const LIST_DELAY_MS = 1_000;
 const ENGINE_COUNT = 31;
@@ -298,11 +300,11 @@
       return;
     }
     this.lastReports.set(address, { key, atMs: nowMs });
-    this.clock.schedule(STEP_MS, () => {
-      for (const { view, loader } of this.routers) {
+    for (const { view, loader } of this.routers) {
+      this.clock.schedule(STEP_MS + this.random.nextInt(MAX_REPORT_JITTER_MS), () => {
         view.applyReport(report, nowMs);
         loader.scheduleReview();
-      }
-    });
+      });
+    }
   }
 }
