Second replicas of models in interactive use stay

When engines are lost, a model's only server may be among them.

A replica counts as surplus beyond two now, and the second is loaded also while models wait.

--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -22,6 +22,7 @@
   getHeldModel,
   isRequiredVersion,
   MAX_REPLICA_LOAD,
+  MIN_INTERACTIVE_REPLICAS,
   type EngineProfile,
   type FleetView,
   type KnownServer,
@@ -51,8 +52,6 @@
 const REPLICA_INTERVAL_MS = 250;
 /** Time after its last interactive request for which a model counts as in interactive use, in milliseconds. */
 const INTERACTIVE_USE_MS = 2_000;
-/** Minimum replicas of a model in interactive use, so that it stays available when one server is lost. */
-const MIN_INTERACTIVE_REPLICAS = 2;
 /**
  * Delay between two new replicas of one model, in milliseconds: a replica loaded from disk affects the load by then.
  */
@@ -458,11 +457,7 @@
     for (const holder of holders) {
       load += chooser.getLoad(holder) / holders.length;
     }
-    // A spare replica must not take the place of a model that has none.
-    const isContended =
-      this.waitedModels.size > 0 || servers.some(({ report }) => (report?.queuedModels.length ?? 0) > 0);
-    const minReplicaCount = isContended ? 1 : MIN_INTERACTIVE_REPLICAS;
-    if (holders.length >= minReplicaCount && load < MAX_REPLICA_LOAD) {
+    if (holders.length >= MIN_INTERACTIVE_REPLICAS && load < MAX_REPLICA_LOAD) {
       return;
     }
     const choice = choosePlacement(requirements, servers, profile);
--- a/src/direct/decisions/findSurplusReplicas.ts
+++ b/src/direct/decisions/findSurplusReplicas.ts
@@ -4,6 +4,9 @@
 /** Mean load of a model's servers, as a fraction of their slots, from which another replica is loaded. */
 export const MAX_REPLICA_LOAD = 0.45;
 
+/** Minimum replicas of a model in interactive use, so that it stays available when one server is lost. */
+export const MIN_INTERACTIVE_REPLICAS = 2;
+
 /** Models in interactive use that each server may evict, by its address. */
 export type SurplusReplicas = ReadonlyMap<string, ReadonlySet<string>>;
 
@@ -34,7 +37,7 @@
     const order = (server: KnownServer) =>
       (keptCounts.get(server) ?? 0) + hashToFraction(model, server.entry.serverId);
     holders.sort((left, right) => order(left) - order(right));
-    const requiredCount = getRequiredCount(model, holders);
+    const requiredCount = Math.max(MIN_INTERACTIVE_REPLICAS, getRequiredCount(model, holders));
     for (const server of holders.slice(0, requiredCount)) {
       keptCounts.set(server, (keptCounts.get(server) ?? 0) + 1);
     }
