--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -5,6 +5,7 @@
 import type { AgentConnections } from './AgentConnections.js';
 import {
   getReplicatedModels,
+  getSurplusModels,
   getWaitKey,
   isWithoutPlace,
   toPlacementRequirements,
@@ -14,15 +15,21 @@
 } from './modelWaits.js';
 import {
   choosePlacement,
+  countPlaces,
   findPendingLoad,
+  findSurplusReplicas,
   findUnderReplicatedModels,
   getHeldModel,
   isRequiredVersion,
+  MAX_REPLICA_LOAD,
+  MIN_INTERACTIVE_REPLICAS,
   type EngineProfile,
   type FleetView,
   type KnownServer,
   type PlacementChoice,
+  type PlacementRequirements,
   type ServerChooser,
+  type SurplusReplicas,
 } from './decisions/index.js';
 
 /** Interval at which all waits are reviewed, in milliseconds. */
@@ -45,15 +52,13 @@
 const REPLICA_INTERVAL_MS = 250;
 /** Time after its last interactive request for which a model counts as in interactive use, in milliseconds. */
 const INTERACTIVE_USE_MS = 2_000;
-/** Minimum replicas of a model in interactive use, so that it stays available when one server is lost. */
-const MIN_INTERACTIVE_REPLICAS = 2;
-/** Mean load of a model's servers, as a fraction of their slots, from which another replica is loaded. */
-const MAX_REPLICA_LOAD = 0.45;
 /**
  * Delay between two new replicas of one model, in milliseconds: a replica loaded from disk affects the load by then.
  */
 const REPLICA_DELAY_MS = 1_500;
 
+/** Time for which the replicas that may be evicted are reused, in milliseconds: many waits are reviewed after each other. */
+const SURPLUS_LIFETIME_MS = 50;
 /** Delay after models were requested ahead of use, in milliseconds: reports show by then which agent loads what. */
 const FETCH_DELAY_MS = 600;
 /** Number of servers that should have each model on disk, used until the first request arrives. */
@@ -80,6 +85,8 @@
   private readonly waitedModels = new Map<string, WaitedModel>();
   /** Since when no server has room for a model whose requests were refused for that, by model. */
   private readonly withoutPlaceSinceMs = new Map<string, number>();
+  /** Replicas that may be evicted, and when they were found, by service. */
+  private readonly surplusReplicas = new Map<ServiceId, { atMs: number; replicas: SurplusReplicas }>();
   private readonly interactiveUses = new Map<string, InteractiveUse>();
   private lastFetchAtMs = -Infinity;
   /** Time of the first request; undefined before it. */
@@ -224,7 +231,7 @@
       return;
     }
     const readyInMs = this.ensureLoading(waited, servers, nowMs);
-    const isInVain = this.updatePlace(waited, readyInMs !== undefined, nowMs);
+    const isInVain = this.updatePlace(waited, servers, readyInMs !== undefined, nowMs);
     for (const [requestId, { wait, resolve }] of [...waited.waiters]) {
       if (isInVain || nowMs + (readyInMs ?? 0) >= wait.untilMs) {
         waited.waiters.delete(requestId);
@@ -240,7 +247,12 @@
    * Records whether a server loads a model or could do so; returns whether its requests wait in vain. Later requests for
    * the model are then refused at once as long as that does not change.
    */
-  private updatePlace(waited: WaitedModel, hasPlace: boolean, nowMs: number): boolean {
+  private updatePlace(
+    waited: WaitedModel,
+    servers: readonly KnownServer[],
+    hasPlace: boolean,
+    nowMs: number,
+  ): boolean {
     const key = getWaitKey(waited);
     if (hasPlace) {
       waited.placedAtMs = nowMs;
@@ -250,6 +262,14 @@
     const isInVain = isWithoutPlace(waited, nowMs);
     if (isInVain) {
       this.withoutPlaceSinceMs.set(key, waited.placedAtMs);
+      this.deps.log.decision('no place for model', {
+        model: waited.model,
+        isInteractive: waited.isInteractive,
+        waitingCount: waited.waiters.size,
+        withoutPlaceForMs: Math.round(nowMs - waited.placedAtMs),
+        serverCount: servers.length,
+        ...countPlaces(servers),
+      });
     }
     return isInVain;
   }
@@ -260,13 +280,17 @@
     servers: readonly KnownServer[],
     nowMs: number,
   ): number | undefined {
-    const requirements = toPlacementRequirements(waited, nowMs);
+    const requirements = toPlacementRequirements(
+      waited,
+      () => this.getSurplusReplicas(waited.serviceId, nowMs),
+      nowMs,
+    );
     const profile = this.getProfile(waited.serviceId);
     if (!profile) {
       return undefined;
     }
     const pending = findPendingLoad(requirements, servers, profile);
-    if (pending) {
+    if (pending?.isBlocked === false) {
       return this.renewLoadRequest(waited, servers, profile, nowMs, pending);
     }
     const sinceRequestMs = nowMs - waited.requestedAtMs;
@@ -285,7 +309,7 @@
     }
     waited.requestedAtMs = nowMs;
     waited.requestedAddress = choice?.server.entry.address;
-    return choice && this.requestLoad(waited, choice);
+    return choice && this.requestLoad(waited, choice, requirements);
   }
 
   /**
@@ -303,7 +327,11 @@
     if (nowMs - waited.requestedAtMs < RENEWAL_INTERVAL_MS) {
       return pendingMs;
     }
-    const requirements = toPlacementRequirements(waited, nowMs);
+    const requirements = toPlacementRequirements(
+      waited,
+      () => this.getSurplusReplicas(waited.serviceId, nowMs),
+      nowMs,
+    );
     const choice =
       waited.isInteractive && pendingMs > MIN_TIME_SAVED_MS
         ? choosePlacement(requirements, servers, profile)
@@ -311,22 +339,40 @@
     if (choice && choice.readyInMs + MIN_TIME_SAVED_MS < pendingMs) {
       waited.requestedAtMs = nowMs;
       waited.requestedAddress = choice.server.entry.address;
-      return this.requestLoad(waited, choice);
+      return this.requestLoad(waited, choice, requirements);
     }
     // A load request of another router is renewed too, since that router's callers may have left by now.
     waited.requestedAddress ??= pending.server.entry.address;
     waited.requestedAtMs = nowMs;
-    this.deps.agentConnections.requestModel(waited.requestedAddress, waited.model, waited.isInteractive);
+    const surplusReplicas = this.getSurplusReplicas(waited.serviceId, nowMs);
+    this.deps.agentConnections.requestModel(waited.requestedAddress, {
+      model: waited.model,
+      isInteractive: waited.isInteractive,
+      keptModels: [],
+      evictableModels: getSurplusModels({ surplusReplicas }, waited.requestedAddress),
+    });
     return pendingMs;
   }
 
   /** Requests the model from the chosen agent; returns the time until it is ready. */
-  private requestLoad(waited: WaitedModel, choice: PlacementChoice): number {
+  private requestLoad(
+    waited: WaitedModel,
+    choice: PlacementChoice,
+    requirements: PlacementRequirements,
+  ): number {
     const { model, isInteractive } = waited;
-    this.deps.agentConnections.requestModel(choice.server.entry.address, model, isInteractive);
+    const { address } = choice.server.entry;
+    const evictableModels = getSurplusModels(requirements, address);
+    this.deps.agentConnections.requestModel(address, {
+      model,
+      isInteractive,
+      keptModels: [],
+      evictableModels,
+    });
     this.deps.log.decision('model load requested', {
       model,
-      address: choice.server.entry.address,
+      address,
+      evictableModels: evictableModels.join(' '),
       readyInMs: choice.readyInMs,
       waitingCount: waited.waiters.size,
     });
@@ -381,13 +427,10 @@
         if (choice) {
           requestedAddresses.add(choice.server.entry.address);
           this.lastFetchAtMs = nowMs;
-          agentConnections.requestModel(
-            choice.server.entry.address,
-            model,
-            false,
-            getReplicatedModels(servers),
-          );
-          log.decision('model load requested ahead of use', { model, address: choice.server.entry.address });
+          const keptModels = getReplicatedModels(servers);
+          const { address } = choice.server.entry;
+          agentConnections.requestModel(address, { model, isInteractive: false, keptModels });
+          log.decision('model load requested ahead of use', { model, address });
         }
       }
     }
@@ -398,17 +441,18 @@
     const profile = this.getProfile(use.serviceId);
     const footprint = profile?.models.get(model);
     const servers = this.getServers(use.serviceId, nowMs);
+    const holders = servers.filter((server) => getHeldModel(server, model));
     const requirements = footprint && {
       model,
       footprint,
       isInteractive: true,
       maxStartMs: Infinity,
       mayFetchCopy: true,
+      isReplica: holders.length > 0,
     };
     if (!profile || !requirements || findPendingLoad(requirements, servers, profile)) {
       return;
     }
-    const holders = servers.filter((server) => getHeldModel(server, model));
     let load = 0;
     for (const holder of holders) {
       load += chooser.getLoad(holder) / holders.length;
@@ -419,16 +463,26 @@
     const choice = choosePlacement(requirements, servers, profile);
     if (choice) {
       use.replicaRequestedAtMs = nowMs;
-      agentConnections.requestModel(choice.server.entry.address, model, true);
+      const { address } = choice.server.entry;
+      agentConnections.requestModel(address, { model, isInteractive: true, keptModels: [] });
       log.decision('replica load requested', {
         model,
-        address: choice.server.entry.address,
+        address,
         replicaCount: holders.length,
         load,
       });
     }
   }
 
+  private getSurplusReplicas(serviceId: ServiceId, nowMs: number): SurplusReplicas {
+    let found = this.surplusReplicas.get(serviceId);
+    if (!found || nowMs - found.atMs >= SURPLUS_LIFETIME_MS) {
+      found = { atMs: nowMs, replicas: findSurplusReplicas(this.getServers(serviceId, nowMs)) };
+      this.surplusReplicas.set(serviceId, found);
+    }
+    return found.replicas;
+  }
+
   private getProfile(serviceId: ServiceId): EngineProfile | undefined {
     return this.deps.view.configuration?.services.get(serviceId)?.engine;
   }
--- a/test/direct/ModelLoader.test.ts
+++ b/test/direct/ModelLoader.test.ts
@@ -7,6 +7,7 @@
   type AgentConnections,
   type AgentReport,
   type ModelWait,
+  type WantModelParams,
   type WaitResult,
 } from '../../src/direct/index.js';
 import { Log } from '../../src/telemetry/index.js';
@@ -29,7 +30,7 @@
     this.view.applyConfiguration(makeConfiguration(1));
     this.view.applyList(this.entries, 0);
     const agentConnections = {
-      requestModel: (address: string, model: string) =>
+      requestModel: (address: string, { model }: WantModelParams) =>
         this.loadRequests.push(`${model} at ${address.slice(-1)}`),
     } as unknown as AgentConnections;
     this.loader = new ModelLoader({
@@ -108,6 +109,15 @@
       expect(bench.loadRequests).to.deep.equal(['a at 2']);
     });
 
+    // Guards against batch requests that are refused while the only agent that queues their model is blocked (issue 30).
+    it('requests a model for a batch request elsewhere if it is queued behind a long load', () => {
+      const bench = new ModelLoaderBench();
+      const isLoading = { loadingModel: 'd', loadingForMs: 1_000, isBusy: true };
+      bench.report({ modelsOnDisk: ['a'], queuedModels: ['a'], ...isLoading }, { modelsOnDisk: ['a'] });
+      bench.wait({ untilMs: 3_000 });
+      expect(bench.loadRequests).to.deep.equal(['a at 2']);
+    });
+
     it('renews a load request of another router', () => {
       const bench = new ModelLoaderBench();
       const isQueued = { modelsOnDisk: ['a'], queuedModels: ['a'] };
@@ -163,8 +173,8 @@
 
     it('refuses waits in vain after three seconds, and later ones at once until an engine has room', async () => {
       const bench = new ModelLoaderBench();
-      const inUse = { runningCount: 1, idleForMs: 0, isProtected: true };
-      const isFull = { modelsOnDisk: ['a'], uses: { b: inUse, c: inUse } };
+      const inUse = { runningCount: 20, idleForMs: 0, isProtected: true };
+      const isFull = { modelsOnDisk: ['a'], runningCount: 40, uses: { b: inUse, c: inUse } };
       bench.report(isFull, isFull);
       const first = bench.wait({ untilMs: 9_000 });
       bench.clock.advance(2_900);
