--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -232,12 +232,10 @@
     if (isBound || !this.isTakenUp || this.request.route.kind !== 'stream') {
       return true;
     }
-    const { streamOrigins, view, clock } = this.deps;
-    const { headers, serviceId } = this.request;
-    const { resumedRequestId } = headers;
+    const { resumedRequestId } = this.request.headers;
     const foundVersion =
-      resumedRequestId === undefined ? undefined : await streamOrigins.find(resumedRequestId);
-    const softwareVersion = foundVersion ?? view.getOnlyVersion(serviceId, clock.nowMs());
+      resumedRequestId === undefined ? undefined : await this.deps.streamOrigins.find(resumedRequestId);
+    const softwareVersion = foundVersion ?? this.inferVersion();
     if (softwareVersion === undefined) {
       return false;
     }
@@ -245,6 +243,20 @@
     return true;
   }
 
+  /** Returns the version of a stream whose origin nobody knows, from the versions of the servers; undefined if it is open. */
+  private inferVersion(): string | undefined {
+    const { view, clock, log, metrics } = this.deps;
+    const { headers, serviceId } = this.request;
+    const softwareVersion = view.getOnlyVersion(serviceId, clock.nowMs());
+    metrics.count(softwareVersion === undefined ? 'stream_versions_unknown' : 'stream_versions_inferred');
+    log.decision('version of a stream inferred', {
+      requestId: headers.requestId,
+      resumedRequestId: headers.resumedRequestId ?? '',
+      softwareVersion: softwareVersion ?? '',
+    });
+    return softwareVersion;
+  }
+
   private bindTo(softwareVersion: string | undefined): void {
     const { headers } = this.request;
     this.search.requireVersion(softwareVersion ?? UNKNOWN_VERSION);
