A router infers a stream's version only from what it has followed itself

Cause: a router whose agents do not know a stream took the only version among the listed servers, and those gone in the last two minutes, for the one that began it. A router that has just started has seen no server go, and one whose view was interrupted (store outage, lost history, restored copy) may have missed some.

Change: the directory knows since when it has followed the servers without a gap; the only version is known after the time in which a stream may be taken up, and not while the store does not respond. Until then the take-up is refused at once, which is true: it has not run.

Ruled out: the record reaching the agents after the event; it is written before.

--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -224,8 +224,8 @@
   }
 
   /**
-   * Determines the software version of a stream that the caller takes up; returns false if it is not known. While the
-   * servers have one version only, the stream is taken to have begun there.
+   * Determines the software version of a stream that the caller takes up; returns false if it is not known. If the servers
+   * have had one version only for as long as a stream lasts, the stream began there.
    */
   private async ensureOrigin(): Promise<boolean> {
     const isBound = this.search.softwareVersion !== undefined;
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -165,8 +165,8 @@
   }
 
   /**
-   * Returns the only software version that the servers of a service have, or had lately; undefined if there are several or
-   * one is not known.
+   * Returns the only software version that the servers of a service have had for as long as a stream lasts; undefined if
+   * there are several, one is not known, or this process has not followed the servers all that time.
    * @param serviceId - The service.
    * @param nowMs - Current time.
    */
@@ -178,7 +178,7 @@
       }
     }
     const [only] = versions;
-    return versions.size === 1 ? only : undefined;
+    return versions.size === 1 && this.hasFollowedAllStreams(nowMs) ? only : undefined;
   }
 
   /**
--- a/src/direct/decisions/GoneVersions.ts
+++ b/src/direct/decisions/GoneVersions.ts
@@ -1,7 +1,7 @@
 import type { ServiceId } from '../../domain/index.js';
 
-/** Time for which the version of a server that is gone is remembered, in milliseconds; longer than any stream lasts. */
-const LIFETIME_MS = 120_000;
+/** Time after which no stream is taken up any more, in milliseconds; longer than any stream lasts. */
+export const MAX_STREAM_LIFETIME_MS = 120_000;
 
 /** Software versions of servers that are gone, of which streams may still be taken up. */
 export class GoneVersions {
@@ -28,7 +28,7 @@
   get(serviceId: ServiceId, nowMs: number): (string | undefined)[] {
     const versions = this.goneAtMs.get(serviceId);
     for (const [version, atMs] of versions ?? []) {
-      if (nowMs - atMs >= LIFETIME_MS) {
+      if (nowMs - atMs >= MAX_STREAM_LIFETIME_MS) {
         versions?.delete(version);
       }
     }
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -1,7 +1,7 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
 import { rankByHash } from './rendezvous.js';
 import type { ServerEntry } from './ServerEntry.js';
-import { GoneVersions } from './GoneVersions.js';
+import { GoneVersions, MAX_STREAM_LIFETIME_MS } from './GoneVersions.js';
 import { ServerHolds } from './ServerHolds.js';
 import { ServerRateLimits } from './ServerRateLimits.js';
 import { ServerRetirements, type ServerIncarnation } from './ServerRetirements.js';
@@ -35,13 +35,14 @@
   private ranks: Map<string, number> | undefined;
   /** Numbers of staying servers by service, computed with the ranks. */
   private readonly stayingCounts = new Map<ServiceId, number>();
-  private hasServerList = false;
+  /** Since when no server can have come and gone unseen; undefined before the first list. */
+  private followedSinceMs: number | undefined;
   private storeUnavailableSinceMs: number | undefined;
   private storeRecoveredAtMs = -Infinity;
 
   /** Whether a complete list was applied. */
   get hasList(): boolean {
-    return this.hasServerList;
+    return this.followedSinceMs !== undefined;
   }
 
   /**
@@ -50,7 +51,7 @@
    * @param nowMs - Current time.
    */
   applyList(entries: readonly ServerEntry[], nowMs: number): void {
-    this.hasServerList = true;
+    this.followedSinceMs = nowMs;
     const listedIds = new Set<ServerId>();
     for (const entry of entries) {
       listedIds.add(entry.serverId);
@@ -140,6 +141,7 @@
   removeEntry(serverId: ServerId, nowMs: number): void {
     const entry = this.entries.get(serverId);
     if (!entry) {
+      this.recordGap(nowMs);
       return;
     }
     const graceEndsAtMs = this.storeRecoveredAtMs + EXPIRY_GRACE_MS;
@@ -162,6 +164,7 @@
     if (this.storeUnavailableSinceMs !== undefined) {
       this.storeUnavailableSinceMs = undefined;
       this.storeRecoveredAtMs = nowMs;
+      this.recordGap(nowMs);
     }
   }
 
@@ -252,6 +255,17 @@
     }
   }
 
+  /**
+   * Whether this process itself has followed the servers without a gap since before any stream began that may still be
+   * taken up.
+   */
+  protected hasFollowedAllStreams(nowMs: number): boolean {
+    return (
+      this.storeUnavailableSinceMs === undefined &&
+      nowMs - (this.followedSinceMs ?? nowMs) >= MAX_STREAM_LIFETIME_MS
+    );
+  }
+
   /** Whether a listed server is neither leaving nor waiting for a sign of life. */
   protected isStaying(entry: ServerEntry): boolean {
     return (
@@ -259,6 +273,13 @@
     );
   }
 
+  /** Records that servers may have come and gone unseen until now. */
+  private recordGap(nowMs: number): void {
+    if (this.followedSinceMs !== undefined) {
+      this.followedSinceMs = nowMs;
+    }
+  }
+
   private confirmStillListed(nowMs: number): void {
     if (this.storeUnavailableSinceMs !== undefined) {
       return;
--- a/test/direct/EngineFleet.ts
+++ b/test/direct/EngineFleet.ts
@@ -118,6 +118,14 @@
     setTimeout(() => this.isStopped || void this.start(), DOWN_MS);
   }
 
+  /** Lists the engine as leaving. */
+  drain(): void {
+    if (this.entry) {
+      this.entry = { ...this.entry, isLeaving: true };
+      this.fleet.publish(this.entry);
+    }
+  }
+
   stop(): void {
     this.isStopped = true;
     this.server?.close();
@@ -214,6 +222,28 @@
     this.agents.delete(address);
   }
 
+  /** Stops the agent beside an engine and starts another one, which knows nothing of before. */
+  async restartAgent(address: string): Promise<void> {
+    await this.stopAgent(address);
+    await this.startAgent(this.getEngineOrThrow(address));
+  }
+
+  /** Lists an engine as leaving, which goes on. */
+  drainEngine(address: string): void {
+    this.getEngineOrThrow(address).drain();
+  }
+
+  /** Stops an engine and its agent for good, as at the end of its draining, and removes it from the list. */
+  async removeEngine(address: string): Promise<void> {
+    const engine = this.getEngineOrThrow(address);
+    await this.stopAgent(address);
+    engine.stop();
+    if (engine.currentEntry) {
+      this.withdraw(engine.currentEntry);
+    }
+    this.engines.splice(this.engines.indexOf(engine), 1);
+  }
+
   /** Adds a server without an agent that names a limit; returns its address. */
   async addPlainServer(id: string, maxRequestsPerSecond: number): Promise<string> {
     const server = createServer((incoming, response) => {
@@ -238,21 +268,26 @@
 
   /** Starts a router that knows all engines and waits until it is connected to their agents. */
   async addRouter(): Promise<RouterBench> {
+    const router = await this.startRouter();
+    await delay(CLOCK, 300);
+    return router;
+  }
+
+  /** Starts a router that knows all engines and is still connecting to their agents. */
+  async startRouter(): Promise<RouterBench> {
     const router = new RouterBench(undefined, this.agentPort);
-    for (const { currentEntry } of this.engines) {
-      if (currentEntry) {
-        router.view.applyEntry(currentEntry);
-      }
-    }
-    for (const { entry } of this.plainServers) {
-      router.view.applyEntry(entry);
-    }
+    const entries = this.engines.flatMap(({ currentEntry }) => currentEntry ?? []);
+    router.view.applyList([...entries, ...this.plainServers.map(({ entry }) => entry)], CLOCK.nowMs());
     this.routers.push(router);
     await router.start([makeRoute(), plainRoute]);
-    await delay(CLOCK, 300);
     return router;
   }
 
+  /** Stops all routers at once. */
+  async stopRouters(): Promise<void> {
+    await Promise.all(this.routers.splice(0).map((router) => router.close()));
+  }
+
   publish(entry: ServerEntry): void {
     for (const { view } of this.routers) {
       view.applyEntry(entry);
@@ -278,6 +313,15 @@
     await this.reservation?.release();
   }
 
+  private getEngineOrThrow(address: string): CrashingEngine {
+    for (const engine of this.engines) {
+      if (engine.address === address) {
+        return engine;
+      }
+    }
+    throw new Error(`No engine has the address ${address}.`);
+  }
+
   private async startAgent(engine: CrashingEngine): Promise<void> {
     const controller = new EngineController({
       clock: CLOCK,
