Origins of streams are stored by the order of the listed agents, and moved when these leave

Cause: a router stored the version at three of the agents that it was connected to at that moment and never looked again. Agents that left with the old version's servers, or restarted, took it along; a router that was still connecting stored it and asked elsewhere.

Change: OriginReplicas keeps the origins of a router's last 30 seconds at the first three connected agents of an order over the servers that stay; when one leaves, is lost or restarts, or one comes that ranks before, it gets a copy. The router that asks goes down the order of all listed agents, three at a time, twelve at most, and waits for a connection that is being opened; then it refuses. chooseKeepers served only leaving servers beside it and is folded into notifyLeaving.

Before, on: "goes on at its version after the agents that stored it have left with their engines" and "... after the agents have restarted one after the other" failed with 503 instead of 200.

Older routers ask the first three connected agents of the same order, so they mostly find what newer ones store; agents need nothing new.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -98,6 +98,7 @@
       agentConnections.notifyPartsAnswered([address], { promptParts });
     }
   });
+  const streamOrigins = new StreamOriginClient({ clock, view, agentConnections, log, metrics });
   const callerServer = new CallerServer({
     address: options.callerAddress,
     clock,
@@ -110,7 +111,7 @@
       chooser,
       modelLoader,
       agentConnections,
-      streamOrigins: new StreamOriginClient({ agentConnections, log, metrics }),
+      streamOrigins,
       permits: new RequestPermits({ clock, view, agentConnections, log, metrics }),
       codec,
       crashTracker,
@@ -139,6 +140,7 @@
   agentConnections.onReport(() => modelLoader.scheduleReview());
   await services.start(watcher);
   await services.start(agentConnections);
+  await services.start(streamOrigins);
   await services.start(modelLoader);
   await services.start(new ReadinessServer(options.readinessAddress, isReady));
   await services.start(callerServer);
--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -7,13 +7,14 @@
   applyReportChanges,
   isCompleteReport,
   isEngineCrash,
+  rankForKey,
   type AgentReport,
   type EngineCrash,
   type EngineProfile,
   type FleetView,
   type ServerIncarnation,
 } from './decisions/index.js';
-import { hashToFraction } from './decisions/rendezvous.js';
+import { getEngineEntries } from './engineEntries.js';
 import {
   RESIDENCY_METHODS,
   ROUTING_METHODS,
@@ -31,8 +32,8 @@
 
 /** Interval at which missing connections are dialed, in milliseconds. */
 const DIAL_INTERVAL_MS = 200;
-/** Number of agents that keep what routers must learn of each other, so that the loss of one or two does not matter. */
-const KEEPER_COUNT = 3;
+/** Number of agents that report a leaving server, so that the loss of one or two does not matter. */
+const LEAVING_RECORD_COUNT = 3;
 /**
  * Time after its last message for which an agent counts as in touch, in milliseconds; an idle router receives a report each
  * second.
@@ -74,7 +75,7 @@
 /** Keeps a router connected to the agents of all engines: receives their reports and sends them load requests. */
 export class AgentConnections implements Service {
   private readonly connections = new Map<string, AgentConnection>();
-  private readonly dialling = new Set<string>();
+  private readonly dialling = new Map<string, Promise<void>>();
   /** An agent is notified of its engine's running requests again when it reconnects. */
   private readonly runningUses = new RunningModelUses();
   private readonly dialTask: PeriodicTask;
@@ -123,12 +124,8 @@
 
   /** Opens missing connections and sends agents a new configuration. */
   updateConnections(): void {
-    const { view } = this.deps;
-    for (const entry of view.getEntries()) {
-      const engine = view.configuration?.services.get(entry.serviceId)?.engine;
-      if (engine) {
-        this.ensureConnection(entry.address, engine);
-      }
+    for (const { entry, engine } of getEngineEntries(this.deps.view)) {
+      this.ensureConnection(entry.address, engine);
     }
   }
 
@@ -235,24 +232,30 @@
   }
 
   /**
-   * Returns the addresses of the connected agents' engines in an order that depends on a key and is the same on all
-   * routers.
-   * @param key - The key.
+   * Returns the connection to an agent that offers a method, as far as is known; undefined if it is not connected.
+   * @param address - Address of the agent's engine.
+   * @param method - Name of the method.
    */
-  rankAgents(key: string): string[] {
-    const weights = new Map<string, number>();
-    for (const address of this.connections.keys()) {
-      weights.set(address, hashToFraction(key, address));
-    }
-    return [...weights.keys()].sort((left, right) => (weights.get(right) ?? 0) - (weights.get(left) ?? 0));
+  getConnection(address: string, method: string): PeerConnection | undefined {
+    const agent = this.connections.get(address);
+    return agent?.missingMethods.has(method) === true ? undefined : agent?.connection;
   }
 
   /**
-   * Returns the addresses of the engines of the few connected agents that keep something for all routers.
-   * @param key - Identifies what they keep.
+   * Resolves when no connection to an agent is being opened.
+   * @param address - Address of the agent's engine.
    */
-  chooseKeepers(key: string): string[] {
-    return this.rankAgents(key).slice(0, KEEPER_COUNT);
+  async waitUntilDialled(address: string): Promise<void> {
+    await this.dialling.get(address);
+  }
+
+  /**
+   * Returns the addresses of the connected agents' engines in an order that depends on a key and is the same on all
+   * routers.
+   * @param key - The key.
+   */
+  rankAgents(key: string): string[] {
+    return rankForKey(key, this.connections.keys());
   }
 
   /**
@@ -292,7 +295,7 @@
    * @param server - Incarnation of the server.
    */
   notifyLeaving(server: ServerIncarnation): void {
-    for (const address of this.chooseKeepers(server.serverId)) {
+    for (const address of this.rankAgents(server.serverId).slice(0, LEAVING_RECORD_COUNT)) {
       this.notify(address, RESIDENCY_METHODS.leaving, server);
     }
   }
@@ -327,8 +330,7 @@
     if (agent) {
       this.sendFollow(agent, engine);
     } else if (!this.dialling.has(address)) {
-      this.dialling.add(address);
-      void this.dial(address, engine);
+      this.dialling.set(address, this.dial(address, engine));
     }
   }
 
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -255,6 +255,16 @@
     }
   }
 
+  /**
+   * Whether a listed server is neither leaving nor waiting for a sign of life.
+   * @param entry - Entry of the server.
+   */
+  isStaying(entry: ServerEntry): boolean {
+    return (
+      !entry.isLeaving && !this.unconfirmedSinceMs.has(entry.serverId) && !this.retirements.isLeaving(entry)
+    );
+  }
+
   /**
    * Whether this process itself has followed the servers without a gap since before any stream began that may still be
    * taken up.
@@ -266,13 +276,6 @@
     );
   }
 
-  /** Whether a listed server is neither leaving nor waiting for a sign of life. */
-  protected isStaying(entry: ServerEntry): boolean {
-    return (
-      !entry.isLeaving && !this.unconfirmedSinceMs.has(entry.serverId) && !this.retirements.isLeaving(entry)
-    );
-  }
-
   /** Records that servers may have come and gone unseen until now. */
   private recordGap(nowMs: number): void {
     if (this.followedSinceMs !== undefined) {
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -8,6 +8,8 @@
 export * from './ByteBudget.js';
 export * from './SharedRetryBudget.js';
 export * from './StoreEras.js';
+export * from './OriginReplicas.js';
+export { rankForKey } from './rendezvous.js';
 export * from './StreamOrigins.js';
 export * from './watchTimes.js';
 export * from './ServerRetirements.js';
--- a/src/direct/decisions/rendezvous.ts
+++ b/src/direct/decisions/rendezvous.ts
@@ -12,6 +12,20 @@
   return murmurhash.v3(`${key}|${candidate}`) / HASH_RANGE;
 }
 
+/**
+ * Orders candidates by their hashes with a key, the same way in every process. The order of two candidates does not depend on
+ * the others.
+ * @param key - Key to assign.
+ * @param candidates - Candidates that the key may be assigned to.
+ */
+export function rankForKey(key: string, candidates: Iterable<string>): string[] {
+  const weights = new Map<string, number>();
+  for (const candidate of candidates) {
+    weights.set(candidate, hashToFraction(key, candidate));
+  }
+  return [...weights.keys()].sort((left, right) => (weights.get(right) ?? 0) - (weights.get(left) ?? 0));
+}
+
 /** Item with an id and the data centre that it runs in. */
 interface RankableItem {
   readonly id: string;
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -64,6 +64,7 @@
   private router: CallerServer | undefined;
   private modelLoader: ModelLoader | undefined;
   private agentConnections: AgentConnections | undefined;
+  private streamOrigins: StreamOriginClient | undefined;
   private port = 0;
 
   /**
@@ -131,6 +132,7 @@
     const dialer = new PeerDialer('test', PEER_SECRET, CLOCK, new TrafficMeter());
     const peerPort = this.agentPort ?? 1;
     const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort, log });
+    const streamOrigins = new StreamOriginClient({ clock: CLOCK, view, agentConnections, log, metrics });
     const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
     const modelLoader = new ModelLoader({ clock: CLOCK, view, chooser, agentConnections, log });
     const retryBudget = new SharedRetryBudget(() => this.retryLimits);
@@ -148,6 +150,8 @@
       this.agentConnections = agentConnections;
       dialer.exposeMethods(agentConnections.getMethods());
       await agentConnections.start();
+      this.streamOrigins = streamOrigins;
+      await streamOrigins.start();
     }
     this.router = new CallerServer({
       address: { host: '127.0.0.1', port: 0 },
@@ -161,7 +165,7 @@
         chooser,
         modelLoader,
         agentConnections,
-        streamOrigins: new StreamOriginClient({ agentConnections, log, metrics }),
+        streamOrigins,
         permits: new RequestPermits({ clock: CLOCK, view, agentConnections, log, metrics }),
         codec,
         crashTracker,
@@ -238,6 +242,7 @@
 
   async close(): Promise<void> {
     await this.modelLoader?.stop();
+    await this.streamOrigins?.stop();
     await this.agentConnections?.stop();
     await Promise.race([this.router?.stop(), delay(CLOCK, 10)]);
     for (const server of this.servers) {
--- a/test/direct/rejoinedStreams.test.ts
+++ b/test/direct/rejoinedStreams.test.ts
@@ -50,23 +50,40 @@
         return routers[index % routers.length]?.sendRequest('/drafts/x', headers);
       }),
     );
-    return requestIds.map((requestId) => ({ requestId, softwareVersion: getVersions(requestId)[0] }));
+    return requestIds.map((requestId) => ({
+      requestId,
+      softwareVersion: getVersions(requestId)[0],
+    }));
   }
 
   async function takeUp(router: RouterBench | undefined, { requestId }: BegunStream): Promise<TakenUp> {
     const returnId = `r${++requestCount}`;
     const sentAtMs = CLOCK.nowMs();
-    const headers = { model: 'a', 'request-id': returnId, resumes: requestId, 'last-event-id': '2' };
+    const headers = {
+      model: 'a',
+      'request-id': returnId,
+      resumes: requestId,
+      'last-event-id': '2',
+    };
     const response = await router?.sendRequest('/drafts/x', headers);
     const tookMs = CLOCK.nowMs() - sentAtMs;
-    return { status: response?.status ?? 0, tookMs, versions: getVersions(returnId) };
+    return {
+      status: response?.status ?? 0,
+      tookMs,
+      versions: getVersions(returnId),
+    };
   }
 
   async function takeAllUp(
     begun: readonly BegunStream[],
   ): Promise<{ stream: BegunStream; taken: TakenUp }[]> {
     const router = fleet.routers.at(-1);
-    return Promise.all(begun.map(async (stream) => ({ stream, taken: await takeUp(router, stream) })));
+    return Promise.all(
+      begun.map(async (stream) => ({
+        stream,
+        taken: await takeUp(router, stream),
+      })),
+    );
   }
 
   function hasVersion(softwareVersion: string): (stream: BegunStream) => boolean {
@@ -82,6 +99,12 @@
     }
   }
 
+  async function expectSameVersion(begun: readonly BegunStream[]): Promise<void> {
+    for (const { stream, taken } of await takeAllUp(begun)) {
+      expect([taken.status, taken.versions]).to.deep.equal([200, [stream.softwareVersion]]);
+    }
+  }
+
   for (const afterMs of RETURNS_AFTER_MS) {
     // Issue 30, ORDER: a router that had just started took the only version that was left for the one that began the stream.
     it(`is not joined from two versions when the old one has left, ${afterMs} ms after the start`, async () => {
@@ -96,6 +119,16 @@
       await expectNoOtherVersion(begun);
     });
 
+    // Issue 30, service: routers that restart must not refuse what the agents know.
+    it(`goes on at its version while both are in service, ${afterMs} ms after the start`, async () => {
+      await fleet.start(6, 2, ['v1', 'v1.1']);
+      const begun = await begin();
+      await fleet.stopRouters();
+      await fleet.startRouter();
+      await delay(CLOCK, afterMs);
+      await expectSameVersion(begun);
+    });
+
     // Issue 30, ORDER: an agent without memory is no sign that the stream began at another version.
     it(`is not joined from two versions when all agents have restarted, ${afterMs} ms after the start`, async () => {
       await fleet.start(6, 2, ['v1', 'v1.1']);
@@ -111,4 +144,32 @@
       await expectNoOtherVersion(begun);
     });
   }
+
+  // Issue 30, service: the version was stored at agents that left, although servers of it stayed.
+  it('goes on at its version after the agents that stored it have left with their engines', async () => {
+    await fleet.start(6, 2, ['v1', 'v1', 'v1', 'v1', 'v1', 'v1.1']);
+    const begun = await begin();
+    const leavingAddresses = fleet.engineAddresses.slice(0, 4);
+    for (const address of leavingAddresses) {
+      fleet.drainEngine(address);
+    }
+    await delay(CLOCK, 500);
+    await fleet.stopRouters();
+    await Promise.all(leavingAddresses.map((address) => fleet.removeEngine(address)));
+    await fleet.startRouter();
+    await expectSameVersion(begun);
+  });
+
+  // Issue 30, service: an agent that restarts is told again what it stored.
+  it('goes on at its version after the agents have restarted one after the other', async () => {
+    await fleet.start(6, 2, ['v1', 'v1.1']);
+    const begun = await begin();
+    for (const address of fleet.engineAddresses) {
+      await fleet.restartAgent(address);
+      await delay(CLOCK, 900);
+    }
+    await fleet.stopRouters();
+    await fleet.startRouter();
+    await expectSameVersion(begun);
+  });
 });
