A server that starts again with other software leaves its earlier version on record

Cause: versions were recorded when an entry is removed, not when a change replaces it in place, as of a server that starts again under its ID. The only version was then the new one at once.

A complete list needs nothing: the only version is not known for two minutes after it.

Before: "is not known for as long as a stream lasts after a server started again with other software" failed ('v1.1' instead of undefined). After: passes. The two tests beside it guard the gaps of through the watcher and passed before this change.

--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -96,6 +96,15 @@
     this.storeEntry(entry);
   }
 
+  /**
+   * Records the version of a server that is gone or has started again with other software.
+   * @param earlier - Entry of its earlier process.
+   * @param nowMs - Current time.
+   */
+  recordEarlierVersion({ serviceId, softwareVersion }: ServerEntry, nowMs: number): void {
+    this.goneVersions.record(serviceId, softwareVersion, nowMs);
+  }
+
   /**
    * Records that a server has stated that it is leaving; returns false if that was known.
    * @param server - Incarnation of the server.
@@ -305,8 +314,8 @@
   }
 
   private deleteEntry(entry: ServerEntry, nowMs: number): void {
-    const { serverId, serviceId, softwareVersion } = entry;
-    this.goneVersions.record(serviceId, softwareVersion, nowMs);
+    const { serverId } = entry;
+    this.recordEarlierVersion(entry, nowMs);
     this.entries.delete(serverId);
     this.graceEndsAtMsByServer.delete(serverId);
     this.unconfirmedSinceMs.delete(serverId);
