A router that starts takes no retries from the slack for one window

A router that starts again forgot the retries of its earlier process and took its share of the slack once more; and until agents report how many routers there are it counts one, so that each of several routers that start together took the whole slack. The rule is BUDGET.

Change: the budget of a router holds only its own requests' share until one window has passed since its start. Requests of the earlier process paid for retries of that process, so the sum over all processes keeps to the limits.

The other callers of the constructor state that their router has run for long, as they did before.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -81,9 +81,11 @@
     metrics,
     getUpdateLimitMs: options.getUpdateLimitMs,
   });
+  const startedAtMs = clock.nowMs();
   const retryBudgets = new Map<ServiceId, SharedRetryBudget>();
   const getRetryBudget = (serviceId: ServiceId) => {
-    const retryBudget = retryBudgets.get(serviceId) ?? new SharedRetryBudget(options.getRetryLimits);
+    const retryBudget =
+      retryBudgets.get(serviceId) ?? new SharedRetryBudget(options.getRetryLimits, startedAtMs);
     retryBudgets.set(serviceId, retryBudget);
     return retryBudget;
   };
--- a/src/direct/decisions/SharedRetryBudget.ts
+++ b/src/direct/decisions/SharedRetryBudget.ts
@@ -18,8 +18,14 @@
   private readonly retryCounts = new Array<number>(BUCKET_COUNT).fill(0);
   private bucket = 0;
 
-  /** @param getLimits - Returns the limits for all routers together. */
-  constructor(private readonly getLimits: () => RetryLimits) {}
+  /**
+   * @param getLimits - Returns the limits for all routers together.
+   * @param startedAtMs - When this router started to record its retries; it does not know of those before.
+   */
+  constructor(
+    private readonly getLimits: () => RetryLimits,
+    private readonly startedAtMs: number,
+  ) {}
 
   /**
    * Records a request to the service.
@@ -37,9 +43,10 @@
    */
   isLeft(nowMs: number, routerCount: number): boolean {
     this.advance(nowMs);
-    const { ratio, slack } = this.getLimits();
-    const allowedRetries =
-      USABLE_SHARE * (ratio * sum(this.requestCounts) + slack / Math.max(1, routerCount));
+    const { ratio, slack, windowMs } = this.getLimits();
+    // An earlier process of this router may have used its share of the slack.
+    const slackShare = nowMs - this.startedAtMs < windowMs ? 0 : slack / Math.max(1, routerCount);
+    const allowedRetries = USABLE_SHARE * (ratio * sum(this.requestCounts) + slackShare);
     return sum(this.retryCounts) + 1 <= allowedRetries;
   }
 
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -135,7 +135,7 @@
     const streamOrigins = new StreamOriginClient({ clock: CLOCK, view, agentConnections, log, metrics });
     const chooser = new ServerChooser(view, toDataCentreId('here'), () => 0);
     const modelLoader = new ModelLoader({ clock: CLOCK, view, chooser, agentConnections, log });
-    const retryBudget = new SharedRetryBudget(() => this.retryLimits);
+    const retryBudget = new SharedRetryBudget(() => this.retryLimits, -Infinity);
     const crashTracker = new CrashTracker();
     const partSuspects = new PromptPartSuspects();
     agentConnections.onEngineCrashes((address, crashes) => {
--- a/test/direct/decisions/SharedRetryBudget.test.ts
+++ b/test/direct/decisions/SharedRetryBudget.test.ts
@@ -15,7 +15,7 @@
 describe('SharedRetryBudget', () => {
   describe('tryTake', () => {
     it('keeps the retries of all routers together within the limits', () => {
-      const routers = Array.from({ length: 5 }, () => new SharedRetryBudget(() => LIMITS));
+      const routers = Array.from({ length: 5 }, () => new SharedRetryBudget(() => LIMITS, -Infinity));
       let granted = 0;
       for (const router of routers) {
         for (let request = 0; request < 100; request++) {
@@ -26,8 +26,31 @@
       expect(granted).to.be.within(1, LIMITS.ratio * 500 + LIMITS.slack);
     });
 
+    // Issue 30, BUDGET: a router that starts again took its share of the slack anew, and the whole slack while it knew no
+    // other router.
+    it('keeps the retries of all routers within the limits when they start again in the window', () => {
+      let granted = 0;
+      for (const startedAtMs of [-Infinity, 3_000, 6_000]) {
+        const nowMs = Math.max(1_000, startedAtMs + 500);
+        for (let router = 0; router < 5; router++) {
+          const budget = new SharedRetryBudget(() => LIMITS, startedAtMs);
+          for (let request = 0; request < 20; request++) {
+            budget.recordRequest(nowMs);
+          }
+          granted += countGranted(budget, nowMs, startedAtMs === -Infinity ? 5 : 1);
+        }
+      }
+      expect(granted).to.be.within(1, LIMITS.ratio * 300 + LIMITS.slack);
+    });
+
+    it('grants the slack again one window after the start', () => {
+      const budget = new SharedRetryBudget(() => LIMITS, 1_000);
+      expect(countGranted(budget, 10_999, 5)).to.equal(0);
+      expect(countGranted(budget, 11_000, 5)).to.be.greaterThan(0);
+    });
+
     it('counts only the requests and retries in the window', () => {
-      const budget = new SharedRetryBudget(() => LIMITS);
+      const budget = new SharedRetryBudget(() => LIMITS, -Infinity);
       const first = countGranted(budget, 1_000, 1);
       expect(countGranted(budget, 9_000, 1)).to.equal(0);
       expect(countGranted(budget, 12_000, 1)).to.equal(first);
--- a/test/direct/decisions/bounds.fuzz.test.ts
+++ b/test/direct/decisions/bounds.fuzz.test.ts
@@ -82,12 +82,12 @@
 
 describe('SharedRetryBudget under random load', () => {
   it('keeps five routers within the retry limits in every window', () => {
-    checkRetryBudget(() => new SharedRetryBudget(() => LIMITS));
+    checkRetryBudget(() => new SharedRetryBudget(() => LIMITS, -Infinity));
   });
 
   for (const Broken of [FullSlackPerRouter, CountsRetriesAsRequests]) {
     it(`detects the fault of ${Broken.name}`, () => {
-      expect(() => checkRetryBudget(() => new Broken(() => LIMITS))).to.throw();
+      expect(() => checkRetryBudget(() => new Broken(() => LIMITS, -Infinity))).to.throw();
     });
   }
 });
