A router that knows no number of routers does not use the whole limit of a server

A router without a connected agent uses its equal share of a server's limit. Before the first report it counted itself alone, and so did each of several routers that started together; and the last known number was lost if nothing had asked for it while the reports were there.

Change: the number is undefined before the first report; until then a router tries a limited server only now and then, as one that accepts none. Where no engine is listed there are no agents to learn it from, and the whole limit is used as before. The last number is kept when a report is discarded.

--- a/src/direct/RequestPermits.ts
+++ b/src/direct/RequestPermits.ts
@@ -9,6 +9,7 @@
   type PermitDecision,
   type ServerEntry,
 } from './decisions/index.js';
+import { getEngineEntries } from './engineEntries.js';
 import { PERMIT_METHODS, type TakePermitParams } from './messages.js';
 
 /** Timeout of a request for a permit, in milliseconds; an agent answers within a few milliseconds. */
@@ -29,7 +30,8 @@
 /**
  * Obtains permits for requests to servers that limit the requests of all routers together. The agent beside the server
  * issues them; in its place, the first connected one in an order that is the same on all routers. A router that is
- * connected to no agent keeps to an equal share of the limit.
+ * connected to no agent keeps to an equal share of the limit, and only tries the server now and then before it knows how many
+ * routers there are.
  */
 export class RequestPermits {
   /** Permits of this router's share, used without an agent. */
@@ -109,6 +111,9 @@
     maxWaitMs: number,
   ): PermitDecision {
     const { clock, view } = this.deps;
-    return this.shares.take(serverId, maxRequestsPerSecond / view.routerCount, maxWaitMs, clock.nowMs());
+    // Until an agent has reported the number of routers, any number of them may have started together.
+    const isShareKnown = view.knownRouterCount !== undefined || getEngineEntries(view).next().done === true;
+    const share = isShareKnown ? maxRequestsPerSecond / view.routerCount : 0;
+    return this.shares.take(serverId, share, maxWaitMs, clock.nowMs());
   }
 }
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -39,7 +39,7 @@
   private readonly crashReporters = new Set<string>();
   /** Cached number of routers; undefined after a report has changed it. */
   private cachedRouterCount: number | undefined;
-  private lastRouterCount = 1;
+  private lastRouterCount: number | undefined;
   /** Time until which a model counts as not loaded on a server, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
   private currentConfiguration: ServingConfiguration | undefined;
@@ -115,6 +115,7 @@
    * @param address - Host and port of its engine.
    */
   discardReport(address: string): void {
+    this.lastRouterCount = this.knownRouterCount;
     this.reports.delete(address);
     this.crashReporters.delete(address);
     this.cachedRouterCount = undefined;
@@ -207,20 +208,24 @@
     return shortestMs;
   }
 
+  /** Number of routers as far as is known, 1 before the first report. */
+  get routerCount(): number {
+    return this.knownRouterCount ?? 1;
+  }
+
   /**
    * Number of routers, as the largest number of connected routers that an agent reports; the last known number if no agent
-   * is connected, 1 before the first report.
+   * is connected, undefined before the first report.
    */
-  get routerCount(): number {
-    if (this.cachedRouterCount === undefined) {
-      let count = this.reports.size === 0 ? this.lastRouterCount : 1;
+  get knownRouterCount(): number | undefined {
+    if (this.reports.size > 0 && this.cachedRouterCount === undefined) {
+      let count = 1;
       for (const { report } of this.reports.values()) {
         count = Math.max(count, report.routerCount);
       }
       this.cachedRouterCount = count;
-      this.lastRouterCount = count;
     }
-    return this.cachedRouterCount;
+    return this.cachedRouterCount ?? this.lastRouterCount;
   }
 
   /**
