A router waits its whole time for an origin also where there are few agents

Found by the tests of: "goes on at its version after the agents that stored it have left with their engines" got 503 once in a run of three files at high load.

Cause: after the last group of agents was asked, the search ended 100 ms later instead of 400 ms after its begin. With up to three agents it lasted 100 ms, less than the 200 ms before, so a router that was still connecting refused streams that an agent knew.

Change: the last wait lasts until the end of the time; it still ends at once when all agents have answered that they do not know the stream.

Before: six of twelve tests of StreamOriginClient.test.ts failed (undefined instead of v1 after 250 ms, and an end too early with silent agents: 100 ms instead of 400 ms with 1 and 2). After: all pass; rejoinedStreams.test.ts passes in five of five runs, and the test above in twelve of twelve. That the 503 of the failed run came from this is likely; its log was not kept.

--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -20,7 +20,7 @@
 const MAX_ASKED_COUNT = 12;
 /** Time after which the next agents are asked too, in milliseconds; an agent answers within a few milliseconds. */
 const NEXT_AGENTS_MS = 100;
-/** Timeout of the question to an agent, in milliseconds. */
+/** Time in which an agent must have answered, in milliseconds; the connection to it may still have to be opened. */
 const FIND_TIMEOUT_MS = 400;
 
 /** Dependencies of {@link StreamOriginClient}. */
@@ -110,8 +110,10 @@
    * and those that are still being connected are among them, since the order must not depend on this router's state.
    */
   private async askAgents(requestId: string, asked: string[]): Promise<string | undefined> {
+    const { clock, view } = this.deps;
+    const untilMs = clock.nowMs() + FIND_TIMEOUT_MS;
     const listed = new Set<string>();
-    for (const { entry } of getEngineEntries(this.deps.view)) {
+    for (const { entry } of getEngineEntries(view)) {
       listed.add(entry.address);
     }
     const ranked = rankForKey(requestId, listed).slice(0, MAX_ASKED_COUNT);
@@ -121,9 +123,10 @@
         asked.push(address);
         answers.push(this.ask(address, requestId));
       }
+      const isLast = asked.length === ranked.length;
       const softwareVersion = await Promise.race([
         Promise.any(answers).catch(() => undefined),
-        delay(this.deps.clock, NEXT_AGENTS_MS),
+        delay(clock, isLast ? untilMs - clock.nowMs() : NEXT_AGENTS_MS),
       ]);
       if (softwareVersion !== undefined) {
         return softwareVersion;
