A router infers no version of a stream from the listed servers

Cause: allowed the inference to a router that has followed the list without a gap, but the list lags: a server of another version may have begun the stream before the list shows it, the more so while a watch is silent or the process stood still.

Change: nobody's knowledge but a record of the stream counts. getOnlyVersion, GoneVersions, the gaps of the view and their log line go, with the tests of that guarded them. The test in their place is stricter: no list makes a stream's version known.

--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -244,9 +244,6 @@
       case 'present': {
         const before = view.getEntry(change.entry.serverId);
         view.applyEntry(change.entry);
-        if (before && before.softwareVersion !== change.entry.softwareVersion) {
-          view.recordEarlierVersion(before, nowMs);
-        }
         if (before?.isLeaving !== change.entry.isLeaving) {
           log.info(change.entry.isLeaving ? 'server leaving' : 'server ready', {
             serverId: change.entry.serverId,
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -224,8 +224,8 @@
   }
 
   /**
-   * Determines the software version of a stream that the caller takes up; returns false if it is not known. If the servers
-   * have had one version only for as long as a stream lasts, the stream began there.
+   * Determines the software version of a stream that the caller takes up; returns false if nobody knows it. The versions of
+   * the listed servers tell nothing, as the list may lag behind and shows no server that has left.
    */
   private async ensureOrigin(): Promise<boolean> {
     const isBound = this.search.softwareVersion !== undefined;
@@ -233,9 +233,8 @@
       return true;
     }
     const { resumedRequestId } = this.request.headers;
-    const foundVersion =
+    const softwareVersion =
       resumedRequestId === undefined ? undefined : await this.deps.streamOrigins.find(resumedRequestId);
-    const softwareVersion = foundVersion ?? this.inferVersion();
     if (softwareVersion === undefined) {
       return false;
     }
@@ -243,20 +242,6 @@
     return true;
   }
 
-  /** Returns the version of a stream whose origin nobody knows, from the versions of the servers; undefined if it is open. */
-  private inferVersion(): string | undefined {
-    const { view, clock, log, metrics } = this.deps;
-    const { headers, serviceId } = this.request;
-    const softwareVersion = view.getOnlyVersion(serviceId, clock.nowMs());
-    metrics.count(softwareVersion === undefined ? 'stream_versions_unknown' : 'stream_versions_inferred');
-    log.decision('version of a stream inferred', {
-      requestId: headers.requestId,
-      resumedRequestId: headers.resumedRequestId ?? '',
-      softwareVersion: softwareVersion ?? '',
-    });
-    return softwareVersion;
-  }
-
   private bindTo(softwareVersion: string | undefined): void {
     const { headers } = this.request;
     this.search.requireVersion(softwareVersion ?? UNKNOWN_VERSION);
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -165,23 +165,6 @@
     return false;
   }
 
-  /**
-   * Returns the only software version that the servers of a service have had for as long as a stream lasts; undefined if
-   * there are several, one is not known, or this process has not followed the servers all that time.
-   * @param serviceId - The service.
-   * @param nowMs - Current time.
-   */
-  getOnlyVersion(serviceId: ServiceId, nowMs: number): string | undefined {
-    const versions = new Set(this.goneVersions.get(serviceId, nowMs));
-    for (const entry of this.getEntries()) {
-      if (entry.serviceId === serviceId) {
-        versions.add(this.getSoftwareVersion(entry));
-      }
-    }
-    const [only] = versions;
-    return versions.size === 1 && this.hasFollowedAllStreams(nowMs) ? only : undefined;
-  }
-
   /**
    * Returns the shortest remaining hold among servers that hold a model, or among all servers of a service without
    * models, in milliseconds; undefined if none of them is on hold.
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -1,7 +1,6 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
 import { rankByHash } from './rendezvous.js';
 import type { ServerEntry } from './ServerEntry.js';
-import { GoneVersions, MAX_STREAM_LIFETIME_MS } from './GoneVersions.js';
 import { ServerHolds } from './ServerHolds.js';
 import { ServerRateLimits } from './ServerRateLimits.js';
 import { ServerRetirements, type ServerIncarnation } from './ServerRetirements.js';
@@ -28,21 +27,19 @@
   private readonly retirements = new ServerRetirements();
   private readonly holds = new ServerHolds();
   private readonly rateLimits = new ServerRateLimits();
-  protected readonly goneVersions = new GoneVersions();
   /** Servers that only the list of a restored store shows although they were removed before, and since when. */
   private readonly unconfirmedSinceMs = new Map<ServerId, number>();
   /** Cached ranks of the servers; undefined after the list has changed. */
   private ranks: Map<string, number> | undefined;
   /** Numbers of staying servers by service, computed with the ranks. */
   private readonly stayingCounts = new Map<ServiceId, number>();
-  /** Since when no server can have come and gone unseen; undefined before the first list. */
-  private followedSinceMs: number | undefined;
+  private hasServerList = false;
   private storeUnavailableSinceMs: number | undefined;
   private storeRecoveredAtMs = -Infinity;
 
   /** Whether a complete list was applied. */
   get hasList(): boolean {
-    return this.followedSinceMs !== undefined;
+    return this.hasServerList;
   }
 
   /**
@@ -51,7 +48,7 @@
    * @param nowMs - Current time.
    */
   applyList(entries: readonly ServerEntry[], nowMs: number): void {
-    this.followedSinceMs = nowMs;
+    this.hasServerList = true;
     const listedIds = new Set<ServerId>();
     for (const entry of entries) {
       listedIds.add(entry.serverId);
@@ -96,15 +93,6 @@
     this.storeEntry(entry);
   }
 
-  /**
-   * Records the version of a server that is gone or has started again with other software.
-   * @param earlier - Entry of its earlier process.
-   * @param nowMs - Current time.
-   */
-  recordEarlierVersion({ serviceId, softwareVersion }: ServerEntry, nowMs: number): void {
-    this.goneVersions.record(serviceId, softwareVersion, nowMs);
-  }
-
   /**
    * Records that a server has stated that it is leaving; returns false if that was known.
    * @param server - Incarnation of the server.
@@ -150,12 +138,11 @@
   removeEntry(serverId: ServerId, nowMs: number): void {
     const entry = this.entries.get(serverId);
     if (!entry) {
-      this.recordGap(nowMs);
       return;
     }
     const graceEndsAtMs = this.storeRecoveredAtMs + EXPIRY_GRACE_MS;
     if (nowMs >= graceEndsAtMs || entry.isLeaving) {
-      this.deleteEntry(entry, nowMs);
+      this.deleteEntry(entry);
       return;
     }
     if (!this.graceEndsAtMsByServer.has(serverId)) {
@@ -173,7 +160,6 @@
     if (this.storeUnavailableSinceMs !== undefined) {
       this.storeUnavailableSinceMs = undefined;
       this.storeRecoveredAtMs = nowMs;
-      this.recordGap(nowMs);
     }
   }
 
@@ -188,7 +174,7 @@
       if (nowMs >= untilMs) {
         const entry = this.entries.get(serverId);
         if (entry) {
-          this.deleteEntry(entry, nowMs);
+          this.deleteEntry(entry);
         }
         removedIds.push(serverId);
       }
@@ -274,24 +260,6 @@
     );
   }
 
-  /**
-   * Whether this process itself has followed the servers without a gap since before any stream began that may still be
-   * taken up.
-   */
-  protected hasFollowedAllStreams(nowMs: number): boolean {
-    return (
-      this.storeUnavailableSinceMs === undefined &&
-      nowMs - (this.followedSinceMs ?? nowMs) >= MAX_STREAM_LIFETIME_MS
-    );
-  }
-
-  /** Records that servers may have come and gone unseen until now. */
-  private recordGap(nowMs: number): void {
-    if (this.followedSinceMs !== undefined) {
-      this.followedSinceMs = nowMs;
-    }
-  }
-
   private confirmStillListed(nowMs: number): void {
     if (this.storeUnavailableSinceMs !== undefined) {
       return;
@@ -313,9 +281,8 @@
     this.ranks = undefined;
   }
 
-  private deleteEntry(entry: ServerEntry, nowMs: number): void {
+  private deleteEntry(entry: ServerEntry): void {
     const { serverId } = entry;
-    this.recordEarlierVersion(entry, nowMs);
     this.entries.delete(serverId);
     this.graceEndsAtMsByServer.delete(serverId);
     this.unconfirmedSinceMs.delete(serverId);
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -13,7 +13,6 @@
 export * from './StreamOrigins.js';
 export * from './watchTimes.js';
 export * from './ServerRetirements.js';
-export * from './GoneVersions.js';
 export * from './ServerHolds.js';
 export * from './ServerRateLimits.js';
 export * from './PermitBuckets.js';
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -184,61 +184,6 @@
       expect(bench.readyServerIds).to.deep.equal(['xx']);
     });
 
-    describe('and the only software version of a service', () => {
-      const STREAM_LIFETIME_MS = 120_000;
-      const ONE: ServerListing = { ...LISTED, entries: [makeEntry('x')] };
-      const CHANGED_X: ServerChanges = {
-        kind: 'changed',
-        changes: [{ kind: 'present', entry: makeEntry('x', { softwareVersion: 'v1.1', bornAtMs: 2 }) }],
-        era: 1,
-        revision: 8,
-      };
-
-      /** Follows one server for longer than a stream lasts. */
-      async function follow(): Promise<WatcherBench> {
-        const bench = new WatcherBench();
-        await bench.resolveCall('list servers', ONE);
-        bench.clock.advance(STREAM_LIFETIME_MS);
-        expect(getOnlyVersion(bench)).to.equal('v1');
-        return bench;
-      }
-
-      function getOnlyVersion({ view, clock }: WatcherBench): string | undefined {
-        return view.getOnlyVersion(ENGINES, clock.nowMs());
-      }
-
-      function expectKnownLater(bench: WatcherBench, softwareVersion: string): void {
-        bench.clock.advance(STREAM_LIFETIME_MS - 1);
-        expect(getOnlyVersion(bench)).to.equal(undefined);
-        bench.clock.advance(1);
-        expect(getOnlyVersion(bench)).to.equal(softwareVersion);
-      }
-
-      // Issue 30, ORDER: an entry that was replaced in place hid the version that the server had before.
-      it('is not known for as long as a stream lasts after a server started again with other software', async () => {
-        const bench = await follow();
-        await bench.resolveCall('watch servers', CHANGED_X);
-        expectKnownLater(bench, 'v1.1');
-      });
-
-      // Issue 30, ORDER: servers of another version may have come and gone meanwhile.
-      it('is not known for as long as a stream lasts after the history was gone', async () => {
-        const bench = await follow();
-        await bench.resolveCall('watch servers', { kind: 'historyGone' });
-        await bench.resolveCall('list servers', { ...ONE, revision: 40 });
-        expectKnownLater(bench, 'v1');
-      });
-
-      it('is not known for as long as a stream lasts after the store was unreachable', async () => {
-        const bench = await follow();
-        await bench.resolveCall('watch servers', DOWN);
-        await bench.advance(120);
-        expect(getOnlyVersion(bench)).to.equal(undefined);
-        await bench.resolveCall('watch servers', { kind: 'changed', changes: [], era: 1, revision: 7 });
-        expectKnownLater(bench, 'v1');
-      });
-    });
-
     it('keeps the view while the store is unreachable and continues from the same revision', async () => {
       const bench = new WatcherBench();
       await bench.resolveCall('list servers', LISTED);
--- a/test/direct/decisions/FleetView.test.ts
+++ b/test/direct/decisions/FleetView.test.ts
@@ -174,55 +174,6 @@
     });
   });
 
-  describe('getOnlyVersion', () => {
-    const STREAM_LIFETIME_MS = 120_000;
-
-    function makeView(): FleetView {
-      const view = new FleetView();
-      view.applyList([makeEntry('x')], 0);
-      return view;
-    }
-
-    // Issue 30, ORDER: a router that had just started took the version of the servers that were left for the only one.
-    it('is known once the servers were followed for longer than a stream lasts', () => {
-      const view = makeView();
-      expect(view.getOnlyVersion(ENGINES, STREAM_LIFETIME_MS - 1)).to.equal(undefined);
-      expect(view.getOnlyVersion(ENGINES, STREAM_LIFETIME_MS)).to.equal('v1');
-    });
-
-    it('is not known before the first list', () => {
-      const view = new FleetView();
-      view.applyEntry(makeEntry('x'));
-      expect(view.getOnlyVersion(ENGINES, STREAM_LIFETIME_MS)).to.equal(undefined);
-    });
-
-    it('is not known while the store does not respond', () => {
-      const view = makeView();
-      view.markStoreUnavailable(STREAM_LIFETIME_MS);
-      expect(view.getOnlyVersion(ENGINES, 2 * STREAM_LIFETIME_MS)).to.equal(undefined);
-    });
-
-    const gaps: Record<string, (view: FleetView, nowMs: number) => void> = {
-      'an outage of the store': (view, nowMs) => {
-        view.markStoreUnavailable(nowMs - 1);
-        view.markStoreAvailable(nowMs);
-      },
-      'a new list after the history was lost': (view, nowMs) => view.applyList([makeEntry('x')], nowMs),
-      'the list of a restored store': (view, nowMs) => view.applyRestoredList([makeEntry('x')], nowMs),
-      'the end of a server that it never saw': (view, nowMs) => view.removeEntry(toServerId('other'), nowMs),
-    };
-    for (const [gap, interrupt] of Object.entries(gaps)) {
-      // Issue 30, ORDER: servers of another version may have come and gone meanwhile.
-      it(`is not known for as long as a stream lasts after ${gap}`, () => {
-        const view = makeView();
-        const nowMs = 2 * STREAM_LIFETIME_MS;
-        interrupt(view, nowMs);
-        expect(view.getOnlyVersion(ENGINES, nowMs + STREAM_LIFETIME_MS - 1)).to.equal(undefined);
-        expect(view.getOnlyVersion(ENGINES, nowMs + STREAM_LIFETIME_MS)).to.equal('v1');
-      });
-    }
-  });
-
   describe('getReadyServers', () => {
     it('skips leaving servers', () => {
       const view = new FleetView();
--- a/test/direct/rejoinedStreams.test.ts
+++ b/test/direct/rejoinedStreams.test.ts
@@ -145,6 +145,19 @@
     });
   }
 
+  // Issue 30, ORDER: a router with a list of one version for minutes inferred it while the list lagged behind.
+  it('is refused at once if nobody knows its version, although only one has been listed for minutes', async () => {
+    await fleet.start(2, 1, ['v1']);
+    const router = await fleet.addRouter();
+    router.view.applyList([...router.view.getEntries()], CLOCK.nowMs() - 600_000);
+    const { status, tookMs, versions } = await takeUp(router, {
+      requestId: 'other',
+      softwareVersion: 'v1.1',
+    });
+    expect([status, versions]).to.deep.equal([503, []]);
+    expect(tookMs).to.be.lessThan(REFUSAL_LIMIT_MS);
+  });
+
   // Issue 30, service: the version was stored at agents that left, although servers of it stayed.
   it('goes on at its version after the agents that stored it have left with their engines', async () => {
     await fleet.start(6, 2, ['v1', 'v1', 'v1', 'v1', 'v1', 'v1.1']);
