--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -81,9 +81,11 @@
     metrics,
     getUpdateLimitMs: options.getUpdateLimitMs,
   });
+  const startedAtMs = clock.nowMs();
   const retryBudgets = new Map<ServiceId, SharedRetryBudget>();
   const getRetryBudget = (serviceId: ServiceId) => {
-    const retryBudget = retryBudgets.get(serviceId) ?? new SharedRetryBudget(options.getRetryLimits);
+    const retryBudget =
+      retryBudgets.get(serviceId) ?? new SharedRetryBudget(options.getRetryLimits, startedAtMs);
     retryBudgets.set(serviceId, retryBudget);
     return retryBudget;
   };
@@ -98,6 +100,7 @@
       agentConnections.notifyPartsAnswered([address], { promptParts });
     }
   });
+  const streamOrigins = new StreamOriginClient({ clock, view, agentConnections, log, metrics });
   const callerServer = new CallerServer({
     address: options.callerAddress,
     clock,
@@ -110,7 +113,7 @@
       chooser,
       modelLoader,
       agentConnections,
-      streamOrigins: new StreamOriginClient({ agentConnections, log, metrics }),
+      streamOrigins,
       permits: new RequestPermits({ clock, view, agentConnections, log, metrics }),
       codec,
       crashTracker,
@@ -139,6 +142,7 @@
   agentConnections.onReport(() => modelLoader.scheduleReview());
   await services.start(watcher);
   await services.start(agentConnections);
+  await services.start(streamOrigins);
   await services.start(modelLoader);
   await services.start(new ReadinessServer(options.readinessAddress, isReady));
   await services.start(callerServer);
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -256,20 +256,17 @@
   }
 
   /**
-   * Determines the software version of a stream that the caller takes up; returns false if it is not known. While the
-   * servers have one version only, the stream is taken to have begun there.
+   * Determines the software version of a stream that the caller takes up; returns false if nobody knows it. The versions of
+   * the listed servers tell nothing, as the list may lag behind and shows no server that has left.
    */
   private async ensureOrigin(): Promise<boolean> {
     const isBound = this.search.softwareVersion !== undefined;
     if (isBound || !this.isTakenUp || this.request.route.kind !== 'stream') {
       return true;
     }
-    const { streamOrigins, view, clock } = this.deps;
-    const { headers, serviceId } = this.request;
-    const { resumedRequestId } = headers;
-    const foundVersion =
-      resumedRequestId === undefined ? undefined : await streamOrigins.find(resumedRequestId);
-    const softwareVersion = foundVersion ?? view.getOnlyVersion(serviceId, clock.nowMs());
+    const { resumedRequestId } = this.request.headers;
+    const softwareVersion =
+      resumedRequestId === undefined ? undefined : await this.deps.streamOrigins.find(resumedRequestId);
     if (softwareVersion === undefined) {
       return false;
     }
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -41,7 +41,7 @@
   private readonly crashReporters = new Set<string>();
   /** Cached number of routers; undefined after a report has changed it. */
   private cachedRouterCount: number | undefined;
-  private lastRouterCount = 1;
+  private lastRouterCount: number | undefined;
   /** Time until which a model counts as not loaded on a server, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
   private currentConfiguration: ServingConfiguration | undefined;
@@ -118,6 +118,7 @@
    * @param address - Host and port of its engine.
    */
   discardReport(address: string): void {
+    this.lastRouterCount = this.knownRouterCount;
     this.reports.delete(address);
     this.crashReporters.delete(address);
     this.cachedRouterCount = undefined;
@@ -167,23 +168,6 @@
     return false;
   }
 
-  /**
-   * Returns the only software version that the servers of a service have, or had lately; undefined if there are several or
-   * one is not known.
-   * @param serviceId - The service.
-   * @param nowMs - Current time.
-   */
-  getOnlyVersion(serviceId: ServiceId, nowMs: number): string | undefined {
-    const versions = new Set(this.goneVersions.get(serviceId, nowMs));
-    for (const entry of this.getEntries()) {
-      if (entry.serviceId === serviceId) {
-        versions.add(this.getSoftwareVersion(entry));
-      }
-    }
-    const [only] = versions;
-    return versions.size === 1 ? only : undefined;
-  }
-
   /**
    * Returns the shortest remaining hold among servers that hold a model, or among all servers of a service without
    * models, in milliseconds; undefined if none of them is on hold.
@@ -210,20 +194,24 @@
     return shortestMs;
   }
 
+  /** Number of routers as far as is known, 1 before the first report. */
+  get routerCount(): number {
+    return this.knownRouterCount ?? 1;
+  }
+
   /**
    * Number of routers, as the largest number of connected routers that an agent reports; the last known number if no agent
-   * is connected, 1 before the first report.
+   * is connected, undefined before the first report.
    */
-  get routerCount(): number {
-    if (this.cachedRouterCount === undefined) {
-      let count = this.reports.size === 0 ? this.lastRouterCount : 1;
+  get knownRouterCount(): number | undefined {
+    if (this.reports.size > 0 && this.cachedRouterCount === undefined) {
+      let count = 1;
       for (const { report } of this.reports.values()) {
         count = Math.max(count, report.routerCount);
       }
       this.cachedRouterCount = count;
-      this.lastRouterCount = count;
     }
-    return this.cachedRouterCount;
+    return this.cachedRouterCount ?? this.lastRouterCount;
   }
 
   /**
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -1,7 +1,6 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
 import { rankByHash } from './rendezvous.js';
 import type { ServerEntry } from './ServerEntry.js';
-import { GoneVersions } from './GoneVersions.js';
 import { ServerHolds } from './ServerHolds.js';
 import { ServerRateLimits } from './ServerRateLimits.js';
 import { ServerRetirements, type ServerIncarnation } from './ServerRetirements.js';
@@ -28,7 +27,6 @@
   private readonly retirements = new ServerRetirements();
   private readonly holds = new ServerHolds();
   private readonly rateLimits = new ServerRateLimits();
-  protected readonly goneVersions = new GoneVersions();
   /** Servers that only the list of a restored store shows although they were removed before, and since when. */
   private readonly unconfirmedSinceMs = new Map<ServerId, number>();
   /** Cached ranks of the servers; undefined after the list has changed. */
@@ -144,7 +142,7 @@
     }
     const graceEndsAtMs = this.storeRecoveredAtMs + EXPIRY_GRACE_MS;
     if (nowMs >= graceEndsAtMs || entry.isLeaving) {
-      this.deleteEntry(entry, nowMs);
+      this.deleteEntry(entry);
       return;
     }
     if (!this.graceEndsAtMsByServer.has(serverId)) {
@@ -176,7 +174,7 @@
       if (nowMs >= untilMs) {
         const entry = this.entries.get(serverId);
         if (entry) {
-          this.deleteEntry(entry, nowMs);
+          this.deleteEntry(entry);
         }
         removedIds.push(serverId);
       }
@@ -252,8 +250,11 @@
     }
   }
 
-  /** Whether a listed server is neither leaving nor waiting for a sign of life. */
-  protected isStaying(entry: ServerEntry): boolean {
+  /**
+   * Whether a listed server is neither leaving nor waiting for a sign of life.
+   * @param entry - Entry of the server.
+   */
+  isStaying(entry: ServerEntry): boolean {
     return (
       !entry.isLeaving && !this.unconfirmedSinceMs.has(entry.serverId) && !this.retirements.isLeaving(entry)
     );
@@ -280,9 +281,8 @@
     this.ranks = undefined;
   }
 
-  private deleteEntry(entry: ServerEntry, nowMs: number): void {
-    const { serverId, serviceId, softwareVersion } = entry;
-    this.goneVersions.record(serviceId, softwareVersion, nowMs);
+  private deleteEntry(entry: ServerEntry): void {
+    const { serverId } = entry;
     this.entries.delete(serverId);
     this.graceEndsAtMsByServer.delete(serverId);
     this.unconfirmedSinceMs.delete(serverId);
