The check of idle connections looks at their time first

The check read the number of received bytes of each connection from its handle every 250 ms, and each change of the fleet went over all connections although the limit was the same. Both now happen only where they decide something.

--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -60,6 +60,9 @@
    * @param idleTimeoutMs - Time for which a connection may be idle, in milliseconds.
    */
   applyIdleTimeout(idleTimeoutMs: number): void {
+    if (idleTimeoutMs === this.idleTimeoutMs) {
+      return;
+    }
     this.idleTimeoutMs = idleTimeoutMs;
     for (const state of this.states.values()) {
       state.idleTimeoutMs = Math.max(state.idleTimeoutMs, idleTimeoutMs);
@@ -149,7 +152,13 @@
   }
 
   private closeIdle(): void {
-    const expired = [...this.states].filter(([socket, state]) => this.isExpired(socket, state));
+    const nowMs = this.deps.clock.nowMs();
+    const expired: [Socket, ConnectionState][] = [];
+    for (const [socket, state] of this.states) {
+      if (this.isExpired(socket, state, nowMs)) {
+        expired.push([socket, state]);
+      }
+    }
     if (expired.length > 0) {
       void this.closeIfExpired(expired);
     }
@@ -157,20 +166,24 @@
 
   private async closeIfExpired(candidates: readonly [Socket, ConnectionState][]): Promise<void> {
     await pollSockets();
+    const nowMs = this.deps.clock.nowMs();
     for (const [socket, state] of candidates) {
-      if (this.isExpired(socket, state)) {
+      if (this.isExpired(socket, state, nowMs)) {
         this.close(socket, state);
       }
     }
   }
 
-  private isExpired(socket: Socket, state: ConnectionState): boolean {
+  private isExpired(socket: Socket, state: ConnectionState, nowMs: number): boolean {
+    if (state.openResponses.size > 0 || nowMs - state.idleSinceMs < state.idleTimeoutMs + CLOSE_DELAY_MS) {
+      return false;
+    }
     // Bytes that arrive after the connection was ended belong to no request that will be served.
     if (!socket.writableEnded && socket.bytesRead !== state.receivedBytes) {
       this.recordActivity(socket, state);
+      return false;
     }
-    const idleMs = this.deps.clock.nowMs() - state.idleSinceMs;
-    return state.openResponses.size === 0 && idleMs >= state.idleTimeoutMs + CLOSE_DELAY_MS;
+    return true;
   }
 
   private close(socket: Socket, { requestCount, idleSinceMs, idleTimeoutMs }: ConnectionState): void {
