--- a/test/direct/decisions/promptParts.fuzz.test.ts
+++ b/test/direct/decisions/promptParts.fuzz.test.ts
@@ -1,18 +1,38 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
 import { EngineCrashRecorder, PromptPartSuspects } from '../../../src/direct/index.js';
-import { PromptPartSimulation, type SimulatedClasses, type SimulatedDay } from './PromptPartSimulation.js';
-
-/** Simulated time, in milliseconds. */
-const DURATION_MS = 30_000;
-/** Time from the fifth crash after which at most three guilty requests may reach an engine, in milliseconds. */
-const STABLE_WINDOW_MS = 3_000;
-const MAX_LATE_ARRIVALS = 3;
-/** Share of sound requests that may be refused because a part of their prompts is blocked. */
-const MAX_REFUSED_SHARE = 0.02;
+import { DURATION_MS, expectPromises } from './expectPromises.js';
+import { PromptPartSimulation, type SimulatedClasses } from './PromptPartSimulation.js';
+
 const NUM_RUNS = 200;
 const SEED = Number(process.env.FUZZ_SEED ?? 1);
 
+/** Limits of the random conditions that decide how much of a crash routers learn in time. */
+interface Ranges {
+  /** Smallest mean time between two guilty requests, in milliseconds. */
+  readonly minGuiltyIntervalMs: number;
+  /** Largest delay of a notification, in milliseconds. */
+  readonly maxDelayMs: number;
+}
+
+const DEFAULT_RANGES: Ranges = { minGuiltyIntervalMs: 150, maxDelayMs: 100 };
+/** Ranges by the value of FUZZ_RANGES. */
+const RANGES: Readonly<Record<string, Ranges | undefined>> = {
+  default: DEFAULT_RANGES,
+  dense: { ...DEFAULT_RANGES, minGuiltyIntervalMs: 60 },
+  late: { ...DEFAULT_RANGES, maxDelayMs: 300 },
+};
+
+function getRangesOrThrow(name: string): Ranges {
+  const ranges = RANGES[name];
+  if (!ranges) {
+    throw new Error(`FUZZ_RANGES must be one of ${Object.keys(RANGES).join(', ')}`);
+  }
+  return ranges;
+}
+
+const { minGuiltyIntervalMs, maxDelayMs } = getRangesOrThrow(process.env.FUZZ_RANGES ?? 'default');
+
 const CLASSES: SimulatedClasses = {
   createSuspects: () => new PromptPartSuspects(),
   createRecorder: () => new EngineCrashRecorder(),
@@ -25,7 +45,7 @@
   firstPartCount: fc.integer({ min: 1, max: 4 }),
   subjectCount: fc.integer({ min: 20, max: 300 }),
   soundIntervalMs: fc.integer({ min: 20, max: 50 }),
-  maxDelayMs: fc.integer({ min: 1, max: 100 }),
+  maxDelayMs: fc.integer({ min: 1, max: maxDelayMs }),
   cutShare: fc.constantFrom(0, 0.02, 0.2),
   otherCrashes: fc.array(
     fc.record({ atMs: fc.nat(DURATION_MS), engineCount: fc.integer({ min: 1, max: 8 }) }),
@@ -34,41 +54,22 @@
   restartAtMs: fc.nat(DURATION_MS),
 };
 
-function check(
-  guiltyIntervalMs: fc.Arbitrary<number>,
-  classes: SimulatedClasses,
-  checkResult: (day: SimulatedDay, simulation: PromptPartSimulation) => void,
-): void {
+function check(guiltyIntervalMs: fc.Arbitrary<number>, classes: SimulatedClasses): void {
   const day = fc.record({ ...DAY, guiltyIntervalMs });
   fc.assert(
-    fc.property(day, (value) => checkResult(value, new PromptPartSimulation(value, classes))),
+    fc.property(day, (value) => expectPromises(new PromptPartSimulation(value, classes).run(DURATION_MS))),
     { numRuns: NUM_RUNS, seed: SEED, endOnFailure: true },
   );
 }
 
 /** Checks days on which requests with one part crash each engine that begins an answer. */
 function checkGuilty(classes: SimulatedClasses): void {
-  check(fc.integer({ min: 150, max: 1_500 }), classes, (_day, simulation) => {
-    const result = simulation.run(DURATION_MS);
-    const fifthCrashAtMs = result.guiltyCrashesAtMs[4] ?? Infinity;
-    const late = result.guiltyArrivalsAtMs.filter((atMs) => atMs > fifthCrashAtMs + STABLE_WINDOW_MS);
-    expect(late.length, 'late arrivals').to.be.at.most(MAX_LATE_ARRIVALS);
-    checkSound(result.refusedSound, result.soundCount);
-  });
+  check(fc.integer({ min: minGuiltyIntervalMs, max: 1_500 }), classes);
 }
 
 /** Checks days on which engines crash and answers are cut for other reasons. */
 function checkOrdinary(classes: SimulatedClasses): void {
-  check(fc.constant(Infinity), classes, (_day, simulation) => {
-    const { refusedSound, soundCount } = simulation.run(DURATION_MS);
-    checkSound(refusedSound, soundCount);
-  });
-}
-
-function checkSound(refused: readonly { promptPart: string }[], soundCount: number): void {
-  const first = refused.filter(({ promptPart }) => promptPart.startsWith('first'));
-  expect(first.length, 'refused by the first part').to.equal(0);
-  expect(refused.length, 'refused').to.be.at.most(MAX_REFUSED_SHARE * soundCount);
+  check(fc.constant(Infinity), classes);
 }
 
 /** Injected fault: answers do not exonerate parts. */
