Agents keep the positions of prompt parts that broke off in a crash

Cause: the positions by which a router tells a first part from the guilty one come from the requests it has seen, none after its start. It took both for first parts, and blocked the one found at more crashes, or both.

Change: crash reports carry an optional field with the positions; a router takes over those that it does not know first-hand. Agents of the version before send none, and their routers ignore the field.

The expectation of the recorder's message gains the field; no check was removed.

--- a/src/direct/decisions/EngineCrashRecorder.ts
+++ b/src/direct/decisions/EngineCrashRecorder.ts
@@ -23,6 +23,8 @@
   readonly ageMs: number;
   /** Numbers of requests that broke off in the crash, by prompt part, without parts that were answered since. */
   readonly requestCounts: Readonly<Record<string, number>>;
+  /** Positions of these parts in prompts; undefined from an agent of an older version. */
+  readonly positions?: Readonly<Record<string, number>>;
 }
 
 /** Connection to an engine that broke while it carried a request. */
@@ -36,6 +38,8 @@
   readonly atMs: number;
   /** Numbers of requests that broke off, by prompt part. */
   readonly requestCounts: Map<string, number>;
+  /** Positions of these parts in prompts. */
+  readonly positions: Map<string, number>;
 }
 
 /**
@@ -100,6 +104,7 @@
     for (const [bornAtMs, crash] of this.crashes) {
       for (const part of promptParts) {
         if (crash.requestCounts.delete(part)) {
+          crash.positions.delete(part);
           this.changed.add(bornAtMs);
         }
       }
@@ -122,9 +127,14 @@
    */
   getCrashes(nowMs: number): readonly EngineCrash[] {
     const crashes: EngineCrash[] = [];
-    for (const [bornAtMs, { atMs, requestCounts }] of this.crashes) {
+    for (const [bornAtMs, { atMs, requestCounts, positions }] of this.crashes) {
       if (nowMs - atMs < CRASH_LIFETIME_MS) {
-        crashes.push({ bornAtMs, ageMs: nowMs - atMs, requestCounts: Object.fromEntries(requestCounts) });
+        crashes.push({
+          bornAtMs,
+          ageMs: nowMs - atMs,
+          requestCounts: Object.fromEntries(requestCounts),
+          positions: Object.fromEntries(positions),
+        });
       }
     }
     return crashes;
@@ -134,7 +144,11 @@
     const breaks = this.breaks.filter(
       (broken) => broken.bornAtMs === bornAtMs && nowMs - broken.atMs < BREAK_WINDOW_MS,
     );
-    const crash: CrashRecord = { atMs: breaks.at(-1)?.atMs ?? nowMs, requestCounts: new Map() };
+    const crash: CrashRecord = {
+      atMs: breaks.at(-1)?.atMs ?? nowMs,
+      requestCounts: new Map(),
+      positions: new Map(),
+    };
     setNewest(this.crashes, bornAtMs, crash, MAX_CRASHES);
     for (const { promptParts } of breaks) {
       this.addParts(bornAtMs, crash, promptParts);
@@ -147,15 +161,17 @@
     const crash = this.crashes.get(bornAtMs);
     if (crash && crash.requestCounts.size > 0) {
       crash.requestCounts.clear();
+      crash.positions.clear();
       this.changed.add(bornAtMs);
     }
   }
 
   private addParts(bornAtMs: number, crash: CrashRecord, promptParts: readonly string[]): void {
-    for (const part of promptParts) {
+    for (const [position, part] of promptParts.entries()) {
       const requestCount = crash.requestCounts.get(part) ?? 0;
       if (requestCount > 0 || crash.requestCounts.size < MAX_PARTS) {
         crash.requestCounts.set(part, requestCount + 1);
+        crash.positions.set(part, position);
         this.changed.add(bornAtMs);
       }
     }
--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -103,7 +103,8 @@
    */
   applyCrashes(address: string, crashes: readonly EngineCrash[], nowMs: number): readonly string[] {
     const answeredParts = new Set<string>();
-    for (const { bornAtMs, ageMs, requestCounts } of crashes) {
+    for (const { bornAtMs, ageMs, requestCounts, positions = {} } of crashes) {
+      this.adoptPositions(positions);
       const key = `${address}|${bornAtMs}`;
       const atMs = nowMs - ageMs;
       const crash: SuspectedCrash = { address, atMs, requestCounts: new Map() };
@@ -171,6 +172,15 @@
     }
   }
 
+  /** Stores positions of parts of which this router has not seen a request. */
+  private adoptPositions(positions: Readonly<Record<string, number>>): void {
+    for (const [part, position] of Object.entries(positions)) {
+      if (!this.positions.has(part)) {
+        setNewest(this.positions, part, position, MAX_POSITIONS);
+      }
+    }
+  }
+
   /** Whether a part that is not blocked was found at enough crashes to be considered. */
   private mayBlock(part: string): boolean {
     if (this.crashes.size < MIN_CRASHES || this.blockedAtMs.has(part)) {
--- a/src/direct/decisions/isEngineCrash.ts
+++ b/src/direct/decisions/isEngineCrash.ts
@@ -16,10 +16,19 @@
  * @param value - Value as received.
  */
 export function isEngineCrash(value: unknown): value is EngineCrash {
-  const { bornAtMs, ageMs, requestCounts } = Object(value) as Partial<EngineCrash>;
-  if (!Number.isFinite(bornAtMs) || !Number.isFinite(ageMs) || Object(requestCounts) !== requestCounts) {
+  const { bornAtMs, ageMs, requestCounts, positions = {} } = Object(value) as Partial<EngineCrash>;
+  return (
+    Number.isFinite(bornAtMs) &&
+    Number.isFinite(ageMs) &&
+    isNumberByPart(requestCounts) &&
+    isNumberByPart(positions)
+  );
+}
+
+function isNumberByPart(value: unknown): boolean {
+  if (Object(value) !== value) {
     return false;
   }
-  const counts: unknown[] = Object.values(requestCounts as object);
-  return counts.length <= MAX_PARTS && counts.every((count) => Number.isFinite(count));
+  const numbers: unknown[] = Object.values(value as object);
+  return numbers.length <= MAX_PARTS && numbers.every((number) => Number.isFinite(number));
 }
--- a/test/direct/decisions/EngineCrashRecorder.test.ts
+++ b/test/direct/decisions/EngineCrashRecorder.test.ts
@@ -22,7 +22,10 @@
       expect(recorder.recordReading(undefined, 1_200)).to.equal(true);
       expect(recorder.recordReading(undefined, 1_300)).to.equal(false);
       const requestCounts = { a: 2, b: 1, c: 1 };
-      expect(recorder.takeChanges(1_310)).to.deep.equal([{ bornAtMs: 7, ageMs: 300, requestCounts }]);
+      const positions = { a: 0, b: 1, c: 1 };
+      expect(recorder.takeChanges(1_310)).to.deep.equal([
+        { bornAtMs: 7, ageMs: 300, requestCounts, positions },
+      ]);
       expect(recorder.takeChanges(1_310)).to.deep.equal([]);
     });
 
@@ -76,7 +79,9 @@
       crash(1_050);
       recorder.takeChanges(1_200);
       recorder.exonerate(['a', 'unknown']);
-      expect(recorder.takeChanges(1_200)[0]?.requestCounts).to.deep.equal({ b: 1 });
+      const [change] = recorder.takeChanges(1_200);
+      expect(change?.requestCounts).to.deep.equal({ b: 1 });
+      expect(change?.positions).to.deep.equal({ b: 1 });
       recorder.exonerate(['a']);
       expect(recorder.takeChanges(1_200)).to.deep.equal([]);
     });
--- a/test/direct/decisions/isEngineCrash.test.ts
+++ b/test/direct/decisions/isEngineCrash.test.ts
@@ -5,6 +5,7 @@
   it('accepts crashes and rejects values that another version may send', () => {
     const crash = { bornAtMs: 1, ageMs: 2, requestCounts: { a: 1 } };
     expect(isEngineCrash({ ...crash, added: true })).to.equal(true);
+    expect(isEngineCrash({ ...crash, positions: { a: 1 } })).to.equal(true);
     const invalidValues: unknown[] = [
       undefined,
       null,
@@ -14,6 +15,8 @@
       { ...crash, ageMs: undefined },
       { ...crash, requestCounts: null },
       { ...crash, requestCounts: { a: 'one' } },
+      { ...crash, positions: null },
+      { ...crash, positions: { a: 'one' } },
     ];
     expect(invalidValues.filter((value) => isEngineCrash(value))).to.deep.equal([]);
   });
--- /dev/null
+++ b/test/direct/decisions/promptPartDays.test.ts
@@ -0,0 +1,64 @@
+import { EngineCrashRecorder, PromptPartSuspects } from '../../../src/direct/index.js';
+import { DURATION_MS, expectPromises } from './expectPromises.js';
+import { PromptPartSimulation, type SimulatedDay } from './PromptPartSimulation.js';
+
+interface DayCase {
+  readonly title: string;
+  readonly days: readonly SimulatedDay[];
+}
+
+const CASES: readonly DayCase[] = [
+  {
+    // Issue 24: a router that had just started blocked a first part, of whose position it knew nothing.
+    title: 'tells a first part from the guilty one at a router that has just started',
+    days: [
+      {
+        seed: 624_383,
+        engineCount: 4,
+        routerCount: 4,
+        firstPartCount: 3,
+        subjectCount: 296,
+        soundIntervalMs: 46,
+        guiltyIntervalMs: 1_395,
+        maxDelayMs: 99,
+        cutShare: 0.02,
+        otherCrashes: [
+          { atMs: 3_440, engineCount: 4 },
+          { atMs: 19_236, engineCount: 7 },
+        ],
+        restartAtMs: 9_910,
+      },
+      {
+        seed: 432_726,
+        engineCount: 4,
+        routerCount: 1,
+        firstPartCount: 4,
+        subjectCount: 156,
+        soundIntervalMs: 46,
+        guiltyIntervalMs: 170,
+        maxDelayMs: 5,
+        cutShare: 0.2,
+        otherCrashes: [
+          { atMs: 3_347, engineCount: 5 },
+          { atMs: 21_630, engineCount: 8 },
+          { atMs: 955, engineCount: 1 },
+        ],
+        restartAtMs: 5_644,
+      },
+    ],
+  },
+];
+
+describe('PromptPartSuspects on simulated days', () => {
+  for (const { title, days } of CASES) {
+    it(title, () => {
+      for (const day of days) {
+        const simulation = new PromptPartSimulation(day, {
+          createSuspects: () => new PromptPartSuspects(),
+          createRecorder: () => new EngineCrashRecorder(),
+        });
+        expectPromises(simulation.run(DURATION_MS));
+      }
+    });
+  }
+});
