A first part is blocked in doubt only if other requests were answered since

Cause: while no engine is up, no answer can exonerate a part, and the block in doubt did not ask for one. Late notifications spread one crash over more than SAME_EVENT_MS, so the count of events alone did not hold it back.

That makes the two ways to count events and the count of crashes without the part superfluous; two constants go. Ruled out: a longer SAME_EVENT_MS, with which parts that crash all engines within a second would count once.

--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -8,13 +8,6 @@
  * any request was answered since.
  */
 const MIN_CRASHES_IN_DOUBT = 5;
-/** Number of different times of these crashes. */
-const MIN_EVENTS_IN_DOUBT = 4;
-/**
- * Number of these crashes that are apart from each other which suffices for a part that is never the first of a prompt, if
- * no engine crashed without it in between.
- */
-const MIN_SPACED_CRASHES = 3;
 /** Ratio of requests per crash above which a part is too widely shared to be preferred to another one. */
 const BROAD_FACTOR = 4;
 /** Number of answers, or parts of streams, that show that a part could have been answered too. */
@@ -58,14 +51,10 @@
   readonly promptPart: string;
   /** Times of the crashes, the first one first. */
   readonly atMs: number[];
-  /** Number of times at which one or more crashes happened. */
+  /** Number of events, each of which may be several crashes at about the same time. */
   eventCount: number;
-  /** Number of crashes that are apart from each other by the time within which crashes count as one event. */
-  spacedCount: number;
-  /** Time of the last of these. */
-  spacedAtMs: number;
-  /** Number of crashes between the first and the last of these at which the part was not found. */
-  missingCount: number;
+  /** Time of the first crash of the last event. */
+  eventAtMs: number;
   /** Number of requests with the part that broke off in these crashes. */
   requestCount: number;
 }
@@ -208,9 +197,7 @@
 
   /** Returns the parts to block for the crashes that no blocked part explains. */
   private findGuilty(nowMs: number): readonly Suspect[] {
-    const suspects = this.findSuspects(nowMs).filter(
-      ({ eventCount, spacedCount }) => Math.max(eventCount, spacedCount) >= MIN_CRASHES,
-    );
+    const suspects = this.findSuspects(nowMs).filter(({ eventCount }) => eventCount >= MIN_CRASHES);
     const neverAnswered = this.omitShared(
       suspects.filter(({ promptPart }) => nowMs - this.getSuccessMs(promptPart) >= SUCCESS_LIFETIME_MS),
     );
@@ -229,21 +216,12 @@
       candidates.filter(
         (candidate) =>
           candidate.requestCount === minRequestCount &&
-          this.isRepeated(candidate) &&
-          isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs),
+          isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs) &&
+          (this.getPosition(candidate) > 0 || this.wereOthersAnswered(candidate)),
       ),
     );
   }
 
-  /** Whether a part was found at crashes at enough different times to exclude that they have another cause in common. */
-  private isRepeated(suspect: Suspect): boolean {
-    const { eventCount, spacedCount, missingCount } = suspect;
-    return (
-      eventCount >= MIN_EVENTS_IN_DOUBT ||
-      (spacedCount >= MIN_SPACED_CRASHES && missingCount === 0 && this.getPosition(suspect) > 0)
-    );
-  }
-
   /** Omits parts if one that comes later in prompts was found at half as many crashes; the earlier one may be shared. */
   private omitShared(suspects: readonly Suspect[]): readonly Suspect[] {
     return suspects.filter(
@@ -279,24 +257,18 @@
           promptPart,
           atMs: [],
           eventCount: 0,
-          spacedCount: 0,
-          spacedAtMs: -Infinity,
-          missingCount: 0,
+          eventAtMs: -Infinity,
           requestCount: 0,
         };
         suspects.set(promptPart, suspect);
         suspect.requestCount += requestCount;
-        suspect.eventCount += atMs - (suspect.atMs.at(-1) ?? -Infinity) >= SAME_EVENT_MS ? 1 : 0;
-        if (atMs - suspect.spacedAtMs >= SAME_EVENT_MS) {
-          suspect.spacedCount++;
-          suspect.spacedAtMs = atMs;
+        if (atMs - suspect.eventAtMs >= SAME_EVENT_MS) {
+          suspect.eventCount++;
+          suspect.eventAtMs = atMs;
         }
         suspect.atMs.push(atMs);
       }
     }
-    for (const suspect of suspects.values()) {
-      suspect.missingCount = countBetween(crashes, suspect.atMs) - suspect.atMs.length;
-    }
     return [...suspects.values()];
   }
 
@@ -324,13 +296,6 @@
   }
 }
 
-/** Counts the crashes from the first to the last of some times. */
-function countBetween(crashes: readonly SuspectedCrash[], timesMs: readonly number[]): number {
-  const [firstMs = Infinity] = timesMs;
-  const lastMs = timesMs.at(-1) ?? -Infinity;
-  return crashes.filter(({ atMs }) => atMs >= firstMs && atMs <= lastMs).length;
-}
-
 /** Whether a part was found at enough crashes, the last of them long enough ago for an answer to exonerate it. */
 function isDecided({ atMs }: Suspect, minCrashes: number, nowMs: number): boolean {
   return nowMs - (atMs[minCrashes - 1] ?? Infinity) >= EXONERATION_MS;
--- a/test/direct/decisions/promptPartDays.test.ts
+++ b/test/direct/decisions/promptPartDays.test.ts
@@ -47,6 +47,46 @@
       },
     ],
   },
+  {
+    // Issue 24: late notifications made one crash of all engines look like several, and a first part was blocked while nothing was answered.
+    title: 'blocks no first part for a crash of all engines that seems to last',
+    days: [
+      {
+        seed: 639_331,
+        engineCount: 5,
+        routerCount: 1,
+        firstPartCount: 1,
+        subjectCount: 124,
+        soundIntervalMs: 30,
+        guiltyIntervalMs: Infinity,
+        maxDelayMs: 297,
+        cutShare: 0,
+        otherCrashes: [
+          { atMs: 6_356, engineCount: 7 },
+          { atMs: 14_069, engineCount: 6 },
+          { atMs: 15_134, engineCount: 7 },
+        ],
+        restartAtMs: 29_998,
+      },
+      {
+        seed: 603_020,
+        engineCount: 5,
+        routerCount: 5,
+        firstPartCount: 1,
+        subjectCount: 174,
+        soundIntervalMs: 40,
+        guiltyIntervalMs: 1_271,
+        maxDelayMs: 299,
+        cutShare: 0.02,
+        otherCrashes: [
+          { atMs: 317, engineCount: 2 },
+          { atMs: 9_466, engineCount: 8 },
+          { atMs: 12_829, engineCount: 2 },
+        ],
+        restartAtMs: 13_196,
+      },
+    ],
+  },
 ];
 
 describe('PromptPartSuspects on simulated days', () => {
