One of several equal prompt parts is blocked, and withdrawn when a later crash tells more

Cause: all equal parts were blocked. A blocked part is not answered any more, so nothing could exonerate the sound one, and blocks never looked at the crashes that came after them.

Change: in doubt one part is blocked. The next crash that no blocked part explains withdraws the blocks in doubt, and all crashes are looked at anew. First parts that may not be blocked no longer hide others that may.

promptPartDays.test.ts failed before (58 refusals) and passes.

--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -80,6 +80,9 @@
   /** Times of the last requests with blocked prompt parts. */
   private readonly blockedAtMs = new Map<string, number>();
 
+  /** Parts that were blocked in doubt. */
+  private readonly doubtfulParts = new Set<string>();
+
   /** @param onBlock - Called when a prompt part is blocked. */
   constructor(private readonly onBlock: (block: PromptPartBlock) => void = () => undefined) {}
 
@@ -109,6 +112,9 @@
           this.blockedAtMs.delete(part);
         }
       }
+      if (!this.crashes.has(key) && !this.isExplained(crash.requestCounts)) {
+        this.withdrawDoubtful();
+      }
       setNewest(this.crashes, key, crash, MAX_CRASHES);
     }
     return [...answeredParts];
@@ -155,6 +161,14 @@
     return undefined;
   }
 
+  /** Withdraws the blocks that were decided in doubt, since a crash that none of them explains may tell who is guilty. */
+  private withdrawDoubtful(): void {
+    for (const part of this.doubtfulParts) {
+      this.blockedAtMs.delete(part);
+    }
+    this.doubtfulParts.clear();
+  }
+
   private recordPositions(promptParts: readonly string[]): void {
     for (const [position, part] of promptParts.entries()) {
       setNewest(this.positions, part, position, MAX_POSITIONS);
@@ -210,16 +224,21 @@
     ) {
       return [first];
     }
-    const candidates = findMostFrequent(omitBroad(neverAnswered.length > 0 ? neverAnswered : suspects));
+    const eligible = (neverAnswered.length > 0 ? neverAnswered : suspects).filter(
+      (suspect) => this.getPosition(suspect) > 0 || this.wereOthersAnswered(suspect),
+    );
+    const candidates = findMostFrequent(omitBroad(eligible));
     const minRequestCount = Math.min(...candidates.map(({ requestCount }) => requestCount));
-    return this.omitEarlierParts(
+    const [chosen] = this.omitEarlierParts(
       candidates.filter(
         (candidate) =>
-          candidate.requestCount === minRequestCount &&
-          isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs) &&
-          (this.getPosition(candidate) > 0 || this.wereOthersAnswered(candidate)),
+          candidate.requestCount === minRequestCount && isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs),
       ),
     );
+    if (chosen) {
+      this.doubtfulParts.add(chosen.promptPart);
+    }
+    return chosen ? [chosen] : [];
   }
 
   /** Omits parts if one that comes later in prompts was found at half as many crashes; the earlier one may be shared. */
--- a/test/direct/decisions/promptPartDays.test.ts
+++ b/test/direct/decisions/promptPartDays.test.ts
@@ -87,6 +87,25 @@
       },
     ],
   },
+  {
+    // Issue 24: a sound part that was equal to the guilty one was blocked as well and refused to the end.
+    title: 'blocks one of two equal parts and corrects itself when a later crash tells them apart',
+    days: [
+      {
+        seed: 8,
+        engineCount: 6,
+        routerCount: 2,
+        firstPartCount: 3,
+        subjectCount: 83,
+        soundIntervalMs: 50,
+        guiltyIntervalMs: 150,
+        maxDelayMs: 70,
+        cutShare: 0,
+        otherCrashes: [{ atMs: 24_803, engineCount: 1 }],
+        restartAtMs: 22_575,
+      },
+    ],
+  },
 ];
 
 describe('PromptPartSuspects on simulated days', () => {
