Answers to ten different prompts, not ten parts of streams, show that others are answered

Cause: a block needs answers to others, to show that the part could have been answered too. Ten were required, but each 150 ms of a stream counted as one, so two or three streams sufficed, of which a part of a quarter of all requests is often none.

Change: answers to equal prompts count once. The test of others that are answered sends ten different prompts now, and a new one shows that fifty answers to one prompt do not suffice; no bound was widened.

--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -10,7 +10,7 @@
 const MIN_CRASHES_IN_DOUBT = 5;
 /** Ratio of requests per crash above which a part is too widely shared to be preferred to another one. */
 const BROAD_FACTOR = 4;
-/** Number of answers, or parts of streams, that show that a part could have been answered too. */
+/** Number of different prompts of which answers show that a part could have been answered too. */
 const MIN_SUCCESSES = 10;
 /**
  * Time between two crashes within which they count as one event, in milliseconds; engines that fail at the same time have another
@@ -73,8 +73,8 @@
   /** Crashes by engine address and start time of the crashed process. */
   private readonly crashes = new Map<string, SuspectedCrash>();
   private readonly succeededAtMs = new Map<string, number>();
-  /** Times of the latest answers, the oldest first. */
-  private readonly latestSuccessesMs: number[] = [];
+  /** Times of the latest answers by their prompts, the oldest first. */
+  private readonly latestSuccessesMs = new Map<string, number>();
   /** Positions of prompt parts in the latest requests with them. */
   private readonly positions = new Map<string, number>();
   /** Times of the last requests with blocked prompt parts. */
@@ -127,8 +127,7 @@
    */
   recordSuccess(promptParts: readonly string[], nowMs: number): readonly string[] {
     const addresses = new Set<string>();
-    this.latestSuccessesMs.splice(0, Math.max(0, this.latestSuccessesMs.length - MIN_SUCCESSES + 1));
-    this.latestSuccessesMs.push(nowMs);
+    setNewest(this.latestSuccessesMs, promptParts.join(' '), nowMs, MIN_SUCCESSES);
     for (const part of promptParts) {
       setNewest(this.succeededAtMs, part, nowMs, MAX_SUCCESSES);
       this.blockedAtMs.delete(part);
@@ -258,7 +257,7 @@
     return suspects.filter((suspect) => this.getPosition(suspect) === lastPosition);
   }
 
-  /** Returns the position of a part in prompts; 0 if this router has not seen it. */
+  /** Returns the position of a part in prompts; 0 if it is not known. */
   private getPosition({ promptPart }: Suspect): number {
     return this.positions.get(promptPart) ?? 0;
   }
@@ -293,12 +292,8 @@
 
   /** Whether other requests were answered since a part was found at enough crashes. */
   private wereOthersAnswered({ atMs }: Suspect): boolean {
-    const [oldestMs] = this.latestSuccessesMs;
-    return (
-      oldestMs !== undefined &&
-      this.latestSuccessesMs.length === MIN_SUCCESSES &&
-      oldestMs > (atMs[MIN_CRASHES - 1] ?? Infinity)
-    );
+    const [oldestMs = -Infinity] = this.latestSuccessesMs.values();
+    return this.latestSuccessesMs.size === MIN_SUCCESSES && oldestMs > (atMs[MIN_CRASHES - 1] ?? Infinity);
   }
 
   private isExplained(requestCounts: ReadonlyMap<string, number>): boolean {
--- a/test/direct/decisions/PromptPartSuspects.test.ts
+++ b/test/direct/decisions/PromptPartSuspects.test.ts
@@ -20,7 +20,7 @@
 
   function answerOthers(atMs: number): void {
     for (let count = 0; count < 10; count++) {
-      suspects.recordSuccess(['other'], atMs);
+      suspects.recordSuccess([`other-${count}`], atMs);
     }
   }
 
@@ -37,6 +37,17 @@
       expect(blocks).to.deep.equal([{ promptPart: 'guilty', crashCount: 3 }]);
     });
 
+    // Issue 24: parts of a few streams were taken for answers to many requests.
+    it('does not count answers to equal prompts as answers to others', () => {
+      [1_000, 2_000, 3_000].forEach((atMs) => crash(atMs, 'first'));
+      for (let count = 0; count < 50; count++) {
+        suspects.recordSuccess(['other'], 3_500 + count);
+      }
+      expect(suspects.findBlocked(['first'], 5_000)).to.equal(undefined);
+      answerOthers(5_100);
+      expect(suspects.findBlocked(['first'], 5_200)).to.equal('first');
+    });
+
     it('counts crashes at the same time as one event', () => {
       for (let index = 0; index < 8; index++) {
         crash(1_000 + index, 'first');
--- a/test/direct/decisions/promptPartDays.test.ts
+++ b/test/direct/decisions/promptPartDays.test.ts
@@ -106,6 +106,46 @@
       },
     ],
   },
+  {
+    // Issue 24: parts of a few streams were taken for answers to many requests, and a first part was blocked.
+    title: 'blocks no first part because of a few answers to others',
+    days: [
+      {
+        seed: 157_121,
+        engineCount: 4,
+        routerCount: 2,
+        firstPartCount: 4,
+        subjectCount: 181,
+        soundIntervalMs: 24,
+        guiltyIntervalMs: 154,
+        maxDelayMs: 147,
+        cutShare: 0.02,
+        otherCrashes: [
+          { atMs: 14_126, engineCount: 6 },
+          { atMs: 17_327, engineCount: 8 },
+          { atMs: 4_503, engineCount: 2 },
+        ],
+        restartAtMs: 15_385,
+      },
+      {
+        seed: 101_812,
+        engineCount: 6,
+        routerCount: 2,
+        firstPartCount: 3,
+        subjectCount: 192,
+        soundIntervalMs: 28,
+        guiltyIntervalMs: 1_498,
+        maxDelayMs: 295,
+        cutShare: 0,
+        otherCrashes: [
+          { atMs: 28_746, engineCount: 3 },
+          { atMs: 25_707, engineCount: 3 },
+          { atMs: 23_331, engineCount: 6 },
+        ],
+        restartAtMs: 8,
+      },
+    ],
+  },
 ];
 
 describe('PromptPartSuspects on simulated days', () => {
