--- a/test/direct/decisions/promptParts.fuzz.test.ts
+++ b/test/direct/decisions/promptParts.fuzz.test.ts
@@ -38,6 +38,9 @@
   createRecorder: () => new EngineCrashRecorder(),
 };
 
+/** Days on which each subject is found at most crashes, so that only answers tell it from the guilty part. */
+const FEW_SUBJECTS = { subjectCount: fc.integer({ min: 3, max: 8 }) };
+
 const DAY = {
   seed: fc.nat(1_000_000),
   engineCount: fc.integer({ min: 4, max: 8 }),
@@ -52,10 +55,11 @@
     { maxLength: 3 },
   ),
   restartAtMs: fc.nat(DURATION_MS),
+  guiltyIntervalMs: fc.integer({ min: minGuiltyIntervalMs, max: 1_500 }),
 };
 
-function check(guiltyIntervalMs: fc.Arbitrary<number>, classes: SimulatedClasses): void {
-  const day = fc.record({ ...DAY, guiltyIntervalMs });
+function check(conditions: Partial<typeof DAY>, classes: SimulatedClasses): void {
+  const day = fc.record({ ...DAY, ...conditions });
   fc.assert(
     fc.property(day, (value) => expectPromises(new PromptPartSimulation(value, classes).run(DURATION_MS))),
     { numRuns: NUM_RUNS, seed: SEED, endOnFailure: true },
@@ -63,13 +67,13 @@
 }
 
 /** Checks days on which requests with one part crash each engine that begins an answer. */
-function checkGuilty(classes: SimulatedClasses): void {
-  check(fc.integer({ min: minGuiltyIntervalMs, max: 1_500 }), classes);
+function checkGuilty(classes: SimulatedClasses, conditions: Partial<typeof DAY> = {}): void {
+  check(conditions, classes);
 }
 
 /** Checks days on which engines crash and answers are cut for other reasons. */
 function checkOrdinary(classes: SimulatedClasses): void {
-  check(fc.constant(Infinity), classes);
+  check({ guiltyIntervalMs: fc.constant(Infinity) }, classes);
 }
 
 /** Injected fault: answers do not exonerate parts. */
@@ -104,6 +108,10 @@
     checkOrdinary(CLASSES);
   });
 
+  it('keeps its promises on days with few subjects', () => {
+    checkGuilty(CLASSES, FEW_SUBJECTS);
+  });
+
   for (const Faulty of [IgnoresSuccess, IgnoresCrashes]) {
     it(`detects the fault of ${Faulty.name}`, () => {
       expect(() => checkGuilty({ ...CLASSES, createSuspects: () => new Faulty() })).to.throw();
@@ -112,6 +120,6 @@
 
   it(`detects the fault of ${KeepsAnsweredParts.name}`, () => {
     const classes = { ...CLASSES, createRecorder: () => new KeepsAnsweredParts() };
-    expect(() => checkGuilty(classes)).to.throw();
+    expect(() => checkGuilty(classes, FEW_SUBJECTS)).to.throw();
   });
 });
