--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -8,16 +8,9 @@
  * any request was answered since.
  */
 const MIN_CRASHES_IN_DOUBT = 5;
-/** Number of different times of these crashes. */
-const MIN_EVENTS_IN_DOUBT = 4;
-/**
- * Number of these crashes that are apart from each other which suffices for a part that is never the first of a prompt, if
- * no engine crashed without it in between.
- */
-const MIN_SPACED_CRASHES = 3;
 /** Ratio of requests per crash above which a part is too widely shared to be preferred to another one. */
 const BROAD_FACTOR = 4;
-/** Number of answers, or parts of streams, that show that a part could have been answered too. */
+/** Number of different prompts of which answers show that a part could have been answered too. */
 const MIN_SUCCESSES = 10;
 /**
  * Time between two crashes within which they count as one event, in milliseconds; engines that fail at the same time have another
@@ -58,14 +51,10 @@
   readonly promptPart: string;
   /** Times of the crashes, the first one first. */
   readonly atMs: number[];
-  /** Number of times at which one or more crashes happened. */
+  /** Number of events, each of which may be several crashes at about the same time. */
   eventCount: number;
-  /** Number of crashes that are apart from each other by the time within which crashes count as one event. */
-  spacedCount: number;
-  /** Time of the last of these. */
-  spacedAtMs: number;
-  /** Number of crashes between the first and the last of these at which the part was not found. */
-  missingCount: number;
+  /** Time of the first crash of the last event. */
+  eventAtMs: number;
   /** Number of requests with the part that broke off in these crashes. */
   requestCount: number;
 }
@@ -84,13 +73,16 @@
   /** Crashes by engine address and start time of the crashed process. */
   private readonly crashes = new Map<string, SuspectedCrash>();
   private readonly succeededAtMs = new Map<string, number>();
-  /** Times of the latest answers, the oldest first. */
-  private readonly latestSuccessesMs: number[] = [];
+  /** Times of the latest answers by their prompts, the oldest first. */
+  private readonly latestSuccessesMs = new Map<string, number>();
   /** Positions of prompt parts in the latest requests with them. */
   private readonly positions = new Map<string, number>();
   /** Times of the last requests with blocked prompt parts. */
   private readonly blockedAtMs = new Map<string, number>();
 
+  /** Parts that were blocked in doubt. */
+  private readonly doubtfulParts = new Set<string>();
+
   /** @param onBlock - Called when a prompt part is blocked. */
   constructor(private readonly onBlock: (block: PromptPartBlock) => void = () => undefined) {}
 
@@ -103,7 +95,8 @@
    */
   applyCrashes(address: string, crashes: readonly EngineCrash[], nowMs: number): readonly string[] {
     const answeredParts = new Set<string>();
-    for (const { bornAtMs, ageMs, requestCounts } of crashes) {
+    for (const { bornAtMs, ageMs, requestCounts, positions = {} } of crashes) {
+      this.adoptPositions(positions);
       const key = `${address}|${bornAtMs}`;
       const atMs = nowMs - ageMs;
       const crash: SuspectedCrash = { address, atMs, requestCounts: new Map() };
@@ -119,6 +112,9 @@
           this.blockedAtMs.delete(part);
         }
       }
+      if (!this.crashes.has(key) && !this.isExplained(crash.requestCounts)) {
+        this.withdrawDoubtful();
+      }
       setNewest(this.crashes, key, crash, MAX_CRASHES);
     }
     return [...answeredParts];
@@ -131,8 +127,7 @@
    */
   recordSuccess(promptParts: readonly string[], nowMs: number): readonly string[] {
     const addresses = new Set<string>();
-    this.latestSuccessesMs.splice(0, Math.max(0, this.latestSuccessesMs.length - MIN_SUCCESSES + 1));
-    this.latestSuccessesMs.push(nowMs);
+    setNewest(this.latestSuccessesMs, promptParts.join(' '), nowMs, MIN_SUCCESSES);
     for (const part of promptParts) {
       setNewest(this.succeededAtMs, part, nowMs, MAX_SUCCESSES);
       this.blockedAtMs.delete(part);
@@ -165,12 +160,29 @@
     return undefined;
   }
 
+  /** Withdraws the blocks that were decided in doubt, since a crash that none of them explains may tell who is guilty. */
+  private withdrawDoubtful(): void {
+    for (const part of this.doubtfulParts) {
+      this.blockedAtMs.delete(part);
+    }
+    this.doubtfulParts.clear();
+  }
+
   private recordPositions(promptParts: readonly string[]): void {
     for (const [position, part] of promptParts.entries()) {
       setNewest(this.positions, part, position, MAX_POSITIONS);
     }
   }
 
+  /** Stores positions of parts of which this router has not seen a request. */
+  private adoptPositions(positions: Readonly<Record<string, number>>): void {
+    for (const [part, position] of Object.entries(positions)) {
+      if (!this.positions.has(part)) {
+        setNewest(this.positions, part, position, MAX_POSITIONS);
+      }
+    }
+  }
+
   /** Whether a part that is not blocked was found at enough crashes to be considered. */
   private mayBlock(part: string): boolean {
     if (this.crashes.size < MIN_CRASHES || this.blockedAtMs.has(part)) {
@@ -198,9 +210,7 @@
 
   /** Returns the parts to block for the crashes that no blocked part explains. */
   private findGuilty(nowMs: number): readonly Suspect[] {
-    const suspects = this.findSuspects(nowMs).filter(
-      ({ eventCount, spacedCount }) => Math.max(eventCount, spacedCount) >= MIN_CRASHES,
-    );
+    const suspects = this.findSuspects(nowMs).filter(({ eventCount }) => eventCount >= MIN_CRASHES);
     const neverAnswered = this.omitShared(
       suspects.filter(({ promptPart }) => nowMs - this.getSuccessMs(promptPart) >= SUCCESS_LIFETIME_MS),
     );
@@ -213,25 +223,21 @@
     ) {
       return [first];
     }
-    const candidates = findMostFrequent(omitBroad(neverAnswered.length > 0 ? neverAnswered : suspects));
+    const eligible = (neverAnswered.length > 0 ? neverAnswered : suspects).filter(
+      (suspect) => this.getPosition(suspect) > 0 || this.wereOthersAnswered(suspect),
+    );
+    const candidates = findMostFrequent(omitBroad(eligible));
     const minRequestCount = Math.min(...candidates.map(({ requestCount }) => requestCount));
-    return this.omitEarlierParts(
+    const [chosen] = this.omitEarlierParts(
       candidates.filter(
         (candidate) =>
-          candidate.requestCount === minRequestCount &&
-          this.isRepeated(candidate) &&
-          isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs),
+          candidate.requestCount === minRequestCount && isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs),
       ),
     );
-  }
-
-  /** Whether a part was found at crashes at enough different times to exclude that they have another cause in common. */
-  private isRepeated(suspect: Suspect): boolean {
-    const { eventCount, spacedCount, missingCount } = suspect;
-    return (
-      eventCount >= MIN_EVENTS_IN_DOUBT ||
-      (spacedCount >= MIN_SPACED_CRASHES && missingCount === 0 && this.getPosition(suspect) > 0)
-    );
+    if (chosen) {
+      this.doubtfulParts.add(chosen.promptPart);
+    }
+    return chosen ? [chosen] : [];
   }
 
   /** Omits parts if one that comes later in prompts was found at half as many crashes; the earlier one may be shared. */
@@ -251,7 +257,7 @@
     return suspects.filter((suspect) => this.getPosition(suspect) === lastPosition);
   }
 
-  /** Returns the position of a part in prompts; 0 if this router has not seen it. */
+  /** Returns the position of a part in prompts; 0 if it is not known. */
   private getPosition({ promptPart }: Suspect): number {
     return this.positions.get(promptPart) ?? 0;
   }
@@ -269,35 +275,25 @@
           promptPart,
           atMs: [],
           eventCount: 0,
-          spacedCount: 0,
-          spacedAtMs: -Infinity,
-          missingCount: 0,
+          eventAtMs: -Infinity,
           requestCount: 0,
         };
         suspects.set(promptPart, suspect);
         suspect.requestCount += requestCount;
-        suspect.eventCount += atMs - (suspect.atMs.at(-1) ?? -Infinity) >= SAME_EVENT_MS ? 1 : 0;
-        if (atMs - suspect.spacedAtMs >= SAME_EVENT_MS) {
-          suspect.spacedCount++;
-          suspect.spacedAtMs = atMs;
+        if (atMs - suspect.eventAtMs >= SAME_EVENT_MS) {
+          suspect.eventCount++;
+          suspect.eventAtMs = atMs;
         }
         suspect.atMs.push(atMs);
       }
     }
-    for (const suspect of suspects.values()) {
-      suspect.missingCount = countBetween(crashes, suspect.atMs) - suspect.atMs.length;
-    }
     return [...suspects.values()];
   }
 
   /** Whether other requests were answered since a part was found at enough crashes. */
   private wereOthersAnswered({ atMs }: Suspect): boolean {
-    const [oldestMs] = this.latestSuccessesMs;
-    return (
-      oldestMs !== undefined &&
-      this.latestSuccessesMs.length === MIN_SUCCESSES &&
-      oldestMs > (atMs[MIN_CRASHES - 1] ?? Infinity)
-    );
+    const [oldestMs = -Infinity] = this.latestSuccessesMs.values();
+    return this.latestSuccessesMs.size === MIN_SUCCESSES && oldestMs > (atMs[MIN_CRASHES - 1] ?? Infinity);
   }
 
   private isExplained(requestCounts: ReadonlyMap<string, number>): boolean {
@@ -314,13 +310,6 @@
   }
 }
 
-/** Counts the crashes from the first to the last of some times. */
-function countBetween(crashes: readonly SuspectedCrash[], timesMs: readonly number[]): number {
-  const [firstMs = Infinity] = timesMs;
-  const lastMs = timesMs.at(-1) ?? -Infinity;
-  return crashes.filter(({ atMs }) => atMs >= firstMs && atMs <= lastMs).length;
-}
-
 /** Whether a part was found at enough crashes, the last of them long enough ago for an answer to exonerate it. */
 function isDecided({ atMs }: Suspect, minCrashes: number, nowMs: number): boolean {
   return nowMs - (atMs[minCrashes - 1] ?? Infinity) >= EXONERATION_MS;
