Requests to the store and the engine time out by the clock

The same function sends the agent's requests to its engine.

Cause: sendHttpRequest set its timeout with setTimeout, so the timeout still expired before the response was read, as for all timers before SystemClock polls the sockets first.

Change: sendHttpRequest, StoreClient and HttpEnginePort take the clock; a process has one clock for them and its settings.

Not covered: a response larger than the socket buffers is read in more than one poll. src/platform/PlatformHttp and src/agent/HttpBackendClient still use AbortSignal.timeout.

--- a/test/direct/endlessResponses.test.ts
+++ b/test/direct/endlessResponses.test.ts
@@ -194,7 +194,7 @@
         const [host, port] = address.split(':');
         const startedAtMs = CLOCK.nowMs();
         const limits = { timeoutMs: 500, maxBodyBytes: MIB };
-        const result = await sendHttpRequest({ host, port, path: '/' }, limits);
+        const result = await sendHttpRequest(CLOCK, { host, port, path: '/' }, limits);
         expect(result.kind).to.equal('lost');
         expect(CLOCK.nowMs() - startedAtMs).to.be.below(500 + SLACK_MS);
         await expectClosed();
--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { StoreClient } from '../../platform/StoreClient.js';
 import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
+import { SystemClock } from '../../src/kernel/index.js';
 
 /** Response of the scripted store: a status and a body, no response, or a closed connection. */
 type ScriptedResponse =
@@ -38,7 +39,7 @@
       store.listen(0, '127.0.0.1', resolve);
     });
     const { port } = store.address() as AddressInfo;
-    source = new StoreFleetSource(new StoreClient(() => `127.0.0.1:${port}`));
+    source = new StoreFleetSource(new StoreClient(new SystemClock(), () => `127.0.0.1:${port}`));
   });
 
   afterEach(() => {
--- a/test/platform/makeWatcher.ts
+++ b/test/platform/makeWatcher.ts
@@ -6,10 +6,11 @@
 
 /** Returns a watcher that keeps a view current from the store at an address. */
 export function makeWatcher(address: string, view: FleetView, updateLimitMs = 2_000): FleetWatcher {
+  const clock = new SystemClock();
   return new FleetWatcher({
-    clock: new SystemClock(),
+    clock,
     random: new Random(1),
-    source: new StoreFleetSource(new StoreClient(() => address)),
+    source: new StoreFleetSource(new StoreClient(clock, () => address)),
     view,
     log: new Log('test', () => undefined),
     metrics: new Metrics(),
