A router reads the agents for origins only after a change

At 4,300 listed engines each new stream made a router read all entries and connections, and so did an idle router every 200 ms: the larger part of an idle core's share for origins. The view and the connections now count their changes (the view where it discards its ranks, which depend on the same), and the agents are read at the next interval after a change only. Until then, at most 200 ms, a copy may be addressed to an agent that has just left; it is replaced at that interval as before.

--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -79,6 +79,7 @@
   /** An agent is notified of its engine's running requests again when it reconnects. */
   private readonly runningUses = new RunningModelUses();
   private readonly dialTask: PeriodicTask;
+  private currentChangeCount = 0;
   private reportListener: () => void = () => undefined;
   private crashListener: (address: string, crashes: readonly EngineCrash[]) => void = () => undefined;
 
@@ -87,6 +88,11 @@
     this.dialTask = new PeriodicTask(deps.clock, DIAL_INTERVAL_MS, () => this.updateConnections());
   }
 
+  /** Number of changes of the connections and of the methods that agents are known to offer so far. */
+  get changeCount(): number {
+    return this.currentChangeCount;
+  }
+
   /** Returns the methods that agents call on the connections. */
   getMethods(): PeerMethods {
     return {
@@ -205,6 +211,7 @@
       agent.heardAtMs = this.deps.clock.nowMs();
     } else if (result.kind === 'unsupported') {
       agent.missingMethods.add(method);
+      this.currentChangeCount++;
     }
     return result;
   }
@@ -340,8 +347,10 @@
       };
       connection.acquire();
       this.connections.set(address, agent);
+      this.currentChangeCount++;
       connection.onClose(() => {
         this.connections.delete(address);
+        this.currentChangeCount++;
         view.discardReport(address);
         log.warn('agent disconnected', { address });
       });
--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -40,6 +40,8 @@
   private readonly ownOrigins = new StreamOrigins();
   private readonly replicas = new OriginReplicas();
   private readonly updateTask: PeriodicTask;
+  /** Number of changes of the view and of the connections when the agents were last read. */
+  private readChangeCount = -1;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: StreamOriginClientDependencies) {
@@ -62,7 +64,6 @@
    */
   record(origin: StreamOrigin): void {
     this.ownOrigins.record(origin);
-    this.updateAgents();
     this.send(this.replicas.record(origin, this.deps.clock.nowMs()));
   }
 
@@ -89,6 +90,11 @@
   /** Sends copies of the latest origins to agents that take the place of others. */
   private updateAgents(): void {
     const { clock, view, agentConnections } = this.deps;
+    const changeCount = view.changeCount + agentConnections.changeCount;
+    if (changeCount === this.readChangeCount) {
+      return;
+    }
+    this.readChangeCount = changeCount;
     const agents = new Map<string, object>();
     for (const { entry } of getEngineEntries(view)) {
       const connection = agentConnections.getConnection(entry.address, STREAM_METHODS.findOrigin);
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -72,6 +72,7 @@
       return false;
     }
     this.currentConfiguration = configuration;
+    this.markChanged();
     this.currentRouteTable = new RouteTable(configuration.routes);
     this.maxInteractiveTargetsMs = getMaxInteractiveTargetsMs(configuration.routes);
     return true;
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -33,10 +33,16 @@
   private ranks: Map<string, number> | undefined;
   /** Numbers of staying servers by service, computed with the ranks. */
   private readonly stayingCounts = new Map<ServiceId, number>();
+  private currentChangeCount = 0;
   private hasServerList = false;
   private storeUnavailableSinceMs: number | undefined;
   private storeRecoveredAtMs = -Infinity;
 
+  /** Number of changes of the servers, of those that stay or of their services so far. */
+  get changeCount(): number {
+    return this.currentChangeCount;
+  }
+
   /** Whether a complete list was applied. */
   get hasList(): boolean {
     return this.hasServerList;
@@ -99,7 +105,9 @@
    */
   recordLeaving(server: ServerIncarnation): boolean {
     const isNew = this.retirements.recordLeaving(server);
-    this.ranks = isNew ? undefined : this.ranks;
+    if (isNew) {
+      this.markChanged();
+    }
     return isNew;
   }
 
@@ -245,7 +253,7 @@
       const entry = this.entries.get(serverId);
       if (entry?.address === address && entry.bornAtMs === bornAtMs) {
         this.unconfirmedSinceMs.delete(serverId);
-        this.ranks = undefined;
+        this.markChanged();
       }
     }
   }
@@ -260,6 +268,12 @@
     );
   }
 
+  /** Discards what was computed from the servers. */
+  protected markChanged(): void {
+    this.ranks = undefined;
+    this.currentChangeCount++;
+  }
+
   private confirmStillListed(nowMs: number): void {
     if (this.storeUnavailableSinceMs !== undefined) {
       return;
@@ -267,7 +281,7 @@
     for (const [serverId, sinceMs] of this.unconfirmedSinceMs) {
       if (nowMs - Math.max(sinceMs, this.storeRecoveredAtMs) >= LISTED_ALIVE_AFTER_MS) {
         this.unconfirmedSinceMs.delete(serverId);
-        this.ranks = undefined;
+        this.markChanged();
       }
     }
   }
@@ -278,7 +292,7 @@
     }
     this.graceEndsAtMsByServer.delete(entry.serverId);
     this.entries.set(entry.serverId, entry);
-    this.ranks = undefined;
+    this.markChanged();
   }
 
   private deleteEntry(entry: ServerEntry): void {
@@ -290,7 +304,7 @@
     if (entry.isLeaving) {
       this.retirements.recordLeaving(entry);
     }
-    this.ranks = undefined;
+    this.markChanged();
   }
 
   private computeRanks(): Map<string, number> {
