The first agents for a stream are found in one pass, without a sort of all

For each new stream, and for each origin that is placed again, a router sorted all agents to take the first three (or twelve to ask). findFirstForKey keeps the first ones while it hashes; the order is that of rankForKey, so routers of both versions choose the same agents.

--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -2,10 +2,10 @@
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import {
+  findFirstForKey,
   isStreamOrigin,
   ORIGIN_REPLICA_COUNT,
   OriginReplicas,
-  rankForKey,
   StreamOrigins,
   type FleetView,
   type OriginCopy,
@@ -122,7 +122,7 @@
     for (const { entry } of getEngineEntries(view)) {
       listed.add(entry.address);
     }
-    const ranked = rankForKey(requestId, listed).slice(0, MAX_ASKED_COUNT);
+    const ranked = findFirstForKey(requestId, listed, MAX_ASKED_COUNT);
     const answers: Promise<string>[] = [];
     while (asked.length < ranked.length) {
       for (const address of ranked.slice(asked.length, asked.length + ORIGIN_REPLICA_COUNT)) {
--- a/src/direct/decisions/OriginReplicas.ts
+++ b/src/direct/decisions/OriginReplicas.ts
@@ -1,4 +1,4 @@
-import { rankForKey } from './rendezvous.js';
+import { findFirstForKey } from './rendezvous.js';
 import { setNewest } from './setNewest.js';
 import type { StreamOrigin } from './StreamOrigins.js';
 
@@ -79,7 +79,7 @@
 /** Assigns an origin to the first candidates; returns the copies for those that were not sent it yet. */
 function place(replicated: ReplicatedOrigin, candidates: Iterable<string>): OriginCopy[] {
   const { origin, addresses: sentAddresses } = replicated;
-  replicated.addresses = rankForKey(origin.requestId, candidates).slice(0, ORIGIN_REPLICA_COUNT);
+  replicated.addresses = findFirstForKey(origin.requestId, candidates, ORIGIN_REPLICA_COUNT);
   return replicated.addresses
     .filter((address) => !sentAddresses.includes(address))
     .map((address) => ({ address, origin }));
--- a/src/direct/decisions/rendezvous.ts
+++ b/src/direct/decisions/rendezvous.ts
@@ -26,6 +26,28 @@
   return [...weights.keys()].sort((left, right) => (weights.get(right) ?? 0) - (weights.get(left) ?? 0));
 }
 
+/**
+ * Returns the first candidates in the order of {@link rankForKey}, without sorting all of them.
+ * @param key - Key to assign.
+ * @param candidates - Candidates that the key may be assigned to.
+ * @param count - Maximum number of candidates to return.
+ */
+export function findFirstForKey(key: string, candidates: Iterable<string>, count: number): string[] {
+  const first: { readonly candidate: string; readonly weight: number }[] = [];
+  for (const candidate of candidates) {
+    const weight = hashToFraction(key, candidate);
+    let position = first.length;
+    while (position > 0 && weight > (first[position - 1]?.weight ?? Infinity)) {
+      position--;
+    }
+    if (position < count && !first.some((other) => other.candidate === candidate)) {
+      first.splice(position, 0, { candidate, weight });
+      first.length = Math.min(first.length, count);
+    }
+  }
+  return first.map(({ candidate }) => candidate);
+}
+
 /** Item with an id and the data centre that it runs in. */
 interface RankableItem {
   readonly id: string;
