Origins are placed again in bounded steps

When all agents of a large fleet came back between two updates, a router placed every origin of the last 30 s again in one step and served nothing meanwhile. An update now ranks about 50,000 pairs of an origin and an agent and leaves the rest to the next ones, 200 ms apart; an origin whose agents change again while it waits is ranked among all agents. With 130 agents, 384 origins still take one update. The price: until its turn an origin may have fewer copies than three (4 s for 240 origins at 4,300 agents, if all of them restarted).

The new test failed before (600 copies in a step instead of at most 150).

--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -92,6 +92,7 @@
     const { clock, view, agentConnections } = this.deps;
     const changeCount = view.changeCount + agentConnections.changeCount;
     if (changeCount === this.readChangeCount) {
+      this.send(this.replicas.placePending(clock.nowMs()));
       return;
     }
     this.readChangeCount = changeCount;
--- a/src/direct/decisions/OriginReplicas.ts
+++ b/src/direct/decisions/OriginReplicas.ts
@@ -12,6 +12,12 @@
 /** Maximum number of origins that a router keeps stored. */
 const MAX_ORIGINS = 2_000;
 
+/**
+ * Number of pairs of an origin and an agent after which the next origins are placed at the next update; bounds the time for
+ * which an update blocks the event loop.
+ */
+const MAX_RANKED_PAIRS = 50_000;
+
 /** Connections to agents, by the address of their engine; an agent that has restarted is on another connection. */
 export type AgentsByAddress = ReadonlyMap<string, object>;
 
@@ -22,11 +28,11 @@
   readonly origin: StreamOrigin;
 }
 
-/** An origin and the agents that were sent it. */
+/** An origin and the connections of the agents that were sent it. */
 interface ReplicatedOrigin {
   readonly origin: StreamOrigin;
   readonly recordedAtMs: number;
-  addresses: readonly string[];
+  holders: AgentsByAddress;
 }
 
 /**
@@ -37,6 +43,8 @@
 export class OriginReplicas {
   private readonly origins = new Map<string, ReplicatedOrigin>();
   private agents: AgentsByAddress = new Map();
+  /** Origins to place again, and the agents that came since they were placed; undefined if all agents are to be ranked. */
+  private readonly pending = new Map<string, readonly string[] | undefined>();
 
   /**
    * Records an origin and returns the copies to send.
@@ -44,13 +52,14 @@
    * @param nowMs - Current time.
    */
   record(origin: StreamOrigin, nowMs: number): OriginCopy[] {
-    const replicated: ReplicatedOrigin = { origin, recordedAtMs: nowMs, addresses: [] };
+    const replicated: ReplicatedOrigin = { origin, recordedAtMs: nowMs, holders: new Map() };
     setNewest(this.origins, origin.requestId, replicated, MAX_ORIGINS);
-    return place(replicated, this.agents.keys());
+    this.pending.delete(origin.requestId);
+    return this.place(replicated, [], this.agents.keys());
   }
 
   /**
-   * Sets the agents that can store origins and returns the copies to send.
+   * Sets the agents that can store origins and returns the next copies to send.
    * @param agents - Connected agents whose engines stay.
    * @param nowMs - Current time.
    */
@@ -58,31 +67,57 @@
     const lost = getMissing(this.agents, agents);
     const added = getMissing(agents, this.agents);
     this.agents = agents;
-    if (lost.length === 0 && added.length === 0) {
-      return [];
+    if (lost.length > 0 || added.length > 0) {
+      for (const requestId of this.origins.keys()) {
+        this.pending.set(requestId, this.pending.has(requestId) ? undefined : added);
+      }
     }
+    return this.placePending(nowMs);
+  }
+
+  /**
+   * Places some of the origins again whose agents have changed; returns the copies to send.
+   * @param nowMs - Current time.
+   */
+  placePending(nowMs: number): OriginCopy[] {
     const copies: OriginCopy[] = [];
-    for (const [requestId, replicated] of this.origins) {
-      if (nowMs - replicated.recordedAtMs >= REPLICATION_MS) {
+    let rankedPairs = 0;
+    for (const [requestId, added] of this.pending) {
+      if (rankedPairs >= MAX_RANKED_PAIRS) {
+        break;
+      }
+      this.pending.delete(requestId);
+      const replicated = this.origins.get(requestId);
+      if (!replicated || nowMs - replicated.recordedAtMs >= REPLICATION_MS) {
         this.origins.delete(requestId);
         continue;
       }
-      const kept = replicated.addresses.filter((address) => !lost.includes(address));
-      replicated.addresses = kept;
-      const isComplete = kept.length >= ORIGIN_REPLICA_COUNT;
-      copies.push(...place(replicated, isComplete ? [...kept, ...added] : agents.keys()));
+      const kept = [...replicated.holders]
+        .filter(([address, connection]) => this.agents.get(address) === connection)
+        .map(([address]) => address);
+      const isComplete = added !== undefined && kept.length >= ORIGIN_REPLICA_COUNT;
+      rankedPairs += isComplete ? added.length : this.agents.size;
+      copies.push(...this.place(replicated, kept, isComplete ? [...kept, ...added] : this.agents.keys()));
     }
     return copies;
   }
-}
 
-/** Assigns an origin to the first candidates; returns the copies for those that were not sent it yet. */
-function place(replicated: ReplicatedOrigin, candidates: Iterable<string>): OriginCopy[] {
-  const { origin, addresses: sentAddresses } = replicated;
-  replicated.addresses = findFirstForKey(origin.requestId, candidates, ORIGIN_REPLICA_COUNT);
-  return replicated.addresses
-    .filter((address) => !sentAddresses.includes(address))
-    .map((address) => ({ address, origin }));
+  /** Assigns an origin to the first candidates; returns the copies for those that were not sent it yet. */
+  private place(
+    replicated: ReplicatedOrigin,
+    sentAddresses: readonly string[],
+    candidates: Iterable<string>,
+  ): OriginCopy[] {
+    const { origin } = replicated;
+    const holders = new Map<string, object>();
+    for (const address of findFirstForKey(origin.requestId, candidates, ORIGIN_REPLICA_COUNT)) {
+      holders.set(address, this.agents.get(address) ?? {});
+    }
+    replicated.holders = holders;
+    return [...holders.keys()]
+      .filter((address) => !sentAddresses.includes(address))
+      .map((address) => ({ address, origin }));
+  }
 }
 
 /** Returns the addresses of agents that others lack or have on another connection. */
--- a/test/direct/decisions/OriginReplicas.test.ts
+++ b/test/direct/decisions/OriginReplicas.test.ts
@@ -110,6 +110,35 @@
     expectFirstAgentsStore('r');
   });
 
+  // A router whose agents all came back placed every origin in one step and served nothing for seconds.
+  it('places many origins again in bounded steps, the last ones also at agents that come meanwhile', () => {
+    const agentCount = 1_000;
+    const originCount = 200;
+    fleet = new AgentFleet(agentCount);
+    fleet.update();
+    for (let count = 0; count < originCount; count++) {
+      fleet.record(`r${count}`);
+    }
+    fleet.takeSentCount();
+    for (const address of fleet.addresses) {
+      fleet.connect(address);
+    }
+    const maxOriginsPerStep = 50;
+    for (let placedCount = 0; placedCount < originCount; placedCount += maxOriginsPerStep) {
+      fleet.connect(`late ${placedCount}`);
+      fleet.update();
+      const sentCount = fleet.takeSentCount();
+      expect(sentCount).to.be.greaterThan(0);
+      expect(sentCount).to.be.at.most(maxOriginsPerStep * REPLICA_COUNT);
+    }
+    for (let step = 0; step < originCount; step++) {
+      fleet.update();
+    }
+    for (let count = 0; count < originCount; count++) {
+      expectFirstAgentsStore(`r${count}`);
+    }
+  });
+
   it('sends one copy for each origin that a lost agent stored, and none for streams that ended long ago', () => {
     for (let count = 0; count < 100; count++) {
       fleet.record(`r${count}`);
