--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -2,10 +2,10 @@
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import {
+  findFirstForKey,
   isStreamOrigin,
   ORIGIN_REPLICA_COUNT,
   OriginReplicas,
-  rankForKey,
   StreamOrigins,
   type FleetView,
   type OriginCopy,
@@ -40,6 +40,8 @@
   private readonly ownOrigins = new StreamOrigins();
   private readonly replicas = new OriginReplicas();
   private readonly updateTask: PeriodicTask;
+  /** Number of changes of the view and of the connections when the agents were last read. */
+  private readChangeCount = -1;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: StreamOriginClientDependencies) {
@@ -62,7 +64,6 @@
    */
   record(origin: StreamOrigin): void {
     this.ownOrigins.record(origin);
-    this.updateAgents();
     this.send(this.replicas.record(origin, this.deps.clock.nowMs()));
   }
 
@@ -89,6 +90,12 @@
   /** Sends copies of the latest origins to agents that take the place of others. */
   private updateAgents(): void {
     const { clock, view, agentConnections } = this.deps;
+    const changeCount = view.changeCount + agentConnections.changeCount;
+    if (changeCount === this.readChangeCount) {
+      this.send(this.replicas.placePending(clock.nowMs()));
+      return;
+    }
+    this.readChangeCount = changeCount;
     const agents = new Map<string, object>();
     for (const { entry } of getEngineEntries(view)) {
       const connection = agentConnections.getConnection(entry.address, STREAM_METHODS.findOrigin);
@@ -116,7 +123,7 @@
     for (const { entry } of getEngineEntries(view)) {
       listed.add(entry.address);
     }
-    const ranked = rankForKey(requestId, listed).slice(0, MAX_ASKED_COUNT);
+    const ranked = findFirstForKey(requestId, listed, MAX_ASKED_COUNT);
     const answers: Promise<string>[] = [];
     while (asked.length < ranked.length) {
       for (const address of ranked.slice(asked.length, asked.length + ORIGIN_REPLICA_COUNT)) {
