--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -487,19 +487,19 @@
     if (!this.isRetryInTime() || this.crashEvidence.isBlocked()) {
       return false;
     }
-    const { view, clock, metrics } = this.deps;
-    const isAllowed = this.getRetryBudget().tryTake(clock.nowMs(), view.routerCount);
-    metrics.count(isAllowed ? 'repeats' : 'repeats_refused');
+    const isAllowed = this.getRetryBudget().tryTake(this.deps.clock.nowMs(), this.getRouterCount());
+    this.deps.metrics.count(isAllowed ? 'repeats' : 'repeats_refused');
     return isAllowed;
   }
 
   private isRetryLeft(): boolean {
+    const isLeft = this.getRetryBudget().isLeft(this.deps.clock.nowMs(), this.getRouterCount());
+    return isLeft && this.isRetryInTime() && !this.crashEvidence.isBlocked();
+  }
+
+  private getRouterCount(): number {
     const { view, clock } = this.deps;
-    return (
-      this.isRetryInTime() &&
-      !this.crashEvidence.isBlocked() &&
-      this.getRetryBudget().isLeft(clock.nowMs(), view.routerCount)
-    );
+    return view.getLargestRouterCount(clock.nowMs() - this.getRetryBudget().windowMs) ?? 1;
   }
 
   private isRetryInTime(): boolean {
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,4 +1,5 @@
 import { toServerId, type ServerId, type ServiceId } from '../../domain/index.js';
+import { RouterCounts } from './RouterCounts.js';
 import { RouteTable } from './RouteTable.js';
 import { ServerDirectory } from './ServerDirectory.js';
 import type { AgentReport, HeldModel, ServerEntry } from './ServerEntry.js';
@@ -39,9 +40,7 @@
   private readonly reportedAtMs = new Map<string, number>();
   /** Addresses of the agents whose reports contain crashed requests. */
   private readonly crashReporters = new Set<string>();
-  /** Cached number of routers; undefined after a report has changed it. */
-  private cachedRouterCount: number | undefined;
-  private lastRouterCount: number | undefined;
+  private readonly routerCounts = new RouterCounts();
   /** Time until which a model counts as not loaded on a server, by server and model. */
   private readonly refusedUntilMs = new Map<string, number>();
   private currentConfiguration: ServingConfiguration | undefined;
@@ -92,9 +91,7 @@
    */
   applyReport(report: AgentReport, nowMs: number): void {
     const previous = this.reports.get(report.address)?.report;
-    if (previous?.routerCount !== report.routerCount) {
-      this.cachedRouterCount = undefined;
-    }
+    this.routerCounts.record(report.address, report.routerCount, nowMs);
     this.applyReportedLimit(previous, report);
     this.reports.set(report.address, { report, atMs: nowMs });
     this.reportedAtMs.set(report.address, nowMs);
@@ -118,10 +115,9 @@
    * @param address - Host and port of its engine.
    */
   discardReport(address: string): void {
-    this.lastRouterCount = this.knownRouterCount;
     this.reports.delete(address);
     this.crashReporters.delete(address);
-    this.cachedRouterCount = undefined;
+    this.routerCounts.discard(address);
   }
 
   /**
@@ -204,14 +200,16 @@
    * is connected, undefined before the first report.
    */
   get knownRouterCount(): number | undefined {
-    if (this.reports.size > 0 && this.cachedRouterCount === undefined) {
-      let count = 1;
-      for (const { report } of this.reports.values()) {
-        count = Math.max(count, report.routerCount);
-      }
-      this.cachedRouterCount = count;
-    }
-    return this.cachedRouterCount ?? this.lastRouterCount;
+    return this.routerCounts.latest;
+  }
+
+  /**
+   * Returns the largest number of routers that was known since a time, the number at that time included; undefined before
+   * the first report.
+   * @param sinceMs - The time.
+   */
+  getLargestRouterCount(sinceMs: number): number | undefined {
+    return this.routerCounts.getLargest(sinceMs);
   }
 
   /**
--- a/src/direct/decisions/SharedRetryBudget.ts
+++ b/src/direct/decisions/SharedRetryBudget.ts
@@ -27,6 +27,11 @@
     private readonly startedAtMs: number,
   ) {}
 
+  /** Time for which requests and retries count, in milliseconds. */
+  get windowMs(): number {
+    return this.getLimits().windowMs;
+  }
+
   /**
    * Records a request to the service.
    * @param nowMs - Current time.
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -17,6 +17,7 @@
 export * from './ServerRateLimits.js';
 export * from './PermitBuckets.js';
 export * from './ServerDirectory.js';
+export * from './RouterCounts.js';
 export * from './FleetView.js';
 export * from './ArrivalRates.js';
 export * from './drawByRoom.js';
--- a/test/direct/decisions/SharedRetryBudget.test.ts
+++ b/test/direct/decisions/SharedRetryBudget.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
-import { SharedRetryBudget } from '../../../src/direct/index.js';
+import { FleetView, SharedRetryBudget } from '../../../src/direct/index.js';
+import { makeEntry, makeReport } from '../fleetFixtures.js';
 
 const LIMITS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
 
@@ -43,6 +44,38 @@
       expect(granted).to.be.within(1, LIMITS.ratio * 300 + LIMITS.slack);
     });
 
+    // Issue 30, BUDGET: a router that was the only one left took the whole slack, while the retries of the others still counted.
+    for (const lostAfterMs of [100, 9_000]) {
+      it(`keeps the retries within the limits when the other routers are lost ${lostAfterMs} ms after them`, () => {
+        const view = new FleetView();
+        const engine = makeEntry('engine');
+        view.applyReport(makeReport(engine, { routerCount: 5 }), 20_000);
+        const budgets = Array.from({ length: 5 }, () => new SharedRetryBudget(() => LIMITS, -Infinity));
+        let granted = 0;
+        for (const budget of budgets) {
+          granted += countGranted(budget, 20_000, view.getLargestRouterCount(10_000) ?? 1);
+        }
+        const [survivor] = budgets;
+        for (let nowMs = 20_000; nowMs < 29_999; nowMs += 100) {
+          const routerCount = nowMs < 20_000 + lostAfterMs ? 5 : 1;
+          view.applyReport(makeReport(engine, { routerCount }), nowMs);
+          granted += survivor
+            ? countGranted(survivor, nowMs, view.getLargestRouterCount(nowMs - 10_000) ?? 1)
+            : 0;
+        }
+        expect(granted).to.be.within(1, LIMITS.slack);
+      });
+    }
+
+    it('counts routers that were lost for one window and not longer', () => {
+      const view = new FleetView();
+      const engine = makeEntry('engine');
+      view.applyReport(makeReport(engine, { routerCount: 5 }), 20_000);
+      view.applyReport(makeReport(engine, { routerCount: 1 }), 20_500);
+      expect(view.getLargestRouterCount(20_499)).to.equal(5);
+      expect(view.getLargestRouterCount(20_501)).to.equal(1);
+    });
+
     it('grants the slack again one window after the start', () => {
       const budget = new SharedRetryBudget(() => LIMITS, 1_000);
       expect(countGranted(budget, 10_999, 5)).to.equal(0);
