--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -19,6 +19,7 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
+import { getSharingRouterCount } from './engineEntries.js';
 import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
@@ -497,9 +498,8 @@
     return isLeft && this.isRetryInTime() && !this.crashEvidence.isBlocked();
   }
 
-  private getRouterCount(): number {
-    const { view, clock } = this.deps;
-    return view.getLargestRouterCount(clock.nowMs() - this.getRetryBudget().windowMs) ?? 1;
+  private getRouterCount(): number | undefined {
+    return getSharingRouterCount(this.deps.view, this.deps.clock.nowMs() - this.getRetryBudget().windowMs);
   }
 
   private isRetryInTime(): boolean {
--- a/src/direct/RequestPermits.ts
+++ b/src/direct/RequestPermits.ts
@@ -9,7 +9,7 @@
   type PermitDecision,
   type ServerEntry,
 } from './decisions/index.js';
-import { getEngineEntries } from './engineEntries.js';
+import { isRouterCountKnown } from './engineEntries.js';
 import { PERMIT_METHODS, type TakePermitParams } from './messages.js';
 
 /** Timeout of a request for a permit, in milliseconds; an agent answers within a few milliseconds. */
@@ -112,8 +112,7 @@
   ): PermitDecision {
     const { clock, view } = this.deps;
     // Until an agent has reported the number of routers, any number of them may have started together.
-    const isShareKnown = view.knownRouterCount !== undefined || getEngineEntries(view).next().done === true;
-    const share = isShareKnown ? maxRequestsPerSecond / view.routerCount : 0;
+    const share = isRouterCountKnown(view) ? maxRequestsPerSecond / view.routerCount : 0;
     return this.shares.take(serverId, share, maxWaitMs, clock.nowMs());
   }
 }
--- a/src/direct/decisions/SharedRetryBudget.ts
+++ b/src/direct/decisions/SharedRetryBudget.ts
@@ -44,13 +44,14 @@
   /**
    * Whether a retry is left in the budget.
    * @param nowMs - Current time.
-   * @param routerCount - Number of routers that share the slack, this one included.
+   * @param routerCount - Number of routers that share the slack, this one included; undefined where it is not known.
    */
-  isLeft(nowMs: number, routerCount: number): boolean {
+  isLeft(nowMs: number, routerCount: number | undefined): boolean {
     this.advance(nowMs);
     const { ratio, slack, windowMs } = this.getLimits();
     // An earlier process of this router may have used its share of the slack.
-    const slackShare = nowMs - this.startedAtMs < windowMs ? 0 : slack / Math.max(1, routerCount);
+    const mayUseSlack = routerCount !== undefined && nowMs - this.startedAtMs >= windowMs;
+    const slackShare = mayUseSlack ? slack / Math.max(1, routerCount) : 0;
     const allowedRetries = USABLE_SHARE * (ratio * sum(this.requestCounts) + slackShare);
     return sum(this.retryCounts) + 1 <= allowedRetries;
   }
@@ -58,9 +59,9 @@
   /**
    * Takes one retry from the budget; returns false when none is left.
    * @param nowMs - Current time.
-   * @param routerCount - Number of routers that share the slack, this one included.
+   * @param routerCount - Number of routers that share the slack, this one included; undefined where it is not known.
    */
-  tryTake(nowMs: number, routerCount: number): boolean {
+  tryTake(nowMs: number, routerCount: number | undefined): boolean {
     if (!this.isLeft(nowMs, routerCount)) {
       return false;
     }
--- a/src/direct/engineEntries.ts
+++ b/src/direct/engineEntries.ts
@@ -18,3 +18,21 @@
     }
   }
 }
+
+/**
+ * Whether the number of routers is known, or there are no agents to report it.
+ * @param view - View of the fleet.
+ */
+export function isRouterCountKnown(view: FleetView): boolean {
+  return view.knownRouterCount !== undefined || getEngineEntries(view).next().done === true;
+}
+
+/**
+ * Returns the largest number of routers known since a time, 1 where there are no agents to report it; undefined where it
+ * is not known.
+ * @param view - View of the fleet.
+ * @param sinceMs - The time.
+ */
+export function getSharingRouterCount(view: FleetView, sinceMs: number): number | undefined {
+  return isRouterCountKnown(view) ? (view.getLargestRouterCount(sinceMs) ?? 1) : undefined;
+}
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -36,7 +36,7 @@
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
-import { ENGINES, makeHeldModel, makeConfiguration, makeEntry } from './fleetFixtures.js';
+import { ENGINES, makeHeldModel, makeConfiguration, makeEntry, makeReport } from './fleetFixtures.js';
 import { onReset } from './onReset.js';
 
 const RETRY_LIMITS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
@@ -60,6 +60,8 @@
   readonly view = new FleetView();
   bufferBudget = new ByteBudget(32 * 1024 * 1024);
   retryLimits = RETRY_LIMITS;
+  /** Whether an agent has reported the number of routers, where the router connects to none. */
+  isAgentKnown = true;
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
   private readonly servers: (Server | SocketServer)[] = [];
   private router: CallerServer | undefined;
@@ -147,6 +149,12 @@
     });
     const getRetryBudget = () => retryBudget;
     this.modelLoader = modelLoader;
+    if (this.agentPort === undefined && this.isAgentKnown) {
+      // An agent that has left again has reported that there is one router.
+      const left = makeReport(makeEntry('left', { address: '127.0.0.1:1' }));
+      view.applyReport(left, CLOCK.nowMs());
+      view.discardReport(left.address);
+    }
     if (this.agentPort !== undefined) {
       this.agentConnections = agentConnections;
       dialer.exposeMethods(agentConnections.getMethods());
--- a/test/direct/decisions/SharedRetryBudget.test.ts
+++ b/test/direct/decisions/SharedRetryBudget.test.ts
@@ -5,7 +5,7 @@
 const LIMITS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
 
 /** Takes all retries that are left at one time and returns their number. */
-function countGranted(budget: SharedRetryBudget, nowMs: number, routerCount: number): number {
+function countGranted(budget: SharedRetryBudget, nowMs: number, routerCount: number | undefined): number {
   let count = 0;
   while (budget.tryTake(nowMs, routerCount)) {
     count++;
@@ -76,6 +76,12 @@
       expect(view.getLargestRouterCount(20_501)).to.equal(1);
     });
 
+    // Issue 30, BUDGET: routers that never were in touch with an agent took the whole slack each.
+    it('grants no slack while the number of routers is not known', () => {
+      const budget = new SharedRetryBudget(() => LIMITS, -Infinity);
+      expect(countGranted(budget, 20_000, undefined)).to.equal(0);
+    });
+
     it('grants the slack again one window after the start', () => {
       const budget = new SharedRetryBudget(() => LIMITS, 1_000);
       expect(countGranted(budget, 10_999, 5)).to.equal(0);
--- a/test/direct/streamVersions.test.ts
+++ b/test/direct/streamVersions.test.ts
@@ -38,6 +38,15 @@
 
   const versionsByServer = new Map<string, string>();
 
+  // Issue 30, BUDGET: routers that no agent had told their number took the whole slack each.
+  it('does so nowhere while no agent has reported the number of routers', async () => {
+    bench.isAgentKnown = false;
+    await addServers('breaks off', ['v1', 'v1']);
+    const received = await bench.sendRequest('/drafts/x', { model: 'a' });
+    expect([received.text, received.isComplete]).to.deep.equal([FIRST_EVENT, false]);
+    expect(getVersions()).to.have.length(1);
+  });
+
   async function addServers(end: 'breaks off' | 'is silent', versions: readonly string[]): Promise<void> {
     for (const [index, softwareVersion] of versions.entries()) {
       versionsByServer.set('s'.repeat(index + 1), softwareVersion);
