--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -212,7 +212,7 @@
     path: string,
     headers: Record<string, string> = {},
     body = 'x',
-    disconnectAfterMs?: number,
+    disconnectAfterMs?: number | 'first event',
     agent: Agent | false = false,
   ): Promise<ReceivedResponse> {
     return new Promise((resolve, reject) => {
@@ -230,7 +230,12 @@
       outgoing.on('response', (response) => {
         outgoing.removeListener('error', reject);
         let text = '';
-        response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+        response.on('data', (chunk: Buffer) => {
+          text += chunk.toString();
+          if (disconnectAfterMs === 'first event' && text.includes('\n\n')) {
+            outgoing.destroy();
+          }
+        });
         response.on('error', () => undefined);
         response.on('close', () => {
           const { statusCode, headers: responseHeaders, complete } = response;
@@ -240,7 +245,7 @@
         });
       });
       outgoing.end(body);
-      if (disconnectAfterMs !== undefined) {
+      if (typeof disconnectAfterMs === 'number') {
         setTimeout(() => outgoing.destroy(), disconnectAfterMs);
       }
     });
--- a/test/direct/streamVersions.test.ts
+++ b/test/direct/streamVersions.test.ts
@@ -6,8 +6,6 @@
 
 const FIRST_EVENT = 'id: 1\ndata: x\n\n';
 const SECOND_EVENT = 'id: 2\ndata: y\n\n';
-/** Time after which a caller leaves in the middle of a stream, in milliseconds. */
-const CALLER_LEAVES_MS = 200;
 const STREAM_COUNT = 6;
 const RETURN_COUNT = 4;
 /** Time in which a request that cannot be served must be refused, in milliseconds. */
@@ -90,12 +88,12 @@
   async function send(
     router: RouterBench | undefined,
     headers: Record<string, string>,
-    leavesAfterMs?: number,
+    leavesAfter?: 'first event',
   ): Promise<{ requestId: string; status: number; tookMs: number }> {
     const requestId = `r${++requestCount}`;
     const sentAtMs = CLOCK.nowMs();
     const allHeaders = { model: 'a', 'request-id': requestId, ...headers };
-    const response = await router?.sendRequest('/drafts/x', allHeaders, requestId, leavesAfterMs);
+    const response = await router?.sendRequest('/drafts/x', allHeaders, requestId, leavesAfter);
     return { requestId, status: response?.status ?? 0, tookMs: CLOCK.nowMs() - sentAtMs };
   }
 
@@ -112,13 +110,13 @@
   ): Promise<void> {
     const begun: string[] = [];
     for (let count = 0; count < STREAM_COUNT; count++) {
-      begun.push((await send(begins, {}, CALLER_LEAVES_MS)).requestId);
+      begun.push((await send(begins, {}, 'first event')).requestId);
     }
     await beforeReturn();
     for (const first of begun) {
       for (let count = 0; count < RETURN_COUNT; count++) {
         const headers = { resumes: first, 'last-event-id': '2' };
-        const { requestId, status } = await send(continues, headers, CALLER_LEAVES_MS);
+        const { requestId, status } = await send(continues, headers, 'first event');
         expect(status).to.equal(200);
         expect(getVersions(requestId)).to.deep.equal(getVersions(first));
       }
