--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -76,6 +76,7 @@
 /** Interactive use of a model at this router. */
 interface InteractiveUse {
   readonly serviceId: ServiceId;
+  readonly model: string;
   usedAtMs: number;
   replicaRequestedAtMs: number;
 }
@@ -83,7 +84,7 @@
 /** Requests loads of models that requests are waiting for, and keeps enough replicas of models in interactive use. */
 export class ModelLoader implements Service {
   private readonly waitedModels = new Map<string, WaitedModel>();
-  /** Since when no server has room for a model whose requests were refused for that, by model. */
+  /** Since when no server has room for a model whose requests were refused for that, by the key of their waits. */
   private readonly withoutPlaceSinceMs = new Map<string, number>();
   /** Replicas that may be evicted, and when they were found, by service. */
   private readonly surplusReplicas = new Map<ServiceId, { atMs: number; replicas: SurplusReplicas }>();
@@ -126,11 +127,12 @@
    */
   recordInteractiveUse(serviceId: ServiceId, model: string): void {
     const nowMs = this.deps.clock.nowMs();
-    const use = this.interactiveUses.get(model);
+    const key = getWaitKey({ serviceId, model });
+    const use = this.interactiveUses.get(key);
     if (use) {
       use.usedAtMs = nowMs;
     } else {
-      this.interactiveUses.set(model, { serviceId, usedAtMs: nowMs, replicaRequestedAtMs: -Infinity });
+      this.interactiveUses.set(key, { serviceId, model, usedAtMs: nowMs, replicaRequestedAtMs: -Infinity });
     }
   }
 
@@ -193,7 +195,7 @@
    * Removes a wait because its request has ended.
    * @param wait - The request's wait.
    */
-  stopWaiting(wait: Pick<ModelWait, 'model' | 'softwareVersion' | 'requestId'>): void {
+  stopWaiting(wait: Pick<ModelWait, 'serviceId' | 'model' | 'softwareVersion' | 'requestId'>): void {
     const key = getWaitKey(wait);
     const waited = this.waitedModels.get(key);
     waited?.waiters.delete(wait.requestId);
@@ -391,11 +393,11 @@
     if (nowMs - this.lastFetchAtMs >= FETCH_DELAY_MS) {
       this.fetchUnderReplicated(nowMs);
     }
-    for (const [model, use] of this.interactiveUses) {
+    for (const [key, use] of this.interactiveUses) {
       if (nowMs - use.usedAtMs > INTERACTIVE_USE_MS) {
-        this.interactiveUses.delete(model);
+        this.interactiveUses.delete(key);
       } else if (nowMs - use.replicaRequestedAtMs >= REPLICA_DELAY_MS) {
-        this.reviewReplicasOfModel(model, use, nowMs);
+        this.reviewReplicasOfModel(use.model, use, nowMs);
       }
     }
   }
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -572,13 +572,13 @@
 
   private end(outcome: string, detail = ''): void {
     const { log, metrics, clock, modelLoader } = this.deps;
-    const { headers, route, receivedAtMs } = this.request;
+    const { headers, route, receivedAtMs, serviceId } = this.request;
     this.hasEnded = true;
     this.deadlineTimer.cancel();
     this.attempt?.cancel();
     if (headers.model !== undefined) {
       const { model, requestId } = headers;
-      modelLoader.stopWaiting({ model, requestId, softwareVersion: this.search.softwareVersion });
+      modelLoader.stopWaiting({ serviceId, model, requestId, softwareVersion: this.search.softwareVersion });
     }
     const tookMs = clock.nowMs() - receivedAtMs;
     metrics.count(`requests_${outcome.replaceAll(' ', '_')}`);
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -46,9 +46,13 @@
   requestedAddress: string | undefined;
 }
 
-/** Returns the key of the waits for a model at servers of one software version, or of any. */
-export function getWaitKey({ model, softwareVersion }: Pick<ModelWait, 'model' | 'softwareVersion'>): string {
-  return softwareVersion === undefined ? model : `${model} ${softwareVersion}`;
+/** Returns the key of the waits for a model of a service at servers of one software version, or of any. */
+export function getWaitKey({
+  serviceId,
+  model,
+  softwareVersion,
+}: Pick<ModelWait, 'serviceId' | 'model' | 'softwareVersion'>): string {
+  return JSON.stringify([serviceId, model, softwareVersion]);
 }
 
 /** Whether no server has had room for a model for so long that its requests wait in vain. */
--- a/test/direct/ModelLoader.test.ts
+++ b/test/direct/ModelLoader.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { toDataCentreId } from '../../src/domain/index.js';
+import { toDataCentreId, toServiceId } from '../../src/domain/index.js';
 import {
   FleetView,
   ModelLoader,
@@ -193,6 +193,34 @@
       expect(bench.loadRequests).to.deep.equal(['a at 2']);
     });
 
+    // Issue 30: waits at two services with a model of one name were one wait, so that one got the refusal of the other.
+    it('requests a load at a service with a free engine while another service has no room for a model of that name', async () => {
+      const bench = new ModelLoaderBench();
+      const inUse = { runningCount: 20, idleForMs: 0, isProtected: true };
+      const isFull = { modelsOnDisk: ['a'], runningCount: 40, uses: { b: inUse, c: inUse } };
+      bench.report(isFull, isFull);
+      const otherId = toServiceId('others');
+      const configuration = makeConfiguration(2);
+      const engine = configuration.services.get(ENGINES)?.engine;
+      const services = new Map([
+        ...configuration.services,
+        [otherId, { serviceId: otherId, maxConnections: 300, engine }] as const,
+      ]);
+      bench.view.applyConfiguration({ ...configuration, services });
+      const free = makeEntry('xxx', { serviceId: otherId });
+      bench.view.applyEntry(free);
+      bench.view.applyReport(makeReport(free, { modelsOnDisk: ['a'] }), bench.clock.nowMs());
+      const refused = bench.wait({ untilMs: 9_000 });
+      bench.clock.advance(100);
+      const served = bench.wait({ requestId: 'r2', serviceId: otherId, untilMs: 9_000 });
+      expect(bench.loadRequests).to.deep.equal(['a at 3']);
+      bench.clock.advance(3_000);
+      bench.view.applyReport(makeReport(free, { modelsOnDisk: ['a'] }), bench.clock.nowMs());
+      bench.report(isFull, isFull);
+      await flushPromises();
+      expect([refused.result?.kind, served.result?.kind]).to.deep.equal(['noPlace', undefined]);
+    });
+
     it('refuses a model that is not configured', async () => {
       const bench = new ModelLoaderBench();
       const pending = bench.wait({ model: 'unknown' });
