--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -19,6 +19,7 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
+import { getSharingRouterCount } from './engineEntries.js';
 import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
@@ -487,19 +488,18 @@
     if (!this.isRetryInTime() || this.crashEvidence.isBlocked()) {
       return false;
     }
-    const { view, clock, metrics } = this.deps;
-    const isAllowed = this.getRetryBudget().tryTake(clock.nowMs(), view.routerCount);
-    metrics.count(isAllowed ? 'repeats' : 'repeats_refused');
+    const isAllowed = this.getRetryBudget().tryTake(this.deps.clock.nowMs(), this.getRouterCount());
+    this.deps.metrics.count(isAllowed ? 'repeats' : 'repeats_refused');
     return isAllowed;
   }
 
   private isRetryLeft(): boolean {
-    const { view, clock } = this.deps;
-    return (
-      this.isRetryInTime() &&
-      !this.crashEvidence.isBlocked() &&
-      this.getRetryBudget().isLeft(clock.nowMs(), view.routerCount)
-    );
+    const isLeft = this.getRetryBudget().isLeft(this.deps.clock.nowMs(), this.getRouterCount());
+    return isLeft && this.isRetryInTime() && !this.crashEvidence.isBlocked();
+  }
+
+  private getRouterCount(): number | undefined {
+    return getSharingRouterCount(this.deps.view, this.deps.clock.nowMs() - this.getRetryBudget().windowMs);
   }
 
   private isRetryInTime(): boolean {
@@ -572,13 +572,13 @@
 
   private end(outcome: string, detail = ''): void {
     const { log, metrics, clock, modelLoader } = this.deps;
-    const { headers, route, receivedAtMs } = this.request;
+    const { headers, route, receivedAtMs, serviceId } = this.request;
     this.hasEnded = true;
     this.deadlineTimer.cancel();
     this.attempt?.cancel();
     if (headers.model !== undefined) {
       const { model, requestId } = headers;
-      modelLoader.stopWaiting({ model, requestId, softwareVersion: this.search.softwareVersion });
+      modelLoader.stopWaiting({ serviceId, model, requestId, softwareVersion: this.search.softwareVersion });
     }
     const tookMs = clock.nowMs() - receivedAtMs;
     metrics.count(`requests_${outcome.replaceAll(' ', '_')}`);
