--- a/src/direct/decisions/findSurplusReplicas.ts
+++ b/src/direct/decisions/findSurplusReplicas.ts
@@ -14,7 +14,7 @@
  * Returns the models that each server may evict although they are in interactive use, by address: their other replicas
  * carry the load without it.
  *
- * All routers get the same result from the same reports, so that routers which evict at the same time leave one. Each
+ * All routers get the same result from the same reports, so that routers which evict at the same time leave enough. Each
  * server keeps as few models as possible: one that kept all of its models could load no other.
  * @param servers - Servers of one service that accept new requests.
  */
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -62,7 +62,7 @@
 
 /**
  * Returns the placement requirements of a model; they loosen the longer requests have been waiting for it, until it may
- * take the place of another model's second replica.
+ * take the place of another model's spare replica.
  */
 export function toPlacementRequirements(
   waited: WaitedModel,
