Review, case 1: eight engines and the prompts of the site file

Cause: with four engines the crashes alone left no time for answers; with eight and 20 sound requests a second the position of the part and the few lists of shared parts remain as the cause.

A case that fails by itself now ends its processes too.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -8,7 +8,7 @@
 import { sleep, waitUntil } from '../lib/Recorder.mjs';
 import { ModelWorker } from '../lib/workers.mjs';
 
-const WORKER_COUNT = 4;
+const WORKER_COUNT = 8;
 const MODEL = 'm1';
 /** Parts of the prompts that requests share: an instruction and two subjects. */
 const INSTRUCTION = '5c1e07a2';
@@ -20,9 +20,9 @@
 const DOWN_MS = 2_500;
 /** Number of requests with the part, and time between two of them, in milliseconds. */
 const CRASHING_COUNT = 16;
-const CRASHING_INTERVAL_MS = 3_000;
+const CRASHING_INTERVAL_MS = 4_000;
 /** Time between two sound requests, in milliseconds. */
-const SOUND_INTERVAL_MS = 250;
+const SOUND_INTERVAL_MS = 50;
 const MIN_CRASHES = 5;
 /** Later requests with the part that may reach workers. */
 const MAX_LATE_REQUESTS = 3;
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -4,7 +4,7 @@
 import { Store } from './Store.mjs';
 
 /** Longest time that a case may take, in milliseconds. */
-const MAX_CASE_MS = 110_000;
+const MAX_CASE_MS = 115_000;
 
 /** Whether the case runs with its disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -21,6 +21,14 @@
   const context = { recorder, platform, store, workers: [], routers: [] };
   let code = 2;
   let timer;
+  const abort = (cause) => {
+    recorder.write(`CASE COULD NOT RUN: ${String(cause?.stack ?? cause)}`);
+    console.log(`the case could not run: ${String(cause)}`);
+    void platform.stop().then(() => process.exit(2));
+  };
+  for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.once(event, abort);
+  }
   try {
     await platform.reserveSubnet();
     await store.start(platform.getAddress(250), 8_142);
