--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -90,9 +90,9 @@
     return retryBudget;
   };
   const crashTracker = new CrashTracker();
-  const partSuspects = new PromptPartSuspects(({ promptPart, crashCount }) => {
+  const partSuspects = new PromptPartSuspects(({ promptPart, crashCount, evidence }) => {
     metrics.count('prompt_parts_blocked');
-    log.decision('prompt part blocked', { promptPart, crashCount });
+    log.decision('prompt part blocked', { promptPart, crashCount, evidence: Math.round(evidence) });
   });
   agentConnections.onEngineCrashes((address, crashes) => {
     const promptParts = partSuspects.applyCrashes(address, crashes, clock.nowMs());
--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -38,6 +38,8 @@
  */
 export class CrashEvidence {
   private readonly promptParts: readonly string[];
+  /** Whether the current attempt has shown that its prompt does not crash the server. */
+  private isProven = false;
   /** When the first event of the current attempt arrived. */
   private firstEventAtMs: number | undefined;
   /** When the stream of the current attempt next counts in favour of the parts of its prompt. */
@@ -75,6 +77,11 @@
 
   /** Records that another attempt has the request. */
   recordAttempt(): void {
+    const { partSuspects, clock } = this.deps;
+    if (this.promptParts.length > 0) {
+      partSuspects.recordAttempt(this.promptParts, clock.nowMs());
+    }
+    this.isProven = false;
     this.firstEventAtMs = undefined;
     this.nextProofAtMs = Infinity;
   }
@@ -99,7 +106,8 @@
     const { partSuspects, agentConnections, clock } = this.deps;
     const { promptParts } = this;
     if (promptParts.length > 0) {
-      const addresses = partSuspects.recordSuccess(promptParts, clock.nowMs());
+      const addresses = partSuspects.recordSuccess(promptParts, !this.isProven, clock.nowMs());
+      this.isProven = true;
       agentConnections.notifyPartsAnswered(addresses, { promptParts });
     }
   }
@@ -117,7 +125,7 @@
    * @param cause - Why the attempt ended.
    */
   recordBroken({ address, serverId, bornAtMs }: ServerEntry, cause: BreakCause): void {
-    const { log, metrics, agentConnections, clock } = this.deps;
+    const { log, metrics, agentConnections, partSuspects, clock } = this.deps;
     const { promptParts } = this;
     const nowMs = clock.nowMs();
     const streamedForMs = nowMs - (this.firstEventAtMs ?? nowMs);
@@ -131,7 +139,8 @@
       promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(' '),
     });
     if (cause === 'server' && promptParts.length > 0 && streamedForMs < PROVEN_STREAM_MS) {
-      agentConnections.notifyBrokenOff(address, { bornAtMs, promptParts });
+      const histories = partSuspects.getHistories(promptParts, nowMs);
+      agentConnections.notifyBrokenOff(address, { bornAtMs, promptParts, histories });
     }
   }
 
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -5,6 +5,7 @@
 import {
   describeRateLimit,
   EngineCrashRecorder,
+  isHistoryList,
   isPartList,
   ResidencyPlanner,
   setNewest,
@@ -302,9 +303,9 @@
     this.publishReport(true);
   }
 
-  private onBrokenOff({ bornAtMs, promptParts }: BrokenOffParams): void {
-    if (Number.isFinite(bornAtMs) && isPartList(promptParts)) {
-      this.crashRecorder.recordBreak(bornAtMs, promptParts, this.deps.clock.nowMs());
+  private onBrokenOff({ bornAtMs, promptParts, histories = [] }: BrokenOffParams): void {
+    if (Number.isFinite(bornAtMs) && isPartList(promptParts) && isHistoryList(histories)) {
+      this.crashRecorder.recordBreak(bornAtMs, promptParts, histories, this.deps.clock.nowMs());
     }
   }
 
--- a/src/direct/decisions/EngineCrashRecorder.ts
+++ b/src/direct/decisions/EngineCrashRecorder.ts
@@ -23,8 +23,20 @@
   readonly ageMs: number;
   /** Numbers of requests that broke off in the crash, by prompt part, without parts that were answered since. */
   readonly requestCounts: Readonly<Record<string, number>>;
-  /** Positions of these parts in prompts; undefined from an agent of an older version. */
+  /** Positions of these parts in prompts, for routers of an older version; undefined from an agent of an older version. */
   readonly positions?: Readonly<Record<string, number>>;
+  /** Number of all requests that broke off in the crash; undefined from an agent of an older version. */
+  readonly requestCount?: number;
+  /** What routers knew of the parts before the crash; without those of which no router has reported it. */
+  readonly histories?: Readonly<Record<string, PromptPartHistory>>;
+}
+
+/** What a router knows of a prompt part when a request with it breaks off. */
+export interface PromptPartHistory {
+  /** Share of the latest attempts in which it was found, from above 0 to 1. */
+  readonly share: number;
+  /** Whether a request with it was answered lately. */
+  readonly wasAnswered: boolean;
 }
 
 /** Connection to an engine that broke while it carried a request. */
@@ -32,6 +44,8 @@
   readonly bornAtMs: number;
   readonly atMs: number;
   readonly promptParts: readonly string[];
+  /** What the router knew of the parts, in their order. */
+  readonly histories: readonly PromptPartHistory[];
 }
 
 interface CrashRecord {
@@ -40,6 +54,9 @@
   readonly requestCounts: Map<string, number>;
   /** Positions of these parts in prompts. */
   readonly positions: Map<string, number>;
+  readonly histories: Map<string, PromptPartHistory>;
+  /** Number of all requests that broke off. */
+  requestCount: number;
 }
 
 /**
@@ -59,14 +76,21 @@
    * Records that a connection to the engine broke while it carried a request.
    * @param bornAtMs - Start time of the engine's process.
    * @param promptParts - Parts of the request's prompt that other requests may share.
+   * @param histories - What the router knew of the parts, in their order; empty from a router of an older version.
    * @param nowMs - Current time.
    */
-  recordBreak(bornAtMs: number, promptParts: readonly string[], nowMs: number): void {
+  recordBreak(
+    bornAtMs: number,
+    promptParts: readonly string[],
+    histories: readonly PromptPartHistory[],
+    nowMs: number,
+  ): void {
     this.breaks = this.breaks.filter(({ atMs }) => nowMs - atMs < BREAK_WINDOW_MS).slice(-MAX_BREAKS + 1);
-    this.breaks.push({ bornAtMs, atMs: nowMs, promptParts });
+    const broken = { bornAtMs, atMs: nowMs, promptParts, histories };
+    this.breaks.push(broken);
     const crash = this.crashes.get(bornAtMs);
     if (crash && nowMs - crash.atMs < LATE_WINDOW_MS) {
-      this.addParts(bornAtMs, crash, promptParts);
+      this.addBreak(crash, broken);
     }
   }
 
@@ -105,6 +129,7 @@
       for (const part of promptParts) {
         if (crash.requestCounts.delete(part)) {
           crash.positions.delete(part);
+          crash.histories.delete(part);
           this.changed.add(bornAtMs);
         }
       }
@@ -127,13 +152,15 @@
    */
   getCrashes(nowMs: number): readonly EngineCrash[] {
     const crashes: EngineCrash[] = [];
-    for (const [bornAtMs, { atMs, requestCounts, positions }] of this.crashes) {
+    for (const [bornAtMs, { atMs, requestCounts, positions, histories, requestCount }] of this.crashes) {
       if (nowMs - atMs < CRASH_LIFETIME_MS) {
         crashes.push({
           bornAtMs,
           ageMs: nowMs - atMs,
           requestCounts: Object.fromEntries(requestCounts),
           positions: Object.fromEntries(positions),
+          requestCount,
+          histories: Object.fromEntries(histories),
         });
       }
     }
@@ -148,10 +175,12 @@
       atMs: breaks.at(-1)?.atMs ?? nowMs,
       requestCounts: new Map(),
       positions: new Map(),
+      histories: new Map(),
+      requestCount: 0,
     };
     setNewest(this.crashes, bornAtMs, crash, MAX_CRASHES);
-    for (const { promptParts } of breaks) {
-      this.addParts(bornAtMs, crash, promptParts);
+    for (const broken of breaks) {
+      this.addBreak(crash, broken);
     }
     return true;
   }
@@ -162,17 +191,28 @@
     if (crash && crash.requestCounts.size > 0) {
       crash.requestCounts.clear();
       crash.positions.clear();
+      crash.histories.clear();
+      crash.requestCount = 0;
       this.changed.add(bornAtMs);
     }
   }
 
-  private addParts(bornAtMs: number, crash: CrashRecord, promptParts: readonly string[]): void {
+  private addBreak(crash: CrashRecord, { bornAtMs, promptParts, histories }: BrokenConnection): void {
+    crash.requestCount++;
+    this.changed.add(bornAtMs);
     for (const [position, part] of promptParts.entries()) {
       const requestCount = crash.requestCounts.get(part) ?? 0;
       if (requestCount > 0 || crash.requestCounts.size < MAX_PARTS) {
         crash.requestCounts.set(part, requestCount + 1);
         crash.positions.set(part, position);
-        this.changed.add(bornAtMs);
+        const { share = 0, wasAnswered = false } = crash.histories.get(part) ?? {};
+        const history = histories[position];
+        if (history) {
+          crash.histories.set(part, {
+            share: Math.max(share, history.share),
+            wasAnswered: wasAnswered || history.wasAnswered,
+          });
+        }
       }
     }
   }
--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -1,23 +1,29 @@
-import { CRASH_LIFETIME_MS, type EngineCrash } from './EngineCrashRecorder.js';
+import { AttemptSample } from './AttemptSample.js';
+import { CRASH_LIFETIME_MS, type EngineCrash, type PromptPartHistory } from './EngineCrashRecorder.js';
 import { setNewest } from './setNewest.js';
 
-/** Number of crashes, at different times, after which a prompt part is blocked. */
-const MIN_CRASHES = 3;
-/**
- * Number of crashes after which a prompt part is blocked in doubt: it was answered before, it is one of several, or hardly
- * any request was answered since.
- */
-const MIN_CRASHES_IN_DOUBT = 5;
-/** Ratio of requests per crash above which a part is too widely shared to be preferred to another one. */
-const BROAD_FACTOR = 4;
-/** Number of different prompts of which answers show that a part could have been answered too. */
-const MIN_SUCCESSES = 10;
+/** Evidence above which a prompt part is blocked, as a logarithm of odds. */
+const MIN_EVIDENCE = 11;
+/** Evidence of one crash at its own time: how unlikely it is that the engine ended for another reason. */
+const CRASH_EVIDENCE = 2;
+/** Time between two crashes from which on they are independent of each other, in milliseconds. */
+const INDEPENDENT_CRASH_MS = 70;
+/** Evidence against a part for each part before it in prompts: the first ones are shared by many sound requests. */
+const POSITION_EVIDENCE = 3;
+/** Evidence in favour of a part that was answered before the crashes at which it was found. */
+const ANSWER_EVIDENCE = 10;
 /**
- * Time between two crashes within which they count as one event, in milliseconds; engines that fail at the same time have another
- * cause in common.
+ * Least evidence from what distinguishes requests with a part from others. Without it, the part of nearly all requests could be
+ * blocked for any series of crashes.
  */
-const SAME_EVENT_MS = 100;
-/** Time after the decisive crash in which an answer may still exonerate a prompt part, in milliseconds. */
+const MIN_DISTINCTION = 0.5;
+/** Number of crashes below which no part is blocked: a sound request that is repeated may be found at two. */
+const MIN_CRASHES = 3;
+/** Weight of the evidence of a number of requests, since requests with the same parts come in bursts. */
+const COUNT_WEIGHT = 0.5;
+/** Share of the requests at a crash whose answers had not begun. */
+const WAITING_SHARE = 0.5;
+/** Time after a crash in which an answer may still exonerate prompt parts, in milliseconds. */
 const EXONERATION_MS = 1_000;
 /** Time for which an answer counts in favour of a prompt part that is found at later crashes, in milliseconds. */
 const SUCCESS_LIFETIME_MS = 600_000;
@@ -27,8 +33,6 @@
 const MAX_CRASHES = 512;
 /** Maximum number of prompt parts with a stored success. */
 const MAX_SUCCESSES = 2_000;
-/** Maximum number of prompt parts with a stored position. */
-const MAX_POSITIONS = 2_000;
 /** Maximum number of blocked prompt parts. */
 const MAX_BLOCKED = 200;
 
@@ -37,55 +41,91 @@
   readonly promptPart: string;
   /** Number of crashes that are attributed to it. */
   readonly crashCount: number;
+  /** Evidence against it, as a logarithm of odds. */
+  readonly evidence: number;
+}
+
+/** What a crash says about one prompt part that may be guilty of it. */
+interface CrashSign {
+  /** Probability with which a sound part with its share of the requests would have been found at the crash, from 0 to 1. */
+  readonly chance: number;
+  /** Evidence of the number of its requests that broke off, given that it was found. */
+  readonly countEvidence: number;
+  /** Position of the part in prompts. */
+  readonly position: number;
+  /** Whether a router had seen the part answered before. */
+  readonly wasAnswered: boolean;
 }
 
 interface SuspectedCrash {
   readonly address: string;
   readonly atMs: number;
-  /** Numbers of requests that broke off in the crash, by prompt part. */
-  readonly requestCounts: Map<string, number>;
+  readonly signs: Map<string, CrashSign>;
 }
 
 /** Crashes at which a prompt part was found. */
 interface Suspect {
   readonly promptPart: string;
-  /** Times of the crashes, the first one first. */
-  readonly atMs: number[];
-  /** Number of events, each of which may be several crashes at about the same time. */
-  eventCount: number;
-  /** Time of the first crash of the last event. */
-  eventAtMs: number;
-  /** Number of requests with the part that broke off in these crashes. */
-  requestCount: number;
+  /** Time of the first crash. */
+  readonly firstAtMs: number;
+  /** Index of the first crash among all. */
+  readonly firstIndex: number;
+  lastAtMs: number;
+  lastIndex: number;
+  position: number;
+  /** Number of crashes at which it was found. */
+  crashCount: number;
+  /** Number of these crashes, of which those at nearly the same time count for less. */
+  independentCount: number;
+  /** Sum of the probabilities with which a sound part would have been found at them. */
+  chanceSum: number;
+  /** Sum of the evidence of the numbers of its requests. */
+  countEvidence: number;
+  /** Whether a router had seen it answered before one of them. */
+  wasAnswered: boolean;
 }
 
 /**
  * Finds the prompt parts that crash each engine that begins an answer on them, and blocks requests with them.
  *
- * The guilty part is found at each of the crashes that it causes and no request with it is answered, while the parts that
- * were found beside it are answered elsewhere. Of the parts that remain, except those that come before another one with
- * half as many crashes in prompts, the one with the most crashes is blocked; the
- * crashes that it explains no longer count against others. If several are equal, those with the fewest requests are
- * blocked, since a part that many harmless requests share was found at the crashes for that reason; of these, the last in
- * the order of prompts, since the parts before it are those that more requests share.
+ * An answer makes certain that its parts are not guilty of the crashes before it. Each further crash at which a part was found
+ * without an answer adds to the evidence against it: that the engine ended at all, and how unlikely it is that a sound part
+ * with its share of the requests was found at the crash, in so many of the broken requests, and in none of the answers since. The part with the most evidence is
+ * blocked; the crashes that it explains no longer count against others. A crash that no blocked part explains
+ * reopens all decisions.
  */
 export class PromptPartSuspects {
+  private readonly sample = new AttemptSample();
   /** Crashes by engine address and start time of the crashed process. */
   private readonly crashes = new Map<string, SuspectedCrash>();
   private readonly succeededAtMs = new Map<string, number>();
-  /** Times of the latest answers by their prompts, the oldest first. */
-  private readonly latestSuccessesMs = new Map<string, number>();
-  /** Positions of prompt parts in the latest requests with them. */
-  private readonly positions = new Map<string, number>();
   /** Times of the last requests with blocked prompt parts. */
   private readonly blockedAtMs = new Map<string, number>();
 
-  /** Parts that were blocked in doubt. */
-  private readonly doubtfulParts = new Set<string>();
-
   /** @param onBlock - Called when a prompt part is blocked. */
   constructor(private readonly onBlock: (block: PromptPartBlock) => void = () => undefined) {}
 
+  /**
+   * Records that a request is sent to an engine.
+   * @param promptParts - Parts of the request's prompt that other requests may share.
+   * @param nowMs - Current time.
+   */
+  recordAttempt(promptParts: readonly string[], nowMs: number): void {
+    this.sample.recordAttempt(promptParts, nowMs);
+  }
+
+  /**
+   * Returns what this router knows of prompt parts.
+   * @param promptParts - IDs of the parts.
+   * @param nowMs - Current time.
+   */
+  getHistories(promptParts: readonly string[], nowMs: number): readonly PromptPartHistory[] {
+    return promptParts.map((part) => ({
+      share: this.sample.getShare(part),
+      wasAnswered: this.wasAnswered(part, nowMs),
+    }));
+  }
+
   /**
    * Applies crashes as reported by the agent of an engine; parts that a crash no longer contains were answered since.
    * Returns the parts of the crashes that this router has seen answered since, of which the agent does not know.
@@ -95,27 +135,26 @@
    */
   applyCrashes(address: string, crashes: readonly EngineCrash[], nowMs: number): readonly string[] {
     const answeredParts = new Set<string>();
-    for (const { bornAtMs, ageMs, requestCounts, positions = {} } of crashes) {
-      this.adoptPositions(positions);
-      const key = `${address}|${bornAtMs}`;
-      const atMs = nowMs - ageMs;
-      const crash: SuspectedCrash = { address, atMs, requestCounts: new Map() };
-      for (const [part, requestCount] of Object.entries(requestCounts)) {
+    for (const crash of crashes) {
+      const key = `${address}|${crash.bornAtMs}`;
+      const atMs = nowMs - crash.ageMs;
+      const signs = new Map<string, CrashSign>();
+      for (const part of Object.keys(crash.requestCounts)) {
         if (this.getSuccessMs(part) > atMs) {
           answeredParts.add(part);
         } else {
-          crash.requestCounts.set(part, requestCount);
+          signs.set(part, this.getSign(part, crash));
         }
       }
-      for (const part of this.crashes.get(key)?.requestCounts.keys() ?? []) {
-        if (!crash.requestCounts.has(part)) {
+      for (const part of this.crashes.get(key)?.signs.keys() ?? []) {
+        if (!signs.has(part)) {
           this.blockedAtMs.delete(part);
         }
       }
-      if (!this.crashes.has(key) && !this.isExplained(crash.requestCounts)) {
-        this.withdrawDoubtful();
+      if (!this.crashes.has(key) && !this.isExplained(signs)) {
+        this.withdrawBlocks();
       }
-      setNewest(this.crashes, key, crash, MAX_CRASHES);
+      setNewest(this.crashes, key, { address, atMs, signs }, MAX_CRASHES);
     }
     return [...answeredParts];
   }
@@ -123,16 +162,19 @@
   /**
    * Records that an engine answered a request; returns the addresses of the engines whose crashes contained its parts.
    * @param promptParts - Parts of the request's prompt that other requests may share.
+   * @param isFirst - Whether this is the first sign of an answer to the attempt, in contrast to a stream that goes on.
    * @param nowMs - Current time.
    */
-  recordSuccess(promptParts: readonly string[], nowMs: number): readonly string[] {
+  recordSuccess(promptParts: readonly string[], isFirst: boolean, nowMs: number): readonly string[] {
     const addresses = new Set<string>();
-    setNewest(this.latestSuccessesMs, promptParts.join(' '), nowMs, MIN_SUCCESSES);
+    if (isFirst) {
+      this.sample.recordAnswer(nowMs);
+    }
     for (const part of promptParts) {
       setNewest(this.succeededAtMs, part, nowMs, MAX_SUCCESSES);
       this.blockedAtMs.delete(part);
-      for (const { address, requestCounts } of this.crashes.values()) {
-        if (requestCounts.delete(part)) {
+      for (const { address, signs } of this.crashes.values()) {
+        if (signs.delete(part)) {
           addresses.add(address);
         }
       }
@@ -146,7 +188,6 @@
    * @param nowMs - Current time.
    */
   findBlocked(promptParts: readonly string[], nowMs: number): string | undefined {
-    this.recordPositions(promptParts);
     if (promptParts.some((part) => this.mayBlock(part))) {
       this.blockSuspects(nowMs);
     }
@@ -160,25 +201,21 @@
     return undefined;
   }
 
-  /** Withdraws the blocks that were decided in doubt, since a crash that none of them explains may tell who is guilty. */
-  private withdrawDoubtful(): void {
-    for (const part of this.doubtfulParts) {
-      this.blockedAtMs.delete(part);
-    }
-    this.doubtfulParts.clear();
-  }
-
-  private recordPositions(promptParts: readonly string[]): void {
-    for (const [position, part] of promptParts.entries()) {
-      setNewest(this.positions, part, position, MAX_POSITIONS);
-    }
+  /** Returns what a crash says about a part; with agents or routers of an older version, this router's own sample tells its share. */
+  private getSign(part: string, crash: EngineCrash): CrashSign {
+    const { requestCounts, positions = {}, histories = {}, requestCount = 0 } = crash;
+    const { share = this.sample.getShare(part), wasAnswered = false } = histories[part] ?? {};
+    const brokenCount = Math.max(requestCount, ...Object.values(requestCounts));
+    const chance = 1 - (1 - share) ** brokenCount;
+    const countEvidence = COUNT_WEIGHT * getCountEvidence(requestCounts[part] ?? 1, brokenCount, share);
+    return { chance, countEvidence, position: positions[part] ?? 0, wasAnswered };
   }
 
-  /** Stores positions of parts of which this router has not seen a request. */
-  private adoptPositions(positions: Readonly<Record<string, number>>): void {
-    for (const [part, position] of Object.entries(positions)) {
-      if (!this.positions.has(part)) {
-        setNewest(this.positions, part, position, MAX_POSITIONS);
+  /** Withdraws the blocks of parts with known crashes, to decide again on all of these together. */
+  private withdrawBlocks(): void {
+    for (const { signs } of this.crashes.values()) {
+      for (const part of signs.keys()) {
+        this.blockedAtMs.delete(part);
       }
     }
   }
@@ -189,8 +226,8 @@
       return false;
     }
     let count = 0;
-    for (const { requestCounts } of this.crashes.values()) {
-      count += requestCounts.has(part) ? 1 : 0;
+    for (const { signs } of this.crashes.values()) {
+      count += signs.has(part) ? 1 : 0;
     }
     return count >= MIN_CRASHES;
   }
@@ -198,133 +235,134 @@
   private blockSuspects(nowMs: number): void {
     for (;;) {
       const guilty = this.findGuilty(nowMs);
-      if (guilty.length === 0) {
+      if (!guilty) {
         return;
       }
-      for (const { promptPart, atMs } of guilty) {
-        setNewest(this.blockedAtMs, promptPart, nowMs, MAX_BLOCKED);
-        this.onBlock({ promptPart, crashCount: atMs.length });
-      }
+      setNewest(this.blockedAtMs, guilty.promptPart, nowMs, MAX_BLOCKED);
+      this.onBlock(guilty);
     }
   }
 
-  /** Returns the parts to block for the crashes that no blocked part explains. */
-  private findGuilty(nowMs: number): readonly Suspect[] {
-    const suspects = this.findSuspects(nowMs).filter(({ eventCount }) => eventCount >= MIN_CRASHES);
-    const neverAnswered = this.omitShared(
-      suspects.filter(({ promptPart }) => nowMs - this.getSuccessMs(promptPart) >= SUCCESS_LIFETIME_MS),
-    );
-    const [first, ...others] = findMostFrequent(neverAnswered);
-    if (
-      first &&
-      others.length === 0 &&
-      isDecided(first, MIN_CRASHES, nowMs) &&
-      this.wereOthersAnswered(first)
-    ) {
-      return [first];
-    }
-    const eligible = (neverAnswered.length > 0 ? neverAnswered : suspects).filter(
-      (suspect) => this.getPosition(suspect) > 0 || this.wereOthersAnswered(suspect),
-    );
-    const candidates = findMostFrequent(omitBroad(eligible));
-    const minRequestCount = Math.min(...candidates.map(({ requestCount }) => requestCount));
-    const [chosen] = this.omitEarlierParts(
-      candidates.filter(
-        (candidate) =>
-          candidate.requestCount === minRequestCount && isDecided(candidate, MIN_CRASHES_IN_DOUBT, nowMs),
-      ),
-    );
-    if (chosen) {
-      this.doubtfulParts.add(chosen.promptPart);
+  /** Returns the part with the most evidence from the crashes that no blocked part explains; undefined if it is too little. */
+  private findGuilty(nowMs: number): PromptPartBlock | undefined {
+    let guilty: PromptPartBlock | undefined;
+    for (const suspect of this.findSuspects(nowMs)) {
+      const { promptPart, crashCount, independentCount, position } = suspect;
+      const distinction = suspect.countEvidence - this.getLogChance(suspect) + POSITION_EVIDENCE * position;
+      const wasAnswered = suspect.wasAnswered || this.wasAnswered(promptPart, nowMs);
+      const evidence = CRASH_EVIDENCE * independentCount + distinction - (wasAnswered ? ANSWER_EVIDENCE : 0);
+      if (distinction >= MIN_DISTINCTION && evidence > (guilty?.evidence ?? MIN_EVIDENCE)) {
+        guilty = { promptPart, crashCount, evidence };
+      }
     }
-    return chosen ? [chosen] : [];
-  }
-
-  /** Omits parts if one that comes later in prompts was found at half as many crashes; the earlier one may be shared. */
-  private omitShared(suspects: readonly Suspect[]): readonly Suspect[] {
-    return suspects.filter(
-      (suspect) =>
-        !suspects.some(
-          (other) =>
-            this.getPosition(other) > this.getPosition(suspect) &&
-            2 * other.atMs.length >= suspect.atMs.length,
-        ),
-    );
-  }
-
-  private omitEarlierParts(suspects: readonly Suspect[]): readonly Suspect[] {
-    const lastPosition = Math.max(...suspects.map((suspect) => this.getPosition(suspect)));
-    return suspects.filter((suspect) => this.getPosition(suspect) === lastPosition);
-  }
-
-  /** Returns the position of a part in prompts; 0 if it is not known. */
-  private getPosition({ promptPart }: Suspect): number {
-    return this.positions.get(promptPart) ?? 0;
+    return guilty;
   }
 
-  /** Returns the parts that were found at crashes that no blocked part explains. */
+  /** Returns the parts that were found at enough crashes that no blocked part explains. */
   private findSuspects(nowMs: number): readonly Suspect[] {
     const suspects = new Map<string, Suspect>();
-    const crashes = [...this.crashes.values()].filter(
-      ({ atMs, requestCounts }) => nowMs - atMs < CRASH_LIFETIME_MS && !this.isExplained(requestCounts),
-    );
+    const crashes = [...this.crashes.values()].filter(({ atMs, signs }) => {
+      const ageMs = nowMs - atMs;
+      return ageMs >= EXONERATION_MS && ageMs < CRASH_LIFETIME_MS && !this.isExplained(signs);
+    });
     crashes.sort((left, right) => left.atMs - right.atMs);
-    for (const { atMs, requestCounts } of crashes) {
-      for (const [promptPart, requestCount] of requestCounts) {
-        const suspect = suspects.get(promptPart) ?? {
-          promptPart,
-          atMs: [],
-          eventCount: 0,
-          eventAtMs: -Infinity,
-          requestCount: 0,
-        };
+    for (const [index, { atMs, signs }] of crashes.entries()) {
+      for (const [promptPart, { chance, countEvidence, position, wasAnswered }] of signs) {
+        const suspect = suspects.get(promptPart) ?? createSuspect(promptPart, atMs, index);
         suspects.set(promptPart, suspect);
-        suspect.requestCount += requestCount;
-        if (atMs - suspect.eventAtMs >= SAME_EVENT_MS) {
-          suspect.eventCount++;
-          suspect.eventAtMs = atMs;
-        }
-        suspect.atMs.push(atMs);
+        suspect.independentCount += Math.min(1, (atMs - suspect.lastAtMs) / INDEPENDENT_CRASH_MS);
+        suspect.lastAtMs = atMs;
+        suspect.lastIndex = index;
+        suspect.position = Math.max(suspect.position, position);
+        suspect.crashCount++;
+        suspect.chanceSum += chance;
+        suspect.countEvidence += countEvidence;
+        suspect.wasAnswered ||= wasAnswered;
       }
     }
-    return [...suspects.values()];
+    return [...suspects.values()].filter(({ crashCount }) => crashCount >= MIN_CRASHES);
   }
 
-  /** Whether other requests were answered since a part was found at enough crashes. */
-  private wereOthersAnswered({ atMs }: Suspect): boolean {
-    const [oldestMs = -Infinity] = this.latestSuccessesMs.values();
-    return this.latestSuccessesMs.size === MIN_SUCCESSES && oldestMs > (atMs[MIN_CRASHES - 1] ?? Infinity);
+  /** Returns the logarithm of the probability that a sound part is found at as many crashes and at no answer. */
+  private getLogChance({
+    promptPart,
+    firstAtMs,
+    firstIndex,
+    lastIndex,
+    crashCount,
+    chanceSum,
+  }: Suspect): number {
+    return (
+      getLogTail(crashCount, lastIndex - firstIndex + 1, chanceSum / crashCount) +
+      this.sample.getLogSilence(promptPart, firstAtMs)
+    );
   }
 
-  private isExplained(requestCounts: ReadonlyMap<string, number>): boolean {
+  private isExplained(signs: ReadonlyMap<string, CrashSign>): boolean {
     for (const part of this.blockedAtMs.keys()) {
-      if (requestCounts.has(part)) {
+      if (signs.has(part)) {
         return true;
       }
     }
     return false;
   }
 
+  private wasAnswered(part: string, nowMs: number): boolean {
+    return nowMs - this.getSuccessMs(part) < SUCCESS_LIFETIME_MS;
+  }
+
   private getSuccessMs(part: string): number {
     return this.succeededAtMs.get(part) ?? -Infinity;
   }
 }
 
-/** Whether a part was found at enough crashes, the last of them long enough ago for an answer to exonerate it. */
-function isDecided({ atMs }: Suspect, minCrashes: number, nowMs: number): boolean {
-  return nowMs - (atMs[minCrashes - 1] ?? Infinity) >= EXONERATION_MS;
+function createSuspect(promptPart: string, atMs: number, index: number): Suspect {
+  return {
+    promptPart,
+    firstAtMs: atMs,
+    firstIndex: index,
+    lastAtMs: -Infinity,
+    lastIndex: index,
+    position: 0,
+    crashCount: 0,
+    independentCount: 0,
+    chanceSum: 0,
+    countEvidence: 0,
+    wasAnswered: false,
+  };
 }
 
-function findMostFrequent(suspects: readonly Suspect[]): readonly Suspect[] {
-  const maxCount = Math.max(...suspects.map(({ atMs }) => atMs.length));
-  return suspects.filter(({ atMs }) => atMs.length === maxCount);
+/**
+ * Returns the evidence against a part from the number of its requests that broke off in a crash, given that there was one. One
+ * request with a guilty part crashes the engine, so that the others had not begun yet.
+ * @param count - Number of requests with the part, 1 or more.
+ * @param brokenCount - Number of all requests that broke off.
+ * @param share - Share of the part in all requests.
+ */
+function getCountEvidence(count: number, brokenCount: number, share: number): number {
+  const others = brokenCount - 1;
+  if (share >= 1 || others === 0) {
+    return 0;
+  }
+  const waiting = share * WAITING_SHARE;
+  const guilty = (count - 1) * Math.log(waiting) + (others - count + 1) * Math.log(1 - waiting);
+  const sound = count * Math.log(share) + (brokenCount - count) * Math.log(1 - share);
+  // The binomial coefficients of both differ by this factor.
+  const coefficients = Math.log(count / brokenCount);
+  return guilty - sound + coefficients + Math.log(1 - (1 - share) ** brokenCount);
 }
 
-/** Omits parts that were found at hardly more crashes than others of which far fewer requests broke off. */
-function omitBroad(suspects: readonly Suspect[]): readonly Suspect[] {
-  const maxCount = Math.max(...suspects.map(({ atMs }) => atMs.length));
-  const candidates = suspects.filter(({ atMs }) => atMs.length >= maxCount - 1);
-  const getRequestsPerCrash = ({ requestCount, atMs }: Suspect) => requestCount / atMs.length;
-  const minRequestsPerCrash = Math.min(...candidates.map(getRequestsPerCrash));
-  return candidates.filter((suspect) => getRequestsPerCrash(suspect) < BROAD_FACTOR * minRequestsPerCrash);
+/**
+ * Returns the logarithm of Chernoff's bound on the probability of at least so many successes.
+ * @param successCount - Number of successes, 1 or more.
+ * @param trialCount - Number of trials.
+ * @param chance - Probability of a success in one trial, above 0.
+ */
+function getLogTail(successCount: number, trialCount: number, chance: number): number {
+  const share = successCount / trialCount;
+  if (share <= chance) {
+    return 0;
+  }
+  const failures = share === 1 ? 0 : (1 - share) * Math.log((1 - share) / (1 - chance));
+  return -trialCount * (share * Math.log(share / chance) + failures);
 }
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -28,6 +28,7 @@
 export * from './isCompleteReport.js';
 export * from './isEngineCrash.js';
 export * from './reportChanges.js';
+export * from './AttemptSample.js';
 export * from './CrashTracker.js';
 export * from './EngineCrashRecorder.js';
 export * from './PromptPartSuspects.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -1,5 +1,11 @@
 import type { ServerId } from '../domain/index.js';
-import type { EngineCrash, EngineProfile, ModelFootprint, ReportChanges } from './decisions/index.js';
+import type {
+  EngineCrash,
+  EngineProfile,
+  ModelFootprint,
+  PromptPartHistory,
+  ReportChanges,
+} from './decisions/index.js';
 
 /** Methods that agents offer to routers. */
 export const RESIDENCY_METHODS = {
@@ -94,6 +100,8 @@
   readonly bornAtMs: number;
   /** Parts of the request's prompt that other requests may share. */
   readonly promptParts: readonly string[];
+  /** What the router knew of the parts, in their order; undefined from a router of an older version. */
+  readonly histories?: readonly PromptPartHistory[];
 }
 
 /** Notifies an agent that requests with prompt parts that it has found at crashes were answered. */
--- a/test/direct/decisions/PromptPartSimulation.ts
+++ b/test/direct/decisions/PromptPartSimulation.ts
@@ -11,6 +11,8 @@
 const BEGIN_MS = 60;
 /** Interval at which a stream counts in favour of its prompt, in milliseconds. */
 const PROOF_INTERVAL_MS = 150;
+/** Time after which all routers and agents know of an answer, in milliseconds. */
+const SETTLED_MS = 1_500;
 const GUILTY_PART = 'guilty';
 
 /** Random conditions of a simulated day. */
@@ -24,6 +26,8 @@
   readonly soundIntervalMs: number;
   /** Mean time between two guilty requests, in milliseconds; infinite if there are none. */
   readonly guiltyIntervalMs: number;
+  /** Whether the guilty part stands in the place of a first part, in contrast to that of a subject. */
+  readonly isFirstGuilty: boolean;
   /** Maximum delay of a notification, in milliseconds. */
   readonly maxDelayMs: number;
   /** Share of sound answers that are cut although the engine keeps running. */
@@ -47,6 +51,8 @@
   readonly endsAtMs: number;
   readonly isCut: boolean;
   nextProofAtMs: number;
+  /** Whether the router has recorded an answer. */
+  isAnswered: boolean;
 }
 
 interface SimulatedEngine {
@@ -70,6 +76,8 @@
   /** Sound requests that were refused because of a blocked part. */
   readonly refusedSound: readonly { readonly atMs: number; readonly promptPart: string }[];
   readonly soundCount: number;
+  /** Parts that agents still report for crashes although they were answered after these. */
+  readonly answeredSuspects: readonly string[];
 }
 
 /** Simulates routers, engines and agents that exchange delayed notifications about crashes and answers. */
@@ -81,6 +89,8 @@
   private readonly guiltyArrivalsAtMs: number[] = [];
   private readonly guiltyCrashesAtMs: number[] = [];
   private readonly refusedSound: { atMs: number; promptPart: string }[] = [];
+  /** Times of the latest answers by prompt part, without those shortly before the end or before the restart of a router. */
+  private readonly answeredAtMs = new Map<string, number>();
   private soundCount = 0;
   private nowMs = 1_000_000;
 
@@ -119,8 +129,9 @@
       this.deliverNotifications();
       this.applyDisruptions(atMs);
       this.sendRequests();
+      const isSettled = atMs + SETTLED_MS < this.day.restartAtMs || atMs >= this.day.restartAtMs;
       for (const engine of this.engines) {
-        this.stepEngine(engine);
+        this.stepEngine(engine, isSettled && atMs + SETTLED_MS < durationMs);
       }
       if (atMs % READ_INTERVAL_MS === 0) {
         this.readEngines();
@@ -132,9 +143,20 @@
       guiltyCrashesAtMs: this.guiltyCrashesAtMs.map(toDayMs),
       refusedSound: this.refusedSound.map(({ atMs, promptPart }) => ({ atMs: toDayMs(atMs), promptPart })),
       soundCount: this.soundCount,
+      answeredSuspects: this.findAnsweredSuspects(),
     };
   }
 
+  private findAnsweredSuspects(): string[] {
+    return this.engines.flatMap(({ recorder }) =>
+      recorder.getCrashes(this.nowMs).flatMap(({ ageMs, requestCounts }) => {
+        // Delayed notifications make the crash look later to a router than to the agent.
+        const crashedAtMs = this.nowMs - ageMs + SETTLED_MS;
+        return Object.keys(requestCounts).filter((part) => (this.answeredAtMs.get(part) ?? 0) > crashedAtMs);
+      }),
+    );
+  }
+
   private deliverNotifications(): void {
     const due = this.notifications.filter(({ atMs }) => atMs <= this.nowMs);
     const later = this.notifications.filter(({ atMs }) => atMs > this.nowMs);
@@ -165,7 +187,7 @@
   }
 
   private sendRequests(): void {
-    const { soundIntervalMs, guiltyIntervalMs, firstPartCount, subjectCount } = this.day;
+    const { soundIntervalMs, guiltyIntervalMs, firstPartCount, subjectCount, isFirstGuilty } = this.day;
     const first = `first-${this.draw(firstPartCount)}`;
     if (this.random.nextFraction() < STEP_MS / soundIntervalMs) {
       // Squaring the fraction makes some subjects more frequent than others.
@@ -174,7 +196,7 @@
       this.send([first, subject]);
     }
     if (this.random.nextFraction() < STEP_MS / guiltyIntervalMs) {
-      this.send([first, GUILTY_PART]);
+      this.send(isFirstGuilty ? [GUILTY_PART, `subject-${this.draw(subjectCount)}`] : [first, GUILTY_PART]);
     }
   }
 
@@ -193,6 +215,7 @@
     if (isGuilty) {
       this.guiltyArrivalsAtMs.push(this.nowMs);
     }
+    router.suspects.recordAttempt(promptParts, this.nowMs);
     const beginsAtMs = this.nowMs + BEGIN_MS + this.draw(100);
     engine.running.push({
       router,
@@ -201,10 +224,11 @@
       endsAtMs: beginsAtMs + 200 + this.draw(1_500),
       isCut: !isGuilty && this.random.nextFraction() < this.day.cutShare,
       nextProofAtMs: beginsAtMs + PROOF_INTERVAL_MS,
+      isAnswered: false,
     });
   }
 
-  private stepEngine(engine: SimulatedEngine): void {
+  private stepEngine(engine: SimulatedEngine, isSettled: boolean): void {
     for (const request of engine.running) {
       if (request.promptParts.includes(GUILTY_PART) && this.nowMs >= request.beginsAtMs) {
         this.guiltyCrashesAtMs.push(this.nowMs);
@@ -219,6 +243,9 @@
       } else if (isOver || this.nowMs >= request.nextProofAtMs) {
         request.nextProofAtMs += PROOF_INTERVAL_MS;
         this.recordSuccess(request);
+        for (const part of isSettled ? request.promptParts : []) {
+          this.answeredAtMs.set(part, this.nowMs);
+        }
       }
     }
     engine.running = engine.running.filter(({ endsAtMs }) => this.nowMs < endsAtMs);
@@ -234,12 +261,17 @@
     engine.running = [];
   }
 
-  private notifyBroken({ recorder, bornAtMs }: SimulatedEngine, { promptParts }: RunningRequest): void {
-    this.notify(() => recorder.recordBreak(bornAtMs, promptParts, this.nowMs));
+  private notifyBroken({ recorder, bornAtMs }: SimulatedEngine, request: RunningRequest): void {
+    const { promptParts, router } = request;
+    const histories = router.suspects.getHistories(promptParts, this.nowMs);
+    this.notify(() => recorder.recordBreak(bornAtMs, promptParts, histories, this.nowMs));
   }
 
-  private recordSuccess({ router, promptParts }: RunningRequest): void {
-    for (const address of router.suspects.recordSuccess(promptParts, this.nowMs)) {
+  private recordSuccess(request: RunningRequest): void {
+    const { router, promptParts } = request;
+    const isFirst = !request.isAnswered;
+    request.isAnswered = true;
+    for (const address of router.suspects.recordSuccess(promptParts, isFirst, this.nowMs)) {
       const engine = this.engines.find((candidate) => candidate.address === address);
       this.notify(() => engine?.recorder.exonerate(promptParts));
     }
--- a/test/direct/decisions/expectPromises.ts
+++ b/test/direct/decisions/expectPromises.ts
@@ -10,15 +10,17 @@
 const MAX_REFUSED_SHARE = 0.02;
 
 /**
- * Expects that hardly any guilty request came late and hardly any sound request was refused on a simulated day.
+ * Expects that hardly any guilty request came late and hardly any sound request was refused on a simulated day, and that agents
+ * report no part that was answered.
  * @param result - Outcome of the day.
  */
 export function expectPromises(result: SimulationResult): void {
-  const { guiltyArrivalsAtMs, guiltyCrashesAtMs, refusedSound, soundCount } = result;
+  const { guiltyArrivalsAtMs, guiltyCrashesAtMs, refusedSound, soundCount, answeredSuspects } = result;
   const fifthCrashAtMs = guiltyCrashesAtMs[4] ?? Infinity;
   const late = guiltyArrivalsAtMs.filter((atMs) => atMs > fifthCrashAtMs + STABLE_WINDOW_MS);
   expect(late.length, 'late arrivals').to.be.at.most(MAX_LATE_ARRIVALS);
   const first = refusedSound.filter(({ promptPart }) => promptPart.startsWith('first'));
   expect(first.length, 'refused by the first part').to.equal(0);
+  expect(answeredSuspects, 'answered suspects').to.deep.equal([]);
   expect(refusedSound.length, 'refused').to.be.at.most(MAX_REFUSED_SHARE * soundCount);
 }
--- a/test/direct/decisions/isEngineCrash.test.ts
+++ b/test/direct/decisions/isEngineCrash.test.ts
@@ -6,6 +6,8 @@
     const crash = { bornAtMs: 1, ageMs: 2, requestCounts: { a: 1 } };
     expect(isEngineCrash({ ...crash, added: true })).to.equal(true);
     expect(isEngineCrash({ ...crash, positions: { a: 1 } })).to.equal(true);
+    const history = { share: 0.5, wasAnswered: false };
+    expect(isEngineCrash({ ...crash, requestCount: 2, histories: { a: history } })).to.equal(true);
     const invalidValues: unknown[] = [
       undefined,
       null,
@@ -17,6 +19,11 @@
       { ...crash, requestCounts: { a: 'one' } },
       { ...crash, positions: null },
       { ...crash, positions: { a: 'one' } },
+      { ...crash, requestCount: 'two' },
+      { ...crash, histories: null },
+      { ...crash, histories: { a: { ...history, share: 0 } } },
+      { ...crash, histories: { a: { ...history, share: 1.1 } } },
+      { ...crash, histories: { a: { share: 0.5 } } },
     ];
     expect(invalidValues.filter((value) => isEngineCrash(value))).to.deep.equal([]);
   });
--- a/test/direct/decisions/promptPartDays.test.ts
+++ b/test/direct/decisions/promptPartDays.test.ts
@@ -14,6 +14,7 @@
     days: [
       {
         seed: 624_383,
+        isFirstGuilty: false,
         engineCount: 4,
         routerCount: 4,
         firstPartCount: 3,
@@ -30,6 +31,7 @@
       },
       {
         seed: 432_726,
+        isFirstGuilty: false,
         engineCount: 4,
         routerCount: 1,
         firstPartCount: 4,
@@ -53,6 +55,7 @@
     days: [
       {
         seed: 639_331,
+        isFirstGuilty: false,
         engineCount: 5,
         routerCount: 1,
         firstPartCount: 1,
@@ -70,6 +73,7 @@
       },
       {
         seed: 603_020,
+        isFirstGuilty: false,
         engineCount: 5,
         routerCount: 5,
         firstPartCount: 1,
@@ -93,6 +97,7 @@
     days: [
       {
         seed: 8,
+        isFirstGuilty: false,
         engineCount: 6,
         routerCount: 2,
         firstPartCount: 3,
@@ -112,6 +117,7 @@
     days: [
       {
         seed: 157_121,
+        isFirstGuilty: false,
         engineCount: 4,
         routerCount: 2,
         firstPartCount: 4,
@@ -129,6 +135,7 @@
       },
       {
         seed: 101_812,
+        isFirstGuilty: false,
         engineCount: 6,
         routerCount: 2,
         firstPartCount: 3,
--- a/test/direct/decisions/promptParts.fuzz.test.ts
+++ b/test/direct/decisions/promptParts.fuzz.test.ts
@@ -41,8 +41,17 @@
 /** Days on which each subject is found at most crashes, so that only answers tell it from the guilty part. */
 const FEW_SUBJECTS = { subjectCount: fc.integer({ min: 3, max: 8 }) };
 
+/** Days on which the guilty part stands in the place of a first part, prompts differ little, and engines do not all crash at once. */
+const FIRST_GUILTY = {
+  isFirstGuilty: fc.constant<boolean>(true),
+  firstPartCount: fc.integer({ min: 1, max: 3 }),
+  subjectCount: fc.integer({ min: 1, max: 8 }),
+  guiltyIntervalMs: fc.integer({ min: 500, max: 4_000 }),
+};
+
 const DAY = {
   seed: fc.nat(1_000_000),
+  isFirstGuilty: fc.constant<boolean>(false),
   engineCount: fc.integer({ min: 4, max: 8 }),
   routerCount: fc.integer({ min: 1, max: 5 }),
   firstPartCount: fc.integer({ min: 1, max: 4 }),
@@ -112,6 +121,11 @@
     checkGuilty(CLASSES, FEW_SUBJECTS);
   });
 
+  // Issue 36, BUDGET: a guilty part in the first position was never blocked where requests have few different lists of parts.
+  it('blocks a guilty part in the first position of few different prompts', () => {
+    checkGuilty(CLASSES, FIRST_GUILTY);
+  });
+
   for (const Faulty of [IgnoresSuccess, IgnoresCrashes]) {
     it(`detects the fault of ${Faulty.name}`, () => {
       expect(() => checkGuilty({ ...CLASSES, createSuspects: () => new Faulty() })).to.throw();
