--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -4,6 +4,7 @@
 import { StoreClient } from '../../platform/StoreClient.js';
 import { StoreFleetSource } from '../../platform/StoreFleetSource.js';
 import { SystemClock } from '../../src/kernel/index.js';
+import { PLAIN_CONFIGURATION } from './programs.js';
 
 /** Response of the scripted store: a status and a body, no response, or a closed connection. */
 type ScriptedResponse =
@@ -72,6 +73,87 @@
     });
   });
 
+  // Issue 36, LOST: one odd object among those of the servers spoiled its whole page, and routers no longer followed the list.
+  describe('listServers with an odd object', () => {
+    const ODD_OBJECTS: readonly unknown[] = [
+      { Metadata: { Name: 'i-odd' } },
+      { Metadata: {}, Spec: READY },
+      { Metadata: { Name: 7 }, Spec: READY },
+      { Spec: READY },
+      [],
+      null,
+      'text',
+    ];
+    for (const odd of ODD_OBJECTS) {
+      it(`reads the others beside ${JSON.stringify(odd)}, also at the end of a page`, async () => {
+        const items = [serverObject('i-1', READY), odd];
+        script.push(
+          { status: 200, body: { items, HasMore: true, StoreRevision: 5 } },
+          { status: 200, body: { items: [odd, serverObject('i-3', READY)], StoreRevision: 5 } },
+        );
+        const listing = await source.listServers();
+        expect(listing.kind === 'listed' && listing.entries.map(({ serverId }) => serverId)).to.deep.equal([
+          'i-1',
+          'i-3',
+        ]);
+        expect(listing.kind === 'listed' && listing.unreadableIds.length).to.equal(2);
+        expect(paths.length).to.equal(2);
+      });
+    }
+  });
+
+  // Issue 36, LOST: the same in a change.
+  describe('watchServers with an odd object', () => {
+    const present = { Tombstone: false, Object: serverObject('i-1', READY) };
+    const ODD_EVENTS: readonly unknown[] = [
+      { Tombstone: false, Object: { Metadata: { Name: 'i-odd' } } },
+      { Tombstone: false, Object: { Spec: READY } },
+      { Tombstone: false },
+      null,
+    ];
+    for (const odd of ODD_EVENTS) {
+      it(`reports the other changes beside ${JSON.stringify(odd)}`, async () => {
+        script.push({ status: 200, body: { events: [odd, present], StoreRevision: 12 } });
+        const result = await source.watchServers(5, 1_000);
+        expect(result.kind === 'changed' && result.changes.map(({ kind }) => kind)).to.deep.equal([
+          'unreadable',
+          'present',
+        ]);
+      });
+    }
+
+    it('reports that a server is gone whose object has no fields', async () => {
+      const events = [{ Tombstone: true, Object: { Metadata: { Name: 'i-1' } } }];
+      script.push({ status: 200, body: { events, StoreRevision: 12 } });
+      const result = await source.watchServers(5, 1_000);
+      expect(result.kind === 'changed' && result.changes).to.deep.equal([{ kind: 'gone', serverId: 'i-1' }]);
+    });
+  });
+
+  // Issue 36, LOST: the configuration was not read while another writer's odd object stood beside it.
+  describe('readConfiguration and watchConfiguration with an odd object', () => {
+    const odd = { Metadata: { Name: 'other' } };
+    const main = serverObject('main', PLAIN_CONFIGURATION);
+
+    it('read the configuration beside it', async () => {
+      script.push(
+        { status: 200, body: { items: [odd, main, null], StoreRevision: 2 } },
+        {
+          status: 200,
+          body: {
+            events: [{ Tombstone: false, Object: odd }, { Tombstone: false, Object: main }, null],
+            StoreRevision: 3,
+          },
+        },
+      );
+      const read = await source.readConfiguration();
+      const watched = await source.watchConfiguration(2, 50);
+      for (const result of [read, watched]) {
+        expect(result.kind === 'read' && result.configuration?.version).to.equal(PLAIN_CONFIGURATION.Version);
+      }
+    });
+  });
+
   describe('listServers during a restore of the store', () => {
     const makePage = (name: string, era: number, hasMore: boolean): ScriptedResponse => ({
       status: 200,
--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -38,8 +38,20 @@
   ['i-null', null],
   ['i-list', [[]]],
   ['i-text', '\u0000'],
+  ['i-deep', { ...ENTRY, Models: nest(1_000) }],
+  // Not written at all: the object has no field `Spec`.
+  ['i-empty', undefined],
 ];
 
+/** Returns a deeply nested list. */
+function nest(depth: number): unknown {
+  let value: unknown = [];
+  for (let count = 0; count < depth; count++) {
+    value = [value];
+  }
+  return value;
+}
+
 describe('main (router) with odd entries in the store', function () {
   this.timeout(3 * READY_LIMIT_MS);
   let store: ObjectStore;
@@ -72,7 +84,7 @@
     await rm(directory, { recursive: true, force: true });
   });
 
-  it('stays up and serves each request with the others', async () => {
+  async function startRouter(): Promise<{ readonly ip: string; readonly getOutput: () => string }> {
     const ip = reservation.getAddress(3);
     const settingsFile = join(directory, 'node.json');
     const storeAddress = await store.start();
@@ -83,15 +95,48 @@
     let output = '';
     child = startProgram(join(directory, 'main.cjs'), settingsFile, (text) => (output += text));
     await waitUntil(async () => (await callRouter(ip, PORTS.ready, '/'))?.status === 200, READY_LIMIT_MS);
-    for (const [name, entry] of ODD_ENTRIES) {
-      store.put('servers', name, entry);
-    }
-    await waitUntil(() => output.includes('server entry cannot be read'), READY_LIMIT_MS);
+    return { ip, getOutput: () => output };
+  }
+
+  async function getStatuses(ip: string): Promise<(number | undefined)[]> {
     const statuses = new Set<number | undefined>();
     for (let index = 0; index < REQUEST_COUNT; index++) {
       statuses.add((await callRouter(ip, PORTS.front, `/x/${index}`))?.status);
     }
-    expect([...statuses]).to.deep.equal([200]);
-    expect(child.exitCode, output.slice(-1_000)).to.equal(null);
+    return [...statuses];
+  }
+
+  function putOddObjects(kind: string): void {
+    for (const [name, entry] of ODD_ENTRIES) {
+      store.put(kind, name, entry);
+    }
+  }
+
+  it('stays up and serves each request with the others', async () => {
+    const { ip, getOutput } = await startRouter();
+    putOddObjects('servers');
+    await waitUntil(() => getOutput().includes('server entry cannot be read'), READY_LIMIT_MS);
+    expect(await getStatuses(ip)).to.deep.equal([200]);
+    expect(child.exitCode, getOutput().slice(-1_000)).to.equal(null);
+  });
+
+  // Issue 36, LOST: a router followed nothing any more after one object without the field `Spec`.
+  it('follows the next changes, also after a restored store and a cut history', async () => {
+    const { ip, getOutput } = await startRouter();
+    putOddObjects('servers');
+    putOddObjects('config');
+    const copy = store.takeCopy();
+    for (const [version, disrupt] of [
+      [2, () => undefined],
+      [3, () => store.discardHistory()],
+      [4, () => store.restore(copy)],
+    ] as const) {
+      disrupt();
+      store.put('config', 'main', { ...PLAIN_CONFIGURATION, Version: version });
+      const isApplied = () => getOutput().includes(`"version":${version},"routeCount"`);
+      await waitUntil(isApplied, READY_LIMIT_MS);
+      expect(await getStatuses(ip)).to.deep.equal([200]);
+    }
+    expect(child.exitCode, getOutput().slice(-1_000)).to.equal(null);
   });
 });
