--- a/src/agent/HttpBackendClient.ts
+++ b/src/agent/HttpBackendClient.ts
@@ -7,6 +7,12 @@
 const STATE_TIMEOUT_MS = 1_000;
 /** Timeout of an order. */
 const ORDER_TIMEOUT_MS = 120_000;
+const AGENT_OPTIONS: Agent.Options = {
+  connections: 512,
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+};
 /** Last event of a complete event stream. */
 const STREAM_END_EVENT = 'data: [DONE]';
 /** Prefix of an event; one event contains about one token. */
@@ -14,12 +20,13 @@
 
 /** HTTP client for a backend server: a model engine, or a plain service, which has neither state nor orders. */
 export class HttpBackendClient extends BackendClient {
-  private readonly httpAgent = new Agent({
-    connections: 512,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  /**
+   * Connections of runs and orders, each used for one of them only: what a faulty server sends after its response, such as a
+   * copy of it, can't be taken for the response to another.
+   */
+  private readonly singleUseAgent = new Agent(AGENT_OPTIONS);
+  /** Kept connections of state requests. A copy of a response is one report late at most, and a state decides on no run. */
+  private readonly stateAgent = new Agent(AGENT_OPTIONS);
 
   /**
    * @param baseUrl - URL of the server without a trailing slash.
@@ -37,7 +44,10 @@
       return createPlainState(this.plainSlotCount);
     }
     try {
-      const response = await this.send('GET', '/state', undefined, AbortSignal.timeout(STATE_TIMEOUT_MS));
+      const response = await request(`${this.baseUrl}/state`, {
+        dispatcher: this.stateAgent,
+        signal: AbortSignal.timeout(STATE_TIMEOUT_MS),
+      });
       return response.statusCode === 200 ? ((await response.body.json()) as EngineState) : undefined;
     } catch {
       return undefined;
@@ -74,7 +84,7 @@
   }
 
   async close(): Promise<void> {
-    await this.httpAgent.destroy();
+    await Promise.all([this.singleUseAgent.destroy(), this.stateAgent.destroy()]);
   }
 
   private async stream(
@@ -87,9 +97,8 @@
       'x-cache-salt': runRequest.cacheSalt,
       'x-priority': runRequest.requestClass,
     };
-    // A connection is used for one run only: what a faulty server sends after its response can't reach the next one.
-    const options = { headers, reset: true };
-    const response = await this.send(runRequest.method, runRequest.path, runRequest.body, signal, options);
+    const { method, path, body } = runRequest;
+    const response = await this.send(method, path, body, signal, headers);
     if (response.statusCode === 404 && runRequest.modelId !== undefined) {
       await response.body.dump();
       return { kind: 'notSent', detail: 'The engine does not hold the model.' };
@@ -121,15 +130,12 @@
     path: string,
     body: string | undefined,
     signal: AbortSignal,
-    {
-      headers = {},
-      reset = false,
-    }: { readonly headers?: Record<string, string>; readonly reset?: boolean } = {},
+    headers: Readonly<Record<string, string>> = {},
   ): Promise<Dispatcher.ResponseData> {
     return request(`${this.baseUrl}${path}`, {
       method: method as Dispatcher.HttpMethod,
-      dispatcher: this.httpAgent,
-      reset,
+      dispatcher: this.singleUseAgent,
+      reset: true,
       signal,
       headers: { 'content-type': 'application/json', ...headers },
       body: body === undefined || body === '' ? undefined : body,
--- a/test/direct/lateCopies.test.ts
+++ b/test/direct/lateCopies.test.ts
@@ -1,10 +1,15 @@
 import { expect } from 'chai';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { HttpBackendClient } from '../../src/agent/HttpBackendClient.js';
-import type { RunRequest } from '../../src/domain/index.js';
+import { HttpEnginePort } from '../../platform/HttpEnginePort.js';
+import { toModelId, type RunRequest } from '../../src/domain/index.js';
+import { SystemClock } from '../../src/kernel/index.js';
+import { sleepMs } from '../waiting.js';
 import { makeEntry, makeRoute, ORDERS } from './fleetFixtures.js';
 import { RouterBench } from './RouterBench.js';
 
+/** Time from a request to its own answer, in milliseconds; a copy of an earlier answer comes first. */
+const ANSWER_DELAY_MS = 50;
 /** Number of requests, one after the other, so that connections would be reused. */
 const REQUEST_COUNT = 8;
 
@@ -34,6 +39,10 @@
     this.sockets.add(socket);
     socket.on('error', () => undefined);
     socket.on('close', () => this.sockets.delete(socket));
+    this.answer(socket);
+  }
+
+  protected answer(socket: Socket): void {
     let lateCopy = '';
     socket.on('data', (chunk) => {
       const request = chunk.toString();
@@ -51,6 +60,46 @@
   }
 }
 
+/**
+ * Server that refuses the first request and accepts the others. When another request arrives on the connection of the refusal, it
+ * writes the refusal once more before its answer.
+ */
+class RefusingServer extends RepeatingServer {
+  private hasRefused = false;
+
+  /** @param refusal - Status line of the refusal. */
+  constructor(private readonly refusal: string) {
+    super();
+  }
+
+  protected override answer(socket: Socket): void {
+    const refusal = `HTTP/1.1 ${this.refusal}\r\ncontent-length: 0\r\n\r\n`;
+    let lateCopy = '';
+    socket.on('data', () => {
+      if (!this.hasRefused) {
+        this.hasRefused = true;
+        lateCopy = refusal;
+        socket.write(refusal);
+        return;
+      }
+      socket.write(lateCopy);
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'), ANSWER_DELAY_MS);
+    });
+  }
+}
+
+const ORDER = { orderNumber: 1, kind: 'load', itemId: 'a', sizeBytes: 1, isAdapter: false } as const;
+
+const RUN_REQUEST = {
+  method: 'POST',
+  path: '/make',
+  body: '{}',
+  modelId: toModelId('s/a'),
+  attemptId: 'r1',
+  cacheSalt: '',
+  requestClass: 'interactive',
+} as unknown as RunRequest;
+
 describe('late copies of an answer', function () {
   this.timeout(20_000);
   let server: RepeatingServer;
@@ -96,4 +145,51 @@
     }
     await client.close();
   });
+
+  describe('of a refusal', () => {
+    let refusing: RefusingServer;
+    let client: HttpBackendClient;
+
+    beforeEach(async () => {
+      refusing = new RefusingServer('404 Not Found');
+      client = new HttpBackendClient(`http://${await refusing.start()}`, undefined);
+    });
+
+    afterEach(async () => {
+      await client.close();
+      refusing.stop();
+    });
+
+    // Issue 36, REFUSED and TWICE: a run was told 'not sent' by the refusal of an earlier order, while the server ran it.
+    it('never reach a run after an order', async () => {
+      expect(await client.sendOrder(ORDER)).to.equal('refused');
+      await sleepMs(ANSWER_DELAY_MS);
+      const result = await client.run(RUN_REQUEST, () => undefined, new AbortController().signal);
+      expect(result.kind).to.equal('complete');
+    });
+
+    // Issue 36: the refusal of an order was taken for the answer to the next one.
+    it('never reach the next order of an agent', async () => {
+      expect(await client.sendOrder(ORDER)).to.equal('refused');
+      await sleepMs(ANSWER_DELAY_MS);
+      expect(await client.sendOrder(ORDER)).to.equal('done');
+    });
+
+    it('never reach an order after a state request', async () => {
+      expect(await client.readState()).to.equal(undefined);
+      await sleepMs(ANSWER_DELAY_MS);
+      expect(await client.sendOrder(ORDER)).to.equal('done');
+    });
+  });
+
+  // Issue 36: the same on the users' platform.
+  it("of a refusal never reach the next order on the users' platform", async () => {
+    const refusing = new RefusingServer('409 Conflict');
+    const port = new HttpEnginePort(new SystemClock(), await refusing.start(), 'side-1');
+    const order = { kind: 'load', model: 'a', adapter: undefined, expectedOrderCount: 0 } as const;
+    expect(await port.sendOrder(order)).to.equal('conflict');
+    await sleepMs(ANSWER_DELAY_MS);
+    expect(await port.sendOrder(order)).to.equal('alreadyDone');
+    refusing.stop();
+  });
 });
