--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -159,7 +159,8 @@
     const { headers, serviceId } = this.request;
     const { softwareVersion } = this;
     const untilMs = options.waitUntilMs;
-    if (softwareVersion !== undefined && !this.deps.view.hasVersion(serviceId, softwareVersion)) {
+    const { view, clock } = this.deps;
+    if (softwareVersion !== undefined && !view.hasVersion(serviceId, softwareVersion, clock.nowMs())) {
       return { kind: 'refused', detail: `no server of the software version ${softwareVersion} is left` };
     }
     const holdMs = this.getHoldMs();
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -36,8 +36,8 @@
 /** A router's view of the fleet: the configuration and the backend servers. */
 export class FleetView extends ServerDirectory {
   private readonly reports = new Map<string, { report: AgentReport; atMs: number }>();
-  /** When the latest report of each agent was received, including agents that are no longer connected. */
-  private readonly reportedAtMs = new Map<string, number>();
+  /** Process and time of the latest report of each agent, including agents that are no longer connected. */
+  private readonly lastReports = new Map<string, { readonly bornAtMs: number; readonly atMs: number }>();
   /** Addresses of the agents whose reports contain crashed requests. */
   private readonly crashReporters = new Set<string>();
   private readonly routerCounts = new RouterCounts();
@@ -95,7 +95,7 @@
     this.routerCounts.record(report.address, report.routerCount, nowMs);
     this.applyReportedLimit(previous, report);
     this.reports.set(report.address, { report, atMs: nowMs });
-    this.reportedAtMs.set(report.address, nowMs);
+    this.lastReports.set(report.address, { bornAtMs: report.bornAtMs, atMs: nowMs });
     this.crashReporters[Object.keys(report.crashCounts).length > 0 ? 'add' : 'delete'](report.address);
     this.applyLeavingServers(report);
     this.confirm(report.address, report.bornAtMs);
@@ -151,13 +151,14 @@
    * Whether a server of a service has a software version and stays, also if it has asked for a pause.
    * @param serviceId - The service.
    * @param softwareVersion - The version.
+   * @param nowMs - Current time.
    */
-  hasVersion(serviceId: ServiceId, softwareVersion: string): boolean {
+  hasVersion(serviceId: ServiceId, softwareVersion: string, nowMs: number): boolean {
     for (const entry of this.getEntries()) {
       if (
         entry.serviceId === serviceId &&
         this.isStaying(entry) &&
-        this.getSoftwareVersion(entry) === softwareVersion
+        this.getSoftwareVersion(entry, nowMs) === softwareVersion
       ) {
         return true;
       }
@@ -182,7 +183,8 @@
     let shortestMs: number | undefined;
     for (const entry of this.getEntries()) {
       const isCandidate =
-        entry.serviceId === serviceId && isRequiredVersion(this.getSoftwareVersion(entry), softwareVersion);
+        entry.serviceId === serviceId &&
+        isRequiredVersion(this.getSoftwareVersion(entry, nowMs), softwareVersion);
       const holdMs = isCandidate ? this.getHoldMs(entry, nowMs) : 0;
       if (holdMs > 0 && (model === undefined || this.isHolder(entry, model, nowMs))) {
         shortestMs = Math.min(shortestMs ?? Infinity, holdMs);
@@ -280,7 +282,7 @@
 
   private toKnownServer(entry: ServerEntry, nowMs: number): KnownServer {
     const report = this.getCurrentReport(entry, nowMs);
-    const reportedAtMs = this.reportedAtMs.get(entry.address) ?? -Infinity;
+    const reportedAtMs = this.lastReports.get(entry.address)?.atMs ?? -Infinity;
     const heldModels = this.excludeRefusedModels(
       entry.serverId,
       report?.heldModels ?? entry.heldModels,
@@ -289,7 +291,7 @@
     const rank = this.getRank(entry.serverId);
     const rankShare = rank / this.getStayingCount(entry.serviceId);
     const maxRequestsPerSecond = this.getRateLimit(entry.serverId);
-    const softwareVersion = this.getSoftwareVersion(entry);
+    const softwareVersion = this.getSoftwareVersion(entry, nowMs);
     return {
       entry,
       rank,
@@ -302,10 +304,17 @@
     };
   }
 
-  /** Returns the version of a server's software; undefined if a later process runs there than the list shows. */
-  private getSoftwareVersion({ address, bornAtMs, softwareVersion }: ServerEntry): string | undefined {
-    const reportedBornAtMs = this.reports.get(address)?.report.bornAtMs ?? bornAtMs;
-    return reportedBornAtMs > bornAtMs ? undefined : softwareVersion;
+  /**
+   * Returns the version of a server's software; undefined if a later process than the listed one runs there, or may run there
+   * because its agent has not been heard lately. A server may start again under its ID.
+   */
+  private getSoftwareVersion(
+    { address, bornAtMs, softwareVersion }: ServerEntry,
+    nowMs: number,
+  ): string | undefined {
+    const last = this.lastReports.get(address);
+    const isOutdated = last?.bornAtMs === bornAtMs && nowMs - last.atMs >= REPORT_LIFETIME_MS;
+    return isOutdated || (last && last.bornAtMs > bornAtMs) ? undefined : softwareVersion;
   }
 
   private excludeRefusedModels(
--- a/test/direct/streamVersions.test.ts
+++ b/test/direct/streamVersions.test.ts
@@ -1,11 +1,13 @@
 import { expect } from 'chai';
 import { delay } from '../../src/kernel/index.js';
 import { EngineFleet } from './EngineFleet.js';
-import { ENGINES, makeRoute } from './fleetFixtures.js';
+import { ENGINES, makeReport, makeRoute } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, RouterBench, type Handler } from './RouterBench.js';
 
 const FIRST_EVENT = 'id: 1\ndata: x\n\n';
 const SECOND_EVENT = 'id: 2\ndata: y\n\n';
+/** Time after which a report of an agent is outdated, in milliseconds. */
+const OUTDATED_REPORT_MS = 2_600;
 const STREAM_COUNT = 6;
 const RETURN_COUNT = 4;
 /** Time in which a request that cannot be served must be refused, in milliseconds. */
@@ -77,6 +79,39 @@
   }
 });
 
+describe('a stream that its caller takes up again at a router that is out of step', function () {
+  this.timeout(20_000);
+  let bench: RouterBench;
+  beforeEach(async () => {
+    bench = new RouterBench();
+    for (const id of ['s', 'ss']) {
+      await bench.addServer(id, beginAnd('breaks off'), ENGINES, { softwareVersion: 'v1' });
+    }
+    await bench.start([makeRoute({ timeoutMs: 1_500, latencyTargetMs: 150 })]);
+    reportAll();
+  });
+  afterEach(() => bench.close());
+
+  function reportAll(): void {
+    for (const entry of [...bench.view.getEntries()]) {
+      bench.view.applyReport(makeReport(entry), CLOCK.nowMs());
+    }
+  }
+
+  // Issue 36, ORDER: a server that starts again under its ID, with other software, takes a stream that a router sends it by an old list.
+  it('is refused while the agents have not been heard for seconds, and continues when they are', async () => {
+    await bench.sendRequest('/drafts/x', { model: 'a' }, 'x', 'first event');
+    const takeUp = { model: 'a', resumes: 'r1', 'last-event-id': '1' };
+    await delay(CLOCK, OUTDATED_REPORT_MS);
+    const sentCount = bench.receivedRequests.length;
+    const refused = await bench.sendRequest('/drafts/x', { ...takeUp, 'request-id': 'r2' });
+    expect([refused.status, bench.receivedRequests.length]).to.deep.equal([503, sentCount]);
+    reportAll();
+    const continued = await bench.sendRequest('/drafts/x', { ...takeUp, 'request-id': 'r3' });
+    expect([continued.status, continued.text]).to.deep.equal([200, SECOND_EVENT]);
+  });
+});
+
 describe('a stream that its caller takes up again at another router', function () {
   this.timeout(60_000);
   const fleet = new EngineFleet('none');
