--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -100,6 +100,8 @@
   /** Number of servers that may have run the request. */
   private runCount = 0;
   private hasEnded = false;
+  /** Whether the request has ended because its time was over. */
+  private hasTimedOut = false;
   /** Error response of a server, delivered if no later attempt succeeds. */
   private fallback: { head: ResponseHead; body: Buffer } | undefined;
   /** Size of the response bodies that are kept until the caller has received one, in bytes. */
@@ -337,7 +339,9 @@
     this.notifyModelUse(server, 'ended');
     const nowMs = clock.nowMs();
     const latencyMs = end.kind === 'answered' ? nowMs - sentAtMs : this.latencyMs;
-    chooser.recordEnded(serverId, isServerFault(end), nowMs, latencyMs);
+    const isUnanswered =
+      end.kind === 'cancelled' && this.hasTimedOut && !chooser.isResponsive(server, nowMs, sentAtMs);
+    chooser.recordEnded(serverId, isServerFault(end) || isUnanswered, nowMs, latencyMs);
     log.decision('attempt ended', {
       requestId: headers.requestId,
       serverId,
@@ -552,6 +556,7 @@
 
   private onDeadline(): void {
     if (!this.hasEnded) {
+      this.hasTimedOut = true;
       this.deps.metrics.count('timeouts');
       if (this.tracker.verdict === 'didNotRun') {
         this.refuse(503, 'the time for the request is over', DEFAULT_RETRY_AFTER_MS);
--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { ChildProcess } from 'node:child_process';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer, type Server } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
@@ -19,6 +20,8 @@
 /** Time limit for the router to become ready, in milliseconds. */
 const READY_LIMIT_MS = 12_000;
 const REQUEST_COUNT = 40;
+/** Number of requests that may fail until a silent server is left out. */
+const MAX_FAILED = 4;
 
 const ENTRY = { Service: 's', Address: '127.0.0.1:1', Zone: 'z1', Slots: 4, State: 'ready', born: 1 };
 
@@ -59,6 +62,7 @@
   let directory: string;
   let child: ChildProcess;
   let reservation: LoopbackReservation;
+  let silent: Server | undefined;
 
   beforeEach(async () => {
     reservation = await LoopbackReservation.create();
@@ -79,6 +83,7 @@
   afterEach(async () => {
     child.kill('SIGKILL');
     worker.stop();
+    silent?.close();
     store.stop();
     await reservation.release();
     await rm(directory, { recursive: true, force: true });
@@ -139,4 +144,26 @@
     }
     expect(child.exitCode, getOutput().slice(-1_000)).to.equal(null);
   });
+
+  // Issue 36, LOST: an entry may be valid and name a server that accepts connections and says nothing.
+  for (const [title, figures] of [
+    ['usual', {}],
+    ['extreme', { Slots: Number.MAX_SAFE_INTEGER, born: Number.MAX_SAFE_INTEGER }],
+  ] as const) {
+    it(`serves nearly all requests beside a silent server of ${title} figures`, async () => {
+      const { ip, getOutput } = await startRouter();
+      const host = reservation.getAddress(5);
+      silent = createServer(() => undefined);
+      await new Promise<void>((resolve) => {
+        silent?.listen(WORKER_PORT, host, resolve);
+      });
+      store.put('servers', 'i-silent', { ...ENTRY, ...figures, Address: `${host}:${WORKER_PORT}` });
+      let failedCount = 0;
+      for (let index = 0; index < REQUEST_COUNT; index++) {
+        failedCount += (await callRouter(ip, PORTS.front, `/x/${index}`))?.status === 200 ? 0 : 1;
+      }
+      expect(failedCount).to.be.at.most(MAX_FAILED);
+      expect(child.exitCode, getOutput().slice(-1_000)).to.equal(null);
+    });
+  }
 });
