Prompt parts: the evidence of shares and counts in a module of its own

PromptPartSuspects had two jobs: which crashes count against which part, and how likely they are by chance. An agent that receives odd histories keeps the break without them instead of dropping it.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -304,8 +304,9 @@
   }
 
   private onBrokenOff({ bornAtMs, promptParts, histories = [] }: BrokenOffParams): void {
-    if (Number.isFinite(bornAtMs) && isPartList(promptParts) && isHistoryList(histories)) {
-      this.crashRecorder.recordBreak(bornAtMs, promptParts, histories, this.deps.clock.nowMs());
+    if (Number.isFinite(bornAtMs) && isPartList(promptParts)) {
+      const knownHistories = isHistoryList(histories) ? histories : [];
+      this.crashRecorder.recordBreak(bornAtMs, promptParts, knownHistories, this.deps.clock.nowMs());
     }
   }
 
--- a/src/direct/decisions/EngineCrashRecorder.ts
+++ b/src/direct/decisions/EngineCrashRecorder.ts
@@ -23,7 +23,7 @@
   readonly ageMs: number;
   /** Numbers of requests that broke off in the crash, by prompt part, without parts that were answered since. */
   readonly requestCounts: Readonly<Record<string, number>>;
-  /** Positions of these parts in prompts, for routers of an older version; undefined from an agent of an older version. */
+  /** Positions of these parts in prompts; undefined from an agent of an older version. */
   readonly positions?: Readonly<Record<string, number>>;
   /** Number of all requests that broke off in the crash; undefined from an agent of an older version. */
   readonly requestCount?: number;
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -32,4 +32,5 @@
 export * from './CrashTracker.js';
 export * from './EngineCrashRecorder.js';
 export * from './PromptPartSuspects.js';
+export * from './promptPartEvidence.js';
 export * from './ResidencyPlanner.js';
