--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -107,6 +107,8 @@
   /** Size of the response bodies that are kept until the caller has received one, in bytes. */
   private bufferedLength = 0;
   private isClosed = false;
+  /** How the request is refused once it is with no server; undefined while it may be sent. */
+  private refusalOfUnsent: { detail: string; retryAfterMs: number } | undefined;
   private latencyMs: number | undefined;
   private readonly crashEvidence: CrashEvidence;
   private longestGapMs = 0;
@@ -179,14 +181,13 @@
   }
 
   /**
-   * Refuses the request if it did not run on any server.
+   * Refuses the request as soon as it is with no server and did not run on any.
    * @param detail - Reason for the refusal.
    * @param retryAfterMs - Delay after which the caller should retry, in milliseconds.
    */
   refuseUnsent(detail: string, retryAfterMs: number): void {
-    if (!this.hasEnded && this.tracker.verdict === 'didNotRun') {
-      this.refuse(503, detail, retryAfterMs);
-    }
+    this.refusalOfUnsent = { detail, retryAfterMs };
+    this.endIfUnsent();
   }
 
   /**
@@ -227,7 +228,7 @@
 
   /** Finds the next server; ends the request and returns undefined if there is none. */
   private async findServer(): Promise<KnownServer | undefined> {
-    if (this.endIfBlocked()) {
+    if (this.endIfBlocked() || this.endIfUnsent()) {
       return undefined;
     }
     const { sendCount, runCount } = this;
@@ -527,6 +528,16 @@
     return true;
   }
 
+  /** Refuses the request if requests that did not run are to be refused and this is one; returns true if it did. */
+  private endIfUnsent(): boolean {
+    if (!this.refusalOfUnsent || this.hasEnded || this.tracker.verdict !== 'didNotRun') {
+      return false;
+    }
+    const { detail, retryAfterMs } = this.refusalOfUnsent;
+    this.refuse(503, detail, retryAfterMs);
+    return true;
+  }
+
   private notifyModelUse(server: KnownServer, event: 'started' | 'ended'): void {
     const { model } = this.request.headers;
     if (model !== undefined) {
