--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -76,6 +76,8 @@
   }
 
   private upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+    // The HTTP server has removed its own listener, and an 'error' event without one would end the process.
+    socket.on('error', () => socket.destroy());
     const presented = request.headers.authorization ?? '';
     if (!secretsEqual(presented, `Bearer ${this.secret}`)) {
       socket.end('HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n');
--- a/test/transport/PeerServer.test.ts
+++ b/test/transport/PeerServer.test.ts
@@ -1,17 +1,71 @@
 import { expect } from 'chai';
 import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
 import { WebSocket } from 'ws';
 import { delay, SystemClock } from '../../src/kernel/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { PeerDialer, PeerServer, TrafficMeter, type PeerConnection } from '../../src/transport/index.js';
 
 const CLOCK = new SystemClock();
+const RESET_COUNT = 20;
+
+/** Returns an opening handshake with a wrong secret, or one that isn't a WebSocket handshake. */
+function formatUpgrade(authorization: string, protocol: string): string {
+  return `GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: ${protocol}\r\nAuthorization: ${authorization}\r\n\r\n`;
+}
+
 function dial(name: string, address: string): Promise<PeerConnection> {
   const dialer = new PeerDialer(name, 's', CLOCK, new TrafficMeter());
   return dialer.connect(address);
 }
 
 describe('PeerServer', () => {
+  describe('upgrade', () => {
+    let reservation: LoopbackReservation;
+    let server: PeerServer;
+    let port: number;
+    let sockets: Socket[];
+
+    beforeEach(async () => {
+      reservation = await LoopbackReservation.create();
+      port = await reservation.takePort();
+      server = new PeerServer({ host: '127.0.0.1', port }, 's', CLOCK, {}, new TrafficMeter());
+      await server.start();
+      sockets = [];
+    });
+
+    afterEach(async () => {
+      for (const socket of sockets) {
+        socket.destroy();
+      }
+      await server.stop();
+      await reservation.release();
+    });
+
+    async function open(): Promise<Socket> {
+      const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true });
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.resume();
+      await once(socket, 'connect');
+      return socket;
+    }
+
+    // Issue 39, FAULT: a connection that was reset before its refusal was written ended the agent.
+    for (const request of [formatUpgrade('Bearer wrong', 'websocket'), formatUpgrade('Bearer s', 'other')]) {
+      it(`refuses connections that are reset at once: ${JSON.stringify(request)}`, async () => {
+        for (let count = 0; count < RESET_COUNT; count++) {
+          const socket = await open();
+          socket.write(request);
+          socket.resetAndDestroy();
+        }
+        const connection = await dial('peer', `127.0.0.1:${port}`);
+        expect(connection.isOpen).to.equal(true);
+        connection.terminate();
+      });
+    }
+  });
+
   describe('stop', () => {
     it('resolves although one peer is unresponsive and another redials meanwhile', async () => {
       // Redialling needs the same port, also after the server has closed it.
