--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -9,6 +9,11 @@
 /** Maximum size of a message between two processes of the fleet, in bytes. */
 export const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
+/** Time within which a connection must present its secret, in milliseconds. */
+const OPENING_TIMEOUT_MS = 5_000;
+/** Interval at which that time is checked, in milliseconds. */
+const OPENING_CHECK_INTERVAL_MS = 1_000;
+
 /** Address that a server binds to. */
 export interface ListenAddress {
   readonly host: string;
@@ -41,7 +46,10 @@
 
 /** Accepts connections from other processes of the fleet. */
 export class PeerServer implements Service {
-  private readonly http: Server = createServer((_request, response) => response.writeHead(404).end());
+  private readonly http: Server = createServer(
+    { headersTimeout: OPENING_TIMEOUT_MS, connectionsCheckingInterval: OPENING_CHECK_INTERVAL_MS },
+    (_request, response) => response.writeHead(404, { connection: 'close' }).end(),
+  );
   private readonly sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_MESSAGE_BYTES });
   private readonly connections = new Set<PeerConnection>();
 
@@ -80,6 +88,7 @@
     socket.on('error', () => socket.destroy());
     const presented = request.headers.authorization ?? '';
     if (!secretsEqual(presented, `Bearer ${this.secret}`)) {
+      socket.once('finish', () => socket.destroy());
       socket.end('HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n');
       return;
     }
--- a/test/transport/PeerServer.test.ts
+++ b/test/transport/PeerServer.test.ts
@@ -5,9 +5,12 @@
 import { delay, SystemClock } from '../../src/kernel/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { PeerDialer, PeerServer, TrafficMeter, type PeerConnection } from '../../src/transport/index.js';
+import { waitUntil } from '../waiting.js';
 
 const CLOCK = new SystemClock();
 const RESET_COUNT = 20;
+/** Time limit for the server to close a connection, in milliseconds. */
+const CLOSE_LIMIT_MS = 10_000;
 
 /** Returns an opening handshake with a wrong secret, or one that isn't a WebSocket handshake. */
 function formatUpgrade(authorization: string, protocol: string): string {
@@ -64,6 +67,30 @@
         connection.terminate();
       });
     }
+
+    // Issue 39, FAULT: connections without the secret kept their descriptors for good.
+    it('closes a refused connection although its dialer keeps it open', async () => {
+      const socket = await open();
+      let receivedText = '';
+      socket.on('data', (chunk: Buffer) => (receivedText += chunk.toString()));
+      socket.write(formatUpgrade('Bearer wrong', 'websocket'));
+      await once(socket, 'end');
+      expect(receivedText).to.match(/^HTTP\/1\.1 401 /);
+      // Only a connection that is closed in both directions resets what arrives.
+      const sendUntilReset = setInterval(() => socket.write('x'), 20);
+      await waitUntil(() => socket.destroyed, CLOSE_LIMIT_MS);
+      clearInterval(sendUntilReset);
+      expect(socket.destroyed).to.equal(true);
+    });
+
+    it('closes a connection that sends nothing', async function () {
+      this.timeout(2 * CLOSE_LIMIT_MS);
+      const socket = await open();
+      let hasEnded = false;
+      socket.on('end', () => (hasEnded = true));
+      await waitUntil(() => hasEnded, CLOSE_LIMIT_MS);
+      expect(hasEnded).to.equal(true);
+    });
   });
 
   describe('stop', () => {
