--- a/src/admin/AdminServer.ts
+++ b/src/admin/AdminServer.ts
@@ -3,6 +3,9 @@
 import type { Metrics } from '../telemetry/index.js';
 import { listenOrThrow, secretsEqual, type ListenAddress } from '../transport/index.js';
 
+/** URL against which the targets of requests are resolved. */
+const BASE_URL = 'http://localhost';
+
 /** State of a process that the admin server exposes. */
 export interface AdminSource {
   /** Whether the process is ready for requests. */
@@ -45,7 +48,12 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
-    const url = new URL(request.url ?? '/', 'http://localhost');
+    const target = request.url ?? '/';
+    if (!URL.canParse(target, BASE_URL)) {
+      response.writeHead(400).end('The target of the request is not a URL.\n');
+      return;
+    }
+    const url = new URL(target, BASE_URL);
     if (url.pathname === '/healthz') {
       response.writeHead(200).end('ok\n');
       return;
