Requests: their access to the retry budget in a class of its own

No change of behaviour: RequestRetries holds what RequestForwarder passed to StreamResumption as two functions.

--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -19,19 +19,17 @@
   type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import { getSharingRouterCount } from './engineEntries.js';
 import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
+import { RequestRetries } from './RequestRetries.js';
 import type { StreamOriginClient } from './StreamOriginClient.js';
 import { ServerSearch } from './ServerSearch.js';
 import type { PreparedAttempt, SentAttempt } from './SilentServerReplacement.js';
-import { MAX_SENDS, StreamResumption } from './StreamResumption.js';
+import { StreamResumption } from './StreamResumption.js';
 
 /** Default delay after which a caller should retry, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
-/** Minimum remaining time for which another attempt is sent, in milliseconds. */
-const MIN_ATTEMPT_MS = 20;
 /** Least urgent rank that engines accept. */
 const MAX_URGENCY_RANK = 9;
 
@@ -93,6 +91,7 @@
   private readonly tracker = new VerdictTracker();
   private readonly search: ServerSearch;
   private readonly resumption: StreamResumption;
+  private readonly retries: RequestRetries;
   private readonly limits: RequestLimits;
   private readonly deadlineTimer: Timer;
   private attempt: BackendAttempt | undefined;
@@ -127,13 +126,14 @@
     const maxInteractiveTargetMs = deps.view.getMaxInteractiveTargetMs(request.serviceId);
     this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs, maxInteractiveTargetMs);
     this.search = new ServerSearch(deps, request, this.limits, () => this.hasEnded);
-    const retries = { isLeft: () => this.isRetryLeft(), tryTake: () => this.tryTakeRetry() };
+    this.crashEvidence = new CrashEvidence(deps, request);
+    this.retries = new RequestRetries(deps, request, this.limits, this.crashEvidence, () => this.sendCount);
     this.resumption = new StreamResumption(
       deps,
       request,
       this.limits,
       this.search,
-      retries,
+      this.retries,
       {
         create: (server) => this.createAttempt(server, this.runCount + this.resumption.runningCount),
         send: (prepared) => this.start(prepared),
@@ -141,13 +141,12 @@
       },
       () => this.hasEnded,
     );
-    this.crashEvidence = new CrashEvidence(deps, request);
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
 
   /** Runs the request; resolves when the response or refusal has been sent. */
   async run(): Promise<void> {
-    this.getRetryBudget().recordRequest(this.deps.clock.nowMs());
+    this.retries.recordRequest();
     this.deps.modelLoader.recordTraffic();
     const { serviceId, headers } = this.request;
     this.deps.chooser.recordArrival({ serviceId, model: headers.model }, this.deps.clock.nowMs());
@@ -219,11 +218,11 @@
 
   /** Connects a retry and takes it from the budget, unless the connection failed; returns false if it is not allowed. */
   private async tryConnectRetry(attempt: BackendAttempt): Promise<boolean> {
-    if (!this.isRetryLeft()) {
+    if (!this.retries.isLeft()) {
       return false;
     }
     const isConnected = await attempt.connect();
-    return !this.hasEnded && (!isConnected || this.tryTakeRetry());
+    return !this.hasEnded && (!isConnected || this.retries.tryTake());
   }
 
   /** Finds the next server; ends the request and returns undefined if there is none. */
@@ -485,34 +484,7 @@
   /** Whether another server may run the request after one or more servers that may have run it. */
   private mayRunAgain(runCount = this.runCount): boolean {
     const { route } = this.request;
-    return isRetryable(route) && runCount < route.maxAttempts && this.isRetryInTime();
-  }
-
-  /** Takes one retry from the retry budget; returns false if no retry is allowed. */
-  private tryTakeRetry(): boolean {
-    if (!this.isRetryInTime() || this.crashEvidence.isBlocked()) {
-      return false;
-    }
-    const isAllowed = this.getRetryBudget().tryTake(this.deps.clock.nowMs(), this.getRouterCount());
-    this.deps.metrics.count(isAllowed ? 'repeats' : 'repeats_refused');
-    return isAllowed;
-  }
-
-  private isRetryLeft(): boolean {
-    const isLeft = this.getRetryBudget().isLeft(this.deps.clock.nowMs(), this.getRouterCount());
-    return isLeft && this.isRetryInTime() && !this.crashEvidence.isBlocked();
-  }
-
-  private getRouterCount(): number | undefined {
-    return getSharingRouterCount(this.deps.view, this.deps.clock.nowMs() - this.getRetryBudget().windowMs);
-  }
-
-  private isRetryInTime(): boolean {
-    return this.sendCount < MAX_SENDS && this.remainingMs() > MIN_ATTEMPT_MS;
-  }
-
-  private getRetryBudget(): SharedRetryBudget {
-    return this.deps.getRetryBudget(this.request.serviceId);
+    return isRetryable(route) && runCount < route.maxAttempts && this.retries.isInTime;
   }
 
   /** Ends the request if its fingerprint or a part of its prompt is blocked after crashes; returns true if it did. */
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -10,6 +10,7 @@
   ServerChooser,
 } from './decisions/index.js';
 import type { CallerRequest } from './RequestForwarder.js';
+import { MAX_SENDS } from './RequestRetries.js';
 import type { StreamOriginClient } from './StreamOriginClient.js';
 import type { SearchResult, ServerSearch } from './ServerSearch.js';
 import {
@@ -20,9 +21,6 @@
   type SentAttempt,
 } from './SilentServerReplacement.js';
 
-/** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
-export const MAX_SENDS = 6;
-
 /**
  * Time for which a silent server keeps a request after it was sent to another one too, in milliseconds; servers that work on
  * the same stream for longer than 400 ms are against the platform's rules.
