Attempts: the results of an attempt beside the functions on them

No change of behaviour: AttemptEnd, BreakCause and ResponseHead move to attemptEnds.ts, which holds isServerFault and describeEnd.

--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -1,7 +1,8 @@
-import { request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http';
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import type { Clock, Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
+import type { AttemptEnd, ResponseHead } from './attemptEnds.js';
 import { EventSplitter, ResponseProgress, type ByteBudget, type CompleteEvents } from './decisions/index.js';
 import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
 
@@ -41,40 +42,6 @@
   readonly gapTimeoutMs?: number;
 }
 
-/** Head of a response. */
-export interface ResponseHead {
-  readonly status: number;
-  /**
-   * Whether the response is passed on with a length or in chunks. The end of a response without either may be a failure of
-   * the server, so it is passed on without a length too, unless it is a stream.
-   */
-  readonly isFramed: boolean;
-  readonly headers: OutgoingHttpHeaders;
-}
-
-/** Why an attempt ended without a complete response. */
-export type BreakCause =
-  /** The server closed the connection or sent something else than a complete response to the request. */
-  | 'server'
-  /** The server was silent and another one took the request over. */
-  | 'silence'
-  /** The router could not receive the response or pass it on. */
-  | 'router';
-
-/** Result of an attempt. */
-export type AttemptEnd =
-  /** The connection was not established, so nothing was sent. */
-  | { readonly kind: 'unreachable'; readonly detail: string }
-  /** The server states that it did not run the request. */
-  | { readonly kind: 'notRun'; readonly status: number; readonly isOtherServer: boolean }
-  /** A complete response that is not a stream; the receiver releases the body's part of the buffer budget. */
-  | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
-  /** The stream is complete; its events were passed to the listener as they arrived. */
-  | { readonly kind: 'streamed' }
-  /** The request may have run and there is no complete response. */
-  | { readonly kind: 'broken'; readonly detail: string; readonly cause: BreakCause }
-  | { readonly kind: 'cancelled' };
-
 /** Receives the events of a stream as they arrive. */
 export interface AttemptListener {
   /** Called with what the server states about itself in the head of any response. */
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -12,7 +12,7 @@
   type ResponseSink,
 } from './RequestForwarder.js';
 import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
-import type { ResponseHead } from './BackendAttempt.js';
+import type { ResponseHead } from './attemptEnds.js';
 import { CallerConnections } from './CallerConnections.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 
--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
-import type { BreakCause } from './BackendAttempt.js';
+import type { BreakCause } from './attemptEnds.js';
 import type { CrashTracker, FleetView, PromptPartSuspects, ServerEntry } from './decisions/index.js';
 import { getSharedParts } from './HeaderCodec.js';
 import type { CallerRequest } from './RequestForwarder.js';
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -3,8 +3,8 @@
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import { applyServerNotice } from './applyServerNotice.js';
-import { describeEnd, isServerFault } from './attemptEnds.js';
-import { BackendAttempt, type AttemptEnd, type ResponseHead } from './BackendAttempt.js';
+import { describeEnd, isServerFault, type AttemptEnd, type ResponseHead } from './attemptEnds.js';
+import { BackendAttempt } from './BackendAttempt.js';
 import { CrashEvidence } from './CrashEvidence.js';
 import {
   isRetryable,
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -1,7 +1,8 @@
 import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { delay, type Clock } from '../kernel/index.js';
-import type { AttemptEnd, BackendAttempt, BreakCause } from './BackendAttempt.js';
+import type { AttemptEnd, BreakCause } from './attemptEnds.js';
+import type { BackendAttempt } from './BackendAttempt.js';
 import type {
   CompleteEvents,
   FleetView,
--- a/src/direct/attemptEnds.ts
+++ b/src/direct/attemptEnds.ts
@@ -1,4 +1,38 @@
-import type { AttemptEnd } from './BackendAttempt.js';
+import type { OutgoingHttpHeaders } from 'node:http';
+
+/** Head of a response. */
+export interface ResponseHead {
+  readonly status: number;
+  /**
+   * Whether the response is passed on with a length or in chunks. The end of a response without either may be a failure of
+   * the server, so it is passed on without a length too, unless it is a stream.
+   */
+  readonly isFramed: boolean;
+  readonly headers: OutgoingHttpHeaders;
+}
+
+/** Why an attempt ended without a complete response. */
+export type BreakCause =
+  /** The server closed the connection or sent something else than a complete response to the request. */
+  | 'server'
+  /** The server was silent and another one took the request over. */
+  | 'silence'
+  /** The router could not receive the response or pass it on. */
+  | 'router';
+
+/** Result of an attempt. */
+export type AttemptEnd =
+  /** The connection was not established, so nothing was sent. */
+  | { readonly kind: 'unreachable'; readonly detail: string }
+  /** The server states that it did not run the request. */
+  | { readonly kind: 'notRun'; readonly status: number; readonly isOtherServer: boolean }
+  /** A complete response that is not a stream; the receiver releases the body's part of the buffer budget. */
+  | { readonly kind: 'answered'; readonly head: ResponseHead; readonly body: Buffer }
+  /** The stream is complete; its events were passed to the listener as they arrived. */
+  | { readonly kind: 'streamed' }
+  /** The request may have run and there is no complete response. */
+  | { readonly kind: 'broken'; readonly detail: string; readonly cause: BreakCause }
+  | { readonly kind: 'cancelled' };
 
 /** Whether the result of an attempt is a fault of the server rather than of the request. */
 export function isServerFault(end: AttemptEnd): boolean {
