--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -14,6 +14,8 @@
 const SILENCE_INTERVAL_MS = 250;
 /** Lowest status with which a response can end; lower ones belong to interim responses or to none. */
 const MIN_FINAL_STATUS = 200;
+/** Status of a stream; with any other one, events are part of a whole response. */
+const STREAM_STATUS = 200;
 /** Part of a body that counts as progress and restarts the timeout between chunks, in bytes; single bytes do not. */
 const BODY_PROGRESS_BYTES = 256;
 
@@ -30,6 +32,8 @@
   readonly urgency?: number;
   /** Returns the ID of the event after which a stream is resumed. */
   readonly getLastEventId: () => string | undefined;
+  /** Whether the caller has received a part of a stream, so that no other response can follow. */
+  readonly isStreamBegun: () => boolean;
   /**
    * Time without a first event or chunk of the response after which the server counts as silent, in milliseconds; absent
    * if there is no alternative to waiting.
@@ -261,10 +265,12 @@
     const isFramed =
       response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
     const head: ResponseHead = { status, isFramed, headers: decoded.forwarded };
-    const isStream = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
-    if (isStream && status < 300) {
+    const hasEvents = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
+    if (hasEvents && status === STREAM_STATUS) {
       // Events show where a stream breaks; chunks show its caller that this process has ended in the middle of it.
       this.readStream(response, { ...head, isFramed: true });
+    } else if (this.params.isStreamBegun()) {
+      this.failToContinue(head);
     } else {
       this.readBody(response, head);
     }
@@ -327,10 +333,12 @@
       chunks.push(chunk);
     });
     response.on('end', () => {
-      if (response.complete) {
-        this.finish({ kind: 'answered', head, body: Buffer.concat(chunks) });
-      } else {
+      if (!response.complete) {
         this.fail('the answer ended early');
+      } else if (this.params.isStreamBegun()) {
+        this.failToContinue(head);
+      } else {
+        this.finish({ kind: 'answered', head, body: Buffer.concat(chunks) });
       }
     });
   }
@@ -414,4 +422,13 @@
   private fail(detail: string): void {
     this.finish({ kind: 'broken', detail, cause: 'server' });
   }
+
+  /** Fails the attempt because of a response that cannot continue the stream of which the caller has a part. */
+  private failToContinue({ status }: ResponseHead): void {
+    this.finish({
+      kind: 'broken',
+      detail: `the answer with status ${status} is not the rest of the stream`,
+      cause: 'answer',
+    });
+  }
 }
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -268,6 +268,7 @@
         remainingMs: () => this.remainingMs(),
         urgency: headers.model === undefined ? undefined : Math.min(MAX_URGENCY_RANK, route.priority),
         getLastEventId: () => this.resumption.lastEventId,
+        isStreamBegun: () => this.resumption.hasBegun,
         ...chunkTimeouts,
       },
       {
--- a/src/direct/attemptEnds.ts
+++ b/src/direct/attemptEnds.ts
@@ -15,6 +15,8 @@
 export type BreakCause =
   /** The server closed the connection or sent something else than a complete response to the request. */
   | 'server'
+  /** The server gave another response than the rest of a stream that has begun. */
+  | 'answer'
   /** The server was silent and another one took the request over. */
   | 'silence'
   /** The router could not receive the response or pass it on. */
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -60,6 +60,7 @@
   readonly view = new FleetView();
   bufferBudget = new ByteBudget(32 * 1024 * 1024);
   retryLimits = RETRY_LIMITS;
+  log = new Log('test', () => undefined);
   /** Whether an agent has reported the number of routers, where the router connects to none. */
   isAgentKnown = true;
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
@@ -126,11 +127,10 @@
   }
 
   async start(routes: readonly Route[], hasConfiguration = true): Promise<void> {
-    const { view, codec } = this;
+    const { view, codec, log } = this;
     if (hasConfiguration) {
       view.applyConfiguration(makeConfiguration(1, routes));
     }
-    const log = new Log('test', () => undefined);
     const metrics = new Metrics();
     const dialer = new PeerDialer('test', PEER_SECRET, CLOCK, new TrafficMeter());
     const peerPort = this.agentPort ?? 1;
--- /dev/null
+++ b/test/direct/brokenStreams.test.ts
@@ -0,0 +1,176 @@
+import { expect } from 'chai';
+import type { Socket } from 'node:net';
+import { Log } from '../../src/telemetry/index.js';
+import { makeRoute } from './fleetFixtures.js';
+import { requestRaw, type RawResponse } from './requestRaw.js';
+import { RouterBench } from './RouterBench.js';
+
+/** Time between the last byte of an answer and the end of its connection, in milliseconds. */
+const END_DELAY_MS = 20;
+const EVENTS = ['id: 1\ndata: one\n\n', 'id: 2\ndata: two\n\n', 'id: 3\ndata: three\n\n'];
+const [FIRST_EVENT = '', SECOND_EVENT = '', THIRD_EVENT = ''] = EVENTS;
+const ALL_EVENTS = EVENTS.join('');
+const STREAM = 'Content-Type: text/event-stream\r\n';
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+const LAST_CHUNK = '0\r\n\r\n';
+
+/** Keeps the log lines on ended requests. */
+class RecordingLog extends Log {
+  readonly endedRequests: Parameters<Log['decision']>[1][] = [];
+
+  constructor() {
+    super('test', () => undefined);
+  }
+
+  override decision(...[decision, fields]: Parameters<Log['decision']>): void {
+    if (decision === 'request ended') {
+      this.endedRequests.push(fields);
+    }
+  }
+}
+
+/** Answer of a server to one request. */
+interface ServerAnswer {
+  /** Status line, further headers and body after the headers that sign the answer. */
+  readonly statusLine: string;
+  readonly rest: string;
+  readonly end: 'closed' | 'reset' | 'open';
+}
+
+function formatChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+function answer(statusLine: string, rest: string, end: ServerAnswer['end'] = 'closed'): ServerAnswer {
+  return { statusLine, rest, end };
+}
+
+/** A whole answer with a length. */
+function answerWhole(statusLine: string, headers: string, body: string): ServerAnswer {
+  return answer(statusLine, `${headers}Content-Length: ${body.length}\r\n\r\n${body}`);
+}
+
+/** A stream in chunks; without the last chunk it is not complete. */
+function answerChunks(text: string, end: ServerAnswer['end'], isWhole: boolean): ServerAnswer {
+  const chunks = text === '' ? '' : formatChunk(text);
+  return answer('200 OK', `${STREAM}${CHUNKED}\r\n${chunks}${isWhole ? LAST_CHUNK : ''}`, end);
+}
+
+/** A stream that ends with its connection. */
+function answerUntilClose(text: string, end: ServerAnswer['end']): ServerAnswer {
+  return answer('200 OK', `${STREAM}\r\n${text}`, end);
+}
+
+const BREAKS: Readonly<Record<string, ServerAnswer>> = {
+  'chunks, reset': answerChunks(FIRST_EVENT, 'reset', false),
+  'chunks, closed in the middle of an event': answerChunks(`${FIRST_EVENT}id: 2\nda`, 'closed', false),
+  'no length, reset': answerUntilClose(FIRST_EVENT, 'reset'),
+  'no length, closed in the middle of an event': answerUntilClose(`${FIRST_EVENT}id: 2\nda`, 'closed'),
+};
+
+/** Whole answers that do not continue a stream. */
+const OTHER_ANSWERS: Readonly<Record<string, ServerAnswer>> = {
+  '500': answerWhole('500 Internal Server Error', 'Content-Type: application/json\r\n', '{"error":"x"}'),
+  '500 in chunks': answer('500 Internal Server Error', `${CHUNKED}\r\n${formatChunk('failed')}${LAST_CHUNK}`),
+  '500 without a length': answer('500 Internal Server Error', '\r\nfailed'),
+  '500 with events': answerWhole('500 Internal Server Error', STREAM, SECOND_EVENT),
+  '502': answerWhole('502 Bad Gateway', '', 'failed'),
+  '504': answerWhole('504 Gateway Timeout', '', 'failed'),
+  '404': answerWhole('404 Not Found', '', 'missing'),
+  '409 without a body': answerWhole('409 Conflict', '', ''),
+  '301': answerWhole('301 Moved Permanently', 'Location: /\r\n', ''),
+  '200 of another type': answerWhole('200 OK', 'Content-Type: application/json\r\n', '{"a":1}'),
+  '200 without a type or a length': answer('200 OK', '\r\n'),
+  '201 with events': answerWhole('201 Created', STREAM, SECOND_EVENT),
+  '204': answer('204 No Content', '\r\n'),
+  '204 with the type of a stream': answer('204 No Content', `${STREAM}\r\n`),
+};
+
+/**
+ * Streams that break off before their first event. A request on which two servers broke off may have crashed them, so no third
+ * one gets it.
+ */
+const BROKEN_ANSWERS: Readonly<Record<string, ServerAnswer>> = {
+  '200 stream without a length, reset before its first event': answerUntilClose('', 'reset'),
+  '200 stream without a length, closed in its first event': answerUntilClose('id: 2\n', 'closed'),
+  '200 stream in chunks, closed before its first event': answerChunks('', 'closed', false),
+  '200 stream with a length, closed before its first event': answer(
+    '200 OK',
+    `${STREAM}Content-Length: 9\r\n\r\n`,
+  ),
+};
+
+describe('a stream that broke off', function () {
+  this.timeout(60_000);
+  let bench: RouterBench;
+  beforeEach(() => {
+    bench = new RouterBench();
+  });
+  afterEach(() => bench.close());
+
+  /** Adds servers of which the one that receives the first request sends the first answer, and so on. */
+  async function addServers(answers: readonly ServerAnswer[]): Promise<void> {
+    let requestCount = 0;
+    for (let count = 1; count <= answers.length; count++) {
+      await bench.addSocketServer('e'.repeat(count), (socket) => {
+        socket.once('data', () => send(socket, answers[requestCount++]));
+      });
+    }
+  }
+
+  function send(socket: Socket, next: ServerAnswer | undefined): void {
+    if (!next) {
+      socket.destroy();
+      return;
+    }
+    const { statusLine, rest, end } = next;
+    socket.write(`HTTP/1.1 ${statusLine}\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n${rest}`);
+    if (end !== 'open') {
+      setTimeout(() => (end === 'reset' ? socket.resetAndDestroy() : socket.end()), END_DELAY_MS);
+    }
+  }
+
+  /** Requests a stream from servers that send the given answers in this order. */
+  async function requestFrom(
+    answers: readonly ServerAnswer[],
+    version: '1.0' | '1.1' = '1.1',
+    headers: readonly string[] = [],
+  ): Promise<RawResponse> {
+    await addServers(answers);
+    await bench.start([makeRoute({ maxAttempts: 3 })]);
+    return requestRaw(bench.callerPort, version, headers);
+  }
+
+  const [[, anyBreak] = ['', answerChunks('', 'reset', false)]] = Object.entries(BREAKS);
+
+  for (const version of ['1.0', '1.1'] as const) {
+    for (const [breakName, broken] of Object.entries(BREAKS)) {
+      for (const [name, next] of Object.entries({ ...OTHER_ANSWERS, ...BROKEN_ANSWERS })) {
+        // Issue 39, ORDER: a stream ended as complete after 204 with the type of a stream.
+        it(`is not complete to a caller of HTTP/${version} after ${breakName}, and ${name}`, async () => {
+          const received = await requestFrom([broken, next], version);
+          const { status, text, isComplete } = received;
+          expect([status, text, isComplete]).to.deep.equal([200, FIRST_EVENT, false]);
+        });
+      }
+    }
+  }
+
+  for (const [name, other] of Object.entries(OTHER_ANSWERS)) {
+    // Issue 39, ORDER: an answer that cannot continue the stream ended it although a third server could.
+    it(`goes on at a third server after ${name}`, async () => {
+      const rest = answerChunks(SECOND_EVENT + THIRD_EVENT, 'open', true);
+      const { status, text, isComplete } = await requestFrom([anyBreak, other, rest]);
+      expect([status, text, isComplete]).to.deep.equal([200, ALL_EVENTS, true]);
+    });
+
+    // Issue 39: the log named the answer that no caller got.
+    it(`is logged as cut after ${name}`, async () => {
+      const log = new RecordingLog();
+      bench.log = log;
+      await requestFrom([anyBreak, other]);
+      expect(log.endedRequests).to.have.length(1);
+      expect(log.endedRequests[0]).to.include({ outcome: 'refused 502', isCut: true });
+    });
+  }
+});
