--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -30,6 +30,8 @@
 const MS_PER_SECOND = 1_000;
 /** Memory for responses that are buffered until they are complete, in bytes; the smallest instance has 250 MB in all. */
 const MAX_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
+/** Memory for the bodies of callers' requests, in bytes. */
+const MAX_REQUEST_BODY_BYTES = 48 * 1024 * 1024;
 
 /** Options of both kinds of process. */
 interface CommonOptions {
@@ -123,6 +125,7 @@
       bufferBudget: new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES),
       getRetryBudget,
     },
+    bodyBudget: new ByteBudget(MAX_REQUEST_BODY_BYTES),
     log,
     metrics,
     getStopGraceMs: options.getStopGraceMs,
--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -111,6 +111,14 @@
     return [...(this.states.get(socket)?.openResponses ?? [])].findLast(({ req }) => req.complete);
   }
 
+  /**
+   * Whether a part of an open response was sent on a connection.
+   * @param socket - The connection.
+   */
+  hasStartedResponse(socket: Socket): boolean {
+    return [...(this.states.get(socket)?.openResponses ?? [])].some(({ headersSent }) => headersSent);
+  }
+
   /**
    * Whether a connection was ended for sending, or ends with a response that is open, so that no later request can be answered.
    * @param socket - The connection.
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -11,10 +11,11 @@
   type CallerRequest,
   type ResponseSink,
 } from './RequestForwarder.js';
-import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
+import { pickTarget, type ByteBudget, type CallerLimits, type FleetView } from './decisions/index.js';
 import type { ResponseHead } from './attemptEnds.js';
 import { CallerConnections } from './CallerConnections.js';
 import type { HeaderCodec } from './HeaderCodec.js';
+import { RequestBody, type BodyFailure } from './RequestBody.js';
 
 /** Limits used until a configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -39,6 +40,17 @@
  * once.
  */
 const STOPPING_RETRY_MS = 100;
+/** Time for which the rest of a refused body is read and dropped before its connection is closed, in milliseconds. */
+const REFUSED_BODY_DRAIN_MS = 3_000;
+/** Delay after which a caller should retry a request whose body found no room, in milliseconds. */
+const NO_ROOM_RETRY_MS = 1_000;
+/** Refusals of requests whose body was not received. */
+const BODY_REFUSALS: Readonly<
+  Record<BodyFailure, { status: number; detail: string; retryAfterMs?: number }>
+> = {
+  tooLarge: { status: 413, detail: 'the body is too large' },
+  noRoom: { status: 503, detail: 'there is no memory left for the body', retryAfterMs: NO_ROOM_RETRY_MS },
+};
 /** Part of the stop grace period that is reserved for the exit of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500;
 /** Interval at which a stopping router checks whether it is idle, in milliseconds. */
@@ -52,6 +64,8 @@
   readonly view: FleetView;
   readonly codec: HeaderCodec;
   readonly forwarder: RequestForwarderDependencies;
+  /** Memory for the bodies of requests until their responses are closed. */
+  readonly bodyBudget: ByteBudget;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Returns the time from the stop signal until the process is killed, in milliseconds. */
@@ -174,6 +188,9 @@
     const response = socket instanceof Socket ? this.connections.getOpenResponse(socket) : undefined;
     if (!socket.writable || error.code === 'ECONNRESET' || (response && socket.readableEnded)) {
       socket.destroy();
+    } else if (socket instanceof Socket && !response && this.connections.hasStartedResponse(socket)) {
+      // The request was refused while its body was still arriving.
+      socket.end();
     } else if (!response) {
       socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
     } else if (response.shouldKeepAlive) {
@@ -193,22 +210,31 @@
     if (this.stopping) {
       response.shouldKeepAlive = false;
     }
-    const chunks: Buffer[] = [];
-    let length = 0;
-    request.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length > this.getLimits().maxBodyBytes) {
-        request.removeAllListeners('data');
-        this.refuse(response, undefined, 413, 'the body is too large', undefined);
-      }
-    });
     request.on('error', () => this.deps.metrics.count('caller_connections_broken'));
-    request.on('end', () => {
-      if (!response.headersSent && !response.destroyed) {
-        this.route(request, response, Buffer.concat(chunks), receivedAtMs);
-      }
-    });
+    const body = new RequestBody(
+      request,
+      {
+        budget: this.deps.bodyBudget,
+        getMaxBytes: () => this.getLimits().maxBodyBytes,
+      },
+      (bytes) => this.route(request, response, bytes, receivedAtMs),
+      (failure) => this.refuseBody(request, response, failure),
+    );
+    response.once('close', () => body.release());
+  }
+
+  /**
+   * Refuses a request whose body was not received. Its connection is closed, but only after the caller had time to read the
+   * refusal: closing it under bytes that are still arriving resets it.
+   */
+  private refuseBody(request: IncomingMessage, response: ServerResponse, failure: BodyFailure): void {
+    const { status, detail, retryAfterMs } = BODY_REFUSALS[failure];
+    const requestId = this.deps.codec.decodeRequest(request.headers)?.requestId;
+    response.shouldKeepAlive = false;
+    response.write(this.beginRefusal(response, requestId, status, detail, retryAfterMs));
+    const timer = this.deps.clock.schedule(REFUSED_BODY_DRAIN_MS, () => response.end());
+    request.once('end', () => response.end());
+    response.once('close', () => timer.cancel());
   }
 
   private route(
@@ -304,6 +330,17 @@
     detail: string,
     retryAfterMs: number | undefined,
   ): void {
+    response.end(this.beginRefusal(response, requestId, status, detail, retryAfterMs));
+  }
+
+  /** Sends the head of a refusal; returns its body. */
+  private beginRefusal(
+    response: ServerResponse,
+    requestId: string | undefined,
+    status: number,
+    detail: string,
+    retryAfterMs: number | undefined,
+  ): string {
     this.deps.metrics.count(`refusals_${status}`);
     this.deps.log.decision('request refused', { requestId: requestId ?? '', status, detail });
     const body = JSON.stringify({ error: detail });
@@ -312,7 +349,7 @@
       'Content-Type': 'application/json',
       'Content-Length': Buffer.byteLength(body),
     });
-    response.end(body);
+    return body;
   }
 }
 
--- a/src/direct/decisions/ByteBudget.ts
+++ b/src/direct/decisions/ByteBudget.ts
@@ -1,4 +1,4 @@
-/** Total size of the responses that a router may buffer at the same time. */
+/** Total size of the requests or responses that a router may hold at the same time. */
 export class ByteBudget {
   private usedBytes = 0;
 
@@ -8,9 +8,10 @@
   /**
    * Takes a part of the budget; returns false if too little is left.
    * @param byteCount - Number of bytes to take.
+   * @param reservedBytes - Part of the budget that must stay free, in bytes.
    */
-  tryTake(byteCount: number): boolean {
-    if (this.usedBytes + byteCount > this.totalBytes) {
+  tryTake(byteCount: number, reservedBytes = 0): boolean {
+    if (this.usedBytes + byteCount > this.totalBytes - reservedBytes) {
       return false;
     }
     this.usedBytes += byteCount;
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -59,6 +59,7 @@
 export class RouterBench {
   readonly view = new FleetView();
   bufferBudget = new ByteBudget(32 * 1024 * 1024);
+  bodyBudget = new ByteBudget(48 * 1024 * 1024);
   retryLimits = RETRY_LIMITS;
   log = new Log('test', () => undefined);
   /** Whether an agent has reported the number of routers, where the router connects to none. */
@@ -184,6 +185,7 @@
         bufferBudget: this.bufferBudget,
         getRetryBudget,
       },
+      bodyBudget: this.bodyBudget,
       log,
       metrics,
       getStopGraceMs: () => 8_000,
--- /dev/null
+++ b/test/platform/requestMemory.test.ts
@@ -0,0 +1,183 @@
+import { expect } from 'chai';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { connect, type Socket } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
+import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
+import { waitUntil } from '../waiting.js';
+import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
+
+const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
+const WORKER_PORT = 9_475;
+const START_TIMEOUT_MS = 12_000;
+/** Memory of the smallest machine, in MB. */
+const MACHINE_MB = 250;
+/** Memory for objects that a deployment allows, in MB; buffers are outside of it. */
+const HEAP_MB = 160;
+const BODY = Buffer.alloc(3_900_000, 'x');
+/** Time that the worker takes, in milliseconds. */
+const RUN_MS = 600;
+const ROUTE_TIMEOUT_MS = 2_500;
+
+/** Worker whose requests take long. */
+class SlowWorker extends PlainWorker {
+  protected override serve(incoming: IncomingMessage, response: ServerResponse): void {
+    incoming.resume();
+    setTimeout(() => super.serve(incoming, response), RUN_MS);
+  }
+}
+
+/** Caller that sends the head of a request and a part of its body. */
+class LargeCaller {
+  private readonly socket: Socket;
+  private received = '';
+
+  /**
+   * @param host - Address of the router.
+   * @param requestId - ID of the request.
+   * @param byteCount - Number of bytes of the body to send.
+   * @param isChunked - Whether the body is sent in chunks instead of with its length.
+   */
+  constructor(host: string, requestId: string, byteCount: number, isChunked: boolean) {
+    this.socket = connect({ host, port: PORTS.front });
+    this.socket.on('data', (chunk) => (this.received += chunk.toString()));
+    this.socket.on('error', () => undefined);
+    const framing = isChunked ? 'Transfer-Encoding: chunked' : `Content-Length: ${BODY.length}`;
+    this.socket.write(
+      `POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${requestId}\r\n${framing}\r\n\r\n`,
+    );
+    if (isChunked) {
+      this.socket.write(`${BODY.length.toString(16)}\r\n`);
+    }
+    this.socket.write(BODY.subarray(0, byteCount));
+    if (isChunked && byteCount === BODY.length) {
+      this.socket.write('\r\n0\r\n\r\n');
+    }
+  }
+
+  /** Status of the response; undefined before it. */
+  get status(): number | undefined {
+    const status = /^HTTP\/1\.1 (\d+)/.exec(this.received)?.[1];
+    return status === undefined ? undefined : Number(status);
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+}
+
+describe('main (bundled), memory of a router', function () {
+  this.timeout(60_000);
+  let store: ObjectStore;
+  let worker: SlowWorker;
+  let directory: string;
+  let child: ChildProcess;
+  let reservation: LoopbackReservation;
+  let routerIp: string;
+  let callers: LargeCaller[];
+
+  beforeEach(async () => {
+    callers = [];
+    reservation = await LoopbackReservation.create();
+    routerIp = reservation.getAddress(3);
+    directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
+    const bundle = join(directory, 'main.cjs');
+    await bundleProgram(bundle);
+    store = new ObjectStore();
+    const storeAddress = await store.start();
+    const routes = PLAIN_CONFIGURATION.Routes.map((route) => ({ ...route, TimeoutMs: ROUTE_TIMEOUT_MS }));
+    const Limits = { ...PLAIN_CONFIGURATION.Limits, MaxBodyBytes: BODY.length };
+    const Services = [{ Name: 's', MaxConns: 1_000 }];
+    store.put('config', 'main', { ...PLAIN_CONFIGURATION, Routes: routes, Services, Limits });
+    worker = new SlowWorker({
+      workerId: 'i-1',
+      service: 's',
+      host: reservation.getAddress(4),
+      port: WORKER_PORT,
+      store,
+      onRun: () => undefined,
+      drawFault: () => undefined,
+    });
+    await worker.start();
+    const file = join(directory, 'node.json');
+    const settings = { name: 'router-1', ip: routerIp, ports: PORTS, storeAddress, graceS: 8 };
+    await writeFile(file, JSON.stringify(makeSettingsFile(settings)));
+    child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, bundle], {
+      env: { MONSOONGLADE_NODE_FILE: file, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' },
+      stdio: 'ignore',
+    });
+    await waitUntil(
+      async () => (await callRouter(routerIp, PORTS.ready, '/'))?.status === 200,
+      START_TIMEOUT_MS,
+    );
+  });
+
+  afterEach(async () => {
+    for (const caller of callers) {
+      caller.close();
+    }
+    if (child.exitCode === null && child.signalCode === null) {
+      child.kill('SIGKILL');
+      await once(child, 'exit');
+    }
+    worker.stop();
+    store.stop();
+    await reservation.release();
+    await rm(directory, { recursive: true, force: true });
+  });
+
+  /** Returns the largest memory that the router has had since its start, in MB. */
+  async function getPeakMb(): Promise<number> {
+    const status = await readFile(`/proc/${child.pid ?? 0}/status`, 'utf8');
+    return Math.round(Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) / 1_024);
+  }
+
+  /** Opens connections on which requests are sent at once. */
+  function openCallers(count: number, byteCount: number, isChunked = false): void {
+    for (let index = 0; index < count; index++) {
+      callers.push(new LargeCaller(routerIp, `r${callers.length}`, byteCount, isChunked));
+    }
+  }
+
+  function countStatuses(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { status } of callers) {
+      const name = String(status);
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  // Issue 39, FAULT: nothing bounded the bodies of all callers together.
+  for (const count of [60, 200]) {
+    it(`stays below that of the smallest machine under ${count} large requests at once`, async () => {
+      openCallers(count, BODY.length);
+      await waitUntil(() => callers.every(({ status }) => status !== undefined), 8_000);
+      const peakMb = await getPeakMb();
+      const counts = countStatuses();
+      expect(counts['200'], JSON.stringify(counts)).to.be.at.least(8);
+      expect((counts['200'] ?? 0) + (counts['503'] ?? 0)).to.equal(count);
+      expect(peakMb).to.be.below(MACHINE_MB);
+    });
+  }
+
+  it('stays below that of the smallest machine under large requests whose length is not known', async () => {
+    openCallers(60, BODY.length, true);
+    await waitUntil(() => callers.every(({ status }) => status !== undefined), 8_000);
+    const counts = countStatuses();
+    expect((counts['200'] ?? 0) + (counts['503'] ?? 0), JSON.stringify(counts)).to.equal(60);
+    expect(await getPeakMb()).to.be.below(MACHINE_MB);
+  });
+
+  it('stays below that of the smallest machine while large requests go on', async () => {
+    for (let round = 0; round < 4; round++) {
+      openCallers(20, BODY.length);
+      await waitUntil(() => callers.every(({ status }) => status !== undefined), 8_000);
+    }
+    expect(await getPeakMb()).to.be.below(MACHINE_MB);
+  });
+});
