--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -130,13 +130,16 @@
     metrics,
     getStopGraceMs: options.getStopGraceMs,
   });
-  const isReady = () => view.isComplete && !callerServer.isStopping;
+  const isReady = () => view.isComplete && callerServer.isListening && !callerServer.isStopping;
   let hasBeenReady = false;
-  watcher.onChange(() => {
+  const logWhenReady = () => {
     if (!hasBeenReady && isReady()) {
       hasBeenReady = true;
       log.info('ready for callers', { sinceStartMs: Math.round(process.uptime() * MS_PER_SECOND) });
     }
+  };
+  watcher.onChange(() => {
+    logWhenReady();
     callerServer.applyLimits();
     chooser.prune();
     agentConnections.updateConnections();
@@ -147,8 +150,9 @@
   await services.start(agentConnections);
   await services.start(streamOrigins);
   await services.start(modelLoader);
-  await services.start(new ReadinessServer(options.readinessAddress, isReady));
+  await services.start(new ReadinessServer(options.readinessAddress, isReady, { clock, log }));
   await services.start(callerServer);
+  logWhenReady();
   return services;
 }
 
@@ -170,6 +174,7 @@
       clock,
       { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
       new TrafficMeter(),
+      log,
     ),
   );
   await services.start(controller);
@@ -186,6 +191,9 @@
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
   // Services stop in reverse order of their start: started first, the output still writes the last lines of the others.
   void services.start(output);
-  void services.start(new MetricsServer(options.metricsAddress, metrics));
+  // The process serves without its metrics until their port is available.
+  services
+    .start(new MetricsServer(options.metricsAddress, metrics, { clock, log }))
+    .catch((error: unknown) => log.warn('metrics not served', { error: String(error) }));
   return { services, clock, random, log, metrics };
 }
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -4,7 +4,7 @@
 import type { Duplex } from 'node:stream';
 import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import { listenOrThrow, pollSockets, type ListenAddress } from '../transport/index.js';
+import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
 import {
   RequestForwarder,
   type RequestForwarderDependencies,
@@ -78,6 +78,7 @@
   /** Responses that are not complete, by the forwarder of the request. */
   private readonly activeForwarders = new Map<RequestForwarder, ServerResponse>();
   private readonly connections: CallerConnections;
+  private readonly listener: PortListener;
   private stopping = false;
   /** Whether new requests are refused because the process is stopping. */
   private closing = false;
@@ -97,6 +98,7 @@
     // With a listener, the server does not close idle connections itself: it would do so at the limit of their last response.
     this.http.on('timeout', () => undefined);
     this.applyLimits();
+    this.listener = new PortListener(this.http, deps.address, 'entry', deps);
   }
 
   /** Port on which callers are accepted; 0 before the start. */
@@ -104,13 +106,21 @@
     return (this.http.address() as AddressInfo | null)?.port ?? 0;
   }
 
+  /** Whether callers can connect. */
+  get isListening(): boolean {
+    return this.http.listening;
+  }
+
   /** Whether the process is stopping. */
   get isStopping(): boolean {
     return this.stopping;
   }
 
   async start(): Promise<void> {
-    await listenOrThrow(this.http, this.deps.address, 'entry');
+    await this.listener.start();
+    if (!this.isListening) {
+      return;
+    }
     this.connections.start();
     this.deps.log.info('callers accepted', { port: this.port });
   }
@@ -119,6 +129,7 @@
   async stop(): Promise<void> {
     const { clock, log } = this.deps;
     this.stopping = true;
+    this.listener.stop();
     const startedAtMs = clock.nowMs();
     const endsAtMs = startedAtMs + this.deps.getStopGraceMs() - STOP_RESERVE_MS;
     log.info('stopping', { activeCount: this.activeForwarders.size });
--- a/src/direct/ReadinessServer.ts
+++ b/src/direct/ReadinessServer.ts
@@ -1,29 +1,30 @@
 import { createServer, type Server } from 'node:http';
 import type { Service } from '../kernel/index.js';
-import { listenOrThrow, type ListenAddress } from '../transport/index.js';
+import { PortListener, type ListenAddress, type PortListenerDependencies } from '../transport/index.js';
 
 /** Responds to the balancer's readiness checks. */
 export class ReadinessServer implements Service {
   private readonly http: Server;
+  private readonly listener: PortListener;
 
   /**
    * @param address - Address to which the balancer sends its checks.
    * @param isReady - Returns whether this instance accepts callers.
+   * @param deps - Dependencies of the listener.
    */
-  constructor(
-    private readonly address: ListenAddress,
-    isReady: () => boolean,
-  ) {
+  constructor(address: ListenAddress, isReady: () => boolean, deps: PortListenerDependencies) {
     this.http = createServer((_request, response) => {
       response.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 }).end();
     });
+    this.listener = new PortListener(this.http, address, 'readiness', deps);
   }
 
   async start(): Promise<void> {
-    await listenOrThrow(this.http, this.address, 'readiness');
+    await this.listener.start();
   }
 
   stop(): Promise<void> {
+    this.listener.stop();
     this.http.closeAllConnections();
     this.http.close();
     return Promise.resolve();
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -3,7 +3,10 @@
 import type { Duplex } from 'node:stream';
 import { WebSocketServer } from 'ws';
 import type { Clock, Service } from '../kernel/index.js';
+import type { Log } from '../telemetry/index.js';
+import { listenOrThrow, type ListenAddress } from './listenOrThrow.js';
 import { PeerConnection, type PeerMethods } from './PeerConnection.js';
+import { PortListener } from './PortListener.js';
 import type { TrafficMeter } from './TrafficMeter.js';
 
 /** Maximum size of a message between two processes of the fleet, in bytes. */
@@ -14,12 +17,6 @@
 /** Interval at which that time is checked, in milliseconds. */
 const OPENING_CHECK_INTERVAL_MS = 1_000;
 
-/** Address that a server binds to. */
-export interface ListenAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Compares two secrets in constant time. */
 export function secretsEqual(left: string, right: string): boolean {
   const leftHash = createHash('sha256').update(left).digest();
@@ -27,23 +24,6 @@
   return timingSafeEqual(leftHash, rightHash);
 }
 
-/**
- * Binds a server; the error of a failed bind names the address and its settings field.
- * @param server - Server to bind.
- * @param address - Address to bind to.
- * @param field - Settings field that holds the address.
- */
-export async function listenOrThrow(server: Server, address: ListenAddress, field: string): Promise<void> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', (error: NodeJS.ErrnoException) => {
-      const cause =
-        error.code === 'EADDRINUSE' ? 'is in use by another process' : `cannot be bound (${error.code})`;
-      reject(new Error(`${field}: ${address.host}:${address.port} ${cause}; choose a free port.`));
-    });
-    server.listen(address.port, address.host, resolve);
-  });
-}
-
 /** Accepts connections from other processes of the fleet. */
 export class PeerServer implements Service {
   private readonly http: Server = createServer(
@@ -52,6 +32,7 @@
   );
   private readonly sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_MESSAGE_BYTES });
   private readonly connections = new Set<PeerConnection>();
+  private readonly listener: PortListener | undefined;
 
   /**
    * @param address - Address to listen on.
@@ -59,6 +40,7 @@
    * @param clock - Source of time.
    * @param methods - Methods provided to the other ends.
    * @param traffic - Meter of the bytes exchanged.
+   * @param log - Log of the attempts to bind a port that is not available; without it, the start fails at the first one.
    */
   constructor(
     private readonly address: ListenAddress,
@@ -66,15 +48,18 @@
     private readonly clock: Clock,
     private readonly methods: PeerMethods,
     private readonly traffic: TrafficMeter,
+    log?: Log,
   ) {
+    this.listener = log && new PortListener(this.http, address, 'peer', { clock, log });
     this.http.on('upgrade', (request, socket, head) => this.upgrade(request, socket, head));
   }
 
   async start(): Promise<void> {
-    await listenOrThrow(this.http, this.address, 'peer');
+    await (this.listener?.start() ?? listenOrThrow(this.http, this.address, 'peer'));
   }
 
   async stop(): Promise<void> {
+    this.listener?.stop();
     // The listener closes first: a peer that loses its connection redials at once, and the new connection would keep
     // the process alive.
     const closed = new Promise((resolve) => this.http.close(resolve));
--- /dev/null
+++ b/src/transport/PortListener.ts
@@ -0,0 +1,115 @@
+import type { Server } from 'node:http';
+import type { Clock, Timer } from '../kernel/index.js';
+import type { Log } from '../telemetry/index.js';
+import { ListenError } from './ListenError.js';
+import { listenOrThrow, type ListenAddress } from './listenOrThrow.js';
+
+/** Delay before the second attempt to bind a port, in milliseconds; doubles with each further one. */
+const FIRST_RETRY_DELAY_MS = 50;
+/** Maximum delay between two attempts, in milliseconds. */
+const MAX_RETRY_DELAY_MS = 500;
+/** Minimum time between two log lines about failed attempts, in milliseconds. */
+const LOG_INTERVAL_MS = 10_000;
+/** Codes of errors that end without a change of the settings. */
+const TEMPORARY_ERROR_CODES = new Set([
+  'EADDRINUSE',
+  'EADDRNOTAVAIL',
+  'EMFILE',
+  'ENFILE',
+  'ENOBUFS',
+  'ENOMEM',
+]);
+
+/** Dependencies of a {@link PortListener}. */
+export interface PortListenerDependencies {
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Binds a server to its port, however long the port is not available. */
+export class PortListener {
+  private retryTimer: Timer | undefined;
+  private endWait: (() => void) | undefined;
+  private isStopped = false;
+  private attempts = 0;
+  private loggedAtMs = -Infinity;
+
+  /**
+   * @param server - Server to bind.
+   * @param address - Address to bind to.
+   * @param field - Settings field that holds the address.
+   * @param deps - Dependencies.
+   */
+  constructor(
+    private readonly server: Server,
+    private readonly address: ListenAddress,
+    private readonly field: string,
+    private readonly deps: PortListenerDependencies,
+  ) {}
+
+  /**
+   * Binds the server and tries again while the port is not available; resolves when it is bound or `stop` was called.
+   * @throws ListenError when the server cannot be bound with these settings.
+   */
+  async start(): Promise<void> {
+    let delayMs = FIRST_RETRY_DELAY_MS;
+    while (!(await this.tryListen()) && !this.isStopped) {
+      await this.wait(delayMs);
+      delayMs = Math.min(2 * delayMs, MAX_RETRY_DELAY_MS);
+    }
+  }
+
+  /** Ends the attempts; a server that is bound stays so. */
+  stop(): void {
+    this.isStopped = true;
+    this.retryTimer?.cancel();
+    this.endWait?.();
+  }
+
+  /** Returns whether no further attempt is needed. */
+  private async tryListen(): Promise<boolean> {
+    if (this.isStopped) {
+      return true;
+    }
+    this.attempts++;
+    try {
+      await listenOrThrow(this.server, this.address, this.field);
+    } catch (error) {
+      if (!(error instanceof ListenError) || !TEMPORARY_ERROR_CODES.has(error.code)) {
+        throw error;
+      }
+      this.logFailure(error.code);
+      return false;
+    }
+    if (this.isStopped) {
+      // The server was closed before the system had bound it.
+      this.server.close();
+    } else if (this.attempts > 1) {
+      this.deps.log.info('port bound', { ...this.describe(), attempts: this.attempts });
+    }
+    return true;
+  }
+
+  private logFailure(code: string): void {
+    const nowMs = this.deps.clock.nowMs();
+    if (nowMs - this.loggedAtMs >= LOG_INTERVAL_MS) {
+      this.loggedAtMs = nowMs;
+      this.deps.log.warn('port not available, trying again', {
+        ...this.describe(),
+        code,
+        attempts: this.attempts,
+      });
+    }
+  }
+
+  private describe(): { field: string; address: string } {
+    return { field: this.field, address: `${this.address.host}:${this.address.port}` };
+  }
+
+  private wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.endWait = resolve;
+      this.retryTimer = this.deps.clock.schedule(delayMs, resolve);
+    });
+  }
+}
