--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -27,6 +27,8 @@
 /** Number of configurations, each with a SIGHUP. */
 const CHANGE_COUNT = 20;
 const CHANGE_INTERVAL_MS = 150;
+/** Time for which a settings file is incomplete, in milliseconds. */
+const INCOMPLETE_FILE_MS = 1_000;
 
 describe('main (bundled)', function () {
   this.timeout(3 * PROCESS_TIMEOUT_MS);
@@ -130,6 +132,40 @@
       .and.to.contain('settings read');
   });
 
+  // Issue 39, FAULT: a process that started while the platform wrote its settings file ended with code 2.
+  for (const [name, length] of [
+    ['missing', undefined],
+    ['empty', 0],
+    ['half written', 100],
+  ] as const) {
+    it(`starts although the settings file is ${name} at first`, async () => {
+      const settings = { name: 'router-1', ip: routerIp, ports: PORTS, storeAddress, graceS: 8 };
+      const text = JSON.stringify(makeSettingsFile(settings));
+      const file = join(directory, 'node.json');
+      if (length !== undefined) {
+        await writeFile(file, text.slice(0, length));
+      }
+      child = startProgram(join(directory, 'main.cjs'), file, (chunk) => (output += chunk));
+      await sleepMs(INCOMPLETE_FILE_MS);
+      expect(child.exitCode, output).to.equal(null);
+      await writeFile(file, text);
+      await waitUntil(
+        async () => (await callRouter(routerIp, PORTS.ready, '/'))?.status === 200,
+        PROCESS_TIMEOUT_MS,
+      );
+      expect((await callRouter(routerIp, PORTS.ready, '/'))?.status, output).to.equal(200);
+    });
+  }
+
+  it('exits with code 2 and names the file when it stays empty', async () => {
+    const file = join(directory, 'node.json');
+    await writeFile(file, '');
+    child = startProgram(join(directory, 'main.cjs'), file, (chunk) => (output += chunk));
+    const [code] = (await once(child, 'exit')) as [number | null];
+    expect(code).to.equal(2);
+    expect(output).to.contain(`${file}: is not JSON`);
+  });
+
   it('exits with code 2 and names the field when the settings are invalid', async () => {
     await startRouter('nowhere');
     const [code] = (await once(child, 'exit')) as [number | null];
