--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -268,7 +268,7 @@
     const hasEvents = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
     if (hasEvents && status === STREAM_STATUS) {
       // Events show where a stream breaks; chunks show its caller that this process has ended in the middle of it.
-      this.readStream(response, { ...head, isFramed: true });
+      this.readStream(response, { ...head, isFramed: true }, isFramed || this.params.method === 'HEAD');
     } else if (this.params.isStreamBegun()) {
       this.failToContinue(head);
     } else {
@@ -276,7 +276,13 @@
     }
   }
 
-  private readStream(response: IncomingMessage, head: ResponseHead): void {
+  /**
+   * Passes the events of a stream on.
+   * @param response - Response of the server.
+   * @param head - Head of the response to the caller.
+   * @param isEndMarked - Whether the end of the response shows that it is complete; a closed connection alone does not.
+   */
+  private readStream(response: IncomingMessage, head: ResponseHead, isEndMarked: boolean): void {
     const splitter = new EventSplitter();
     let hasStarted = false;
     response.on('data', (chunk: Buffer) => {
@@ -300,7 +306,8 @@
       if (this.hasEnded) {
         return;
       }
-      if (!response.complete || splitter.hasPartialEvent) {
+      const isEmpty = !hasStarted && !isEndMarked;
+      if (!response.complete || splitter.hasPartialEvent || isEmpty) {
         this.fail('the stream ended early');
         return;
       }
--- a/test/direct/AnswerPlan.ts
+++ b/test/direct/AnswerPlan.ts
@@ -111,7 +111,13 @@
 
   /** Whether the server sends the whole answer in a form in which that can be seen. */
   get isSound(): boolean {
-    return this.hasFinalStatus && !this.isCut && !(this.endsWithConnection && this.plan.ending === 'reset');
+    const isEndHidden = this.endsWithConnection && (this.plan.ending === 'reset' || this.isEmptyStream);
+    return this.hasFinalStatus && !this.isCut && !isEndHidden;
+  }
+
+  /** Whether the answer is a stream without events, which looks whole only with a length or chunks. */
+  private get isEmptyStream(): boolean {
+    return this.isStream && this.parts.length === 0;
   }
 
   /** Whether the end of a cut answer looks like that of a whole one. */
--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -91,6 +91,7 @@
  * one gets it.
  */
 const BROKEN_ANSWERS: Readonly<Record<string, ServerAnswer>> = {
+  '200 stream without a length, closed before its first event': answerUntilClose('', 'closed'),
   '200 stream without a length, reset before its first event': answerUntilClose('', 'reset'),
   '200 stream without a length, closed in its first event': answerUntilClose('id: 2\n', 'closed'),
   '200 stream in chunks, closed before its first event': answerChunks('', 'closed', false),
@@ -146,7 +147,7 @@
   for (const version of ['1.0', '1.1'] as const) {
     for (const [breakName, broken] of Object.entries(BREAKS)) {
       for (const [name, next] of Object.entries({ ...OTHER_ANSWERS, ...BROKEN_ANSWERS })) {
-        // Issue 39, ORDER: a stream ended as complete after 204 with the type of a stream.
+        // Issue 39, ORDER: a stream ended as complete after 204 with the type of a stream, or a stream without length and events.
         it(`is not complete to a caller of HTTP/${version} after ${breakName}, and ${name}`, async () => {
           const received = await requestFrom([broken, next], version);
           const { status, text, isComplete } = received;
@@ -173,4 +174,32 @@
       expect(log.endedRequests[0]).to.include({ outcome: 'refused 502', isCut: true });
     });
   }
+
+  /** Whole streams without events: their server states that nothing is left. */
+  const EMPTY_STREAMS = {
+    'in chunks': answerChunks('', 'open', true),
+    'with a length': answer('200 OK', `${STREAM}Content-Length: 0\r\n\r\n`, 'open'),
+  };
+  for (const [name, empty] of Object.entries(EMPTY_STREAMS)) {
+    it(`is complete after a whole stream without events ${name}`, async () => {
+      const { status, text, isComplete } = await requestFrom([anyBreak, empty]);
+      expect([status, text, isComplete]).to.deep.equal([200, FIRST_EVENT, true]);
+    });
+  }
+
+  for (const [name, broken] of Object.entries(BROKEN_ANSWERS)) {
+    // Issue 39, ORDER: a stream without a length, closed before its first event, was a whole answer without a body.
+    it(`does not begin with ${name}`, async () => {
+      const { status } = await requestFrom([broken]);
+      expect(status).to.equal(502);
+    });
+
+    it(`begins at the next server after ${name}`, async () => {
+      const { status, text, isComplete } = await requestFrom([
+        broken,
+        answerChunks(ALL_EVENTS, 'open', true),
+      ]);
+      expect([status, text, isComplete]).to.deep.equal([200, ALL_EVENTS, true]);
+    });
+  }
 });
