--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -523,9 +523,9 @@
     }
   }
 
-  /** Ends the request with the stored error response, or with a refusal if there is none. */
+  /** Ends the request with the stored error response; with a refusal if there is none or a stream has begun. */
   private endWithFallback(detail: string, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
-    if (this.fallback) {
+    if (this.fallback && !this.resumption.hasBegun) {
       const { head, body } = this.fallback;
       this.end(`answered ${head.status}`);
       this.sink.sendResponse(head, body);
--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -104,8 +104,11 @@
 describe('a stream that broke off', function () {
   this.timeout(60_000);
   let bench: RouterBench;
+  let log: RecordingLog;
   beforeEach(() => {
     bench = new RouterBench();
+    log = new RecordingLog();
+    bench.log = log;
   });
   afterEach(() => bench.close());
 
@@ -142,6 +145,12 @@
     return requestRaw(bench.callerPort, version, headers);
   }
 
+  /** Expects that the only request is logged as a stream that was broken off. */
+  function expectCut(): void {
+    expect(log.endedRequests).to.have.length(1);
+    expect(log.endedRequests[0]).to.include({ outcome: 'refused 502', isCut: true });
+  }
+
   const [[, anyBreak] = ['', answerChunks('', 'reset', false)]] = Object.entries(BREAKS);
 
   for (const version of ['1.0', '1.1'] as const) {
@@ -167,11 +176,8 @@
 
     // Issue 39: the log named the answer that no caller got.
     it(`is logged as cut after ${name}`, async () => {
-      const log = new RecordingLog();
-      bench.log = log;
       await requestFrom([anyBreak, other]);
-      expect(log.endedRequests).to.have.length(1);
-      expect(log.endedRequests[0]).to.include({ outcome: 'refused 502', isCut: true });
+      expectCut();
     });
   }
 
@@ -202,4 +208,29 @@
       expect([status, text, isComplete]).to.deep.equal([200, ALL_EVENTS, true]);
     });
   }
+
+  // Issue 39: the stored answer of the first server was passed on, and only an exception kept it out of the stream.
+  it('is cut, not answered with the error of a server before the stream', async () => {
+    const error = answerWhole('500 Internal Server Error', '', 'failed');
+    const { status, text, isComplete } = await requestFrom([error, anyBreak]);
+    expect([status, text, isComplete]).to.deep.equal([200, FIRST_EVENT, false]);
+    expectCut();
+  });
+
+  it('goes on at a third server after the error of a server before the stream', async () => {
+    const error = answerWhole('500 Internal Server Error', '', 'failed');
+    const rest = answerChunks(SECOND_EVENT + THIRD_EVENT, 'open', true);
+    const { status, text, isComplete } = await requestFrom([error, anyBreak, rest]);
+    expect([status, text, isComplete]).to.deep.equal([200, ALL_EVENTS, true]);
+  });
+
+  const RESUMES = ['Last-Event-Id: 1', 'Resumes: r1'];
+  for (const [name, other] of Object.entries(OTHER_ANSWERS)) {
+    it(`is answered with ${name} if the caller takes it up and the first server says so`, async () => {
+      await requestFrom([answerChunks(ALL_EVENTS, 'open', true), other, other, other]);
+      const { status, isComplete } = await requestRaw(bench.callerPort, '1.1', RESUMES);
+      expect(isComplete).to.equal(true);
+      expect(status).to.equal(Number(other.statusLine.slice(0, 3)));
+    });
+  }
 });
