--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -9,11 +9,10 @@
   RequestForwarder,
   type RequestForwarderDependencies,
   type CallerRequest,
-  type ResponseSink,
 } from './RequestForwarder.js';
 import { pickTarget, type ByteBudget, type CallerLimits, type FleetView } from './decisions/index.js';
-import type { ResponseHead } from './attemptEnds.js';
 import { CallerConnections } from './CallerConnections.js';
+import { CallerResponse } from './CallerResponse.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 import { RequestBody, type BodyFailure } from './RequestBody.js';
 
@@ -56,6 +55,8 @@
 /** Interval at which a stopping router checks whether it is idle, in milliseconds. */
 const STOP_POLL_MS = 50;
 
+const STATUS_BAD_GATEWAY = 502;
+
 /** Dependencies of {@link CallerServer}. */
 export interface CallerServerDependencies {
   readonly address: ListenAddress;
@@ -294,7 +295,11 @@
   }
 
   private forward(request: CallerRequest, response: ServerResponse): void {
-    const forwarder = new RequestForwarder(this.deps.forwarder, request, this.createSink(request, response));
+    const { requestId } = request.headers;
+    const callerResponse = new CallerResponse(response, (status, detail, retryAfterMs) =>
+      this.refuse(response, requestId, status, detail, retryAfterMs),
+    );
+    const forwarder = new RequestForwarder(this.deps.forwarder, request, callerResponse);
     this.activeForwarders.set(forwarder, response);
     response.on('close', () => {
       this.activeForwarders.delete(forwarder);
@@ -302,38 +307,14 @@
     });
     forwarder.run().catch((error: unknown) => {
       this.deps.log.warn('request forwarder failed', {
-        requestId: request.headers.requestId,
+        requestId,
         error: String(error),
       });
       forwarder.onResponseClosed();
-      if (response.headersSent) {
-        breakOff(response);
-      } else {
-        this.refuse(response, request.headers.requestId, 502, 'the response cannot be passed on', undefined);
-      }
+      callerResponse.fail(STATUS_BAD_GATEWAY, 'the response cannot be passed on');
     });
   }
 
-  private createSink(request: CallerRequest, response: ServerResponse): ResponseSink {
-    return {
-      sendResponse: (head, body) => {
-        beginResponse(response, head, body.length);
-        response.end(body);
-      },
-      beginStream: (head) => beginResponse(response, head, undefined),
-      sendEvents: (bytes) => response.write(bytes),
-      onceDrained: (listener) => {
-        response.once('drain', listener);
-      },
-      endStream: () => {
-        response.end();
-      },
-      closeConnection: () => breakOff(response),
-      refuse: (status, detail, retryAfterMs) =>
-        this.refuse(response, request.headers.requestId, status, detail, retryAfterMs),
-    };
-  }
-
   private refuse(
     response: ServerResponse,
     requestId: string | undefined,
@@ -364,32 +345,6 @@
   }
 }
 
-/**
- * Sends the head of a response: with its length if known, with chunked encoding for a stream, or delimited by the
- * connection's end.
- */
-function beginResponse(response: ServerResponse, head: ResponseHead, length: number | undefined): void {
-  if (!head.isFramed) {
-    response.useChunkedEncodingByDefault = false;
-    response.shouldKeepAlive = false;
-    response.writeHead(head.status, head.headers);
-  } else if (length === undefined) {
-    response.writeHead(head.status, head.headers);
-  } else {
-    response.writeHead(head.status, { ...head.headers, 'Content-Length': length });
-  }
-}
-
-/** Closes a connection so that the response does not appear complete: one that ends with its connection is reset. */
-function breakOff(response: ServerResponse): void {
-  const { socket } = response;
-  if (socket instanceof Socket && response.headersSent && !response.useChunkedEncodingByDefault) {
-    socket.resetAndDestroy();
-  } else {
-    response.destroy();
-  }
-}
-
 /** Returns the fingerprint of a request, the same for requests with equal method, path, model and body. */
 function getFingerprint(method: string, path: string, model: string | undefined, body: Buffer): string {
   const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -14,5 +14,6 @@
 export * from './ModelLoader.js';
 export * from './BackendAttempt.js';
 export * from './RequestForwarder.js';
+export * from './CallerResponse.js';
 export * from './CallerServer.js';
 export * from './ReadinessServer.js';
