--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -39,6 +39,8 @@
  * once.
  */
 const STOPPING_RETRY_MS = 100;
+/** Time for the body of a request without a known route or deadline, in milliseconds. */
+const DEFAULT_BODY_TIMEOUT_MS = 30_000;
 /** Time for which the rest of a refused body is read and dropped before its connection is closed, in milliseconds. */
 const REFUSED_BODY_DRAIN_MS = 3_000;
 /** Delay after which a caller should retry a request whose body found no room, in milliseconds. */
@@ -49,6 +51,7 @@
 > = {
   tooLarge: { status: 413, detail: 'the body is too large' },
   noRoom: { status: 503, detail: 'there is no memory left for the body', retryAfterMs: NO_ROOM_RETRY_MS },
+  late: { status: 408, detail: 'the body did not arrive in time' },
 };
 /** Part of the stop grace period that is reserved for the exit of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500;
@@ -226,8 +229,10 @@
     const body = new RequestBody(
       request,
       {
+        clock: this.deps.clock,
         budget: this.deps.bodyBudget,
         getMaxBytes: () => this.getLimits().maxBodyBytes,
+        timeoutMs: this.getBodyTimeoutMs(request),
       },
       (bytes) => this.route(request, response, bytes, receivedAtMs),
       (failure) => this.refuseBody(request, response, failure),
@@ -235,6 +240,14 @@
     response.once('close', () => body.release());
   }
 
+  /** Returns the time in which a request's body must be complete: a later one could not be served any more. */
+  private getBodyTimeoutMs(request: IncomingMessage): number {
+    const { view, codec } = this.deps;
+    const route = view.routeTable.getRoute(request.headers.host ?? '', request.url ?? '/');
+    const deadlineMs = codec.decodeRequest(request.headers)?.deadlineMs;
+    return Math.min(route?.timeoutMs ?? DEFAULT_BODY_TIMEOUT_MS, deadlineMs ?? Infinity);
+  }
+
   /**
    * Refuses a request whose body was not received. Its connection is closed, but only after the caller had time to read the
    * refusal: closing it under bytes that are still arriving resets it.
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { Clock, Timer } from '../kernel/index.js';
 import type { ByteBudget } from './decisions/index.js';
 
 /** Size up to which a body may take the part of the budget that larger ones leave free, in bytes. */
@@ -11,18 +12,24 @@
   /** It exceeds the size limit. */
   | 'tooLarge'
   /** The bodies of all requests together exceed the budget. */
-  | 'noRoom';
+  | 'noRoom'
+  /** It was not complete in time. */
+  | 'late';
 
 /** Limits of a {@link RequestBody}. */
 export interface RequestBodyLimits {
+  readonly clock: Clock;
   /** Memory for the bodies of all requests together. */
   readonly budget: ByteBudget;
   /** Returns the maximum size of a body, in bytes. */
   readonly getMaxBytes: () => number;
+  /** Time until the body must be complete, in milliseconds. */
+  readonly timeoutMs: number;
 }
 
 /** Receives a request's body, which takes its size from a budget until it is released. */
 export class RequestBody {
+  private readonly timer: Timer;
   private chunks: Buffer[] = [];
   /** Body of a declared size, which the chunks are copied into as they arrive. */
   private buffer: Buffer | undefined;
@@ -42,6 +49,7 @@
     private readonly onComplete: (body: Buffer) => void,
     private readonly onFailure: (failure: BodyFailure) => void,
   ) {
+    this.timer = limits.clock.schedule(limits.timeoutMs, () => this.fail('late'));
     request.on('data', (chunk: Buffer) => this.push(chunk));
     request.on('end', () => this.complete());
     this.reserveDeclaredSize();
@@ -50,6 +58,7 @@
   /** Releases the body's part of the budget, and drops what was received. */
   release(): void {
     this.hasEnded = true;
+    this.timer.cancel();
     this.chunks = [];
     this.buffer = undefined;
     this.limits.budget.release(this.takenBytes);
@@ -98,6 +107,7 @@
       return;
     }
     this.hasEnded = true;
+    this.timer.cancel();
     const { chunks, buffer } = this;
     this.chunks = [];
     this.buffer = undefined;
--- a/test/direct/requestBodies.test.ts
+++ b/test/direct/requestBodies.test.ts
@@ -145,6 +145,38 @@
     });
   });
 
+  describe('that are late', () => {
+    // Issue 39, FAULT: a body that stalled was kept for ever.
+    it('are refused with status 408 at the timeout of the route', async () => {
+      const connection = sendPart('late', 'x');
+      await delay(CLOCK, 1_200);
+      expect(connection.status).to.equal(undefined);
+      expect(await connection.waitForStatus()).to.equal(408);
+      expect(connection.isLast).to.equal(true);
+      await expectReleased();
+      await waitUntil(() => connection.isEnded, WAIT_MS);
+      expect([connection.isEnded, getRunIds()]).to.deep.equal([true, []]);
+    });
+
+    it("are refused at their caller's deadline, though bytes still arrive", async () => {
+      const connection = sendPart('late', 'x', LARGE_BODY.length, ['Deadline-Ms: 500']);
+      for (let sent = 0; sent < 10 && connection.status === undefined; sent++) {
+        connection.write('x');
+        await delay(CLOCK, 100);
+      }
+      expect(connection.status).to.equal(408);
+    });
+
+    it('do not include slow ones that are complete before', async () => {
+      const connection = sendPart('slow', '', 10);
+      for (let sent = 0; sent < 10; sent++) {
+        connection.write('x');
+        await delay(CLOCK, 100);
+      }
+      expect(await connection.waitForStatus()).to.equal(200);
+    });
+  });
+
   it('arrive unchanged, with their length and in chunks', async () => {
     const [first, second] = ['a'.repeat(200_000), 'b'.repeat(100_000)];
     await sendPart('whole', first + second, 300_000).waitForStatus();
--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -8,7 +8,7 @@
 import { join } from 'node:path';
 import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
-import { waitUntil } from '../waiting.js';
+import { sleepMs, waitUntil } from '../waiting.js';
 import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
 
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
@@ -35,6 +35,7 @@
 class LargeCaller {
   private readonly socket: Socket;
   private received = '';
+  isEnded = false;
 
   /**
    * @param host - Address of the router.
@@ -45,7 +46,8 @@
   constructor(host: string, requestId: string, byteCount: number, isChunked: boolean) {
     this.socket = connect({ host, port: PORTS.front });
     this.socket.on('data', (chunk) => (this.received += chunk.toString()));
-    this.socket.on('error', () => undefined);
+    this.socket.on('error', () => (this.isEnded = true));
+    this.socket.on('close', () => (this.isEnded = true));
     const framing = isChunked ? 'Transfer-Encoding: chunked' : `Content-Length: ${BODY.length}`;
     this.socket.write(
       `POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${requestId}\r\n${framing}\r\n\r\n`,
@@ -180,4 +182,22 @@
     }
     expect(await getPeakMb()).to.be.below(MACHINE_MB);
   });
+
+  // Issue 39, FAULT: bodies that stalled were kept for ever.
+  it('does not keep bodies that stall, and serves small requests meanwhile', async () => {
+    openCallers(150, BODY.length - 1);
+    await sleepMs(1_000);
+    expect((await callRouter(routerIp, PORTS.front, '/x/1'))?.status).to.equal(200);
+    await waitUntil(() => callers.every(({ isEnded }) => isEnded), ROUTE_TIMEOUT_MS + 5_000);
+    const counts = countStatuses();
+    const peakMb = await getPeakMb();
+    expect(counts['408'], JSON.stringify(counts)).to.be.at.least(8);
+    expect((counts['408'] ?? 0) + (counts['503'] ?? 0)).to.equal(150);
+    expect(callers.filter(({ isEnded }) => !isEnded)).to.have.length(0);
+    expect(peakMb).to.be.below(MACHINE_MB);
+    callers = [];
+    openCallers(1, BODY.length);
+    await waitUntil(() => callers[0]?.status !== undefined, 5_000);
+    expect(callers[0]?.status).to.equal(200);
+  });
 });
