--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -74,14 +74,18 @@
    * @param socket - The connection.
    */
   add(socket: Socket): void {
+    const openResponses = new Set<ServerResponse>();
     this.states.set(socket, {
       requestCount: 0,
-      openResponses: new Set(),
+      openResponses,
       idleSinceMs: this.deps.clock.nowMs(),
       receivedBytes: 0,
       idleTimeoutMs: this.idleTimeoutMs,
     });
-    socket.once('close', () => this.states.delete(socket));
+    socket.once('close', () => {
+      this.states.delete(socket);
+      closeQueued(openResponses);
+    });
   }
 
   /**
@@ -206,3 +210,13 @@
     socket.destroy();
   }
 }
+
+/** Closes the responses that waited for an earlier one on their connection, which Node.js does not when it is closed. */
+function closeQueued(openResponses: ReadonlySet<ServerResponse>): void {
+  for (const response of [...openResponses]) {
+    if (!response.socket && !response.writableFinished) {
+      response.destroy();
+      response.emit('close');
+    }
+  }
+}
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -1,9 +1,13 @@
 import { expect } from 'chai';
+import { ByteBudget } from '../../src/direct/index.js';
 import { delay } from '../../src/kernel/index.js';
 import { CallerConnection, formatRequest } from './CallerConnection.js';
 import { ONCE_ROUTE, ORDERS } from './fleetFixtures.js';
+import { waitUntil } from '../waiting.js';
 import { CLOCK, makeResponseHeaders, RouterBench, type Handler } from './RouterBench.js';
 
+/** Size of the budget for bodies, which leaves a part of 8 MiB to small ones. */
+const BUDGET_BYTES = 9 * 1024 * 1024;
 const makeRequest = (requestId: string, headers: readonly string[] = []) =>
   formatRequest(requestId, '/once/x', headers);
 const respondLate: Handler = (incoming, response) => {
@@ -49,4 +53,21 @@
     expect([connection.status, connection.isEnded]).to.deep.equal([200, true]);
     expect(getRunIds()).to.deep.equal(['first']);
   });
+
+  // Issue 39, FAULT: only the first of them was cancelled when the caller left; the others ran on and were kept for good.
+  it('are cancelled when the caller leaves, and release their bodies', async () => {
+    let closedCount = 0;
+    await bench.close();
+    bench = new RouterBench();
+    bench.bodyBudget = new ByteBudget(BUDGET_BYTES);
+    await bench.addServer('p', (incoming) => incoming.socket.on('close', () => closedCount++), ORDERS);
+    await bench.start([ONCE_ROUTE]);
+    connection = new CallerConnection(bench.callerPort);
+    connection.write(makeRequest('first') + makeRequest('second') + makeRequest('third'));
+    await waitUntil(() => getRunIds().length === 3, 2_000);
+    connection.close();
+    await delay(CLOCK, 300);
+    expect([getRunIds().length, closedCount]).to.deep.equal([3, 3]);
+    expect(bench.bodyBudget.tryTake(BUDGET_BYTES)).to.equal(true);
+  });
 });
