--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -35,6 +35,8 @@
 
 /** Options of both kinds of process. */
 interface CommonOptions {
+  /** Receives the log lines; stops after all other services. */
+  readonly output: BoundedOutput;
   readonly instanceId: string;
   readonly peerSecret: string;
   readonly metricsAddress: ListenAddress;
@@ -185,7 +187,7 @@
   const services = new ServiceContainer();
   const clock = new SystemClock();
   const random = new Random(randomBytes(4).readInt32LE());
-  const output = new BoundedOutput(clock);
+  const { output } = options;
   const log = services.register(SERVICE_NAMES.log, new Log(options.instanceId, (line) => output.write(line)));
   const metrics = new Metrics();
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
--- a/src/telemetry/BoundedOutput.ts
+++ b/src/telemetry/BoundedOutput.ts
@@ -1,4 +1,4 @@
-import { write } from 'node:fs';
+import { fstatSync, write } from 'node:fs';
 import { delay, type Clock, type Service } from '../kernel/index.js';
 
 /** File descriptor of the standard output. */
@@ -59,19 +59,40 @@
    */
   write(line: string): void {
     this.refill();
-    if (this.tokens < 1 || this.pendingCharacters + line.length > MAX_PENDING_CHARACTERS) {
+    if (this.tokens < 1) {
       this.dropped++;
       return;
     }
-    this.tokens--;
-    this.pending.push(line);
-    this.pendingCharacters += line.length + 1;
-    if (!this.isWriting) {
+    if (this.queue(line)) {
+      this.tokens--;
+      if (!this.isWriting) {
+        this.isWriting = true;
+        this.clock.schedule(FLUSH_DELAY_MS, () => this.flush());
+      }
+    }
+  }
+
+  /**
+   * Writes a line without delay unless others are being written; the rate does not limit it, the buffer does.
+   * @param line - Line without its line break.
+   */
+  writeUrgent(line: string): void {
+    if (this.queue(line) && !this.isWriting) {
       this.isWriting = true;
-      this.clock.schedule(FLUSH_DELAY_MS, () => this.flush());
+      this.flush();
     }
   }
 
+  private queue(line: string): boolean {
+    if (this.pendingCharacters + line.length > MAX_PENDING_CHARACTERS) {
+      this.dropped++;
+      return false;
+    }
+    this.pending.push(line);
+    this.pendingCharacters += line.length + 1;
+    return true;
+  }
+
   private refill(): void {
     const nowMs = this.clock.nowMs();
     const refilledTokens = ((nowMs - this.refilledAtMs) / 1000) * LINES_PER_SECOND;
@@ -99,6 +120,30 @@
   }
 }
 
+/**
+ * Writes text to the standard output.
+ *
+ * A pipe or socket is written as a stream. While nobody reads, `write` would hold a thread, for which a process that exits
+ * waits, or lose part of the text if the descriptor does not block.
+ */
 function writeToStandardOutput(text: string, done: () => void): void {
-  write(STANDARD_OUTPUT, text, done);
+  if (!isPipeOrSocket(STANDARD_OUTPUT)) {
+    write(STANDARD_OUTPUT, text, done);
+    return;
+  }
+  if (process.stdout.listenerCount('error') === 0) {
+    // The callback of each write also gets the error.
+    process.stdout.on('error', () => undefined);
+  }
+  process.stdout.write(text, () => done());
+}
+
+function isPipeOrSocket(descriptor: number): boolean {
+  try {
+    const stats = fstatSync(descriptor);
+    return stats.isFIFO() || stats.isSocket();
+  } catch {
+    // Not open; `write` reports the error to its callback.
+    return false;
+  }
 }
