--- a/src/daemon/ProcessLifecycle.ts
+++ b/src/daemon/ProcessLifecycle.ts
@@ -11,33 +11,84 @@
 /** Maximum length of a stack trace in a log line, in characters. */
 const MAX_STACK_CHARACTERS = 2_000;
 
+/** Signals that stop the process. */
+const STOP_SIGNALS: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT'];
+/** Signal that reads the settings again. */
+const RELOAD_SIGNAL = 'SIGHUP';
+/** Signals that programs for log rotation send; nothing has to be done, but by default they end a process. */
+const IGNORED_SIGNALS: readonly NodeJS.Signals[] = ['SIGUSR2'];
+
 type LogFields = Readonly<Record<string, string | number | boolean>>;
 
 /** Destination of the lines of a `ProcessLifecycle`. */
 export interface LifecycleOutput {
   /** Writes a line soon, without blocking. */
   writeLine(line: string): void;
+  /** Waits a limited time until all lines are written. */
+  flush(): Promise<void>;
   /** Writes a line at once, without blocking, while the process exits. */
   writeLastLine(line: string): void;
 }
 
-/** Logs the start and the end of a process and what leads to the end. */
+/** Handles the signals to a process and logs them, the start and the end of the process, and what leads to the end. */
 export class ProcessLifecycle {
   private identity: LogFields = {};
   private endCause = 'nothing left to do';
+  private stopSignal: NodeJS.Signals | undefined;
+  private stop: () => Promise<void> = () => Promise.resolve();
+  private reload: (() => void) | undefined;
+  private isReloadPending = false;
 
   /**
    * @param target - Process to observe.
    * @param output - Destination of the log lines.
+   * @param canReload - Whether the process reads its settings again on SIGHUP.
    */
   constructor(
     private readonly target: NodeJS.Process,
     private readonly output: LifecycleOutput,
+    private readonly canReload: boolean,
   ) {
-    this.log(LEVEL_INFO, 'process starting', { pid: target.pid, nodeVersion: target.version });
-    target.on('exit', (code) => {
-      const fields = { cause: this.endCause, code };
-      output.writeLastLine(this.formatLine(code === 0 ? LEVEL_INFO : LEVEL_WARN, 'process ended', fields));
+    for (const signal of STOP_SIGNALS) {
+      target.on(signal, () => void this.handleStopSignal(signal));
+    }
+    target.on(RELOAD_SIGNAL, () => this.handleReloadSignal());
+    for (const signal of IGNORED_SIGNALS) {
+      target.on(signal, () => this.logSignal(signal, 'none'));
+    }
+  }
+
+  /** Whether a signal to stop has been received. */
+  get isStopping(): boolean {
+    return this.stopSignal !== undefined;
+  }
+
+  /**
+   * Sets what is done before the process exits on a signal; without it, the process exits at once.
+   * @param stop - Stops the services, which may still be starting.
+   */
+  onStop(stop: () => Promise<void>): void {
+    this.stop = stop;
+  }
+
+  /**
+   * Sets what is done on SIGHUP, and does it if SIGHUP has been received before.
+   * @param reload - Reads the settings again.
+   */
+  onReload(reload: () => void): void {
+    this.reload = reload;
+    if (this.isReloadPending) {
+      this.isReloadPending = false;
+      reload();
+    }
+  }
+
+  /** Logs that the process is starting and, when it exits, that it has ended. */
+  logStartAndEnd(): void {
+    this.log(LEVEL_INFO, 'process starting', { pid: this.target.pid, nodeVersion: this.target.version });
+    this.target.on('exit', (code) => {
+      const level = code === 0 ? LEVEL_INFO : LEVEL_WARN;
+      this.output.writeLastLine(this.formatLine(level, 'process ended', { cause: this.endCause, code }));
     });
   }
 
@@ -68,11 +119,45 @@
    * @param cause - Cause, for the log.
    * @param code - Exit code.
    */
-  exit(cause: string, code: number): void {
+  async exit(cause: string, code: number): Promise<void> {
     this.endCause = cause;
+    await this.output.flush();
     this.target.exit(code);
   }
 
+  private async handleStopSignal(signal: NodeJS.Signals): Promise<void> {
+    if (this.stopSignal) {
+      this.logSignal(signal, 'none: the process is stopping');
+      return;
+    }
+    this.stopSignal = signal;
+    this.logSignal(signal, 'stop');
+    try {
+      await this.stop();
+    } catch (error) {
+      this.logError('stop failed', error);
+    }
+    await this.exit(signal, 0);
+  }
+
+  private handleReloadSignal(): void {
+    if (!this.canReload) {
+      this.logSignal(RELOAD_SIGNAL, 'none: the settings are read at the start only');
+      return;
+    }
+    if (this.reload) {
+      this.logSignal(RELOAD_SIGNAL, 'read the settings');
+      this.reload();
+      return;
+    }
+    this.logSignal(RELOAD_SIGNAL, 'read the settings after the start');
+    this.isReloadPending = true;
+  }
+
+  private logSignal(signal: NodeJS.Signals, action: string): void {
+    this.log(LEVEL_INFO, 'signal received', { signal, action });
+  }
+
   private log(level: number, message: string, fields: LogFields): void {
     this.output.writeLine(this.formatLine(level, message, fields));
   }
--- /dev/null
+++ b/src/daemon/daemonProcess.ts
@@ -0,0 +1,16 @@
+import { ProcessLifecycle } from './ProcessLifecycle.js';
+
+/** Lifecycle of this process, which logs to the standard error; handles its signals from the first import of this module on. */
+export const lifecycle = new ProcessLifecycle(
+  process,
+  {
+    writeLine: (line) => process.stderr.write(`${line}\n`),
+    flush: () => Promise.resolve(),
+    writeLastLine: (line) => process.stderr.write(`${line}\n`),
+  },
+  false,
+);
+
+if (process.argv.some((argument) => argument.startsWith('--settings'))) {
+  lifecycle.logStartAndEnd();
+}
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -17,7 +17,7 @@
   LoadPermitClient,
   PlacementReviewer,
 } from '../home/index.js';
-import { ServiceContainer, Random, SystemClock } from '../kernel/index.js';
+import { Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
 import { HttpInstanceList, HttpObjectStore, PlatformHttp } from '../platform/index.js';
 import {
   AttemptClient,
@@ -43,9 +43,13 @@
  * Creates and starts a router or an agent.
  * @param settings - Settings; their role selects the kind of process.
  * @param secrets - Secrets of the process.
+ * @param services - Receives all services; may be stopped while they are starting.
  */
-export async function startDaemon(settings: DaemonSettings, secrets: Secrets): Promise<ServiceContainer> {
-  const services = new ServiceContainer();
+export async function startDaemon(
+  settings: DaemonSettings,
+  secrets: Secrets,
+  services: ServiceContainer,
+): Promise<void> {
   const incarnation = `${settings.id}.${randomBytes(INCARNATION_BYTES).toString('hex')}`;
   registerCommon(services, settings, secrets);
   try {
@@ -61,7 +65,6 @@
   services
     .getOrThrow(SERVICE_NAMES.log)
     .info('started', { role: settings.role, dataCentre: settings.dataCentre });
-  return services;
 }
 
 function registerCommon(services: ServiceContainer, settings: DaemonSettings, secrets: Secrets): void {
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -22,7 +22,7 @@
   type HeaderCodec,
   type RetryLimits,
 } from '../direct/index.js';
-import { ServiceContainer, Random, SystemClock } from '../kernel/index.js';
+import { Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
 import { SERVICE_NAMES } from './serviceNames.js';
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
@@ -35,6 +35,8 @@
 
 /** Options of both kinds of process. */
 interface CommonOptions {
+  /** Receives all services; may be stopped while they are starting. */
+  readonly services: ServiceContainer;
   /** Receives the log lines; stops after all other services. */
   readonly output: BoundedOutput;
   readonly instanceId: string;
@@ -184,10 +186,9 @@
 }
 
 function startCommon(options: CommonOptions) {
-  const services = new ServiceContainer();
+  const { services, output } = options;
   const clock = new SystemClock();
   const random = new Random(randomBytes(4).readInt32LE());
-  const { output } = options;
   const log = services.register(SERVICE_NAMES.log, new Log(options.instanceId, (line) => output.write(line)));
   const metrics = new Metrics();
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
--- a/src/kernel/ServiceContainer.ts
+++ b/src/kernel/ServiceContainer.ts
@@ -1,3 +1,10 @@
+import type { Clock } from './Clock.js';
+import { delay } from './delay.js';
+import { SystemClock } from './SystemClock.js';
+
+/** Longest wait of a stop for a service that is still starting, in milliseconds. */
+const START_TIMEOUT_MS = 500;
+
 /** Component of a process that the service container starts and stops. */
 export interface Service {
   /** Starts the service; the services it depends on have started. */
@@ -21,10 +28,33 @@
   return { name };
 }
 
+/** Started service and its start, which may still be in progress. */
+interface StartedService {
+  readonly service: Service;
+  readonly start: Promise<unknown>;
+}
+
+/** Thrown by `ServiceContainer.start` once the services are being stopped. */
+export class ServicesStoppedError extends Error {
+  constructor() {
+    super('The services are being stopped.');
+  }
+}
+
 /** Registry of the services of a process; starts and stops them in order. */
 export class ServiceContainer {
   private readonly instances = new Map<string, unknown>();
-  private readonly started: Service[] = [];
+  private readonly started: StartedService[] = [];
+  private stopResult: Promise<void> | undefined;
+
+  /**
+   * @param reportStopError - Called with the error of each service that does not stop.
+   * @param clock - Source of timers.
+   */
+  constructor(
+    private readonly reportStopError: (error: unknown) => void,
+    private readonly clock: Clock = new SystemClock(),
+  ) {}
 
   /**
    * Registers an object under a name and returns it.
@@ -56,16 +86,51 @@
   /**
    * Starts a service and adds it to the services to stop.
    * @param service - Service to start.
+   * @throws ServicesStoppedError if the services are stopped before the service has started.
    */
   async start(service: Service): Promise<void> {
-    this.started.push(service);
-    await service.start();
+    if (this.stopResult) {
+      throw new ServicesStoppedError();
+    }
+    const start = begin(service);
+    const entry = { service, start };
+    this.started.push(entry);
+    await start;
+    if (this.stopResult) {
+      // Otherwise a service whose start took longer than the stop waited would keep running.
+      if (!this.started.includes(entry)) {
+        await this.stopService(service);
+      }
+      throw new ServicesStoppedError();
+    }
   }
 
-  /** Stops the started services in reverse order. */
-  async stop(): Promise<void> {
-    while (this.started.length > 0) {
-      await this.started.pop()?.stop();
+  /** Stops the started services in reverse order; further calls return the result of the first one. */
+  stop(): Promise<void> {
+    this.stopResult ??= this.stopAll();
+    return this.stopResult;
+  }
+
+  private async stopAll(): Promise<void> {
+    for (let entry = this.started.at(-1); entry; entry = this.started.at(-1)) {
+      const isStarted = entry.start.catch(() => undefined);
+      await Promise.race([isStarted, delay(this.clock, START_TIMEOUT_MS)]);
+      this.started.pop();
+      await this.stopService(entry.service);
     }
   }
+
+  /** Stops a service; an error does not keep the others from stopping. */
+  private async stopService(service: Service): Promise<void> {
+    try {
+      await service.stop();
+    } catch (error) {
+      this.reportStopError(error);
+    }
+  }
+}
+
+/** Starts a service; an exception becomes a rejection. */
+async function begin(service: Service): Promise<void> {
+  await service.start();
 }
--- /dev/null
+++ b/test/kernel/ServiceContainer.test.ts
@@ -0,0 +1,119 @@
+import { expect } from 'chai';
+import { ServiceContainer, ServicesStoppedError, type Service } from '../../src/kernel/index.js';
+import { ManualClock } from '../fakes/ManualClock.js';
+import { flushPromises } from '../waiting.js';
+
+/** Time that exceeds the wait of a stop for a start, in milliseconds. */
+const LONG_START_MS = 1_000;
+
+describe('ServiceContainer', () => {
+  let clock: ManualClock;
+  let events: string[];
+  let errors: unknown[];
+  let services: ServiceContainer;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    events = [];
+    errors = [];
+    services = new ServiceContainer((error) => errors.push(error), clock);
+  });
+
+  /** Returns a service that records its starts and stops and completes them when the promises do. */
+  function makeService(name: string, started = Promise.resolve(), stopped = Promise.resolve()): Service {
+    return {
+      start: () => {
+        events.push(`start ${name}`);
+        return started;
+      },
+      stop: async () => {
+        events.push(`stop ${name}`);
+        await stopped;
+        events.push(`stopped ${name}`);
+      },
+    };
+  }
+
+  describe('stop', () => {
+    it('stops the services one after the other in reverse order', async () => {
+      await services.start(makeService('a'));
+      await services.start(makeService('b'));
+      await services.stop();
+      expect(events).to.deep.equal(['start a', 'start b', 'stop b', 'stopped b', 'stop a', 'stopped a']);
+    });
+
+    // Issue 39, FAULT: a second SIGTERM stopped the other services and ended the process while requests were running.
+    it('waits for the services that an earlier call is stopping', async () => {
+      let complete: () => void = () => undefined;
+      const stopped = new Promise<void>((resolve) => (complete = resolve));
+      await services.start(makeService('a'));
+      await services.start(makeService('b', undefined, stopped));
+      const first = services.stop();
+      await flushPromises();
+      let hasEnded = false;
+      const second = services.stop().then(() => (hasEnded = true));
+      await flushPromises();
+      expect(hasEnded).to.equal(false);
+      expect(events).to.not.contain('stop a');
+      complete();
+      await Promise.all([first, second]);
+      expect(events.slice(2)).to.deep.equal(['stop b', 'stopped b', 'stop a', 'stopped a']);
+    });
+
+    it('reports the error of a service and stops the others', async () => {
+      const error = new Error('not stopped');
+      await services.start(makeService('a'));
+      await services.start(makeService('b', undefined, Promise.reject(error)));
+      await services.stop();
+      expect(errors).to.deep.equal([error]);
+      expect(events).to.contain('stopped a');
+    });
+
+    it('stops a service whose start fails', async () => {
+      const error = new Error('not started');
+      const failed = { ...makeService('a'), start: () => Promise.reject(error) };
+      const thrown: unknown = await services.start(failed).catch((reason: unknown) => reason);
+      expect(thrown).to.equal(error);
+      await services.stop();
+      expect(events).to.deep.equal(['stop a', 'stopped a']);
+    });
+
+    it('waits for a service that is starting before it stops the service', async () => {
+      let complete: () => void = () => undefined;
+      const started = new Promise<void>((resolve) => (complete = resolve));
+      const start = services.start(makeService('a', started)).catch((reason: unknown) => reason);
+      const stop = services.stop();
+      await flushPromises();
+      expect(events).to.deep.equal(['start a']);
+      complete();
+      await stop;
+      expect(await start).to.be.instanceOf(ServicesStoppedError);
+      expect(events).to.deep.equal(['start a', 'stop a', 'stopped a']);
+    });
+
+    it('stops a service again whose start completes after the stop', async () => {
+      let complete: () => void = () => undefined;
+      const started = new Promise<void>((resolve) => (complete = resolve));
+      const start = services.start(makeService('a', started)).catch((reason: unknown) => reason);
+      const stop = services.stop();
+      await flushPromises();
+      clock.advance(LONG_START_MS);
+      await stop;
+      expect(events).to.deep.equal(['start a', 'stop a', 'stopped a']);
+      complete();
+      expect(await start).to.be.instanceOf(ServicesStoppedError);
+      expect(events.slice(3)).to.deep.equal(['stop a', 'stopped a']);
+    });
+  });
+
+  describe('start', () => {
+    it('starts no service once the services are being stopped', async () => {
+      await services.start(makeService('a'));
+      const stop = services.stop();
+      const thrown: unknown = await services.start(makeService('b')).catch((reason: unknown) => reason);
+      expect(thrown).to.be.instanceOf(ServicesStoppedError);
+      await stop;
+      expect(events).to.deep.equal(['start a', 'stop a', 'stopped a']);
+    });
+  });
+});
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -6,10 +6,12 @@
 import { join } from 'node:path';
 import { promisify } from 'node:util';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
-import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
-import { waitUntil } from '../waiting.js';
+import { ObjectStore } from '../../standins/users/index.js';
+import { CallerConnection, formatRequest } from '../direct/CallerConnection.js';
+import { sleepMs, waitUntil } from '../waiting.js';
 import { ObservedProgram } from './ObservedProgram.js';
 import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
+import { SlowPlainWorker } from './SlowPlainWorker.js';
 
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
 const WORKER_PORT = 9_475;
@@ -18,6 +20,23 @@
 /** Time after SIGTERM in which a program must have ended, in milliseconds; within the time before SIGKILL. */
 const END_TIMEOUT_MS = 7_500;
 const GRACE_S = 8;
+/** Times after the first log line of a program at which a signal is sent, in milliseconds. */
+const SIGNAL_DELAYS_MS = [0, 5, 20, 50, 100, 200];
+/** Interval between the signals of a series, in milliseconds. */
+const SERIES_INTERVAL_MS = 10;
+/** Number of signals in a series; it lasts longer than a start. */
+const SERIES_LENGTH = 60;
+/** Time between two signals to stop, in milliseconds. */
+const STOP_INTERVAL_MS = 300;
+/** Time that requests run which are in progress when a signal arrives, in milliseconds. */
+const LONG_RUN_MS = 2_500;
+/** Number of requests in progress when a signal arrives. */
+const RUNNING_COUNT = 5;
+/** Configuration whose timeout allows long requests. */
+const CONFIGURATION = {
+  ...PLAIN_CONFIGURATION,
+  Routes: PLAIN_CONFIGURATION.Routes.map((route) => ({ ...route, TimeoutMs: 6_000 })),
+};
 /** Bytes written at once to fill a pipe, so that no byte of it stays free. */
 const FILL_BYTES = 1;
 
@@ -29,7 +48,7 @@
   let directory: string;
   let reservation: LoopbackReservation;
   let store: ObjectStore;
-  let worker: PlainWorker;
+  let worker: SlowPlainWorker;
   let storeAddress: string;
   const programs: ObservedProgram[] = [];
 
@@ -46,8 +65,8 @@
     reservation = await LoopbackReservation.create();
     store = new ObjectStore();
     storeAddress = await store.start();
-    store.put('config', 'main', PLAIN_CONFIGURATION);
-    worker = new PlainWorker({
+    store.put('config', 'main', CONFIGURATION);
+    worker = new SlowPlainWorker({
       workerId: 'i-1',
       service: 's',
       host: reservation.getAddress(4),
@@ -115,6 +134,102 @@
     });
   }
 
+  for (const role of ROLES) {
+    for (const delayMs of SIGNAL_DELAYS_MS) {
+      // Issue 39, FAULT: SIGHUP in the first 200 ms ended routers and agents.
+      it(`reads the settings of the ${role} after the start on SIGHUP ${delayMs} ms after its first line`, async () => {
+        const program = await start(role);
+        await program.waitForLine('process starting');
+        await sleepMs(delayMs);
+        program.kill('SIGHUP');
+        await program.waitForLine('process started');
+        await program.waitForLine('settings read');
+        expect(program.findLines('signal received').map(({ context }) => context.signal)).to.deep.equal([
+          'SIGHUP',
+        ]);
+        expect(program.isRunning).to.equal(true);
+      });
+
+      // Issue 39, FAULT: SIGTERM during the start ended the process by the signal, without a stop.
+      it(`exits with code 0 on SIGTERM to the ${role} ${delayMs} ms after its first line`, async () => {
+        const program = await start(role);
+        await program.waitForLine('process starting');
+        await sleepMs(delayMs);
+        program.kill('SIGTERM');
+        expect(await program.waitForEnd(END_TIMEOUT_MS), program.output).to.deep.equal({
+          code: 0,
+          signal: null,
+        });
+        const [end] = program.findLines('process ended');
+        expect(end?.context).to.deep.include({ cause: 'SIGTERM', code: 0 });
+      });
+    }
+
+    it(`starts the ${role} while SIGHUP arrives in a series`, async () => {
+      const program = await start(role);
+      await program.waitForLine('process starting');
+      for (let count = 0; count < SERIES_LENGTH; count++) {
+        program.kill('SIGHUP');
+        await sleepMs(SERIES_INTERVAL_MS);
+      }
+      await program.waitForLine('process started');
+      await program.waitForLine('settings read');
+      expect(program.isRunning).to.equal(true);
+    });
+
+    it(`exits with code 0 on SIGTERM to the ${role} within a series of SIGHUP`, async () => {
+      const program = await start(role);
+      await program.waitForLine('process starting');
+      for (let count = 0; count < SERIES_LENGTH && program.isRunning; count++) {
+        program.kill(count % 10 === 5 ? 'SIGTERM' : 'SIGHUP');
+        await sleepMs(SERIES_INTERVAL_MS);
+      }
+      expect(await program.waitForEnd(END_TIMEOUT_MS), program.output).to.deep.equal({
+        code: 0,
+        signal: null,
+      });
+    });
+
+    it(`stops the ${role} on SIGINT`, async () => {
+      const program = await start(role);
+      await program.waitForLine('process started');
+      program.kill('SIGINT');
+      expect(await program.waitForEnd(END_TIMEOUT_MS)).to.deep.equal({ code: 0, signal: null });
+    });
+
+    it(`keeps the ${role} running on SIGUSR2`, async () => {
+      const program = await start(role);
+      await program.waitForLine('process starting');
+      program.kill('SIGUSR2');
+      await program.waitForLine('signal received');
+      await program.waitForLine('process started');
+      expect(program.isRunning).to.equal(true);
+    });
+  }
+
+  // Issue 39, FAULT: a second SIGTERM ended the process at once and cut the requests in progress.
+  it('answers the requests in progress when SIGTERM arrives three times', async () => {
+    worker.additionalMs = LONG_RUN_MS;
+    const program = await start('router');
+    await waitUntilReady();
+    const host = reservation.getAddress(3);
+    const connections = Array.from({ length: RUNNING_COUNT }, () => new CallerConnection(PORTS.front, host));
+    for (const [index, connection] of connections.entries()) {
+      connection.write(formatRequest(`r${index}`, '/x/1'));
+    }
+    await sleepMs(STOP_INTERVAL_MS);
+    for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT'] as const) {
+      program.kill(signal);
+      await sleepMs(STOP_INTERVAL_MS);
+    }
+    await Promise.all(connections.map((connection) => connection.waitForEnd()));
+    expect(connections.map(({ status }) => status)).to.deep.equal(connections.map(() => 200));
+    expect(connections.every(({ isComplete }) => isComplete)).to.equal(true);
+    expect(await program.waitForEnd(END_TIMEOUT_MS)).to.deep.equal({ code: 0, signal: null });
+    expect(program.findLines('signal received').length).to.equal(3);
+    expect(program.findLines('stopping').length).to.equal(1);
+  });
+
   // A thread that writes to a full pipe would keep the process from exiting.
   it('exits on SIGTERM while its standard output is full', async () => {
     const path = join(directory, 'output');
