--- a/src/daemon/DaemonCommand.ts
+++ b/src/daemon/DaemonCommand.ts
@@ -2,11 +2,9 @@
 import { ServiceContainer } from '../kernel/index.js';
 import { readDaemonSettings, readSecrets, SettingsError } from '../settings/index.js';
 import { lifecycle } from './daemonProcess.js';
+import { EXIT_FAILED } from './ProcessLifecycle.js';
 import { startDaemon } from './startDaemon.js';
 
-/** Exit code for invalid settings and for any other error, such as a port in use. */
-const EXIT_ERROR = 2;
-
 /** Runs a router or an agent until it receives SIGTERM or SIGINT. */
 export class DaemonCommand extends Command {
   static override paths = [Command.Default];
@@ -22,11 +20,14 @@
     try {
       return await this.run();
     } catch (error) {
-      if (lifecycle.isStopping) {
-        return waitForExit();
+      if (!lifecycle.isStopping) {
+        this.context.stderr.write(`${(error as Error).message}\n`);
+      }
+      if (this.settings === undefined) {
+        return EXIT_FAILED;
       }
-      this.context.stderr.write(`${(error as Error).message}\n`);
-      return EXIT_ERROR;
+      await lifecycle.failStart(error);
+      return waitForExit();
     }
   }
 
@@ -50,7 +51,7 @@
   }
 }
 
-/** Never resolves: the process exits on a signal. */
+/** Never resolves: the lifecycle exits the process. */
 function waitForExit(): Promise<never> {
   return new Promise(() => undefined);
 }
--- a/src/daemon/ProcessLifecycle.ts
+++ b/src/daemon/ProcessLifecycle.ts
@@ -1,3 +1,5 @@
+import { delay, type Clock } from '../kernel/index.js';
+
 /** Name that all log lines carry. */
 const PACKAGE_NAME = 'monsoonglade';
 /** Version of the line format, the one that `Log` writes. */
@@ -6,6 +8,8 @@
 const LEVEL_WARN = 40;
 const LEVEL_ERROR = 50;
 const MS_PER_SECOND = 1_000;
+/** Longest wait for the services that have started when a start fails, in milliseconds. */
+const FAILED_START_STOP_TIMEOUT_MS = 5_000;
 /** Maximum length of an error's message in a log line, in characters. */
 const MAX_MESSAGE_CHARACTERS = 500;
 /** Maximum length of a stack trace in a log line, in characters. */
@@ -30,25 +34,32 @@
   writeLastLine(line: string): void;
 }
 
+/** Exit code after a failed start and when the process has nothing left to do. */
+export const EXIT_FAILED = 2;
+
+/** Dependencies of a `ProcessLifecycle`. */
+export interface ProcessLifecycleDependencies {
+  /** Process to observe. */
+  readonly target: NodeJS.Process;
+  readonly clock: Clock;
+  /** Destination of the log lines. */
+  readonly output: LifecycleOutput;
+  /** Whether the process reads its settings again on SIGHUP. */
+  readonly canReload: boolean;
+}
+
 /** Handles the signals to a process and logs them, the start and the end of the process, and what leads to the end. */
 export class ProcessLifecycle {
   private identity: LogFields = {};
-  private endCause = 'nothing left to do';
+  private endCause: string | undefined;
   private stopSignal: NodeJS.Signals | undefined;
   private stop: () => Promise<void> = () => Promise.resolve();
   private reload: (() => void) | undefined;
   private isReloadPending = false;
 
-  /**
-   * @param target - Process to observe.
-   * @param output - Destination of the log lines.
-   * @param canReload - Whether the process reads its settings again on SIGHUP.
-   */
-  constructor(
-    private readonly target: NodeJS.Process,
-    private readonly output: LifecycleOutput,
-    private readonly canReload: boolean,
-  ) {
+  /** @param deps - Dependencies. */
+  constructor(private readonly deps: ProcessLifecycleDependencies) {
+    const { target } = deps;
     for (const signal of STOP_SIGNALS) {
       target.on(signal, () => void this.handleStopSignal(signal));
     }
@@ -85,10 +96,13 @@
 
   /** Logs that the process is starting and, when it exits, that it has ended. */
   logStartAndEnd(): void {
-    this.log(LEVEL_INFO, 'process starting', { pid: this.target.pid, nodeVersion: this.target.version });
-    this.target.on('exit', (code) => {
-      const level = code === 0 ? LEVEL_INFO : LEVEL_WARN;
-      this.output.writeLastLine(this.formatLine(level, 'process ended', { cause: this.endCause, code }));
+    const { target, output } = this.deps;
+    this.log(LEVEL_INFO, 'process starting', { pid: target.pid, nodeVersion: target.version });
+    target.on('exit', (exitCode) => {
+      const code = this.endCause === undefined && exitCode === 0 ? EXIT_FAILED : exitCode;
+      target.exitCode = code;
+      const fields = { cause: this.endCause ?? 'nothing left to do', code };
+      output.writeLastLine(this.formatLine(code === 0 ? LEVEL_INFO : LEVEL_WARN, 'process ended', fields));
     });
   }
 
@@ -114,6 +128,25 @@
     this.log(LEVEL_ERROR, message, describeError(error));
   }
 
+  /**
+   * Ends the process after an error during its start, and stops what has started; a stop in progress goes on instead.
+   * @param error - Error of the start.
+   */
+  async failStart(error: unknown): Promise<void> {
+    if (this.isStopping) {
+      // The services refuse to start once they are being stopped.
+      this.log(LEVEL_INFO, 'start given up', describeError(error));
+      return;
+    }
+    this.logError('start failed', error);
+    const timeout = delay(this.deps.clock, FAILED_START_STOP_TIMEOUT_MS);
+    await Promise.race([
+      this.stop().catch((reason: unknown) => this.logError('stop failed', reason)),
+      timeout,
+    ]);
+    await this.exit('start failed', EXIT_FAILED);
+  }
+
   /**
    * Exits.
    * @param cause - Cause, for the log.
@@ -121,8 +154,8 @@
    */
   async exit(cause: string, code: number): Promise<void> {
     this.endCause = cause;
-    await this.output.flush();
-    this.target.exit(code);
+    await this.deps.output.flush();
+    this.deps.target.exit(code);
   }
 
   private async handleStopSignal(signal: NodeJS.Signals): Promise<void> {
@@ -141,7 +174,7 @@
   }
 
   private handleReloadSignal(): void {
-    if (!this.canReload) {
+    if (!this.deps.canReload) {
       this.logSignal(RELOAD_SIGNAL, 'none: the settings are read at the start only');
       return;
     }
@@ -159,11 +192,11 @@
   }
 
   private log(level: number, message: string, fields: LogFields): void {
-    this.output.writeLine(this.formatLine(level, message, fields));
+    this.deps.output.writeLine(this.formatLine(level, message, fields));
   }
 
   private formatLine(logLevel: number, message: string, fields: LogFields): string {
-    const sinceStartMs = Math.round(this.target.uptime() * MS_PER_SECOND);
+    const sinceStartMs = Math.round(this.deps.target.uptime() * MS_PER_SECOND);
     const context = { package: PACKAGE_NAME, ...this.identity, ...fields, sinceStartMs, logLevel };
     return JSON.stringify({ context, message, time: Date.now(), version: LINE_FORMAT_VERSION });
   }
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -10,11 +10,19 @@
 import { CallerConnection, formatRequest } from '../direct/CallerConnection.js';
 import { sleepMs, waitUntil } from '../waiting.js';
 import { ObservedProgram } from './ObservedProgram.js';
-import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
+import {
+  bundleProgram,
+  callRouter,
+  makeSettingsFile,
+  PLAIN_CONFIGURATION,
+  type ProgramPorts,
+} from './programs.js';
 import { SlowPlainWorker } from './SlowPlainWorker.js';
 
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
 const WORKER_PORT = 9_475;
+/** Port on which no process can listen. */
+const INVALID_PORT = 70_000;
 /** Time limit for a program to become ready, in milliseconds. */
 const READY_TIMEOUT_MS = 12_000;
 /** Time after SIGTERM in which a program must have ended, in milliseconds; within the time before SIGKILL. */
@@ -89,12 +97,16 @@
   });
 
   /** Starts a router or an agent. */
-  async function start(role: Role, standardOutput?: number): Promise<ObservedProgram> {
+  async function start(
+    role: Role,
+    standardOutput?: number,
+    ports: ProgramPorts = PORTS,
+  ): Promise<ObservedProgram> {
     const file = join(directory, `${role}.json`);
     const settings = makeSettingsFile({
       name: `${role}-1`,
       ip: reservation.getAddress(role === 'router' ? 3 : 5),
-      ports: PORTS,
+      ports,
       storeAddress,
       graceS: GRACE_S,
       engineAddress: role === 'router' ? undefined : `${reservation.getAddress(5)}:${WORKER_PORT}`,
@@ -230,6 +242,15 @@
     expect(program.findLines('stopping').length).to.equal(1);
   });
 
+  // Issue 39, FAULT: a router whose start failed stayed for good, without serving and without ending.
+  it('ends the router with code 2 when a service cannot start', async () => {
+    const program = await start('router', undefined, { ...PORTS, front: INVALID_PORT });
+    expect(await program.waitForEnd(END_TIMEOUT_MS), program.output).to.deep.equal({ code: 2, signal: null });
+    expect(program.findLines('start failed')[0]?.context.error).to.contain(String(INVALID_PORT));
+    const [end] = program.findLines('process ended');
+    expect(end?.context).to.deep.include({ cause: 'start failed', code: 2 });
+  });
+
   // A thread that writes to a full pipe would keep the process from exiting.
   it('exits on SIGTERM while its standard output is full', async () => {
     const path = join(directory, 'output');
