--- a/src/daemon/DaemonCommand.ts
+++ b/src/daemon/DaemonCommand.ts
@@ -1,8 +1,10 @@
 import { Command, Option } from 'clipanion';
 import { ServiceContainer } from '../kernel/index.js';
 import { readDaemonSettings, readSecrets, SettingsError } from '../settings/index.js';
+import { countUncaughtErrors } from './countUncaughtErrors.js';
 import { lifecycle } from './daemonProcess.js';
 import { EXIT_FAILED } from './ProcessLifecycle.js';
+import { SERVICE_NAMES } from './serviceNames.js';
 import { startDaemon } from './startDaemon.js';
 
 /** Runs a router or an agent until it receives SIGTERM or SIGINT. */
@@ -45,6 +47,7 @@
     const settings = await readDaemonSettings(this.settings);
     lifecycle.identify({ instanceId: settings.id, role: settings.role });
     await startDaemon(settings, readSecrets(process.env), services);
+    countUncaughtErrors(lifecycle, services.getOrThrow(SERVICE_NAMES.metrics));
     this.context.stdout.write('ready\n');
     lifecycle.logStarted();
     return waitForExit();
--- a/src/daemon/ProcessLifecycle.ts
+++ b/src/daemon/ProcessLifecycle.ts
@@ -10,6 +10,9 @@
 const MS_PER_SECOND = 1_000;
 /** Longest wait for the services that have started when a start fails, in milliseconds. */
 const FAILED_START_STOP_TIMEOUT_MS = 5_000;
+/** Maximum number of uncaught errors that are logged in a period; all are counted. */
+const MAX_UNCAUGHT_LINES = 50;
+const UNCAUGHT_PERIOD_MS = 10_000;
 /** Maximum length of an error's message in a log line, in characters. */
 const MAX_MESSAGE_CHARACTERS = 500;
 /** Maximum length of a stack trace in a log line, in characters. */
@@ -48,7 +51,7 @@
   readonly canReload: boolean;
 }
 
-/** Handles the signals to a process and logs them, the start and the end of the process, and what leads to the end. */
+/** Handles the signals to a process and its uncaught errors, and logs them, its start and its end. */
 export class ProcessLifecycle {
   private identity: LogFields = {};
   private endCause: string | undefined;
@@ -56,10 +59,16 @@
   private stop: () => Promise<void> = () => Promise.resolve();
   private reload: (() => void) | undefined;
   private isReloadPending = false;
+  private uncaughtCount = 0;
+  private uncaughtLineCount = 0;
+  private uncaughtPeriodStartMs = -Infinity;
+  private notifyUncaughtError: (() => void) | undefined;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: ProcessLifecycleDependencies) {
     const { target } = deps;
+    // Node.js reports unhandled rejections as uncaught exceptions too. An error in one task is no reason to end all others.
+    target.on('uncaughtException', (error, origin) => this.handleUncaughtError(error, origin));
     for (const signal of STOP_SIGNALS) {
       target.on(signal, () => void this.handleStopSignal(signal));
     }
@@ -94,6 +103,17 @@
     }
   }
 
+  /**
+   * Sets what is done for each uncaught error, and does it for those that have occurred before.
+   * @param notify - For example counts them.
+   */
+  onUncaughtError(notify: () => void): void {
+    this.notifyUncaughtError = notify;
+    for (let count = 0; count < this.uncaughtCount; count++) {
+      notify();
+    }
+  }
+
   /** Logs that the process is starting and, when it exits, that it has ended. */
   logStartAndEnd(): void {
     const { target, output } = this.deps;
@@ -158,6 +178,20 @@
     this.deps.target.exit(code);
   }
 
+  private handleUncaughtError(error: unknown, origin: string): void {
+    this.uncaughtCount++;
+    this.notifyUncaughtError?.();
+    const nowMs = this.deps.clock.nowMs();
+    if (nowMs - this.uncaughtPeriodStartMs >= UNCAUGHT_PERIOD_MS) {
+      this.uncaughtPeriodStartMs = nowMs;
+      this.uncaughtLineCount = 0;
+    }
+    if (++this.uncaughtLineCount <= MAX_UNCAUGHT_LINES) {
+      const fields = { ...describeError(error), origin, count: this.uncaughtCount };
+      this.log(LEVEL_ERROR, 'uncaught error', fields);
+    }
+  }
+
   private async handleStopSignal(signal: NodeJS.Signals): Promise<void> {
     if (this.stopSignal) {
       this.logSignal(signal, 'none: the process is stopping');
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -190,7 +190,7 @@
   const clock = new SystemClock();
   const random = new Random(randomBytes(4).readInt32LE());
   const log = services.register(SERVICE_NAMES.log, new Log(options.instanceId, (line) => output.write(line)));
-  const metrics = new Metrics();
+  const metrics = services.register(SERVICE_NAMES.metrics, new Metrics());
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
   // Services stop in reverse order of their start: started first, the output still writes the last lines of the others.
   void services.start(output);
--- a/test/daemon/ProcessLifecycle.test.ts
+++ b/test/daemon/ProcessLifecycle.test.ts
@@ -117,6 +117,65 @@
     });
   });
 
+  describe('onUncaughtError', () => {
+    it('notifies of each error, also of those before', () => {
+      target.emit('uncaughtException', new Error('first'), 'uncaughtException');
+      let count = 0;
+      lifecycle.onUncaughtError(() => count++);
+      target.emit('uncaughtException', new Error('second'), 'unhandledRejection');
+      expect(count).to.equal(2);
+      expect(findContext('uncaught error')).to.deep.include({
+        error: 'second',
+        origin: 'unhandledRejection',
+        count: 2,
+      });
+      expect(target.hasExited).to.equal(false);
+    });
+
+    it('logs any thrown value, with a bounded length', () => {
+      const unreadable = Object.assign(new Error(), {
+        toString: () => {
+          throw new Error('unreadable');
+        },
+      });
+      Object.defineProperty(unreadable, 'message', { value: undefined });
+      const values = [
+        undefined,
+        null,
+        'text',
+        Symbol('s'),
+        unreadable,
+        Object.create(null),
+        new Error('x'.repeat(9_999)),
+      ];
+      for (const value of values) {
+        target.emit('uncaughtException', value, 'uncaughtException');
+      }
+      const logged = lines.filter(({ message }) => message === 'uncaught error');
+      expect(logged.length).to.equal(values.length);
+      for (const { context } of logged) {
+        expect(context.error).to.be.a('string');
+        expect(JSON.stringify(context).length).to.be.lessThan(3_500);
+      }
+    });
+
+    it('logs a limited number of errors in a period and counts all', () => {
+      let count = 0;
+      lifecycle.onUncaughtError(() => count++);
+      const emit = () => {
+        for (let error = 0; error < 100; error++) {
+          target.emit('uncaughtException', new Error('again'), 'uncaughtException');
+        }
+      };
+      emit();
+      expect(lines.filter(({ message }) => message === 'uncaught error').length).to.equal(50);
+      clock.advance(10_000);
+      emit();
+      expect(lines.filter(({ message }) => message === 'uncaught error').length).to.equal(100);
+      expect(count).to.equal(200);
+    });
+  });
+
   describe('logStartAndEnd', () => {
     it('sets an exit code other than 0 when the process has nothing left to do', () => {
       target.emit('exit', 0);
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -21,6 +21,10 @@
 
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
 const WORKER_PORT = 9_475;
+/** Port of the metrics endpoint. */
+const METRICS_PORT = 9_464;
+/** Time after the start at which a program has uncaught errors, in milliseconds; it is ready and serving by then. */
+const UNCAUGHT_DELAY_MS = 1_500;
 /** Port on which no process can listen. */
 const INVALID_PORT = 70_000;
 /** Time limit for a program to become ready, in milliseconds. */
@@ -51,7 +55,7 @@
 const ROLES = ['router', 'agent'] as const;
 type Role = (typeof ROLES)[number];
 
-describe('signals to main (bundled)', function () {
+describe('start, signals, errors and end of main (bundled)', function () {
   this.timeout(60_000);
   let directory: string;
   let reservation: LoopbackReservation;
@@ -101,6 +105,7 @@
     role: Role,
     standardOutput?: number,
     ports: ProgramPorts = PORTS,
+    nodeArgs: readonly string[] = [],
   ): Promise<ObservedProgram> {
     const file = join(directory, `${role}.json`);
     const settings = makeSettingsFile({
@@ -113,7 +118,11 @@
     });
     await writeFile(file, JSON.stringify(settings));
     const environment = { MONSOONGLADE_NODE_FILE: file, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' };
-    const program = new ObservedProgram([join(directory, 'main.cjs')], environment, standardOutput);
+    const program = new ObservedProgram(
+      [...nodeArgs, join(directory, 'main.cjs')],
+      environment,
+      standardOutput,
+    );
     programs.push(program);
     return program;
   }
@@ -251,6 +260,28 @@
     expect(end?.context).to.deep.include({ cause: 'start failed', code: 2 });
   });
 
+  // Issue 39, FAULT: an error that nothing handled ended the process and all its requests, and left no structured line.
+  it('serves on after an uncaught exception and an unhandled rejection, logs and counts them', async () => {
+    const source = `setTimeout(() => { Promise.reject(new Error('a')); throw new Error('b'); }, ${UNCAUGHT_DELAY_MS});`;
+    const preload = ['--import', `data:text/javascript,${encodeURIComponent(source)}`];
+    worker.additionalMs = LONG_RUN_MS;
+    const program = await start('router', undefined, PORTS, preload);
+    await waitUntilReady();
+    const host = reservation.getAddress(3);
+    const connection = new CallerConnection(PORTS.front, host);
+    connection.write(formatRequest('r1', '/x/1'));
+    await program.waitForLine('uncaught error');
+    await connection.waitForEnd();
+    expect(connection.status).to.equal(200);
+    expect(connection.isComplete).to.equal(true);
+    const contexts = program.findLines('uncaught error').map(({ context }) => context);
+    expect(contexts.map(({ error }) => error)).to.have.members(['a', 'b']);
+    expect(contexts.map(({ origin }) => origin)).to.have.members(['uncaughtException', 'unhandledRejection']);
+    expect(contexts.every(({ stack }) => String(stack).includes('data:text/javascript'))).to.equal(true);
+    const metrics = await callRouter(host, METRICS_PORT, '/metrics');
+    expect(metrics?.text).to.contain('monsoonglade_uncaught_errors_total 2\n');
+  });
+
   // A thread that writes to a full pipe would keep the process from exiting.
   it('exits on SIGTERM while its standard output is full', async () => {
     const path = join(directory, 'output');
