--- a/src/daemon/daemonProcess.ts
+++ b/src/daemon/daemonProcess.ts
@@ -13,6 +13,11 @@
   canReload: false,
 });
 
+for (const stream of [process.stdout, process.stderr]) {
+  // A reader that has gone is no reason to end, and nowhere is left to log it.
+  stream.on('error', () => undefined);
+}
+
 if (process.argv.some((argument) => argument.startsWith('--settings'))) {
   lifecycle.logStartAndEnd();
 }
--- a/test/platform/ObservedProgram.ts
+++ b/test/platform/ObservedProgram.ts
@@ -57,6 +57,12 @@
     return texts.filter((text) => text.startsWith('{')).map((text) => JSON.parse(text) as OutputLine);
   }
 
+  /** Closes the pipes for the output of the program. */
+  closeOutput(): void {
+    this.child.stdout?.destroy();
+    this.child.stderr?.destroy();
+  }
+
   /** Returns the lines with a message. */
   findLines(message: string): readonly OutputLine[] {
     return this.lines.filter((line) => line.message === message);
--- a/test/process/signals.test.ts
+++ b/test/process/signals.test.ts
@@ -16,6 +16,8 @@
 const SIGNAL_DELAYS_MS = [0, 20, 50, 100, 200, 400];
 /** Time for which a daemon must stay after a signal that does not stop it, in milliseconds. */
 const STAY_MS = 200;
+/** Number of signals in a series. */
+const SIGNAL_COUNT = 10;
 
 describe('signals to the daemon', function () {
   this.timeout(60_000);
@@ -86,12 +88,26 @@
     });
   }
 
+  // Issue 39, FAULT: the daemon ended with code 1 when the reader of its log lines had gone.
+  it('keeps running and stops with code 0 when nobody reads its output', async () => {
+    const daemon = await start();
+    await daemon.waitForLine('process started');
+    daemon.closeOutput();
+    for (let count = 0; count < SIGNAL_COUNT; count++) {
+      daemon.kill('SIGHUP');
+      await sleepMs(STAY_MS / SIGNAL_COUNT);
+    }
+    expect(await daemon.waitForEnd(STAY_MS)).to.equal(undefined);
+    daemon.kill('SIGTERM');
+    expect(await daemon.waitForEnd(END_TIMEOUT_MS)).to.deep.equal({ code: 0, signal: null });
+  });
+
   it('stops once when SIGTERM and SIGINT arrive several times', async () => {
     const daemon = await start();
     await daemon.waitForLine('process started');
     for (const signal of ['SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGINT'] as const) {
       daemon.kill(signal);
-      await sleepMs(STAY_MS / 10);
+      await sleepMs(STAY_MS / SIGNAL_COUNT);
     }
     expect(await daemon.waitForEnd(END_TIMEOUT_MS), daemon.output).to.deep.equal({ code: 0, signal: null });
     expect(
