--- a/src/admin/AdminServer.ts
+++ b/src/admin/AdminServer.ts
@@ -1,7 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Service } from '../kernel/index.js';
 import type { Metrics } from '../telemetry/index.js';
-import { listenOrThrow, secretsEqual, type ListenAddress } from '../transport/index.js';
+import {
+  PortListener,
+  secretsEqual,
+  type ListenAddress,
+  type PortListenerDependencies,
+} from '../transport/index.js';
 
 /** URL against which the targets of requests are resolved. */
 const BASE_URL = 'http://localhost';
@@ -22,24 +27,28 @@
 /** HTTP server for operators; `/healthz` and `/readyz` need no credential, all other paths do. */
 export class AdminServer implements Service {
   private readonly http: Server;
+  private readonly listener: PortListener;
 
   /**
    * @param address - Address to listen on.
    * @param token - Bearer token that operators send.
    * @param metrics - Metrics of the process.
    * @param source - State of the process.
+   * @param listenerDeps - Dependencies of the listener.
    */
   constructor(
-    private readonly address: ListenAddress,
+    address: ListenAddress,
     private readonly token: string,
     private readonly metrics: Metrics,
     private readonly source: AdminSource,
+    listenerDeps: PortListenerDependencies,
   ) {
     this.http = createServer((request, response) => this.serve(request, response));
+    this.listener = new PortListener(this.http, address, 'admin', listenerDeps);
   }
 
   async start(): Promise<void> {
-    await listenOrThrow(this.http, this.address, 'admin');
+    await this.listener.start();
   }
 
   async stop(): Promise<void> {
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -30,7 +30,7 @@
 import { Catalogue, Membership, StateStore, StateWatcher } from '../state/index.js';
 import type { AgentSettings, DaemonSettings, RouterSettings, Secrets } from '../settings/index.js';
 import { AuditTrail, Log, Metrics } from '../telemetry/index.js';
-import { PeerDialer, PeerServer, TrafficMeter } from '../transport/index.js';
+import { PeerDialer, PeerServer, TrafficMeter, type PortListenerDependencies } from '../transport/index.js';
 import { getAgentAdminSource, getRouterAdminSource } from './adminSources.js';
 import { getCallbackMethods, getRouterMethods } from './routerMethods.js';
 import { SERVICE_NAMES } from './serviceNames.js';
@@ -105,13 +105,26 @@
   const traffic = services.getOrThrow(SERVICE_NAMES.traffic);
   await services.start({ start: () => Promise.resolve(), stop: () => closeLast(services) });
   await services.start(
-    new PeerServer(settings.peer, secrets.peerSecret, clock, getRouterMethods(services), traffic),
+    new PeerServer(
+      settings.peer,
+      secrets.peerSecret,
+      clock,
+      getRouterMethods(services),
+      traffic,
+      getListenerDependencies(services),
+    ),
   );
   await services.start(services.getOrThrow(SERVICE_NAMES.stateWatcher));
   await services.start(services.getOrThrow(SERVICE_NAMES.audit));
   const metrics = services.getOrThrow(SERVICE_NAMES.metrics);
   await services.start(
-    new AdminServer(settings.admin, secrets.adminToken, metrics, getRouterAdminSource(services, settings.id)),
+    new AdminServer(
+      settings.admin,
+      secrets.adminToken,
+      metrics,
+      getRouterAdminSource(services, settings.id),
+      getListenerDependencies(services),
+    ),
   );
   await services.start(services.getOrThrow(SERVICE_NAMES.scheduler));
   await services.start(entry);
@@ -197,6 +210,7 @@
     owners,
     attempts,
     metrics,
+    log: services.getOrThrow(SERVICE_NAMES.log),
   });
   return services.register(SERVICE_NAMES.entry, entry);
 }
@@ -244,14 +258,31 @@
       clock,
       agent.getMethods(),
       services.getOrThrow(SERVICE_NAMES.traffic),
+      getListenerDependencies(services),
     ),
   );
   await services.start(
-    new AdminServer(settings.admin, secrets.adminToken, metrics, getAgentAdminSource(services, settings.id)),
+    new AdminServer(
+      settings.admin,
+      secrets.adminToken,
+      metrics,
+      getAgentAdminSource(services, settings.id),
+      getListenerDependencies(services),
+    ),
   );
   await services.start(agent);
 }
 
+/** Returns what listeners need; a port that is taken fails the start, since an operator or a service manager reads its exit code. */
+function getListenerDependencies(services: ServiceContainer): PortListenerDependencies {
+  return {
+    clock: services.getOrThrow(SERVICE_NAMES.clock),
+    log: services.getOrThrow(SERVICE_NAMES.log),
+    metrics: services.getOrThrow(SERVICE_NAMES.metrics),
+    failsIfTaken: true,
+  };
+}
+
 /** Returns the processor time that this process has used, user and system together. */
 function getCpuSeconds(): number {
   const { user, system } = process.cpuUsage();
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -154,7 +154,7 @@
   await services.start(agentConnections);
   await services.start(streamOrigins);
   await services.start(modelLoader);
-  await services.start(new ReadinessServer(options.readinessAddress, isReady, { clock, log }));
+  await services.start(new ReadinessServer(options.readinessAddress, isReady, { clock, log, metrics }));
   await services.start(callerServer);
   logWhenReady();
   return services;
@@ -178,7 +178,7 @@
       clock,
       { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
       new TrafficMeter(),
-      log,
+      { clock, log, metrics },
     ),
   );
   await services.start(controller);
@@ -196,7 +196,7 @@
   void services.start(output);
   // The process serves without its metrics until their port is available.
   services
-    .start(new MetricsServer(options.metricsAddress, metrics, { clock, log }))
+    .start(new MetricsServer(options.metricsAddress, metrics, { clock, log, metrics }))
     .catch((error: unknown) => log.warn('metrics not served', { error: String(error) }));
   return { services, clock, random, log, metrics };
 }
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -6,8 +6,8 @@
   type OrganisationConfiguration,
   type RequestId,
 } from '../domain/index.js';
-import type { Metrics } from '../telemetry/index.js';
-import { listenOrThrow, pollSockets, type ListenAddress } from '../transport/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
+import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
 import type { AttemptClient } from './AttemptClient.js';
 import type { Authenticator } from './Authenticator.js';
 import type { BudgetReservation, BudgetService } from './BudgetService.js';
@@ -51,11 +51,13 @@
   readonly owners: OwnerClient;
   readonly attempts: AttemptClient;
   readonly metrics: Metrics;
+  readonly log: Log;
 }
 
 /** HTTP server for callers' requests. */
 export class EntryServer implements Service {
   private readonly http: Server;
+  private readonly listener: PortListener;
   private readonly retryBudgets = new Map<string, RetryBudget>();
   private readonly idleListeners: (() => void)[] = [];
   private readonly openResponses = new Set<ServerResponse>();
@@ -67,6 +69,7 @@
   constructor(private readonly deps: EntryServerDependencies) {
     this.http = createServer((request, response) => void this.onRequest(request, response));
     this.http.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.listener = new PortListener(this.http, deps.address, 'entry', { ...deps, failsIfTaken: true });
     deps.metrics.gauge('entry_live_requests', () => this.activeCount);
   }
 
@@ -76,7 +79,7 @@
   }
 
   async start(): Promise<void> {
-    await listenOrThrow(this.http, this.deps.address, 'entry');
+    await this.listener.start();
   }
 
   /**
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -3,10 +3,9 @@
 import type { Duplex } from 'node:stream';
 import { WebSocketServer } from 'ws';
 import type { Clock, Service } from '../kernel/index.js';
-import type { Log } from '../telemetry/index.js';
 import { listenOrThrow, type ListenAddress } from './listenOrThrow.js';
 import { PeerConnection, type PeerMethods } from './PeerConnection.js';
-import { PortListener } from './PortListener.js';
+import { PortListener, type PortListenerDependencies } from './PortListener.js';
 import type { TrafficMeter } from './TrafficMeter.js';
 
 /** Maximum size of a message between two processes of the fleet, in bytes. */
@@ -40,7 +39,7 @@
    * @param clock - Source of time.
    * @param methods - Methods provided to the other ends.
    * @param traffic - Meter of the bytes exchanged.
-   * @param log - Log of the attempts to bind a port that is not available; without it, the start fails at the first one.
+   * @param listenerDeps - Dependencies of the listener; without them, the start fails if the port is not available.
    */
   constructor(
     private readonly address: ListenAddress,
@@ -48,9 +47,9 @@
     private readonly clock: Clock,
     private readonly methods: PeerMethods,
     private readonly traffic: TrafficMeter,
-    log?: Log,
+    listenerDeps?: PortListenerDependencies,
   ) {
-    this.listener = log && new PortListener(this.http, address, 'peer', { clock, log });
+    this.listener = listenerDeps && new PortListener(this.http, address, 'peer', listenerDeps);
     this.http.on('upgrade', (request, socket, head) => this.upgrade(request, socket, head));
   }
 
--- a/src/transport/PortListener.ts
+++ b/src/transport/PortListener.ts
@@ -1,6 +1,6 @@
 import type { Server } from 'node:http';
 import type { Clock, Timer } from '../kernel/index.js';
-import type { Log } from '../telemetry/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
 import { ListenError } from './ListenError.js';
 import { listenOrThrow, type ListenAddress } from './listenOrThrow.js';
 
@@ -8,7 +8,7 @@
 const FIRST_RETRY_DELAY_MS = 50;
 /** Maximum delay between two attempts, in milliseconds. */
 const MAX_RETRY_DELAY_MS = 500;
-/** Minimum time between two log lines about failed attempts, in milliseconds. */
+/** Minimum time between two log lines about failed attempts or about errors, in milliseconds. */
 const LOG_INTERVAL_MS = 10_000;
 /** Codes of errors that end without a change of the settings. */
 const TEMPORARY_ERROR_CODES = new Set([
@@ -24,14 +24,18 @@
 export interface PortListenerDependencies {
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
+  /** Whether the start fails if the port is not available; by default it is tried again. */
+  readonly failsIfTaken?: boolean;
 }
 
-/** Binds a server to its port, however long the port is not available. */
+/** Binds a server to its port, however long the port is not available, and logs the errors of the bound server. */
 export class PortListener {
   private retryTimer: Timer | undefined;
   private endWait: (() => void) | undefined;
   private isStopped = false;
   private attempts = 0;
+  private errorCount = 0;
   private loggedAtMs = -Infinity;
 
   /**
@@ -45,7 +49,10 @@
     private readonly address: ListenAddress,
     private readonly field: string,
     private readonly deps: PortListenerDependencies,
-  ) {}
+  ) {
+    // Without a listener, an error such as that of a failed accept ends the process.
+    server.on('error', (error: NodeJS.ErrnoException) => this.onError(error));
+  }
 
   /**
    * Binds the server and tries again while the port is not available; resolves when it is bound or `stop` was called.
@@ -75,12 +82,13 @@
     try {
       await listenOrThrow(this.server, this.address, this.field);
     } catch (error) {
-      if (!(error instanceof ListenError) || !TEMPORARY_ERROR_CODES.has(error.code)) {
+      if (!(error instanceof ListenError) || !this.isRetried(error)) {
         throw error;
       }
-      this.logFailure(error.code);
+      this.logWarning('port not available, trying again', { code: error.code, attempts: this.attempts });
       return false;
     }
+    this.loggedAtMs = -Infinity;
     if (this.isStopped) {
       // The server was closed before the system had bound it.
       this.server.close();
@@ -90,15 +98,25 @@
     return true;
   }
 
-  private logFailure(code: string): void {
+  private isRetried(error: ListenError): boolean {
+    return this.deps.failsIfTaken !== true && TEMPORARY_ERROR_CODES.has(error.code);
+  }
+
+  private onError(error: NodeJS.ErrnoException): void {
+    if (!this.server.listening) {
+      // The error of an attempt to bind, which tryListen handles.
+      return;
+    }
+    this.errorCount++;
+    this.deps.metrics.count('server_errors');
+    this.logWarning('server error', { error: error.message, errorCount: this.errorCount });
+  }
+
+  private logWarning(text: string, fields: Readonly<Record<string, string | number>>): void {
     const nowMs = this.deps.clock.nowMs();
     if (nowMs - this.loggedAtMs >= LOG_INTERVAL_MS) {
       this.loggedAtMs = nowMs;
-      this.deps.log.warn('port not available, trying again', {
-        ...this.describe(),
-        code,
-        attempts: this.attempts,
-      });
+      this.deps.log.warn(text, { ...this.describe(), ...fields });
     }
   }
 
--- a/src/transport/listenOrThrow.ts
+++ b/src/transport/listenOrThrow.ts
@@ -16,10 +16,12 @@
  */
 export async function listenOrThrow(server: Server, address: ListenAddress, field: string): Promise<void> {
   let onListening: () => void = () => undefined;
+  let onError: (error: Error) => void = () => undefined;
   try {
     await new Promise<void>((resolve, reject) => {
       onListening = resolve;
-      server.once('error', reject);
+      onError = reject;
+      server.once('error', onError);
       server.once('listening', onListening);
       server.listen(address.port, address.host);
     });
@@ -29,5 +31,6 @@
     throw new ListenError(`${field}: ${address.host}:${address.port} ${cause}; choose a free port.`, code);
   } finally {
     server.off('listening', onListening);
+    server.off('error', onError);
   }
 }
--- a/test/transport/PortListener.test.ts
+++ b/test/transport/PortListener.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http';
 import { setImmediate as nextPoll } from 'node:timers/promises';
 import { SystemClock, type Clock } from '../../src/kernel/index.js';
-import type { Log } from '../../src/telemetry/index.js';
+import { Metrics, type Log } from '../../src/telemetry/index.js';
 import { listenOrThrow, PortListener, type ListenAddress } from '../../src/transport/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { ManualClock } from '../fakes/ManualClock.js';
@@ -23,6 +23,7 @@
   let occupant: Server;
   let server: Server;
   let lines: string[];
+  let metrics: Metrics;
   const log = {
     info: (text: string, fields: object) => lines.push(`${text} ${JSON.stringify(fields)}`),
     warn: (text: string, fields: object) => lines.push(`${text} ${JSON.stringify(fields)}`),
@@ -35,6 +36,7 @@
     await listenOrThrow(occupant, address, 'peer');
     server = createServer();
     lines = [];
+    metrics = new Metrics();
   });
 
   afterEach(async () => {
@@ -44,7 +46,7 @@
   });
 
   function makeListener(clock: Clock = new SystemClock()): PortListener {
-    return new PortListener(server, address, 'peer', { clock, log });
+    return new PortListener(server, address, 'peer', { clock, log, metrics });
   }
 
   describe('start', () => {
@@ -74,7 +76,7 @@
       }
       expect(lines).to.have.length(4);
       expect(server.listenerCount('listening')).to.be.at.most(1);
-      expect(server.listenerCount('error')).to.be.at.most(1);
+      expect(server.listenerCount('error')).to.equal(1);
       listener.stop();
       await started;
     });
@@ -100,6 +102,27 @@
     });
   });
 
+  describe('errors of the bound server', () => {
+    // Issue 39, FAULT: the first error of a server was swallowed, the second one ended the process.
+    it('are counted and logged at a bounded rate, and leave the server bound', async () => {
+      occupant.close();
+      const clock = new ManualClock();
+      await makeListener(clock).start();
+      const error = Object.assign(new Error('accept ENOBUFS'), { code: 'ENOBUFS' });
+      for (let count = 0; count < 3; count++) {
+        server.emit('error', error);
+      }
+      expect(lines).to.deep.equal([
+        `server error {"field":"peer","address":"127.0.0.1:${address.port}","error":"accept ENOBUFS","errorCount":1}`,
+      ]);
+      clock.advance(10_000);
+      server.emit('error', error);
+      expect(lines).to.have.length(2);
+      expect(metrics.toPrometheusText()).to.contain('monsoonglade_server_errors_total 4');
+      expect(server.listening).to.equal(true);
+    });
+  });
+
   describe('stop', () => {
     it('ends the attempts: the start resolves and the port stays free', async () => {
       const listener = makeListener();
