--- a/standins/ChildProcess.ts
+++ b/standins/ChildProcess.ts
@@ -22,6 +22,11 @@
     return this.child.pid ?? 0;
   }
 
+  /** Whether the process has ended. */
+  get hasExited(): boolean {
+    return this.child.exitCode !== null || this.child.signalCode !== null;
+  }
+
   /**
    * Starts a compiled script and resolves with the process and the text after `ready` on its `ready` line.
    * @param name - Name of the process in error messages.
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -14,7 +14,6 @@
   type WorkerRun,
 } from '../../standins/users/index.js';
 
-/** Ports that every process and worker uses on its loopback address. */
 const PORTS = { front: 9_511, ready: 9_512, peer: 9_513, spare: 9_514, worker: 9_515 };
 /** Module that adds the delays of a process's event loop to its output. */
 const PRELOADED_URL = new URL('./reportEventLoopDelays.js', import.meta.url).href;
@@ -38,6 +37,9 @@
 
 /** Routers and agents that run as processes, and in-process stand-ins for the store and the workers. */
 export class SoakFleet {
+  /** Ports that every process and worker uses on its loopback address. */
+  static readonly ports = PORTS;
+
   readonly store = new ObjectStore();
   readonly modelWorkers: ModelWorker[] = [];
   readonly plainWorkers: PlainWorker[] = [];
