--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -17,7 +17,7 @@
   LoadPermitClient,
   PlacementReviewer,
 } from '../home/index.js';
-import { Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
+import { onBackgroundError, Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
 import { HttpInstanceList, HttpObjectStore, PlatformHttp } from '../platform/index.js';
 import {
   AttemptClient,
@@ -70,7 +70,8 @@
 function registerCommon(services: ServiceContainer, settings: DaemonSettings, secrets: Secrets): void {
   const clock = services.register(SERVICE_NAMES.clock, new SystemClock());
   services.register(SERVICE_NAMES.random, new Random(randomBytes(4).readInt32LE()));
-  services.register(SERVICE_NAMES.log, new Log(settings.id));
+  const log = services.register(SERVICE_NAMES.log, new Log(settings.id));
+  onBackgroundError((error, task) => log.backgroundError(error, task));
   const metrics = services.register(SERVICE_NAMES.metrics, new Metrics());
   const http = services.register(
     SERVICE_NAMES.platformHttp,
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -22,7 +22,7 @@
   type HeaderCodec,
   type RetryLimits,
 } from '../direct/index.js';
-import { Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
+import { onBackgroundError, Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
 import { SERVICE_NAMES } from './serviceNames.js';
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
@@ -190,6 +190,7 @@
   const clock = new SystemClock();
   const random = new Random(randomBytes(4).readInt32LE());
   const log = services.register(SERVICE_NAMES.log, new Log(options.instanceId, (line) => output.write(line)));
+  onBackgroundError((error, task) => log.backgroundError(error, task));
   const metrics = services.register(SERVICE_NAMES.metrics, new Metrics());
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
   // Services stop in reverse order of their start: started first, the output still writes the last lines of the others.
--- a/src/kernel/SystemClock.ts
+++ b/src/kernel/SystemClock.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from './Clock.js';
+import { runInBackground } from './runInBackground.js';
 
 /** Maximum delay of a Node.js timer, in milliseconds. */
 const MAX_TIMER_DELAY_MS = 2 ** 31 - 1;
@@ -26,7 +27,7 @@
     let isCancelled = false;
     const handle = setTimeout(() => {
       if (!this.isPollAwaited && performance.now() - dueAtMs <= MAX_LATENESS_MS) {
-        callback();
+        runInBackground('timer', callback);
         return;
       }
       this.isPollAwaited = true;
@@ -34,7 +35,7 @@
       setImmediate(() => {
         this.isPollAwaited = false;
         if (!isCancelled) {
-          callback();
+          runInBackground('timer', callback);
         }
       });
     }, boundedMs);
--- a/src/telemetry/Log.ts
+++ b/src/telemetry/Log.ts
@@ -1,5 +1,8 @@
 import { Roarr, ROARR } from 'roarr';
 
+/** Maximum length of an error in a line, in characters. */
+const MAX_ERROR_LENGTH = 600;
+
 /** Writes structured log lines. */
 export class Log {
   private readonly logger;
@@ -34,6 +37,16 @@
     this.logger.warn(fields, change);
   }
 
+  /**
+   * Logs an error of work that nobody waits for, with the beginning of its stack.
+   * @param error - What was thrown.
+   * @param task - Name of the work, in a few words.
+   */
+  backgroundError(error: unknown, task: string): void {
+    const detail = error instanceof Error ? (error.stack ?? String(error)) : String(error);
+    this.warn('background task failed', { task, error: detail.slice(0, MAX_ERROR_LENGTH) });
+  }
+
   /**
    * Logs a decision about a request or an engine.
    * @param decision - Decision or finding, in a few words.
