--- a/src/daemon/routerMethods.ts
+++ b/src/daemon/routerMethods.ts
@@ -44,9 +44,11 @@
   return {
     [ROUTER_METHODS.assign]: async (params: AssignParams, connection) => {
       const stopListening = connection.onClose(() => scheduler.abandon(params));
-      const reply = await scheduler.assign(params);
-      stopListening();
-      return reply;
+      try {
+        return await scheduler.assign(params);
+      } finally {
+        stopListening();
+      }
     },
     [ROUTER_METHODS.abandon]: (params: { requestId: string; modelId: string }) => scheduler.abandon(params),
     [ROUTER_METHODS.release]: (params: ReleaseParams) => scheduler.release(params),
--- a/src/transport/PeerConnection.ts
+++ b/src/transport/PeerConnection.ts
@@ -6,7 +6,7 @@
 } from 'json-rpc-2.0';
 import { WebSocket } from 'ws';
 import type { Clock } from '../kernel/index.js';
-import { PeriodicTask } from '../kernel/index.js';
+import { PeriodicTask, runInBackground } from '../kernel/index.js';
 import type { TrafficMeter } from './TrafficMeter.js';
 
 /** Time between two heartbeats, in milliseconds. */
@@ -228,7 +228,8 @@
     this.heartbeat.stop();
     this.rpc.rejectAllPendingRequests('The connection was lost before the answer came.');
     for (const listener of this.closeListeners) {
-      listener();
+      // The others must run too, and the caller is usually an event of the socket.
+      runInBackground('listener of a closed connection', listener);
     }
   }
 }
--- a/test/transport/PeerConnection.test.ts
+++ b/test/transport/PeerConnection.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SystemClock } from '../../src/kernel/index.js';
+import { onBackgroundError, SystemClock } from '../../src/kernel/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { PeerDialer, PeerServer, TrafficMeter, type PeerConnection } from '../../src/transport/index.js';
 import { standStill } from '../standStill.js';
@@ -12,6 +12,29 @@
 describe('PeerConnection', function () {
   this.timeout(20_000);
 
+  // Issue 39, FAULT: a listener that threw when a connection closed ended the router, and later listeners did not run.
+  it('calls all listeners for its close although one throws', async () => {
+    const reservation = await LoopbackReservation.create();
+    const port = await reservation.takePort();
+    const server = new PeerServer({ host: '127.0.0.1', port }, 's', CLOCK, {}, new TrafficMeter());
+    await server.start();
+    const dialer = new PeerDialer('router', 's', CLOCK, new TrafficMeter());
+    const connection = await dialer.connect(`127.0.0.1:${port}`);
+    const errors: string[] = [];
+    onBackgroundError((error) => errors.push(String(error)));
+    let isNotified = false;
+    connection.onClose(() => {
+      throw new Error('a');
+    });
+    connection.onClose(() => (isNotified = true));
+    await server.stop();
+    await waitUntil(() => isNotified, 2_000);
+    onBackgroundError(undefined);
+    await reservation.release();
+    expect(isNotified).to.equal(true);
+    expect(errors).to.deep.equal(['Error: a']);
+  });
+
   // Guards against the loss of all peers after a standstill: the heartbeat ran before the messages that had arrived
   // meanwhile were received, and took their senders for silent (issue 30, first matter).
   it('stays open when its process stood still while the peer sent messages', async () => {
