--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -11,6 +11,11 @@
  * reaches this router, which takes up to two seconds, and their requests take time to arrive.
  */
 const CLOSE_DELAY_MS = 3_000;
+/**
+ * Number of requests on one connection that may wait for their responses; further ones are not read until one is complete.
+ * What has been read by then is served too.
+ */
+const MAX_OPEN_RESPONSES = 100;
 /** Response to a request whose head takes too long. */
 const LATE_HEAD_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -82,6 +87,8 @@
       receivedBytes: 0,
       idleTimeoutMs: this.idleTimeoutMs,
     });
+    // Node.js resumes the connection for the body of each request.
+    socket.on('resume', () => pauseIfFull(socket, openResponses));
     socket.once('close', () => {
       this.states.delete(socket);
       closeQueued(openResponses);
@@ -100,9 +107,13 @@
     }
     state.requestCount++;
     state.openResponses.add(response);
+    pauseIfFull(socket, state.openResponses);
     state.idleTimeoutMs = this.idleTimeoutMs;
     response.once('close', () => {
       state.openResponses.delete(response);
+      if (state.openResponses.size === MAX_OPEN_RESPONSES - 1) {
+        socket.resume();
+      }
       this.recordActivity(socket, state);
     });
   }
@@ -211,6 +222,13 @@
   }
 }
 
+/** Stops reading from a connection with too many open responses. */
+function pauseIfFull(socket: Socket, openResponses: ReadonlySet<ServerResponse>): void {
+  if (openResponses.size >= MAX_OPEN_RESPONSES) {
+    socket.pause();
+  }
+}
+
 /** Closes the responses that waited for an earlier one on their connection, which Node.js does not when it is closed. */
 function closeQueued(openResponses: ReadonlySet<ServerResponse>): void {
   for (const response of [...openResponses]) {
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -70,4 +70,40 @@
     expect([getRunIds().length, closedCount]).to.deep.equal([3, 3]);
     expect(bench.bodyBudget.tryTake(BUDGET_BYTES)).to.equal(true);
   });
+
+  // Issue 39, FAULT: all requests on a connection were read and served at once, until the heap was full.
+  it('are not read while many wait for their responses, and are all answered then', async () => {
+    const requestCount = 600;
+    // A read of 64 KiB contains about 30 requests.
+    const padding = `X-Padding: ${'x'.repeat(2_000)}`;
+    const held: (() => void)[] = [];
+    let isHolding = true;
+    await bench.close();
+    bench = new RouterBench();
+    await bench.addServer(
+      'p',
+      (incoming, response) => {
+        const respond = () => response.writeHead(200, makeResponseHeaders(incoming)).end('ok');
+        if (isHolding) {
+          held.push(respond);
+        } else {
+          respond();
+        }
+      },
+      ORDERS,
+    );
+    await bench.start([{ ...ONCE_ROUTE, timeoutMs: 15_000 }]);
+    connection = new CallerConnection(bench.callerPort);
+    const requests = Array.from({ length: requestCount }, (_, index) => makeRequest(`r${index}`, [padding]));
+    connection.write(requests.join(''));
+    await waitUntil(() => held.length === requestCount, 3_000);
+    expect(held.length).to.be.within(100, 200);
+    isHolding = false;
+    for (const respond of held) {
+      respond();
+    }
+    const countAnswers = () => connection.received.match(/HTTP\/1\.1 200/g)?.length ?? 0;
+    await waitUntil(() => countAnswers() === requestCount, 12_000);
+    expect(countAnswers()).to.equal(requestCount);
+  }).timeout(25_000);
 });
