--- a/src/direct/decisions/AdapterUsage.ts
+++ b/src/direct/decisions/AdapterUsage.ts
@@ -1,4 +1,8 @@
 import type { EngineReport } from './ServerEntry.js';
+import { setNewest } from './setNewest.js';
+
+/** Maximum number of recorded adapters, whose names callers choose; the least recently used one is discarded first. */
+const MAX_ADAPTERS = 1_000;
 
 /** Adapter that is loaded on an engine, with its model. */
 export interface HeldAdapter {
@@ -17,7 +21,7 @@
    * @param nowMs - Current time.
    */
   recordUse(model: string, adapter: string, nowMs: number): void {
-    this.usedAtMs.set(getKey(model, adapter), nowMs);
+    setNewest(this.usedAtMs, getKey(model, adapter), nowMs, MAX_ADAPTERS);
   }
 
   /**
