--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -5,6 +5,7 @@
 export * from './RequestLimits.js';
 export * from './ResponseProgress.js';
 export * from './EventSplitter.js';
+export * from './followsEvent.js';
 export * from './ByteBudget.js';
 export * from './SharedRetryBudget.js';
 export * from './StoreEras.js';
--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -233,4 +233,35 @@
       expect(status).to.equal(Number(other.statusLine.slice(0, 3)));
     });
   }
+
+  /** Streams of servers that begin anew instead of after the last event. */
+  const REPEATS = {
+    'from its first event': ALL_EVENTS,
+    'from its last event': SECOND_EVENT + THIRD_EVENT,
+  };
+  for (const version of ['1.0', '1.1'] as const) {
+    for (const [name, text] of Object.entries(REPEATS)) {
+      const begun = FIRST_EVENT + SECOND_EVENT;
+      // Issue 39, ORDER: events that the caller had were passed on again.
+      it(`has no event twice for a caller of HTTP/${version} if the next server sends it ${name}`, async () => {
+        const received = await requestFrom(
+          [answerChunks(begun, 'reset', false), answerChunks(text, 'open', true)],
+          version,
+        );
+        expect([received.text, received.isComplete]).to.deep.equal([begun, false]);
+      });
+
+      it(`goes on for a caller of HTTP/${version} at a third server if the next one sends it ${name}`, async () => {
+        const received = await requestFrom(
+          [
+            answerChunks(begun, 'reset', false),
+            answerChunks(text, 'open', true),
+            answerChunks(THIRD_EVENT, 'open', true),
+          ],
+          version,
+        );
+        expect([received.text, received.isComplete]).to.deep.equal([ALL_EVENTS, true]);
+      });
+    }
+  }
 });
