--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -146,11 +146,19 @@
     this.wasBrokenOff ||= cause !== 'silence';
   }
 
+  /** Whether events without ids were passed on, so that no server can continue after the last of them. */
+  private get isPlaceUnknown(): boolean {
+    return this.progressAtMs !== undefined && this.progressEventId === undefined;
+  }
+
   /**
    * Finds the next server for the request.
    * @param counts - Numbers of attempts so far.
    */
   async findServer({ sendCount, runCount }: AttemptCounts): Promise<SearchResult> {
+    if (this.isPlaceUnknown) {
+      return { kind: 'refused', detail: 'the events of the stream have no ids' };
+    }
     if (!(await this.ensureOrigin())) {
       return { kind: 'refused', detail: 'the software version that began the stream is not known' };
     }
@@ -168,7 +176,7 @@
    * @param serverId - The silent server.
    */
   async replaceSilent(attempt: BackendAttempt, serverId: ServerId): Promise<void> {
-    if (this.replacedAttempts.has(attempt)) {
+    if (this.replacedAttempts.has(attempt) || this.isPlaceUnknown) {
       return;
     }
     this.replacedAttempts.add(attempt);
--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -264,4 +264,14 @@
       });
     }
   }
+
+  const EVENT_WITHOUT_ID = 'data: one\n\n';
+  for (const end of ['reset', 'open'] as const) {
+    // Issue 39, ORDER: events without ids were passed on again from the first one.
+    it(`is not begun anew if its events have no ids and it is ${end === 'reset' ? end : 'silent'}`, async () => {
+      const whole = answerChunks(EVENT_WITHOUT_ID.repeat(2), 'open', true);
+      const received = await requestFrom([answerChunks(EVENT_WITHOUT_ID, end, false), whole]);
+      expect([received.text, received.isComplete]).to.deep.equal([EVENT_WITHOUT_ID, false]);
+    });
+  }
 });
