--- a/test/admin/AdminServer.test.ts
+++ b/test/admin/AdminServer.test.ts
@@ -2,7 +2,8 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import { AdminServer } from '../../src/admin/index.js';
-import { Metrics } from '../../src/telemetry/index.js';
+import { SystemClock } from '../../src/kernel/index.js';
+import { Log, Metrics } from '../../src/telemetry/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 
 const HOST = '127.0.0.1';
@@ -16,11 +17,14 @@
     beforeEach(async () => {
       reservation = await LoopbackReservation.create();
       port = await reservation.takePort();
-      server = new AdminServer({ host: HOST, port }, 'token', new Metrics(), {
-        isReady: () => true,
-        getStatus: () => ({}),
-        explain: () => undefined,
-      });
+      const metrics = new Metrics();
+      server = new AdminServer(
+        { host: HOST, port },
+        'token',
+        metrics,
+        { isReady: () => true, getStatus: () => ({}), explain: () => undefined },
+        { clock: new SystemClock(), log: new Log('test', () => undefined), metrics },
+      );
       await server.start();
     });
 
