--- a/test/soak/SoakFaultInjector.ts
+++ b/test/soak/SoakFaultInjector.ts
@@ -5,6 +5,7 @@
 import type { InjectedViolation } from './soak.js';
 import { GRACE_MS, type SoakFleet, type SoakProcess } from './SoakFleet.js';
 import type { SoakRecorder } from './SoakRecorder.js';
+import type { SoakSignals } from './SoakSignals.js';
 
 /** Range of the random part of the interval between two faults, in milliseconds; faults may last longer, so they overlap. */
 const FAULT_INTERVAL_RANGE_MS = 900;
@@ -39,6 +40,7 @@
     private readonly fleet: SoakFleet,
     private readonly recorder: SoakRecorder,
     private readonly random: Random,
+    private readonly signals: SoakSignals,
     private readonly injectedViolation: InjectedViolation | undefined,
   ) {
     this.recorder.routeChanges.push({ atMs: 0, service: this.routedService });
@@ -204,6 +206,9 @@
     this.recordFault(`${process.name} ${signal}`);
     process.disturbedAtMs = Date.now();
     child.kill(signal);
+    if (signal === 'SIGTERM') {
+      this.signals.repeat(process, signal);
+    }
     await Promise.race([once(child, 'exit'), sleepMs(GRACE_MS + GRACE_SLACK_MS)]);
     if (child.exitCode === null && child.signalCode === null) {
       this.recorder.reportedViolations.push(
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -33,6 +33,8 @@
   disturbedAtMs: number;
   /** Its output, as lines. */
   readonly output: string[];
+  /** Whether the process has written anything since its last start, which shows that it handles signals. */
+  hasWritten: boolean;
 }
 
 /** Routers and agents that run as processes, and in-process stand-ins for the store and the workers. */
@@ -164,8 +166,17 @@
   /** Starts a process, for the first time or after it has exited. */
   spawn(process: SoakProcess): void {
     process.disturbedAtMs = Date.now();
-    const collect = (text: string) => process.output.push(...text.split('\n'));
-    process.child = startProgram(this.bundle, process.settingsFile, collect, PRELOADED_URL);
+    process.hasWritten = false;
+    const child = startProgram(
+      this.bundle,
+      process.settingsFile,
+      (text) => {
+        process.output.push(...text.split('\n'));
+        process.hasWritten ||= process.child === child;
+      },
+      PRELOADED_URL,
+    );
+    process.child = child;
   }
 
   private async startWorkers(): Promise<void> {
@@ -205,6 +216,14 @@
       engineAddress: isRouter ? undefined : `${ip}:${PORTS.worker}`,
     });
     await writeFile(settingsFile, JSON.stringify(settings));
-    this.processes.push({ name, ip, isRouter, settingsFile, disturbedAtMs: Date.now(), output: [] });
+    this.processes.push({
+      name,
+      ip,
+      isRouter,
+      settingsFile,
+      disturbedAtMs: Date.now(),
+      output: [],
+      hasWritten: false,
+    });
   }
 }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -5,6 +5,7 @@
 import { SoakFaultInjector } from './SoakFaultInjector.js';
 import { SoakFleet, type SoakProcess } from './SoakFleet.js';
 import { SoakRecorder } from './SoakRecorder.js';
+import { SoakSignals } from './SoakSignals.js';
 import { DELAY_PREFIX, formatDelay, watchEventLoop } from './watchEventLoop.js';
 
 /** Deliberately injected violations, each of which an oracle must detect. */
@@ -47,6 +48,7 @@
 const RECOVERY_TIMEOUT_MS = 8_000;
 /** Difference between the seeds of the faults and of everything else, so that neither depends on the timing of the other. */
 const FAULT_SEED_OFFSET = 1_000_000;
+const SIGNAL_SEED_OFFSET = 2_000_000;
 /** Probability that a worker injects a fault into a request. */
 const WORKER_FAULT_PROBABILITY = 0.04;
 /** Probability that a response of a worker ends with its connection. */
@@ -90,7 +92,14 @@
   );
   const watch = watchEventLoop((delay) => recorder.ownDelays.push(delay));
   const callers = new SoakCallers(fleet, recorder, random);
-  const faultInjector = new SoakFaultInjector(fleet, recorder, faultRandom, options.injectedViolation);
+  const signals = new SoakSignals(fleet, recorder, new Random(options.seed + SIGNAL_SEED_OFFSET));
+  const faultInjector = new SoakFaultInjector(
+    fleet,
+    recorder,
+    faultRandom,
+    signals,
+    options.injectedViolation,
+  );
   try {
     await fleet.start();
     const isReady = await callers.waitUntilAllComplete(READY_TIMEOUT_MS);
@@ -98,10 +107,12 @@
       recorder.reportedViolations.push('not ready in time');
     }
     callers.start();
+    signals.start();
     faultInjector.start();
     isFaultFree = false;
     await sleepMs(options.durationMs);
     await faultInjector.stop();
+    await signals.stop();
     isFaultFree = true;
     if (!(await callers.waitUntilAllComplete(RECOVERY_TIMEOUT_MS))) {
       recorder.reportedViolations.push('not recovered in time');
