--- a/test/soak/SoakSignals.ts
+++ b/test/soak/SoakSignals.ts
@@ -11,8 +11,8 @@
 const SIGNAL_INTERVAL_RANGE_MS = 60;
 /** Interval at which the processes are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 10;
-/** Start of the log message of an error that nothing handles. */
-const UNCAUGHT_MARK = 'uncaught error';
+/** Log messages on errors that nothing expects. */
+const ERROR_MESSAGES = ['uncaught error', 'background task failed'];
 
 /**
  * Sends signals that no caller must notice: SIGHUP in series, also as soon as a process has started, and repeated signals to
@@ -33,7 +33,7 @@
     this.running = Promise.all([this.sendSeries(), this.watchStarts()]);
   }
 
-  /** Sends no further signals, and reports processes that have ended or logged an error that nothing handles. */
+  /** Sends no further signals, and reports processes that have ended or logged an error that nothing expects. */
   async stop(): Promise<void> {
     this.isStopped = true;
     await this.running;
@@ -41,7 +41,7 @@
       if (child?.exitCode !== null || child.signalCode !== null) {
         this.recorder.reportedViolations.push(`${name} has ended by itself`);
       }
-      for (const line of output.filter((text) => text.includes(UNCAUGHT_MARK))) {
+      for (const line of output.filter((text) => ERROR_MESSAGES.some((message) => text.includes(message)))) {
         this.recorder.reportedViolations.push(`${name}: ${line}`);
       }
     }
