--- a/src/router/ResponseWriter.ts
+++ b/src/router/ResponseWriter.ts
@@ -8,11 +8,18 @@
 } from '../domain/index.js';
 import type { ResponseSink, RequestTiming } from './RequestHandler.js';
 
+/** End of an event of a stream. */
+const EVENT_END = /\n\r?\n$/;
+/** Length of the longest end of an event. */
+const MAX_EVENT_END_LENGTH = 3;
+
 /** Writes a response to the caller: event streams chunk by chunk, all other responses when they are complete. */
 export class ResponseWriter implements ResponseSink {
   private head: ResponseHead | undefined;
   private buffered: string[] = [];
   private delivered = false;
+  /** Last characters of the stream so far. */
+  private tail = '';
 
   /**
    * @param response - HTTP response to the caller.
@@ -40,6 +47,7 @@
       this.delivered = true;
       this.writeHead({});
     }
+    this.tail = (this.tail + chunk.text).slice(-MAX_EVENT_END_LENGTH);
     this.response.write(chunk.text);
   }
 
@@ -70,12 +78,13 @@
 
   /**
    * @param refusal - Refusal to send; a partially sent response is aborted, so that the caller does not take it for
-   * complete.
+   * complete. The refusal is its last event, unless the stream broke off within an event, to which it would be joined.
    */
   refuse(refusal: Refusal): void {
     const body = toProblem(refusal);
     if (this.delivered) {
-      this.response.write(`data: ${JSON.stringify(body)}\n\n`, () => this.response.destroy());
+      const lastEvent = EVENT_END.test(this.tail) ? `data: ${JSON.stringify(body)}\n\n` : '';
+      this.response.write(lastEvent, () => this.response.destroy());
       return;
     }
     const headers: Record<string, string> = {
