--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import type { Socket } from 'node:net';
+import { ByteBudget, type Route } from '../../src/direct/index.js';
 import { Log } from '../../src/telemetry/index.js';
 import { makeRoute } from './fleetFixtures.js';
 import { requestRaw, type RawResponse } from './requestRaw.js';
@@ -7,6 +8,10 @@
 
 /** Time between the last byte of an answer and the end of its connection, in milliseconds. */
 const END_DELAY_MS = 20;
+/** Limits of streams whose servers fall silent, so that the silence and the deadline come early. */
+const SHORT_LIMITS = { timeoutMs: 700, maxGapMs: 20 };
+/** Retry budget that is exhausted from the start. */
+const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 10_000 };
 const EVENTS = ['id: 1\ndata: one\n\n', 'id: 2\ndata: two\n\n', 'id: 3\ndata: three\n\n'];
 const [FIRST_EVENT = '', SECOND_EVENT = '', THIRD_EVENT = ''] = EVENTS;
 const ALL_EVENTS = EVENTS.join('');
@@ -139,9 +144,10 @@
     answers: readonly ServerAnswer[],
     version: '1.0' | '1.1' = '1.1',
     headers: readonly string[] = [],
+    limits: Partial<Route> = {},
   ): Promise<RawResponse> {
     await addServers(answers);
-    await bench.start([makeRoute({ maxAttempts: 3 })]);
+    await bench.start([makeRoute({ maxAttempts: 3, ...limits })]);
     return requestRaw(bench.callerPort, version, headers);
   }
 
@@ -274,4 +280,43 @@
       expect([received.text, received.isComplete]).to.deep.equal([EVENT_WITHOUT_ID, false]);
     });
   }
+
+  for (const version of ['1.0', '1.1'] as const) {
+    describe(`to a caller of HTTP/${version}`, () => {
+      async function expectBrokenOff(
+        answers: readonly ServerAnswer[],
+        limits: Partial<Route> = {},
+      ): Promise<void> {
+        const { status, text, isComplete } = await requestFrom(answers, version, [], limits);
+        expect([status, text, isComplete]).to.deep.equal([200, FIRST_EVENT, false]);
+        expect(log.endedRequests.map(({ isCut }) => isCut)).to.deep.equal([true]);
+      }
+
+      it('is not complete if no other server is left', () => expectBrokenOff([anyBreak]));
+
+      it('is not complete if the retry budget is exhausted', () => {
+        bench.retryLimits = NO_RETRIES;
+        return expectBrokenOff([anyBreak, answerChunks(SECOND_EVENT, 'open', true)]);
+      });
+
+      it('is not complete if the time is over while the next server is silent', () =>
+        expectBrokenOff([anyBreak, answerChunks('', 'open', false)], SHORT_LIMITS));
+
+      it('is not complete if there is no memory for the next answer', () => {
+        bench.bufferBudget = new ByteBudget(0);
+        return expectBrokenOff([anyBreak, answerWhole('500 Internal Server Error', '', 'failed')]);
+      });
+
+      for (const [name, other] of Object.entries(OTHER_ANSWERS)) {
+        it(`is not complete if its server is silent and the next one answers with ${name}`, () =>
+          expectBrokenOff([answerChunks(FIRST_EVENT, 'open', false), other, other], SHORT_LIMITS));
+
+        it(`is not complete after a second break and ${name}`, async () => {
+          const answers = [anyBreak, answerChunks(`${SECOND_EVENT}id: 3`, 'closed', false), other];
+          const { status, text, isComplete } = await requestFrom(answers, version);
+          expect([status, text, isComplete]).to.deep.equal([200, FIRST_EVENT + SECOND_EVENT, false]);
+        });
+      }
+    });
+  }
 });
