--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -12,6 +12,8 @@
 const SHORT_LIMITS = { timeoutMs: 700, maxGapMs: 20 };
 /** Retry budget that is exhausted from the start. */
 const NO_RETRIES = { ratio: 0, slack: 0, windowMs: 10_000 };
+/** Time for which a server is silent before it goes on, in milliseconds. */
+const SILENCE_MS = 300;
 const EVENTS = ['id: 1\ndata: one\n\n', 'id: 2\ndata: two\n\n', 'id: 3\ndata: three\n\n'];
 const [FIRST_EVENT = '', SECOND_EVENT = '', THIRD_EVENT = ''] = EVENTS;
 const ALL_EVENTS = EVENTS.join('');
@@ -319,4 +321,28 @@
       }
     });
   }
+
+  for (const [name, other] of Object.entries(OTHER_ANSWERS)) {
+    // Issue 39, service: a silent server was left for one that answered with something else than the rest.
+    it(`is completed by its silent server if the next one answers with ${name}`, async () => {
+      let requestCount = 0;
+      for (const id of ['e', 'ee', 'eee']) {
+        await bench.addSocketServer(id, (socket) => {
+          socket.once('data', () => {
+            if (++requestCount > 1) {
+              send(socket, other);
+              return;
+            }
+            send(socket, answerChunks(FIRST_EVENT, 'open', false));
+            const rest = formatChunk(SECOND_EVENT + THIRD_EVENT) + LAST_CHUNK;
+            setTimeout(() => socket.write(rest), SILENCE_MS);
+          });
+        });
+      }
+      await bench.start([makeRoute({ maxAttempts: 3, maxGapMs: SHORT_LIMITS.maxGapMs })]);
+      const { text, isComplete } = await requestRaw(bench.callerPort, '1.1');
+      expect([text, isComplete]).to.deep.equal([ALL_EVENTS, true]);
+      expect(requestCount).to.be.greaterThan(1);
+    });
+  }
 });
