--- a/src/home/ClaimsService.ts
+++ b/src/home/ClaimsService.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../kernel/index.js';
+import { runInBackground, type Clock } from '../kernel/index.js';
 import {
   AGENT_METHODS,
   CLAIM_PREFIX,
@@ -10,6 +10,7 @@
 } from '../domain/index.js';
 import { updateAndResolve, type ObjectStore } from '../platform/index.js';
 import type { PeerDialer } from '../transport/index.js';
+import { checkClaimParams, checkOutcomeParams } from './checkClaimParams.js';
 import {
   ClaimLog,
   type AttemptStatusResult,
@@ -47,8 +48,10 @@
   /**
    * Requests a claim.
    * @param params - The claim.
+   * @throws TypeError when the claim is malformed.
    */
   claim(params: ClaimParams): Promise<ClaimReply> {
+    checkClaimParams(params);
     const shard = this.getShard(params.claimShard);
     return new Promise((resolve) => {
       shard.claimReplies.set(shard.log.claim(params, this.clock.nowMs()), resolve);
@@ -59,8 +62,10 @@
   /**
    * Records an outcome; false when it could not be recorded.
    * @param params - The outcome.
+   * @throws TypeError when the outcome is malformed.
    */
   recordOutcome(params: OutcomeParams): Promise<boolean> {
+    checkOutcomeParams(params);
     const shard = this.getShard(params.claimShard);
     return new Promise((resolve) => {
       shard.outcomeReplies.set(shard.log.recordOutcome(params, this.clock.nowMs()), resolve);
@@ -84,7 +89,10 @@
 
   private executeCommands(name: string, shard: Shard): void {
     for (const command of shard.log.takeCommands()) {
-      void this.executeCommand(name, shard, command).then(() => this.executeCommands(name, shard));
+      runInBackground('command of a claim log', async () => {
+        await this.executeCommand(name, shard, command);
+        this.executeCommands(name, shard);
+      });
     }
   }
 
