--- a/src/agent/AttemptRunner.ts
+++ b/src/agent/AttemptRunner.ts
@@ -1,4 +1,4 @@
-import { delay, type Clock } from '../kernel/index.js';
+import { delay, runInBackground, type Clock } from '../kernel/index.js';
 import type { AttemptId, ResponseEnd, RefusalReason, RunParams, RunReply } from '../domain/index.js';
 import { ROUTER_METHODS } from '../domain/index.js';
 import type { Metrics } from '../telemetry/index.js';
@@ -76,10 +76,12 @@
     this.running.set(params.attemptId, attempt);
     this.exclusiveCount += params.alone ? 1 : 0;
     const deadline = this.clock.schedule(params.remainingMs, () => attempt.abortController.abort());
-    void this.runToEnd(params, attempt).finally(() => {
-      deadline.cancel();
-      this.onAttemptEnded(params);
-    });
+    runInBackground('attempt', () =>
+      this.runToEnd(params, attempt).finally(() => {
+        deadline.cancel();
+        this.onAttemptEnded(params);
+      }),
+    );
     return { kind: 'accepted' };
   }
 
--- a/src/agent/ResidencyService.ts
+++ b/src/agent/ResidencyService.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../kernel/index.js';
+import { runInBackground, type Clock } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
 import type { PlacementOffer, ServerId } from '../domain/index.js';
 import type { BackendClient } from './BackendClient.js';
@@ -146,7 +146,7 @@
     this.pollsSinceRead++;
     const isStateUncertain = this.failedReadCount > 0 || this.latestState === undefined;
     if (isStateUncertain || this.controller.isBusy || this.pollsSinceRead >= IDLE_POLLS_PER_READ) {
-      void this.refresh();
+      runInBackground('read of the state of the engine', () => this.refresh());
     }
   }
 
@@ -175,7 +175,7 @@
   /** Sends the orders that the controller has planned, and notifies the listeners. */
   sendOrdersAndNotify(): void {
     for (const order of this.controller.takeOrders()) {
-      void this.executeOrder(order);
+      runInBackground('order to the engine', () => this.executeOrder(order));
     }
     for (const listener of this.changeListeners) {
       listener();
@@ -188,8 +188,12 @@
       this.getCacheTier(order.itemId),
       this.permitSourceByItem.get(order.itemId),
     );
-    const result = await this.backend.sendOrder(order);
-    slot.release();
+    let result;
+    try {
+      result = await this.backend.sendOrder(order);
+    } finally {
+      slot.release();
+    }
     this.controller.onOrderResult(order, result, this.clock.nowMs());
     this.sendOrdersAndNotify();
   }
--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { ServerResponse } from 'node:http';
-import { PeriodicTask, type Clock } from '../kernel/index.js';
+import { PeriodicTask, runInBackground, type Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { pollSockets } from '../transport/index.js';
 
@@ -183,7 +183,7 @@
       }
     }
     if (expired.length > 0) {
-      void this.closeIfExpired(expired);
+      runInBackground('closing of idle connections', () => this.closeIfExpired(expired));
     }
   }
 
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket, type AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
+import { delay, runInBackground, type Clock, type Random, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
 import {
@@ -197,7 +197,7 @@
       receivedBytes: socket instanceof Socket ? socket.bytesRead : -1,
     });
     if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket instanceof Socket) {
-      void this.connections.endLate(socket);
+      runInBackground('refusal of a late head', () => this.connections.endLate(socket));
       return;
     }
     const response = socket instanceof Socket ? this.connections.getOpenResponse(socket) : undefined;
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -1,4 +1,4 @@
-import { delay, type Clock, type Service } from '../kernel/index.js';
+import { delay, keepRunning, type Clock, type Service } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
@@ -104,7 +104,7 @@
   }
 
   start(): Promise<void> {
-    void this.runLoop();
+    keepRunning('control of the engine', this.deps.clock, () => this.runLoop());
     return Promise.resolve();
   }
 
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -1,4 +1,4 @@
-import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
+import { delay, keepRunning, type Clock, type Random, type Service } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type {
@@ -73,8 +73,9 @@
 
   start(): Promise<void> {
     this.expiryTask.start();
-    void this.watchServers();
-    void this.watchConfiguration();
+    const { clock } = this.deps;
+    keepRunning('watch of servers', clock, () => this.watchServers());
+    keepRunning('watch of configuration', clock, () => this.watchConfiguration());
     return Promise.resolve();
   }
 
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -1,6 +1,6 @@
 import type { ServerId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import { delay, type Clock } from '../kernel/index.js';
+import { delay, runInBackground, type Clock } from '../kernel/index.js';
 import type { AttemptEnd, BreakCause } from './attemptEnds.js';
 import type { BackendAttempt } from './BackendAttempt.js';
 import type {
@@ -206,7 +206,7 @@
     this.keepingAttempt = silent;
     const sent = this.attempts.send(next);
     this.replacements.push(sent);
-    void next.attempt.run();
+    runInBackground('attempt', () => next.attempt.run());
     await this.waitForHandover(silent, next.attempt);
     if (this.keepingAttempt === silent) {
       this.keepingAttempt = undefined;
--- a/src/home/AgentConnections.ts
+++ b/src/home/AgentConnections.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../kernel/index.js';
+import { runInBackground, type Clock } from '../kernel/index.js';
 import { AGENT_METHODS, type FollowParams, type ReplicaReport } from '../domain/index.js';
 import type { PeerConnection, PeerDialer } from '../transport/index.js';
 
@@ -53,7 +53,7 @@
       previous?.address === address && previous.placement?.version === params.placement?.version;
     this.followed.set(key, { ...params, address, serverId });
     if (!isUnchanged) {
-      void this.connect(key);
+      runInBackground('connection to an agent', () => this.connect(key));
     }
   }
 
@@ -109,7 +109,7 @@
     }
     const latest = this.followed.get(key);
     if (latest && sentParams && latest !== sentParams) {
-      void this.connect(key);
+      runInBackground('connection to an agent', () => this.connect(key));
     }
   }
 
@@ -121,6 +121,6 @@
     this.listener.onServerLost(target.serverId);
     const delayMs = this.reconnectMs.get(key) ?? MIN_RECONNECT_MS;
     this.reconnectMs.set(key, Math.min(MAX_RECONNECT_MS, delayMs * 2));
-    this.clock.schedule(delayMs, () => void this.connect(key));
+    this.clock.schedule(delayMs, () => runInBackground('connection to an agent', () => this.connect(key)));
   }
 }
--- a/src/home/SchedulerService.ts
+++ b/src/home/SchedulerService.ts
@@ -1,4 +1,4 @@
-import type { Clock, Service } from '../kernel/index.js';
+import { runInBackground, type Clock, type Service } from '../kernel/index.js';
 import { delay, PeriodicTask } from '../kernel/index.js';
 import {
   AGENT_METHODS,
@@ -211,7 +211,7 @@
     const ownedModel: OwnedModel = { scheduler, followedServers: new Set(), isUnderReview: false };
     this.ownedModels.set(model.modelId, ownedModel);
     this.followServers(model, ownedModel);
-    void this.review(model, ownedModel);
+    runInBackground('review of a placement', () => this.review(model, ownedModel));
     return ownedModel;
   }
 
@@ -247,7 +247,7 @@
     if (model && this.deps.membership.isOwnerOf(modelId, this.deps.clock.nowMs())) {
       const owned = ownedModel ?? this.getOrAddModel(model);
       this.followServers(model, owned);
-      void this.review(model, owned);
+      runInBackground('review of a placement', () => this.review(model, owned));
     } else if (ownedModel) {
       this.removeModel(modelId, ownedModel);
     }
@@ -269,10 +269,13 @@
       return;
     }
     ownedModel.isUnderReview = true;
-    const isUnchanged = await this.deps.reviewer.review(model, ownedModel.scheduler);
-    ownedModel.isUnderReview = false;
-    if (!isUnchanged) {
-      this.reviewQueue.add(model.modelId);
+    try {
+      const isUnchanged = await this.deps.reviewer.review(model, ownedModel.scheduler);
+      if (!isUnchanged) {
+        this.reviewQueue.add(model.modelId);
+      }
+    } finally {
+      ownedModel.isUnderReview = false;
     }
   }
 
@@ -332,10 +335,12 @@
           this.replyRefused(command);
           break;
         case 'wake':
-          void this.requestLoad(model, command.serverId, command.keepAliveMs);
+          runInBackground('load request', () =>
+            this.requestLoad(model, command.serverId, command.keepAliveMs),
+          );
           break;
         case 'quarantine':
-          void this.quarantines.add(command.fingerprint, model.modelId);
+          runInBackground('quarantine', () => this.quarantines.add(command.fingerprint, model.modelId));
           break;
       }
     }
--- a/src/router/AttemptClient.ts
+++ b/src/router/AttemptClient.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '../kernel/index.js';
+import { runInBackground, type Clock, type Timer } from '../kernel/index.js';
 import {
   AGENT_METHODS,
   type ResponseChunk,
@@ -107,7 +107,7 @@
         resuming: false,
       };
       this.active.set(params.attemptId, attempt);
-      void this.send(attempt);
+      runInBackground('attempt', () => this.send(attempt));
     });
   }
 
@@ -175,7 +175,7 @@
         attempt.listener.onChunk(step.chunk);
         return;
       case 'resume':
-        void this.resume(attempt);
+        runInBackground('attempt that is resumed', () => this.resume(attempt));
         return;
       case 'finished':
         attempt.settle(toResult(step.end));
@@ -201,7 +201,7 @@
         attempt.settle({ ...reply, kind: 'didNotRun', source: 'agentRefusal' });
       }
     } catch {
-      void this.resume(attempt);
+      runInBackground('attempt that is resumed', () => this.resume(attempt));
     }
   }
 
@@ -210,7 +210,7 @@
     const release = connection.acquire();
     const stopListening = connection.onClose(() => {
       this.metrics.count('attempts_connection_lost');
-      void this.resume(attempt);
+      runInBackground('attempt that is resumed', () => this.resume(attempt));
     });
     attempt.releaseConnection = () => {
       release();
--- a/src/state/StateWatcher.ts
+++ b/src/state/StateWatcher.ts
@@ -1,4 +1,4 @@
-import { delay, type Clock, type Random, type Service } from '../kernel/index.js';
+import { delay, keepRunning, type Clock, type Random, type Service } from '../kernel/index.js';
 import { ROUTER_METHODS, STATE_PREFIX } from '../domain/index.js';
 import type { InstanceList, ObjectStore } from '../platform/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
@@ -47,9 +47,10 @@
     if (!this.platformUp) {
       await this.pull();
     }
-    void this.watchState();
-    void this.watchInstances();
-    void this.pullPeriodically();
+    const { clock } = this.deps;
+    keepRunning('watch of the state', clock, () => this.watchState());
+    keepRunning('watch of the instances', clock, () => this.watchInstances());
+    keepRunning('pull from other routers', clock, () => this.pullPeriodically());
   }
 
   stop(): Promise<void> {
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -6,7 +6,7 @@
   type ReportChanges,
 } from '../../src/direct/index.js';
 import { toFollowParams, type EngineCrashesParams } from '../../src/direct/messages.js';
-import { delay, SystemClock } from '../../src/kernel/index.js';
+import { delay, onBackgroundError, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import type { PeerConnection } from '../../src/transport/index.js';
 import { makeProfile } from './fleetFixtures.js';
@@ -58,6 +58,22 @@
     await delay(CLOCK, 350);
   });
 
+  // Issue 39, FAULT: an exception in the loop ended the agent, or left its engine without control.
+  it('goes on after an exception, and reports it', async () => {
+    const failedTasks: string[] = [];
+    onBackgroundError((_error, task) => failedTasks.push(task));
+    engine.isFaulty = true;
+    await delay(CLOCK, 700);
+    engine.isFaulty = false;
+    const reportCount = router.reports.length;
+    engine.heldModels = [];
+    await delay(CLOCK, 2_000);
+    onBackgroundError(undefined);
+    expect(failedTasks.length).to.be.greaterThan(0);
+    expect(new Set(failedTasks)).to.deep.equal(new Set(['control of the engine']));
+    expect(router.reports.length).to.be.greaterThan(reportCount);
+  });
+
   afterEach(() => controller.stop());
 
   function heldNames(): string[] {
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -9,7 +9,7 @@
   type ServerListing,
   type SourceFailure,
 } from '../../src/direct/index.js';
-import { Random } from '../../src/kernel/index.js';
+import { onBackgroundError, Random } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
 import { flushPromises } from '../waiting.js';
@@ -21,6 +21,8 @@
 class ScriptedSource extends FleetSource {
   /** Pending calls, oldest first. */
   readonly pendingCalls: { readonly name: string; readonly resolve: (result: SourceResult) => void }[] = [];
+  /** Number of next calls that fail with an exception. */
+  failingCallCount = 0;
   isClosed = false;
 
   override listServers(): Promise<ServerListing | SourceFailure> {
@@ -44,6 +46,10 @@
   }
 
   private call<T extends SourceResult>(name: string): Promise<T> {
+    if (this.failingCallCount > 0) {
+      this.failingCallCount--;
+      return Promise.reject(new Error('the answer cannot be read'));
+    }
     return new Promise((resolve) => {
       this.pendingCalls.push({ name, resolve: (result) => resolve(result as T) });
     });
@@ -126,6 +132,21 @@
 
 describe('FleetWatcher', () => {
   describe('start', () => {
+    // Issue 39, FAULT: an exception in a watch ended the process, or left it without that watch.
+    it('watches again after an exception, and reports it', async () => {
+      const failedTasks: string[] = [];
+      onBackgroundError((_error, task) => failedTasks.push(task));
+      const bench = new WatcherBench();
+      await bench.resolveCall('list', LISTED);
+      bench.source.failingCallCount = 1;
+      await bench.resolveCall('watch servers', GONE_X);
+      expect(bench.pendingCallNames).to.deep.equal(['read configuration']);
+      await bench.advance(5_000);
+      onBackgroundError(undefined);
+      expect(failedTasks).to.deep.equal(['watch of servers']);
+      expect(bench.pendingCallNames).to.include('list servers');
+    });
+
     it('lists once and watches from the revision of the list', async () => {
       const bench = new WatcherBench();
       expect(bench.pendingCallNames).to.deep.equal(['list servers', 'read configuration']);
--- a/test/direct/SlowEngine.ts
+++ b/test/direct/SlowEngine.ts
@@ -15,12 +15,17 @@
   heldModels: HeldModel[] = [makeHeldModel('b'), makeHeldModel('c')];
   readonly orders: ResidencyOrder[] = [];
   isDown = false;
+  /** Whether reading a report fails with an exception. */
+  isFaulty = false;
   /** Number of next orders that get no response and are not carried out. */
   unansweredCount = 0;
   private orderCount = 0;
   private busyUntilMs = 0;
 
   override readReport(): Promise<EngineReport | undefined> {
+    if (this.isFaulty) {
+      return Promise.reject(new Error('the report cannot be read'));
+    }
     if (this.isDown) {
       return Promise.resolve(undefined);
     }
