--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -102,6 +102,62 @@
     }
   });
 
+  // Issue 39, FAULT: a name that no URL can hold at the end of a page made the list fail with an exception.
+  describe('listServers with a name that is not well-formed', () => {
+    const ILL_FORMED_NAMES: readonly string[] = ['\ud800', '\udc00', 'i-\udc00\ud800', 'i-2\udbff'];
+    for (const name of ILL_FORMED_NAMES) {
+      it(`continues after the last name before ${JSON.stringify(name)}`, async () => {
+        const odd = serverObject(name, READY);
+        script.push(
+          {
+            status: 200,
+            body: { items: [serverObject('i-1', READY), odd], HasMore: true, StoreRevision: 5 },
+          },
+          { status: 200, body: { items: [odd, serverObject('i-3', READY)], StoreRevision: 5 } },
+        );
+        const listing = await source.listServers();
+        expect(paths).to.deep.equal(['/api/objects/servers', '/api/objects/servers?after=i-1']);
+        expect(listing.kind === 'listed' && listing.entries.map(({ serverId }) => serverId)).to.deep.equal([
+          'i-1',
+          'i-3',
+        ]);
+        expect(listing.kind === 'listed' && listing.unreadableIds.length).to.equal(2);
+      });
+    }
+
+    it('continues after a name with a pair of surrogates', async () => {
+      script.push(
+        {
+          status: 200,
+          body: { items: [serverObject('i-\u{1f600}', READY)], HasMore: true, StoreRevision: 5 },
+        },
+        { status: 200, body: { items: [serverObject('i-3', READY)], StoreRevision: 5 } },
+      );
+      expect((await source.listServers()).kind).to.equal('listed');
+      expect(paths[1]).to.equal('/api/objects/servers?after=i-%F0%9F%98%80');
+    });
+
+    it('returns unavailable when no name of the page is well-formed', async () => {
+      const items = [serverObject('\ud800', READY), serverObject('\ud801', READY)];
+      script.push({ status: 200, body: { items, HasMore: true, StoreRevision: 5 } });
+      expect((await source.listServers()).kind).to.equal('unavailable');
+      expect(paths.length).to.equal(1);
+    });
+
+    it('reports the other changes of a watch', async () => {
+      const events = [
+        { Tombstone: false, Object: serverObject('\ud800', READY) },
+        { Tombstone: false, Object: serverObject('i-1', READY) },
+      ];
+      script.push({ status: 200, body: { events, StoreRevision: 12 } });
+      const result = await source.watchServers(5, 1_000);
+      expect(result.kind === 'changed' && result.changes.map(({ kind }) => kind)).to.deep.equal([
+        'unreadable',
+        'present',
+      ]);
+    });
+  });
+
   // Issue 36, LOST: the same in a change.
   describe('watchServers with an odd object', () => {
     const present = { Tombstone: false, Object: serverObject('i-1', READY) };
