--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -158,6 +158,21 @@
     });
   });
 
+  // Issue 39, FAULT: pages that end with the same names again and again were requested without end.
+  describe('listServers with pages that do not advance', () => {
+    const ENDS_OF_PAGES: readonly (readonly string[])[] = [['i-1'], ['i-1', 'i-2']];
+    for (const names of ENDS_OF_PAGES) {
+      it(`returns unavailable when the pages end with ${names.join(' and ')} in turn`, async () => {
+        for (let count = 0; count < 8; count++) {
+          const items = [serverObject(names[count % names.length] ?? '', READY)];
+          script.push({ status: 200, body: { items, HasMore: true, StoreRevision: 5 } });
+        }
+        expect((await source.listServers()).kind).to.equal('unavailable');
+        expect(paths.length).to.equal(names.length + 1);
+      });
+    }
+  });
+
   // Issue 36, LOST: the same in a change.
   describe('watchServers with an odd object', () => {
     const present = { Tombstone: false, Object: serverObject('i-1', READY) };
