--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -173,6 +173,16 @@
     }
   });
 
+  // Issue 39, FAULT: a page with more objects than a call has room for arguments made the list fail with an exception.
+  describe('listServers with a page of many small objects', () => {
+    it('reads all of them', async () => {
+      const items = Array.from({ length: 200_000 }, () => ({ Metadata: { Name: 'i' } }));
+      script.push({ status: 200, body: { items, StoreRevision: 5 } });
+      const listing = await source.listServers();
+      expect(listing.kind === 'listed' && listing.unreadableIds.length).to.equal(items.length);
+    });
+  });
+
   // Issue 36, LOST: the same in a change.
   describe('watchServers with an odd object', () => {
     const present = { Tombstone: false, Object: serverObject('i-1', READY) };
