--- a/test/scripts/build-program.test.ts
+++ b/test/scripts/build-program.test.ts
@@ -1,8 +1,20 @@
 import { expect } from 'chai';
 import { execFile } from 'node:child_process';
-import { access, chmod, cp, mkdir, mkdtemp, readFile, rm, utimes, writeFile } from 'node:fs/promises';
+import {
+  access,
+  chmod,
+  cp,
+  mkdir,
+  mkdtemp,
+  readdir,
+  readFile,
+  rm,
+  utimes,
+  writeFile,
+} from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { delimiter, join, resolve } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 const PROJECT = resolve('.');
 /** Search path without the tools of this checkout, which npm adds when it runs the tests. */
@@ -10,6 +22,8 @@
   .split(delimiter)
   .filter((folder) => !folder.includes('node_modules'))
   .join(delimiter);
+/** Time between two looks at the program during a build, in milliseconds. */
+const LOOK_INTERVAL_MS = 5;
 /** Files that the build command needs. */
 const SOURCES = ['package.json', 'package-lock.json', 'tsconfig.json', 'src', 'platform', 'scripts'];
 
@@ -174,4 +188,41 @@
     expect(code).to.not.equal(0);
     expect(await exists('target', 'main.cjs')).to.equal(false);
   });
+
+  // Issue 39, FAULT: the program was missing while it was built again, so a process that started meanwhile ended at once.
+  it('keeps the older program until the new one is complete', async () => {
+    await installCompletely();
+    let isBuilt = false;
+    const building = build().finally(() => (isBuilt = true));
+    let missingCount = 0;
+    while (!isBuilt) {
+      missingCount += (await exists('target', 'main.cjs')) ? 0 : 1;
+      await sleep(LOOK_INTERVAL_MS);
+    }
+    expect((await building).code).to.equal(0);
+    expect(missingCount).to.equal(0);
+    expect(await readdir(join(checkout, 'target'))).to.deep.equal(['main.cjs']);
+  });
+
+  // Issue 39, FAULT: a build removed the output of another one at the same time.
+  it('replaces the older program when several builds run at once', async () => {
+    await installCompletely();
+    const program = join(checkout, 'target', 'main.cjs');
+    const expected = await readFile(program, 'utf8');
+    await writeFile(program, 'older');
+    const results = await Promise.all([build(), build(), build()]);
+    expect(results.map(({ code }) => code)).to.deep.equal([0, 0, 0]);
+    expect((await readFile(program, 'utf8')) === expected).to.equal(true);
+    expect(await readdir(join(checkout, 'target'))).to.deep.equal(['main.cjs']);
+  });
+
+  it('leaves no unfinished program when the bundler fails halfway', async () => {
+    await installCompletely();
+    const tool = '#!/bin/sh\nfor word; do last="$word"; done\necho half > "${last#--outfile=}"\nexit 1\n';
+    await writeFile(join(checkout, 'tool'), tool);
+    await chmod(join(checkout, 'tool'), 0o755);
+    await writeFile(join(directory, 'bin', 'npm'), '#!/bin/sh\n[ "$1" = ci ] || exec ./tool "$@"\n');
+    expect((await build()).code).to.not.equal(0);
+    expect(await readdir(join(checkout, 'target'))).to.deep.equal([]);
+  });
 });
