--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -31,7 +31,10 @@
   );
   private readonly sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_MESSAGE_BYTES });
   private readonly connections = new Set<PeerConnection>();
+  /** Open connections, upgraded or not; the HTTP server itself does not know those that are upgraded. */
+  private readonly openSockets = new Set<Duplex>();
   private readonly listener: PortListener | undefined;
+  private isStopping = false;
 
   /**
    * @param address - Address to listen on.
@@ -50,6 +53,10 @@
     listenerDeps?: PortListenerDependencies,
   ) {
     this.listener = listenerDeps && new PortListener(this.http, address, 'peer', listenerDeps);
+    this.http.on('connection', (socket) => {
+      this.openSockets.add(socket);
+      socket.once('close', () => this.openSockets.delete(socket));
+    });
     this.http.on('upgrade', (request, socket, head) => this.upgrade(request, socket, head));
   }
 
@@ -58,18 +65,26 @@
   }
 
   async stop(): Promise<void> {
+    this.isStopping = true;
     this.listener?.stop();
     // The listener closes first: a peer that loses its connection redials at once, and the new connection would keep
     // the process alive.
     const closed = new Promise((resolve) => this.http.close(resolve));
     await Promise.all([...this.connections].map((connection) => connection.close()));
-    this.http.closeAllConnections();
+    for (const socket of this.openSockets) {
+      socket.destroy();
+    }
     await closed;
   }
 
   private upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
     // The HTTP server has removed its own listener, and an 'error' event without one would end the process.
     socket.on('error', () => socket.destroy());
+    if (this.isStopping) {
+      // The stop closes the connections that it found; another one would keep it from ending.
+      socket.destroy();
+      return;
+    }
     const presented = request.headers.authorization ?? '';
     if (!secretsEqual(presented, `Bearer ${this.secret}`)) {
       socket.once('finish', () => socket.destroy());
--- a/test/transport/PeerServer.test.ts
+++ b/test/transport/PeerServer.test.ts
@@ -11,6 +11,20 @@
 const RESET_COUNT = 20;
 /** Time limit for the server to close a connection, in milliseconds. */
 const CLOSE_LIMIT_MS = 10_000;
+/** Time limit for the server to stop, in milliseconds. */
+const STOP_LIMIT_MS = 5_000;
+/** Time after the beginning of a stop at which a peer upgrades its connection, in milliseconds. */
+const LATE_UPGRADE_MS = 300;
+/** Valid opening handshake. */
+const UPGRADE = `${[
+  'GET / HTTP/1.1',
+  'Host: x',
+  'Connection: Upgrade',
+  'Upgrade: websocket',
+  'Sec-WebSocket-Version: 13',
+  'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==',
+  'Authorization: Bearer s',
+].join('\r\n')}\r\n\r\n`;
 
 /** Returns an opening handshake with a wrong secret, or one that isn't a WebSocket handshake. */
 function formatUpgrade(authorization: string, protocol: string): string {
@@ -120,5 +134,32 @@
       await reservation.release();
       expect(isStopped).to.equal(true);
     });
+
+    // Issue 39, FAULT: the stop of an agent never ended if a peer upgraded its connection while the others were closed.
+    it('refuses connections that upgrade meanwhile and resolves', async () => {
+      const reservation = await LoopbackReservation.create();
+      const port = await reservation.takePort();
+      const server = new PeerServer({ host: '127.0.0.1', port }, 's', CLOCK, {}, new TrafficMeter());
+      await server.start();
+      const late = connect({ host: '127.0.0.1', port });
+      let receivedText = '';
+      late.on('data', (chunk: Buffer) => (receivedText += chunk.toString()));
+      late.on('error', () => undefined);
+      await once(late, 'connect');
+      // The stop waits for the closing handshake of this connection.
+      const unresponsive = new WebSocket(`ws://127.0.0.1:${port}`, {
+        headers: { authorization: 'Bearer s' },
+      });
+      await once(unresponsive, 'open');
+      unresponsive.pause();
+      const stopped = server.stop().then(() => true);
+      await delay(CLOCK, LATE_UPGRADE_MS);
+      late.write(UPGRADE);
+      const isStopped = await Promise.race([stopped, delay(CLOCK, STOP_LIMIT_MS).then(() => false)]);
+      unresponsive.terminate();
+      late.destroy();
+      await reservation.release();
+      expect({ isStopped, receivedText }).to.deep.equal({ isStopped: true, receivedText: '' });
+    });
   });
 });
