--- a/src/direct/ReadinessServer.ts
+++ b/src/direct/ReadinessServer.ts
@@ -23,6 +23,10 @@
     await this.listener.start();
   }
 
+  cancelStart(): void {
+    this.listener.stop();
+  }
+
   stop(): Promise<void> {
     this.listener.stop();
     this.http.closeAllConnections();
--- a/src/kernel/ServiceContainer.ts
+++ b/src/kernel/ServiceContainer.ts
@@ -9,6 +9,8 @@
 export interface Service {
   /** Starts the service; the services it depends on have started. */
   start(): Promise<void>;
+  /** Ends a start in progress early, if it could wait for long; `stop` follows. */
+  cancelStart?(): void;
   /** Stops the service after the work in progress is completed. */
   stop(): Promise<void>;
 }
@@ -32,6 +34,7 @@
 interface StartedService {
   readonly service: Service;
   readonly start: Promise<unknown>;
+  isStarting: boolean;
 }
 
 /** Thrown by `ServiceContainer.start` once the services are being stopped. */
@@ -93,9 +96,13 @@
       throw new ServicesStoppedError();
     }
     const start = begin(service);
-    const entry = { service, start };
+    const entry = { service, start, isStarting: true };
     this.started.push(entry);
-    await start;
+    try {
+      await start;
+    } finally {
+      entry.isStarting = false;
+    }
     if (this.stopResult) {
       // Otherwise a service whose start took longer than the stop waited would keep running.
       if (!this.started.includes(entry)) {
@@ -113,6 +120,9 @@
 
   private async stopAll(): Promise<void> {
     for (let entry = this.started.at(-1); entry; entry = this.started.at(-1)) {
+      if (entry.isStarting) {
+        this.cancelStart(entry.service);
+      }
       const isStarted = entry.start.catch(() => undefined);
       await Promise.race([isStarted, delay(this.clock, START_TIMEOUT_MS)]);
       this.started.pop();
@@ -120,6 +130,15 @@
     }
   }
 
+  /** Ends the start of a service early; an error does not keep the services from stopping. */
+  private cancelStart(service: Service): void {
+    try {
+      service.cancelStart?.();
+    } catch (error) {
+      this.reportStopError(error);
+    }
+  }
+
   /** Stops a service; an error does not keep the others from stopping. */
   private async stopService(service: Service): Promise<void> {
     try {
--- a/src/telemetry/MetricsServer.ts
+++ b/src/telemetry/MetricsServer.ts
@@ -26,6 +26,10 @@
     await this.listener.start();
   }
 
+  cancelStart(): void {
+    this.listener.stop();
+  }
+
   stop(): Promise<void> {
     this.listener.stop();
     this.http.closeAllConnections();
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -64,6 +64,10 @@
     await (this.listener?.start() ?? listenOrThrow(this.http, this.address, 'peer'));
   }
 
+  cancelStart(): void {
+    this.listener?.stop();
+  }
+
   async stop(): Promise<void> {
     this.isStopping = true;
     this.listener?.stop();
--- a/test/kernel/ServiceContainer.test.ts
+++ b/test/kernel/ServiceContainer.test.ts
@@ -91,6 +91,33 @@
       expect(events).to.deep.equal(['start a', 'stop a', 'stopped a']);
     });
 
+    // Issue 39, FAULT: a service that waited for its port delayed the stop of a process, which then exceeded its grace.
+    it('cancels a start in progress and stops the service once', async () => {
+      let complete: () => void = () => undefined;
+      const started = new Promise<void>((resolve) => (complete = resolve));
+      const cancelStart = () => {
+        events.push('cancel a');
+        complete();
+      };
+      const start = services
+        .start({ ...makeService('a', started), cancelStart })
+        .catch((reason: unknown) => reason);
+      let hasEnded = false;
+      const stop = services.stop().then(() => (hasEnded = true));
+      await flushPromises();
+      expect(hasEnded).to.equal(true);
+      await stop;
+      expect(await start).to.be.instanceOf(ServicesStoppedError);
+      expect(events).to.deep.equal(['start a', 'cancel a', 'stop a', 'stopped a']);
+    });
+
+    it('cancels no start that has completed', async () => {
+      const cancelStart = () => events.push('cancel a');
+      await services.start({ ...makeService('a'), cancelStart });
+      await services.stop();
+      expect(events).to.deep.equal(['start a', 'stop a', 'stopped a']);
+    });
+
     it('stops a service again whose start completes after the stop', async () => {
       let complete: () => void = () => undefined;
       const started = new Promise<void>((resolve) => (complete = resolve));
