--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -50,7 +50,7 @@
   Record<BodyFailure, { status: number; detail: string; retryAfterMs?: number }>
 > = {
   tooLarge: { status: 413, detail: 'the body is too large' },
-  noRoom: { status: 503, detail: 'there is no memory left for the body', retryAfterMs: NO_ROOM_RETRY_MS },
+  noRoom: { status: 503, detail: 'there is no memory left for the request', retryAfterMs: NO_ROOM_RETRY_MS },
   late: { status: 408, detail: 'the body did not arrive in time' },
 };
 /** Part of the stop grace period that is reserved for the exit of the process, in milliseconds. */
@@ -68,7 +68,7 @@
   readonly view: FleetView;
   readonly codec: HeaderCodec;
   readonly forwarder: RequestForwarderDependencies;
-  /** Memory for the bodies of requests until their responses are closed. */
+  /** Memory for the heads and bodies of requests until their responses are closed. */
   readonly bodyBudget: ByteBudget;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -257,6 +257,9 @@
     const requestId = this.deps.codec.decodeRequest(request.headers)?.requestId;
     response.shouldKeepAlive = false;
     response.write(this.beginRefusal(response, requestId, status, detail, retryAfterMs));
+    // The head takes no part of the budget if it found no room, so it must not stay in memory while the rest is read.
+    request.rawHeaders = [];
+    request.headers = {};
     const timer = this.deps.clock.schedule(REFUSED_BODY_DRAIN_MS, () => response.end());
     request.once('end', () => response.end());
     response.once('close', () => timer.cancel());
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -6,12 +6,14 @@
 const SMALL_BODY_BYTES = 64 * 1024;
 /** Part of the budget that only small bodies may take, in bytes. */
 const SMALL_BODIES_RESERVE_BYTES = 8 * 1024 * 1024;
+/** Memory that a request takes beside its head and body, in bytes: its connection, parser and response. */
+const REQUEST_BASE_BYTES = 16 * 1024;
 
 /** Why a body was not received. */
 export type BodyFailure =
   /** It exceeds the size limit. */
   | 'tooLarge'
-  /** The bodies of all requests together exceed the budget. */
+  /** The heads and bodies of all requests together exceed the budget. */
   | 'noRoom'
   /** It was not complete in time. */
   | 'late';
@@ -19,7 +21,7 @@
 /** Limits of a {@link RequestBody}. */
 export interface RequestBodyLimits {
   readonly clock: Clock;
-  /** Memory for the bodies of all requests together. */
+  /** Memory for the heads and bodies of all requests together. */
   readonly budget: ByteBudget;
   /** Returns the maximum size of a body, in bytes. */
   readonly getMaxBytes: () => number;
@@ -27,14 +29,17 @@
   readonly timeoutMs: number;
 }
 
-/** Receives a request's body, which takes its size from a budget until it is released. */
+/** Receives a request's body; the request takes the size of its head and body from a budget until it is released. */
 export class RequestBody {
   private readonly timer: Timer;
   private chunks: Buffer[] = [];
   /** Body of a declared size, which the chunks are copied into as they arrive. */
   private buffer: Buffer | undefined;
   private receivedBytes = 0;
+  /** Part of the budget that the body takes, in bytes. */
   private takenBytes = 0;
+  /** Part of the budget that the rest of the request takes, in bytes. */
+  private headBytes = 0;
   private hasEnded = false;
 
   /**
@@ -52,11 +57,19 @@
     this.timer = limits.clock.schedule(limits.timeoutMs, () => this.fail('late'));
     request.on('data', (chunk: Buffer) => this.push(chunk));
     request.on('end', () => this.complete());
-    this.reserveDeclaredSize();
+    if (this.tryTakeHead()) {
+      this.reserveDeclaredSize();
+    }
   }
 
-  /** Releases the body's part of the budget, and drops what was received. */
+  /** Releases the request's part of the budget, and drops what was received of the body. */
   release(): void {
+    this.releaseBody();
+    this.limits.budget.release(this.headBytes);
+    this.headBytes = 0;
+  }
+
+  private releaseBody(): void {
     this.hasEnded = true;
     this.timer.cancel();
     this.chunks = [];
@@ -65,6 +78,16 @@
     this.takenBytes = 0;
   }
 
+  private tryTakeHead(): boolean {
+    const headBytes = REQUEST_BASE_BYTES + getHeadBytes(this.request);
+    if (!this.limits.budget.tryTake(headBytes)) {
+      this.fail('noRoom');
+      return false;
+    }
+    this.headBytes = headBytes;
+    return true;
+  }
+
   /** Takes the size of a body that declares it, so that a body that has begun to arrive finds room for its rest. */
   private reserveDeclaredSize(): void {
     const declaredBytes = Number(this.request.headers['content-length'] ?? 0);
@@ -116,8 +139,17 @@
 
   private fail(failure: BodyFailure): void {
     if (!this.hasEnded) {
-      this.release();
+      this.releaseBody();
       this.onFailure(failure);
     }
   }
 }
+
+/** Returns the size of a request's line and headers, in bytes. */
+function getHeadBytes({ method = '', url = '', rawHeaders }: IncomingMessage): number {
+  let byteCount = method.length + url.length;
+  for (const text of rawHeaders) {
+    byteCount += text.length;
+  }
+  return byteCount;
+}
--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -26,6 +26,13 @@
 /** Deadline of callers whose bodies stall, in milliseconds. */
 const STALLED_DEADLINE_MS = 2_500;
 
+/** Number of connections with large heads; the descriptors of a small machine allow more. */
+const LARGE_HEAD_COUNT = 3_000;
+/** Size of a large head, just below the limit of the parser, in bytes. */
+const LARGE_HEAD_BYTES = 60_000;
+/** Time in which the large heads arrive, in milliseconds. */
+const HEADS_TIMEOUT_MS = 8_000;
+
 /** Worker whose requests take long. */
 class SlowWorker extends PlainWorker {
   protected override serve(incoming: IncomingMessage, response: ServerResponse): void {
@@ -190,6 +197,38 @@
     expect(await getPeakMb()).to.be.below(MACHINE_MB);
   });
 
+  // Issue 39, FAULT: requests with large heads whose bodies stalled ended the router.
+  it('stays below that of the smallest machine under large heads whose bodies stall', async () => {
+    const lines = ['POST /x/1 HTTP/1.1', 'Host: a.example', 'Content-Length: 1'];
+    const head = `${lines.join('\r\n')}\r\nPadding: ${'x'.repeat(LARGE_HEAD_BYTES)}\r\n\r\n`;
+    const sockets: Socket[] = [];
+    try {
+      for (let index = 0; index < LARGE_HEAD_COUNT; index++) {
+        const socket = connect({ host: routerIp, port: PORTS.front }).on('error', () => undefined);
+        socket.resume().write(head);
+        sockets.push(socket);
+      }
+      const isRefused = ({ bytesRead }: Socket) => bytesRead > 0;
+      await waitUntil(
+        () => child.signalCode !== null || sockets.filter(isRefused).length > LARGE_HEAD_COUNT / 2,
+        HEADS_TIMEOUT_MS,
+      );
+      await sleepMs(1_000);
+      expect([child.exitCode, child.signalCode]).to.deep.equal([null, null]);
+      expect(await getPeakMb()).to.be.below(MACHINE_MB);
+      expect(sockets.filter(isRefused).length).to.be.above(LARGE_HEAD_COUNT / 2);
+    } finally {
+      for (const socket of sockets) {
+        socket.destroy();
+      }
+    }
+    await waitUntil(
+      async () => (await callRouter(routerIp, PORTS.front, '/x/1'))?.status === 200,
+      START_TIMEOUT_MS,
+    );
+    expect((await callRouter(routerIp, PORTS.front, '/x/1'))?.status).to.equal(200);
+  });
+
   // Issue 39, FAULT: bodies that stalled were kept for ever.
   it('does not keep bodies that stall, and serves small requests meanwhile', async () => {
     openCallers(150, BODY.length - 1, { deadlineMs: STALLED_DEADLINE_MS });
