--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -52,6 +52,7 @@
   tooLarge: { status: 413, detail: 'the body is too large' },
   noRoom: { status: 503, detail: 'there is no memory left for the request', retryAfterMs: NO_ROOM_RETRY_MS },
   late: { status: 408, detail: 'the body did not arrive in time' },
+  stopping: { status: 503, detail: 'the router is stopping', retryAfterMs: STOPPING_RETRY_MS },
 };
 /** Part of the stop grace period that is reserved for the exit of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500;
@@ -81,6 +82,8 @@
   private readonly http: Server;
   /** Responses that are not complete, by the forwarder of the request. */
   private readonly activeForwarders = new Map<RequestForwarder, ServerResponse>();
+  /** Bodies of the requests whose responses are not closed, by the response. */
+  private readonly openBodies = new Map<ServerResponse, RequestBody>();
   private readonly connections: CallerConnections;
   private readonly listener: PortListener;
   private stopping = false;
@@ -134,6 +137,9 @@
     const { clock, log } = this.deps;
     this.stopping = true;
     this.listener.stop();
+    if (!this.isListening) {
+      return;
+    }
     const startedAtMs = clock.nowMs();
     const endsAtMs = startedAtMs + this.deps.getStopGraceMs() - STOP_RESERVE_MS;
     log.info('stopping', { activeCount: this.activeForwarders.size });
@@ -142,6 +148,9 @@
     for (const forwarder of [...this.activeForwarders.keys()]) {
       forwarder.refuseUnsent('the router is stopping', STOPPING_RETRY_MS);
     }
+    for (const body of [...this.openBodies.values()]) {
+      body.endForShutdown();
+    }
     // Closing the server also closes connections whose response has ended but is not written yet.
     while (this.hasUnwrittenResponse && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
@@ -149,7 +158,7 @@
     this.connections.stop();
     await pollSockets();
     const closed = new Promise((resolve) => this.http.close(resolve));
-    while (this.activeForwarders.size > 0 && clock.nowMs() < endsAtMs) {
+    while (this.openBodies.size > 0 && clock.nowMs() < endsAtMs) {
       await delay(clock, STOP_POLL_MS);
     }
     for (const forwarder of [...this.activeForwarders.keys()]) {
@@ -237,7 +246,14 @@
       (bytes) => this.route(request, response, bytes, receivedAtMs),
       (failure) => this.refuseBody(request, response, failure),
     );
-    response.once('close', () => body.release());
+    this.openBodies.set(response, body);
+    response.once('close', () => {
+      this.openBodies.delete(response);
+      body.release();
+    });
+    if (this.closing) {
+      body.endForShutdown();
+    }
   }
 
   /** Returns the time in which a request's body must be complete: a later one could not be served any more. */
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -16,7 +16,9 @@
   /** The heads and bodies of all requests together exceed the budget. */
   | 'noRoom'
   /** It was not complete in time. */
-  | 'late';
+  | 'late'
+  /** It was not complete when the process stopped. */
+  | 'stopping';
 
 /** Limits of a {@link RequestBody}. */
 export interface RequestBodyLimits {
@@ -62,6 +64,11 @@
     }
   }
 
+  /** Fails if the body is not complete yet, as the process is stopping. */
+  endForShutdown(): void {
+    this.fail('stopping');
+  }
+
   /** Releases the request's part of the budget, and drops what was received of the body. */
   release(): void {
     this.releaseBody();
--- a/test/direct/plannedStop.test.ts
+++ b/test/direct/plannedStop.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { delay } from '../../src/kernel/index.js';
+import { CallerConnection } from './CallerConnection.js';
 import { makeRoute, ORDERS } from './fleetFixtures.js';
 import {
   CLOCK,
@@ -61,5 +62,31 @@
       await bench.addServer('p', respondLate, ORDERS);
       expect((await sendAndStop()).text).to.equal('late');
     });
+
+    // Issue 39, LOST: callers whose bodies were still arriving were closed without an answer.
+    it('refuses requests whose bodies are still arriving', async () => {
+      await bench.addServer('p', respondLate, ORDERS);
+      await bench.start([route]);
+      const connection = new CallerConnection(bench.callerPort);
+      const lines = ['POST /once/x HTTP/1.1', 'Host: a.example', 'Request-Id: r1', 'Content-Length: 10'];
+      connection.write(`${lines.join('\r\n')}\r\n\r\nx`);
+      await delay(CLOCK, 100);
+      const stopped = bench.stopRouter();
+      expect(await connection.waitForStatus()).to.equal(503);
+      await connection.waitForEnd();
+      expect(connection.isComplete).to.equal(true);
+      expect(connection.received).to.match(/Retry-After: /i);
+      await stopped;
+      connection.close();
+      expect(bench.receivedRequests.length).to.equal(0);
+    });
+
+    it('returns at once if the server does not listen', async () => {
+      await bench.start([route]);
+      await bench.stopRouter();
+      const startedAtMs = CLOCK.nowMs();
+      await bench.stopRouter();
+      expect(CLOCK.nowMs() - startedAtMs).to.be.below(1_000);
+    });
   });
 });
