--- a/standins/users/ModelWorker.ts
+++ b/standins/users/ModelWorker.ts
@@ -69,7 +69,12 @@
     let nextIndex = Number(incoming.headers['last-event-id'] ?? 0) + 1;
     this.runningCount++;
     response.on('close', () => this.runningCount--);
-    response.writeHead(200, makeSignedHeaders(requestId, 'text/event-stream'));
+    // Without events, the end of a stream can't be told from a failure unless it has a length.
+    const isEmpty = fault === undefined && nextIndex > lastIndex;
+    response.writeHead(200, {
+      ...makeSignedHeaders(requestId, 'text/event-stream'),
+      ...(isEmpty ? { 'content-length': '0' } : {}),
+    });
     const sendNextEvent = () => {
       if (nextIndex <= lastIndex) {
         response.write(formatEvent(requestId, nextIndex++));
