--- a/src/daemon/ProcessLifecycle.ts
+++ b/src/daemon/ProcessLifecycle.ts
@@ -1,4 +1,5 @@
-import { delay, type Clock } from '../kernel/index.js';
+import type { Clock } from '../kernel/Clock.js';
+import { delay } from '../kernel/delay.js';
 
 /** Name that all log lines carry. */
 const PACKAGE_NAME = 'monsoonglade';
@@ -69,10 +70,10 @@
     const { target } = deps;
     // Node.js reports unhandled rejections as uncaught exceptions too. An error in one task is no reason to end all others.
     target.on('uncaughtException', (error, origin) => this.handleUncaughtError(error, origin));
+    target.on(RELOAD_SIGNAL, () => this.handleReloadSignal());
     for (const signal of STOP_SIGNALS) {
       target.on(signal, () => void this.handleStopSignal(signal));
     }
-    target.on(RELOAD_SIGNAL, () => this.handleReloadSignal());
     for (const signal of IGNORED_SIGNALS) {
       target.on(signal, () => this.logSignal(signal, 'none'));
     }
--- a/src/daemon/daemonProcess.ts
+++ b/src/daemon/daemonProcess.ts
@@ -1,4 +1,4 @@
-import { SystemClock } from '../kernel/index.js';
+import { SystemClock } from '../kernel/SystemClock.js';
 import { ProcessLifecycle } from './ProcessLifecycle.js';
 
 /** Lifecycle of this process, which logs to the standard error; handles its signals from the first import of this module on. */
