--- a/scripts/build-program.mjs
+++ b/scripts/build-program.mjs
@@ -1,11 +1,8 @@
 // Bundles the program into target/main.cjs; installs the packages first unless those of the lock file are installed.
 import { spawnSync } from 'node:child_process';
-import { randomUUID } from 'node:crypto';
-import { existsSync, readFileSync, renameSync, rmSync } from 'node:fs';
+import { readFileSync, rmSync } from 'node:fs';
 
 const BUNDLE = 'target/main.cjs';
-/** File of this process's own, so that builds at the same time do not disturb each other. */
-const UNFINISHED_BUNDLE = `target/main.${randomUUID()}.cjs`;
 const LOCK_FILE = 'package-lock.json';
 /** List of installed packages that npm writes at the end of a complete installation. */
 const INSTALLED_FILE = 'node_modules/.package-lock.json';
@@ -31,18 +28,8 @@
   return runNpm('ci', '--silent', '--include=dev');
 }
 
-/** Bundles the program; replaces an older bundle only when the new one is complete, since processes may start meanwhile. */
 function bundle() {
-  // The last of several output files is the one that the bundler writes.
-  const isComplete =
-    runNpm('run', '--silent', 'bundle', '--', `--outfile=${UNFINISHED_BUNDLE}`) &&
-    existsSync(UNFINISHED_BUNDLE);
-  if (isComplete) {
-    renameSync(UNFINISHED_BUNDLE, BUNDLE);
-  } else {
-    rmSync(UNFINISHED_BUNDLE, { force: true });
-  }
-  return isComplete;
+  return runNpm('run', '--silent', 'bundle');
 }
 
 function runNpm(...words) {
--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -98,7 +98,7 @@
     routerIp = reservation.getAddress(3);
     directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
     const bundle = join(directory, 'main.cjs');
-    await bundleProgram(bundle);
+    await bundleProgram(directory);
     store = new ObjectStore();
     const storeAddress = await store.start();
     const routes = PLAIN_CONFIGURATION.Routes.map((route) => ({ ...route, TimeoutMs: ROUTE_TIMEOUT_MS }));
