--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -6,6 +6,10 @@
 const SMALL_BODY_BYTES = 64 * 1024;
 /** Part of the budget that only small bodies may take, in bytes. */
 const SMALL_BODIES_RESERVE_BYTES = 8 * 1024 * 1024;
+/** Memory that a body of a declared size takes at least once it has begun to arrive, in bytes. */
+const FIRST_PART_BYTES = 16 * 1024;
+/** Factor by which the memory of a body of a declared size may exceed what has arrived; a larger one copies less. */
+const GROWTH_FACTOR = 4;
 /** Memory that a request takes beside its head and body, in bytes: its connection, parser and response. */
 const REQUEST_BASE_BYTES = 16 * 1024;
 
@@ -35,8 +39,10 @@
 export class RequestBody {
   private readonly timer: Timer;
   private chunks: Buffer[] = [];
-  /** Body of a declared size, which the chunks are copied into as they arrive. */
+  /** Received part of a body of a declared size, with room for more chunks. */
   private buffer: Buffer | undefined;
+  /** Size of the body that the request declares, in bytes; 0 if none. */
+  private readonly declaredBytes: number;
   private receivedBytes = 0;
   /** Part of the budget that the body takes, in bytes. */
   private takenBytes = 0;
@@ -56,11 +62,12 @@
     private readonly onComplete: (body: Buffer) => void,
     private readonly onFailure: (failure: BodyFailure) => void,
   ) {
+    this.declaredBytes = Number(request.headers['content-length'] ?? 0);
     this.timer = limits.clock.schedule(limits.timeoutMs, () => this.fail('late'));
     request.on('data', (chunk: Buffer) => this.push(chunk));
     request.on('end', () => this.complete());
     if (this.tryTakeHead()) {
-      this.reserveDeclaredSize();
+      this.admit(this.declaredBytes);
     }
   }
 
@@ -95,40 +102,58 @@
     return true;
   }
 
-  /** Takes the size of a body that declares it, so that a body that has begun to arrive finds room for its rest. */
-  private reserveDeclaredSize(): void {
-    const declaredBytes = Number(this.request.headers['content-length'] ?? 0);
-    if (declaredBytes > 0 && this.tryTake(declaredBytes)) {
-      this.buffer = Buffer.allocUnsafeSlow(declaredBytes);
-    }
-  }
-
   private push(chunk: Buffer): void {
     if (this.hasEnded) {
       return;
     }
     const offset = this.receivedBytes;
     this.receivedBytes += chunk.length;
-    if (this.buffer) {
-      chunk.copy(this.buffer, offset);
-    } else if (this.tryTake(this.receivedBytes)) {
-      this.chunks.push(chunk);
+    if (this.declaredBytes === 0) {
+      if (this.tryTake(this.receivedBytes)) {
+        this.chunks.push(chunk);
+      }
+    } else if (this.tryGrow()) {
+      chunk.copy(this.buffer ?? chunk, offset);
+    }
+  }
+
+  /** Makes room in the buffer for all that has been received; what has not been sent takes little, so that stalled bodies do. */
+  private tryGrow(): boolean {
+    const { receivedBytes, declaredBytes, buffer } = this;
+    if (buffer && receivedBytes <= buffer.length) {
+      return true;
+    }
+    const byteCount = Math.min(declaredBytes, Math.max(FIRST_PART_BYTES, receivedBytes * GROWTH_FACTOR));
+    if (!this.tryTake(byteCount)) {
+      return false;
     }
+    this.buffer = Buffer.allocUnsafeSlow(byteCount);
+    buffer?.copy(this.buffer);
+    return true;
   }
 
   /** Raises what the body takes to the given size; fails if that is not allowed. */
   private tryTake(totalBytes: number): boolean {
+    if (!this.admit(totalBytes)) {
+      return false;
+    }
+    this.limits.budget.tryTake(totalBytes - this.takenBytes);
+    this.takenBytes = totalBytes;
+    return true;
+  }
+
+  /** Whether the body may take the given size, without taking it; fails if not. */
+  private admit(totalBytes: number): boolean {
     const { budget, getMaxBytes } = this.limits;
     if (totalBytes > getMaxBytes()) {
       this.fail('tooLarge');
       return false;
     }
-    const reservedBytes = totalBytes > SMALL_BODY_BYTES ? SMALL_BODIES_RESERVE_BYTES : 0;
-    if (!budget.tryTake(totalBytes - this.takenBytes, reservedBytes)) {
+    const isSmall = Math.max(totalBytes, this.declaredBytes) <= SMALL_BODY_BYTES;
+    if (!budget.hasRoom(totalBytes - this.takenBytes, isSmall ? 0 : SMALL_BODIES_RESERVE_BYTES)) {
       this.fail('noRoom');
       return false;
     }
-    this.takenBytes = totalBytes;
     return true;
   }
 
--- a/src/direct/decisions/ByteBudget.ts
+++ b/src/direct/decisions/ByteBudget.ts
@@ -5,13 +5,22 @@
   /** @param totalBytes - Size of the budget, in bytes. */
   constructor(private readonly totalBytes: number) {}
 
+  /**
+   * Whether a part of the budget is left.
+   * @param byteCount - Number of bytes of the part.
+   * @param reservedBytes - Part of the budget that must stay free, in bytes.
+   */
+  hasRoom(byteCount: number, reservedBytes = 0): boolean {
+    return this.usedBytes + byteCount <= this.totalBytes - reservedBytes;
+  }
+
   /**
    * Takes a part of the budget; returns false if too little is left.
    * @param byteCount - Number of bytes to take.
    * @param reservedBytes - Part of the budget that must stay free, in bytes.
    */
   tryTake(byteCount: number, reservedBytes = 0): boolean {
-    if (this.usedBytes + byteCount > this.totalBytes - reservedBytes) {
+    if (!this.hasRoom(byteCount, reservedBytes)) {
       return false;
     }
     this.usedBytes += byteCount;
