--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -24,14 +24,11 @@
 } from '../direct/index.js';
 import { onBackgroundError, Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
+import { divideMemory } from './divideMemory.js';
 import { SERVICE_NAMES } from './serviceNames.js';
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
 
 const MS_PER_SECOND = 1_000;
-/** Memory for responses that are buffered until they are complete, in bytes; the smallest instance has 250 MB in all. */
-const MAX_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
-/** Memory for the bodies of callers' requests, in bytes. */
-const MAX_REQUEST_BODY_BYTES = 48 * 1024 * 1024;
 
 /** Options of both kinds of process. */
 interface CommonOptions {
@@ -50,6 +47,8 @@
   readonly callerAddress: ListenAddress;
   readonly readinessAddress: ListenAddress;
   readonly agentPort: number;
+  /** Memory of the machine, in bytes; undefined when it is not known. */
+  readonly memoryLimitBytes?: number;
   readonly getStopGraceMs: () => number;
   readonly getRetryLimits: () => RetryLimits;
   /** Returns the time in which a change in the store must take effect, in milliseconds. */
@@ -72,6 +71,7 @@
 export async function startDirectRouter(options: DirectRouterOptions): Promise<ServiceContainer> {
   const { services, clock, random, log, metrics } = startCommon(options);
   const { codec, source } = options;
+  const memory = divideMemory(options.memoryLimitBytes);
   const view = new FleetView();
   const dialer = new PeerDialer(options.instanceId, options.peerSecret, clock, new TrafficMeter());
   const agentConnections = new AgentConnections({ clock, dialer, view, peerPort: options.agentPort, log });
@@ -126,10 +126,10 @@
       partSuspects,
       log,
       metrics,
-      bufferBudget: new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES),
+      bufferBudget: new ByteBudget(memory.responseBytes),
       getRetryBudget,
     },
-    bodyBudget: new ByteBudget(MAX_REQUEST_BODY_BYTES),
+    bodyBudget: new ByteBudget(memory.bodyBytes),
     log,
     metrics,
     getStopGraceMs: options.getStopGraceMs,
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -4,8 +4,8 @@
 
 /** Size up to which a body may take the part of the budget that larger ones leave free, in bytes. */
 const SMALL_BODY_BYTES = 64 * 1024;
-/** Part of the budget that only small bodies may take, in bytes. */
-const SMALL_BODIES_RESERVE_BYTES = 8 * 1024 * 1024;
+/** Share of the budget that only small bodies may take. */
+const SMALL_BODIES_RESERVE_SHARE = 1 / 6;
 /** Memory that a body of a declared size takes at least once it has begun to arrive, in bytes. */
 const FIRST_PART_BYTES = 16 * 1024;
 /** Factor by which the memory of a body of a declared size may exceed what has arrived; a larger one copies less. */
@@ -150,7 +150,8 @@
       return false;
     }
     const isSmall = Math.max(totalBytes, this.declaredBytes) <= SMALL_BODY_BYTES;
-    if (!budget.hasRoom(totalBytes - this.takenBytes, isSmall ? 0 : SMALL_BODIES_RESERVE_BYTES)) {
+    const reservedBytes = isSmall ? 0 : budget.totalBytes * SMALL_BODIES_RESERVE_SHARE;
+    if (!budget.hasRoom(totalBytes - this.takenBytes, reservedBytes)) {
       this.fail('noRoom');
       return false;
     }
--- a/src/direct/decisions/ByteBudget.ts
+++ b/src/direct/decisions/ByteBudget.ts
@@ -3,7 +3,7 @@
   private usedBytes = 0;
 
   /** @param totalBytes - Size of the budget, in bytes. */
-  constructor(private readonly totalBytes: number) {}
+  constructor(readonly totalBytes: number) {}
 
   /**
    * Whether a part of the budget is left.
--- a/test/direct/requestBodies.test.ts
+++ b/test/direct/requestBodies.test.ts
@@ -7,11 +7,13 @@
 import { CLOCK, makeResponseHeaders, RouterBench } from './RouterBench.js';
 
 const MIB = 1024 * 1024;
-/** Part of the budget that only small bodies may take, in bytes. */
-const SMALL_BODIES_BYTES = 8 * MIB;
+/** Share of the budget that only small bodies may take. */
+const SMALL_BODIES_SHARE = 1 / 6;
 /** Room for the heads of a few requests, in bytes. */
 const HEADS_BYTES = 64 * 1024;
-const BUDGET_BYTES = SMALL_BODIES_BYTES + 2 * MIB + HEADS_BYTES;
+const BUDGET_BYTES = (2 * MIB + HEADS_BYTES) / (1 - SMALL_BODIES_SHARE);
+/** Part of the budget that only small bodies may take, in bytes. */
+const SMALL_BODIES_BYTES = BUDGET_BYTES * SMALL_BODIES_SHARE;
 const LARGE_BODY = 'x'.repeat(1.5 * MIB);
 const WAIT_MS = 5_000;
 
--- a/test/platform/NodeSettings.test.ts
+++ b/test/platform/NodeSettings.test.ts
@@ -21,6 +21,27 @@
     expect(settings.engineAddress).to.equal(undefined);
   });
 
+  // Issue 42, FAULT: the memory that the platform allows was ignored.
+  it('decodes the memory of the process, and takes it as unknown where none is stated', () => {
+    const decodeMemory = (Limits: unknown) =>
+      decodeNodeSettings(JSON.stringify({ ...file, Limits }), 'node.json').memoryLimitBytes;
+    expect(decodeMemory({ CpuShare: 0.5, MemoryMb: 160 })).to.equal(160_000_000);
+    const unknown = [
+      undefined,
+      null,
+      '',
+      {},
+      { MemoryMb: null },
+      { MemoryMb: 0 },
+      { MemoryMb: -1 },
+      { MemoryMb: 'x' },
+      7,
+    ];
+    for (const limits of unknown) {
+      expect(decodeMemory(limits), JSON.stringify(limits)).to.equal(undefined);
+    }
+  });
+
   it('names the file and the invalid field in the error', () => {
     const invalidSettings = JSON.stringify({ ...file, Platform: { Address: 'store' } });
     expect(() => decodeNodeSettings(invalidSettings, 'node.json')).to.throw(
--- a/test/platform/programs.ts
+++ b/test/platform/programs.ts
@@ -39,11 +39,13 @@
   readonly graceS: number;
   /** Address of the engine on an agent's machine; undefined for a router. */
   readonly engineAddress?: string;
+  /** Memory that the program may use, in MB; absent for no limit. */
+  readonly memoryMb?: number;
 }
 
 /** Returns the content of a program's settings file in the platform's format. */
 export function makeSettingsFile(settings: ProgramSettings): Record<string, unknown> {
-  const { name, ip, ports, storeAddress, graceS, engineAddress } = settings;
+  const { name, ip, ports, storeAddress, graceS, engineAddress, memoryMb } = settings;
   const isRouter = engineAddress === undefined;
   return {
     NodeName: name,
@@ -53,6 +55,7 @@
     InternalPorts: [ports.peer, ports.spare],
     Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 50, BudgetWindowS: 10, GraceS: graceS },
     Platform: { Address: storeAddress },
+    ...(memoryMb === undefined ? {} : { Limits: { MemoryMb: memoryMb } }),
     ...(isRouter ? {} : { app: engineAddress, Service: 'models' }),
   };
 }
--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
+import { getRequestId, makeSignedHeaders } from '../../standins/users/Worker.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { sleepMs, waitUntil } from '../waiting.js';
 import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
@@ -18,7 +19,13 @@
 const MACHINE_MB = 250;
 /** Memory for objects that a deployment allows, in MB; buffers are outside of it. */
 const HEAP_MB = 160;
+/** Memory of the smallest machine of a sweep, in MB. */
+const SWEEP_MACHINE_MB = 160;
 const BODY = Buffer.alloc(3_900_000, 'x');
+/** Path of the requests whose responses are large. */
+const LARGE_RESPONSE_PATH = '/x/large';
+/** Number of callers that do not read their large responses. */
+const UNREAD_COUNT = 60;
 /** Time that the worker takes, in milliseconds. */
 const RUN_MS = 600;
 /** Far above the time that all requests take, so that none ends for another reason than the memory. */
@@ -35,9 +42,22 @@
 
 /** Worker whose requests take long. */
 class SlowWorker extends PlainWorker {
+  /** Response body of all requests; absent for a short one. */
+  responseBody: Buffer | undefined;
+
   protected override serve(incoming: IncomingMessage, response: ServerResponse): void {
     incoming.resume();
-    setTimeout(() => super.serve(incoming, response), RUN_MS);
+    setTimeout(() => {
+      if (this.responseBody && incoming.url === LARGE_RESPONSE_PATH) {
+        response.writeHead(200, {
+          ...makeSignedHeaders(getRequestId(incoming), 'text/plain'),
+          'content-length': this.responseBody.length,
+        });
+        response.end(this.responseBody);
+      } else {
+        super.serve(incoming, response);
+      }
+    }, RUN_MS);
   }
 }
 
@@ -90,6 +110,8 @@
   let child: ChildProcess;
   let reservation: LoopbackReservation;
   let routerIp: string;
+  let bundle: string;
+  let storeAddress: string;
   let callers: LargeCaller[];
 
   beforeEach(async () => {
@@ -97,10 +119,10 @@
     reservation = await LoopbackReservation.create();
     routerIp = reservation.getAddress(3);
     directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
-    const bundle = join(directory, 'main.cjs');
+    bundle = join(directory, 'main.cjs');
     await bundleProgram(directory);
     store = new ObjectStore();
-    const storeAddress = await store.start();
+    storeAddress = await store.start();
     const routes = PLAIN_CONFIGURATION.Routes.map((route) => ({ ...route, TimeoutMs: ROUTE_TIMEOUT_MS }));
     const Limits = { ...PLAIN_CONFIGURATION.Limits, MaxBodyBytes: BODY.length };
     const Services = [{ Name: 's', MaxConns: 1_000 }];
@@ -115,8 +137,16 @@
       drawFault: () => undefined,
     });
     await worker.start();
+    await startRouter();
+  });
+
+  /**
+   * Starts the router.
+   * @param memoryMb - Memory of its machine, in MB; absent when the settings do not state it.
+   */
+  async function startRouter(memoryMb?: number): Promise<void> {
     const file = join(directory, 'node.json');
-    const settings = { name: 'router-1', ip: routerIp, ports: PORTS, storeAddress, graceS: 8 };
+    const settings = { name: 'router-1', ip: routerIp, ports: PORTS, storeAddress, graceS: 8, memoryMb };
     await writeFile(file, JSON.stringify(makeSettingsFile(settings)));
     child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, bundle], {
       env: { MONSOONGLADE_NODE_FILE: file, MONSOONGLADE_PEER_SECRET: 's', ROARR_LOG: 'true' },
@@ -126,16 +156,20 @@
       async () => (await callRouter(routerIp, PORTS.ready, '/'))?.status === 200,
       START_TIMEOUT_MS,
     );
-  });
+  }
 
-  afterEach(async () => {
-    for (const caller of callers) {
-      caller.close();
-    }
+  async function endRouter(): Promise<void> {
     if (child.exitCode === null && child.signalCode === null) {
       child.kill('SIGKILL');
       await once(child, 'exit');
     }
+  }
+
+  afterEach(async () => {
+    for (const caller of callers) {
+      caller.close();
+    }
+    await endRouter();
     worker.stop();
     store.stop();
     await reservation.release();
@@ -197,6 +231,46 @@
     expect(await getPeakMb()).to.be.below(MACHINE_MB);
   });
 
+  it('stays below that of a machine of a sweep under large requests, and serves small ones meanwhile', async () => {
+    await endRouter();
+    await startRouter(SWEEP_MACHINE_MB);
+    openCallers(60, BODY.length);
+    await sleepMs(RUN_MS / 2);
+    expect((await callRouter(routerIp, PORTS.front, '/x/1'))?.status).to.equal(200);
+    await waitUntil(() => callers.every(({ status }) => status !== undefined), ROUTE_TIMEOUT_MS);
+    const counts = countStatuses();
+    expect(counts['200'], JSON.stringify(counts)).to.be.at.least(2);
+    expect((counts['200'] ?? 0) + (counts['503'] ?? 0)).to.equal(60);
+    expect(await getPeakMb()).to.be.below(SWEEP_MACHINE_MB);
+  });
+
+  // Issue 42, FAULT: the memory for bodies and responses did not depend on that of the machine.
+  for (const requestCount of [0, 60]) {
+    it(`stays below that of a machine of a sweep under large responses that callers do not read and ${requestCount} large requests`, async () => {
+      await endRouter();
+      await startRouter(SWEEP_MACHINE_MB);
+      worker.responseBody = BODY;
+      const sockets: Socket[] = [];
+      try {
+        openCallers(requestCount, BODY.length);
+        for (let index = 0; index < UNREAD_COUNT; index++) {
+          const socket = connect({ host: routerIp, port: PORTS.front }).on('error', () => undefined);
+          const lines = [`GET ${LARGE_RESPONSE_PATH} HTTP/1.1`, 'Host: a.example', `Request-Id: u${index}`];
+          socket.pause().write(`${lines.join('\r\n')}\r\n\r\n`);
+          sockets.push(socket);
+        }
+        await sleepMs(4 * RUN_MS);
+        expect((await callRouter(routerIp, PORTS.front, '/x/1'))?.status).to.equal(200);
+        const peakMb = await getPeakMb();
+        expect(peakMb).to.be.below(SWEEP_MACHINE_MB);
+      } finally {
+        for (const socket of sockets) {
+          socket.destroy();
+        }
+      }
+    });
+  }
+
   // Issue 39, FAULT: requests with large heads whose bodies stalled ended the router.
   it('stays below that of the smallest machine under large heads whose bodies stall', async () => {
     const lines = ['POST /x/1 HTTP/1.1', 'Host: a.example', 'Content-Length: 1'];
