--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -352,7 +352,7 @@
         this.connections.delete(address);
         this.currentChangeCount++;
         view.discardReport(address);
-        log.warn('agent disconnected', { address });
+        log.warn('agent disconnected', { address, wasUnread: connection.wasUnread });
       });
       this.sendFollow(agent, engine);
       for (const use of this.runningUses.get(address)) {
--- a/src/transport/PeerConnection.ts
+++ b/src/transport/PeerConnection.ts
@@ -26,6 +26,9 @@
 /** Timeout of the closing handshake, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 1_000;
 
+/** Unsent data, in bytes, from which on the other end is taken to have stopped reading; far more than one burst of notifications. */
+const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+
 /** Thrown by a call whose connection is lost; the method may have been executed. */
 export class ConnectionLostError extends Error {
   /** @param isRefused - Whether the address refused the connection, which means that its process has ended. */
@@ -57,6 +60,7 @@
   private usedSinceMs: number | undefined;
   private useCount = 0;
   private closed = false;
+  private isUnread = false;
 
   /**
    * @param socket - Open WebSocket.
@@ -95,6 +99,11 @@
     return !this.closed;
   }
 
+  /** Whether the connection was terminated because the other end did not read. */
+  get wasUnread(): boolean {
+    return this.isUnread;
+  }
+
   /**
    * Calls a method of the other end.
    * @param method - Name of the method.
@@ -216,6 +225,12 @@
     if (this.socket.readyState !== WebSocket.OPEN) {
       throw new ConnectionLostError();
     }
+    if (this.socket.bufferedAmount > MAX_UNSENT_BYTES) {
+      // What waits for an end that stands still would grow without a bound; it dials again when it goes on.
+      this.isUnread = true;
+      this.terminate();
+      return;
+    }
     this.traffic.recordSent(text.length);
     this.socket.send(text);
   }
--- a/src/transport/PeerServer.ts
+++ b/src/transport/PeerServer.ts
@@ -50,7 +50,7 @@
     private readonly clock: Clock,
     private readonly methods: PeerMethods,
     private readonly traffic: TrafficMeter,
-    listenerDeps?: PortListenerDependencies,
+    private readonly listenerDeps?: PortListenerDependencies,
   ) {
     this.listener = listenerDeps && new PortListener(this.http, address, 'peer', listenerDeps);
     this.http.on('connection', (socket) => {
@@ -106,7 +106,13 @@
         false,
       );
       this.connections.add(connection);
-      connection.onClose(() => this.connections.delete(connection));
+      connection.onClose(() => {
+        this.connections.delete(connection);
+        if (connection.wasUnread) {
+          this.listenerDeps?.metrics.count('unread_peers');
+          this.listenerDeps?.log.warn('peer does not read', { peer: peerName });
+        }
+      });
     });
   }
 }
