--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -94,7 +94,7 @@
   constructor(private readonly deps: CallerServerDependencies) {
     this.http = createServer(
       { maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS },
-      (request, response) => this.handle(request, response),
+      (request, response) => this.guard(request, response, () => this.handle(request, response)),
     );
     this.http.requestTimeout = 0;
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) =>
@@ -243,19 +243,51 @@
         getMaxBytes: () => this.getLimits().maxBodyBytes,
         timeoutMs: this.getBodyTimeoutMs(request),
       },
-      (bytes) => this.route(request, response, bytes, receivedAtMs),
-      (failure) => this.refuseBody(request, response, failure),
+      (bytes) => this.guard(request, response, () => this.route(request, response, bytes, receivedAtMs)),
+      (failure) => this.guard(request, response, () => this.refuseBody(request, response, failure)),
     );
     this.openBodies.set(response, body);
     response.once('close', () => {
       this.openBodies.delete(response);
       body.release();
     });
+    body.start();
     if (this.closing) {
       body.endForShutdown();
     }
   }
 
+  /** Runs a step of a request; after an unexpected error, its caller gets an answer or the end of its connection. */
+  private guard(request: IncomingMessage, response: ServerResponse, step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.failRequest(request, response, error);
+    }
+  }
+
+  /** Ends a request after an unexpected error, with a status that does not promise that it has not run. */
+  private failRequest(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const requestId = this.deps.codec.getRequestId(request.headers);
+    this.deps.metrics.count('request_errors');
+    this.deps.log.warn('request failed', { requestId: requestId ?? '', error: String(error) });
+    this.openBodies.get(response)?.release();
+    request.resume();
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    try {
+      response.shouldKeepAlive = false;
+      response.write(
+        this.beginRefusal(response, requestId, STATUS_BAD_GATEWAY, 'the request failed', undefined),
+      );
+      this.endAfterBody(request, response);
+    } catch {
+      response.destroy();
+    }
+  }
+
   /** Returns the time in which a request's body must be complete: a later one could not be served any more. */
   private getBodyTimeoutMs(request: IncomingMessage): number {
     const { view, codec } = this.deps;
@@ -276,6 +308,15 @@
     // The head takes no part of the budget if it found no room, so it must not stay in memory while the rest is read.
     request.rawHeaders = [];
     request.headers = {};
+    this.endAfterBody(request, response);
+  }
+
+  /** Ends a response once the rest of its request's body has been read and dropped, or after some time. */
+  private endAfterBody(request: IncomingMessage, response: ServerResponse): void {
+    if (request.readableEnded) {
+      response.end();
+      return;
+    }
     const timer = this.deps.clock.schedule(REFUSED_BODY_DRAIN_MS, () => response.end());
     request.once('end', () => response.end());
     response.once('close', () => timer.cancel());
--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -67,6 +67,12 @@
 
 /** Encodes and decodes the headers that callers and backend servers use. */
 export abstract class HeaderCodec {
+  /**
+   * Returns the ID of a caller's request; undefined if there is none.
+   * @param headers - Headers as received.
+   */
+  abstract getRequestId(headers: IncomingHttpHeaders): string | undefined;
+
   /**
    * Decodes a caller's headers; returns undefined if there is no request ID.
    * @param headers - Headers as received.
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -37,7 +37,7 @@
 
 /** Receives a request's body; the request takes the size of its head and body from a budget until it is released. */
 export class RequestBody {
-  private readonly timer: Timer;
+  private timer: Timer | undefined;
   private chunks: Buffer[] = [];
   /** Received part of a body of a declared size, with room for more chunks. */
   private buffer: Buffer | undefined;
@@ -63,6 +63,11 @@
     private readonly onFailure: (failure: BodyFailure) => void,
   ) {
     this.declaredBytes = Number(request.headers['content-length'] ?? 0);
+  }
+
+  /** Begins to receive the body. */
+  start(): void {
+    const { request, limits } = this;
     this.timer = limits.clock.schedule(limits.timeoutMs, () => this.fail('late'));
     request.on('data', (chunk: Buffer) => this.push(chunk));
     request.on('end', () => this.complete());
@@ -85,7 +90,7 @@
 
   private releaseBody(): void {
     this.hasEnded = true;
-    this.timer.cancel();
+    this.timer?.cancel();
     this.chunks = [];
     this.buffer = undefined;
     this.limits.budget.release(this.takenBytes);
@@ -163,7 +168,7 @@
       return;
     }
     this.hasEnded = true;
-    this.timer.cancel();
+    this.timer?.cancel();
     const { chunks, buffer } = this;
     this.chunks = [];
     this.buffer = undefined;
