--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -22,7 +22,13 @@
   type HeaderCodec,
   type RetryLimits,
 } from '../direct/index.js';
-import { onBackgroundError, Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
+import {
+  onBackgroundError,
+  Random,
+  SystemClock,
+  type Service,
+  type ServiceContainer,
+} from '../kernel/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
 import { divideMemory } from './divideMemory.js';
 import { SERVICE_NAMES } from './serviceNames.js';
@@ -154,8 +160,8 @@
   await services.start(agentConnections);
   await services.start(streamOrigins);
   await services.start(modelLoader);
-  await services.start(new ReadinessServer(options.readinessAddress, isReady, { clock, log, metrics }));
-  await services.start(callerServer);
+  const readinessServer = new ReadinessServer(options.readinessAddress, isReady, { clock, log, metrics });
+  await startTogether(services, [readinessServer, callerServer]);
   logWhenReady();
   return services;
 }
@@ -171,20 +177,23 @@
   const originStore = new StreamOriginStore();
   const getRouterCount = () => controller.routerCount;
   const permitIssuer = new PermitIssuer({ clock, engineAddress, getRouterCount, metrics });
-  await services.start(
-    new PeerServer(
-      options.peerAddress,
-      options.peerSecret,
-      clock,
-      { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
-      new TrafficMeter(),
-      { clock, log, metrics },
-    ),
+  const peerServer = new PeerServer(
+    options.peerAddress,
+    options.peerSecret,
+    clock,
+    { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
+    new TrafficMeter(),
+    { clock, log, metrics },
   );
-  await services.start(controller);
+  await startTogether(services, [peerServer, controller]);
   return services;
 }
 
+/** Starts services in their order without waiting for one before the next, as a port may be taken for long. */
+async function startTogether(services: ServiceContainer, group: readonly Service[]): Promise<void> {
+  await Promise.all(group.map((service) => services.start(service)));
+}
+
 function startCommon(options: CommonOptions) {
   const { services, output } = options;
   const clock = new SystemClock();
--- a/test/platform/takenPorts.test.ts
+++ b/test/platform/takenPorts.test.ts
@@ -2,6 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer as createHttpServer } from 'node:http';
 import { createServer, type Server } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -124,6 +125,54 @@
     expect(await getStatus(PORTS.peer), output).to.equal(404);
   });
 
+  // Issue 42, FAULT: callers were not accepted while the port of the readiness checks was taken.
+  it('accepts callers while the port of the readiness checks is taken', async () => {
+    await start(PORTS.ready);
+    await waitUntil(async () => (await getStatus(PORTS.front)) === 404, START_TIMEOUT_MS);
+    expect(await getStatus(PORTS.front), output).to.equal(404);
+    await sleepMs(TAKEN_MS);
+    expect(output).to.match(/"field":"readiness".*"message":"port not available, trying again"/);
+    await release();
+    await waitUntil(async () => (await getStatus(PORTS.ready)) === 200, RETRY_TIMEOUT_MS);
+    expect(await getStatus(PORTS.ready), output).to.equal(200);
+  });
+
+  // Issue 42, FAULT: an agent did not control its engine while its port for peers was taken.
+  it('controls the engine of an agent while the port for peers is taken', async () => {
+    let readCount = 0;
+    const engine = createHttpServer((_request, response) => {
+      readCount++;
+      response.writeHead(503).end();
+    });
+    try {
+      engine.listen(ENGINE_PORT, ip);
+      await once(engine, 'listening');
+      await start(PORTS.peer, `${ip}:${ENGINE_PORT}`);
+      await waitUntil(() => readCount > 1, START_TIMEOUT_MS);
+      expect(readCount, output).to.be.above(1);
+      expect(output).to.match(/"field":"peer".*"message":"port not available, trying again"/);
+      await release();
+      await waitUntil(async () => (await getStatus(PORTS.peer)) === 404, RETRY_TIMEOUT_MS);
+      expect(await getStatus(PORTS.peer), output).to.equal(404);
+    } finally {
+      engine.closeAllConnections();
+      engine.close();
+    }
+  });
+
+  for (const [role, taken] of [
+    ['router', PORTS.ready],
+    ['agent', PORTS.peer],
+  ] as const) {
+    it(`stops the ${role} on SIGTERM while its port ${taken} is taken`, async () => {
+      await start(taken, role === 'agent' ? `${ip}:${ENGINE_PORT}` : undefined);
+      await waitUntil(() => output.includes('port not available'), START_TIMEOUT_MS);
+      child.kill('SIGTERM');
+      const [code] = (await once(child, 'exit')) as [number | null];
+      expect(code, output).to.equal(0);
+    });
+  }
+
   it('stops on SIGTERM while a port is taken', async () => {
     await start(METRICS_PORT);
     await waitUntil(async () => (await getStatus(PORTS.ready)) === 200, START_TIMEOUT_MS);
