--- a/src/daemon/ProcessLifecycle.ts
+++ b/src/daemon/ProcessLifecycle.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../kernel/Clock.js';
 import { delay } from '../kernel/delay.js';
+import type { StopTimeoutError } from '../kernel/ServiceContainer.js';
 
 /** Name that all log lines carry. */
 const PACKAGE_NAME = 'monsoonglade';
@@ -40,6 +41,8 @@
 
 /** Exit code after a failed start and when the process has nothing left to do. */
 export const EXIT_FAILED = 2;
+/** Exit code after a stop in which a service did not stop in time. */
+export const EXIT_STOP_TIMEOUT = 3;
 
 /** Dependencies of a `ProcessLifecycle`. */
 export interface ProcessLifecycleDependencies {
@@ -204,6 +207,10 @@
       await this.stop();
     } catch (error) {
       this.logError('stop failed', error);
+      if (isStopTimeout(error)) {
+        await this.exit(`${signal}, stop not complete in time`, EXIT_STOP_TIMEOUT);
+        return;
+      }
     }
     await this.exit(signal, 0);
   }
@@ -237,6 +244,11 @@
   }
 }
 
+/** Whether services have not stopped in time; their container may be bundled apart, with a class of its own. */
+function isStopTimeout(error: unknown): error is StopTimeoutError {
+  return error instanceof Error && 'serviceNames' in error;
+}
+
 /** Returns the fields of a thrown value, which may be anything. */
 function describeError(error: unknown): LogFields {
   try {
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -45,6 +45,8 @@
   readonly instanceId: string;
   readonly peerSecret: string;
   readonly metricsAddress: ListenAddress;
+  /** Returns the time from the stop signal until the process is killed, in milliseconds. */
+  readonly getStopGraceMs: () => number;
 }
 
 /** Options of a router that sends requests directly to backend servers. */
@@ -55,7 +57,6 @@
   readonly agentPort: number;
   /** Memory of the machine, in bytes; undefined when it is not known. */
   readonly memoryLimitBytes?: number;
-  readonly getStopGraceMs: () => number;
   readonly getRetryLimits: () => RetryLimits;
   /** Returns the time in which a change in the store must take effect, in milliseconds. */
   readonly getUpdateLimitMs: () => number;
@@ -196,6 +197,7 @@
 
 function startCommon(options: CommonOptions) {
   const { services, output } = options;
+  services.limitStop(options.getStopGraceMs);
   const clock = new SystemClock();
   const random = new Random(randomBytes(4).readInt32LE());
   const log = services.register(SERVICE_NAMES.log, new Log(options.instanceId, (line) => output.write(line)));
--- a/src/kernel/ServiceContainer.ts
+++ b/src/kernel/ServiceContainer.ts
@@ -1,9 +1,17 @@
-import type { Clock } from './Clock.js';
+import type { Clock, Timer } from './Clock.js';
 import { delay } from './delay.js';
 import { SystemClock } from './SystemClock.js';
 
 /** Longest wait of a stop for a service that is still starting, in milliseconds. */
 const START_TIMEOUT_MS = 500;
+/** Part of the grace that is left to the services after one that does not stop, and to the exit, in milliseconds. */
+const STOP_RESERVE_MS = 300;
+/** Shortest limit of a stop, in milliseconds; a stopping router still accepts callers for 2.8 s. */
+const MIN_STOP_LIMIT_MS = 3_200;
+/** Longest limit of a stop, in milliseconds; timers can't wait longer. */
+const MAX_STOP_LIMIT_MS = 2 ** 31 - 1;
+/** Longest wait for each service that is stopped after the limit, in milliseconds. */
+const LATE_STOP_TIMEOUT_MS = 20;
 
 /** Component of a process that the service container starts and stops. */
 export interface Service {
@@ -44,11 +52,20 @@
   }
 }
 
+/** Thrown by `ServiceContainer.stop` if services have not stopped within the limit. */
+export class StopTimeoutError extends Error {
+  /** @param serviceNames - Names of the services. */
+  constructor(readonly serviceNames: readonly string[]) {
+    super(`Not stopped in time: ${serviceNames.join(', ')}.`);
+  }
+}
+
 /** Registry of the services of a process; starts and stops them in order. */
 export class ServiceContainer {
   private readonly instances = new Map<string, unknown>();
   private readonly started: StartedService[] = [];
   private stopResult: Promise<void> | undefined;
+  private getStopGraceMs: () => number = () => Infinity;
 
   /**
    * @param reportStopError - Called with the error of each service that does not stop.
@@ -112,22 +129,63 @@
     }
   }
 
-  /** Stops the started services in reverse order; further calls return the result of the first one. */
+  /**
+   * Limits the time of a stop; there is no limit otherwise.
+   * @param getStopGraceMs - Returns the time from the stop signal until the process is killed, in milliseconds.
+   */
+  limitStop(getStopGraceMs: () => number): void {
+    this.getStopGraceMs = getStopGraceMs;
+  }
+
+  /**
+   * Stops the started services in reverse order; further calls return the result of the first one.
+   * @throws StopTimeoutError if a service has not stopped within the limit; the services after it are stopped nevertheless.
+   */
   stop(): Promise<void> {
     this.stopResult ??= this.stopAll();
     return this.stopResult;
   }
 
   private async stopAll(): Promise<void> {
+    const endsAtMs = this.clock.nowMs() + getStopLimitMs(this.getStopGraceMs());
+    const unstoppedNames: string[] = [];
     for (let entry = this.started.at(-1); entry; entry = this.started.at(-1)) {
       if (entry.isStarting) {
         this.cancelStart(entry.service);
       }
       const isStarted = entry.start.catch(() => undefined);
-      await Promise.race([isStarted, delay(this.clock, START_TIMEOUT_MS)]);
+      const startTimeoutMs = Math.min(START_TIMEOUT_MS, this.getRemainingMs(endsAtMs));
+      await Promise.race([isStarted, delay(this.clock, startTimeoutMs)]);
       this.started.pop();
-      await this.stopService(entry.service);
+      if (!(await this.stopUntil(entry.service, endsAtMs))) {
+        unstoppedNames.push(entry.service.constructor.name);
+      }
     }
+    if (unstoppedNames.length > 0) {
+      throw new StopTimeoutError(unstoppedNames);
+    }
+  }
+
+  /** Stops a service; returns false if it has not stopped in time. */
+  private async stopUntil(service: Service, endsAtMs: number): Promise<boolean> {
+    const stop = this.stopService(service).then(() => true);
+    if (endsAtMs === Infinity) {
+      return stop;
+    }
+    let timer: Timer | undefined;
+    const timeout = new Promise<boolean>((resolve) => {
+      timer = this.clock.schedule(this.getRemainingMs(endsAtMs), () => resolve(false));
+    });
+    const isStopped = await Promise.race([stop, timeout]);
+    timer?.cancel();
+    if (!isStopped) {
+      this.reportStopError(new StopTimeoutError([service.constructor.name]));
+    }
+    return isStopped;
+  }
+
+  private getRemainingMs(endsAtMs: number): number {
+    return Math.max(LATE_STOP_TIMEOUT_MS, endsAtMs - this.clock.nowMs());
   }
 
   /** Ends the start of a service early; an error does not keep the services from stopping. */
@@ -149,6 +207,13 @@
   }
 }
 
+function getStopLimitMs(graceMs: number): number {
+  if (graceMs === Infinity) {
+    return graceMs;
+  }
+  return Math.min(MAX_STOP_LIMIT_MS, Math.max(MIN_STOP_LIMIT_MS, graceMs - STOP_RESERVE_MS));
+}
+
 /** Starts a service; an exception becomes a rejection. */
 async function begin(service: Service): Promise<void> {
   await service.start();
--- a/test/daemon/ProcessLifecycle.test.ts
+++ b/test/daemon/ProcessLifecycle.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { ProcessLifecycle } from '../../src/daemon/ProcessLifecycle.js';
+import { StopTimeoutError } from '../../src/kernel/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
 import { flushPromises } from '../waiting.js';
 import { FakeProcess } from './FakeProcess.js';
@@ -82,6 +83,19 @@
       expect(findContext('stop failed')).to.deep.include({ error: 'not stopped' });
       expect(target.exitCode).to.equal(0);
     });
+
+    // Issue 39, FAULT: a stop that a service held up ended by SIGKILL, without a line.
+    it('exits with code 3 and the cause when services have not stopped in time', async () => {
+      lifecycle.onStop(() => Promise.reject(new StopTimeoutError(['CallerServer'])));
+      target.emit('SIGTERM');
+      await flushPromises();
+      expect(findContext('stop failed')).to.deep.include({ error: 'Not stopped in time: CallerServer.' });
+      expect(target.exitCode).to.equal(3);
+      expect(findContext('process ended')).to.deep.include({
+        cause: 'SIGTERM, stop not complete in time',
+        code: 3,
+      });
+    });
   });
 
   describe('failStart', () => {
--- a/test/kernel/ServiceContainer.test.ts
+++ b/test/kernel/ServiceContainer.test.ts
@@ -1,10 +1,22 @@
 import { expect } from 'chai';
-import { ServiceContainer, ServicesStoppedError, type Service } from '../../src/kernel/index.js';
+import {
+  delay,
+  ServiceContainer,
+  ServicesStoppedError,
+  StopTimeoutError,
+  type Service,
+} from '../../src/kernel/index.js';
 import { ManualClock } from '../fakes/ManualClock.js';
 import { flushPromises } from '../waiting.js';
 
 /** Time that exceeds the wait of a stop for a start, in milliseconds. */
 const LONG_START_MS = 1_000;
+/** Time from the stop signal until a process is killed, in milliseconds. */
+const GRACE_MS = 8_000;
+/** Part of the grace in which a router may still be completing requests, in milliseconds. */
+const SERVING_MS = 7_600;
+/** Step of the time, in milliseconds. */
+const STEP_MS = 10;
 
 describe('ServiceContainer', () => {
   let clock: ManualClock;
@@ -133,6 +145,90 @@
     });
   });
 
+  describe('limitStop', () => {
+    /** Service whose stop never completes. */
+    class EndlessService implements Service {
+      start(): Promise<void> {
+        return Promise.resolve();
+      }
+
+      stop(): Promise<void> {
+        return new Promise(() => undefined);
+      }
+    }
+
+    /** Lets time pass; returns when the stop ended, in milliseconds, or undefined. */
+    async function advance(stop: Promise<unknown>, durationMs: number): Promise<number | undefined> {
+      let endedAtMs: number | undefined;
+      void stop.finally(() => (endedAtMs = clock.nowMs()));
+      for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+        await flushPromises();
+        clock.advance(STEP_MS);
+      }
+      await flushPromises();
+      return endedAtMs;
+    }
+
+    // Issue 39, FAULT: a service that never stopped kept the ones before it running until the process was killed.
+    it('stops the other services and reports the one that does not stop, within the grace', async () => {
+      services.limitStop(() => GRACE_MS);
+      await services.start(makeService('a'));
+      await services.start(new EndlessService());
+      await services.start(makeService('c'));
+      const stop = services.stop().catch((reason: unknown) => reason);
+      const endedAtMs = await advance(stop, GRACE_MS);
+      expect(endedAtMs).to.be.within(SERVING_MS, GRACE_MS - STEP_MS);
+      const error = (await stop) as StopTimeoutError;
+      expect(error).to.be.instanceOf(StopTimeoutError);
+      expect(error.serviceNames).to.deep.equal(['EndlessService']);
+      expect(errors.map(String)).to.deep.equal(['Error: Not stopped in time: EndlessService.']);
+      expect(events.slice(2)).to.deep.equal(['stop c', 'stopped c', 'stop a', 'stopped a']);
+    });
+
+    it('ends within the grace when several services do not stop', async () => {
+      services.limitStop(() => GRACE_MS);
+      await services.start(makeService('a'));
+      for (let count = 0; count < 6; count++) {
+        await services.start(new EndlessService());
+      }
+      const stop = services.stop().catch((reason: unknown) => reason);
+      expect(await advance(stop, GRACE_MS)).to.be.at.most(GRACE_MS - 100);
+      expect(errors).to.have.length(6);
+      expect(events).to.contain('stopped a');
+    });
+
+    it('waits for a service that stops within the grace', async () => {
+      services.limitStop(() => GRACE_MS);
+      await services.start(makeService('a'));
+      const { start, stop: record } = makeService('b');
+      const stopSlowly = async () => {
+        await delay(clock, SERVING_MS);
+        await record();
+      };
+      await services.start({ start, stop: stopSlowly });
+      const stop = services.stop();
+      expect(await advance(stop, GRACE_MS)).to.be.within(SERVING_MS, SERVING_MS + STEP_MS);
+      expect(events.slice(2)).to.deep.equal(['stop b', 'stopped b', 'stop a', 'stopped a']);
+      expect(errors).to.deep.equal([]);
+    });
+
+    it('waits while a router still accepts callers, however short the grace is', async () => {
+      services.limitStop(() => 0);
+      await services.start(new EndlessService());
+      const stop = services.stop().catch((reason: unknown) => reason);
+      expect(await advance(stop, GRACE_MS)).to.be.within(3_000, 3_500);
+    });
+
+    it('reads the grace when the stop begins', async () => {
+      let graceMs = Infinity;
+      services.limitStop(() => graceMs);
+      await services.start(new EndlessService());
+      graceMs = 4_000;
+      const stop = services.stop().catch((reason: unknown) => reason);
+      expect(await advance(stop, graceMs)).to.be.below(graceMs);
+    });
+  });
+
   describe('start', () => {
     it('starts no service once the services are being stopped', async () => {
       await services.start(makeService('a'));
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -32,6 +32,7 @@
 /** Time after SIGTERM in which a program must have ended, in milliseconds; within the time before SIGKILL. */
 const END_TIMEOUT_MS = 7_500;
 const GRACE_S = 8;
+const MS_PER_SECOND = 1_000;
 /** Times after the first log line of a program at which a signal is sent, in milliseconds. */
 const SIGNAL_DELAYS_MS = [0, 5, 20, 50, 100, 200];
 /** Interval between the signals of a series, in milliseconds. */
@@ -268,6 +269,24 @@
     expect(program.findLines('stopping').length).to.equal(1);
   });
 
+  // Issue 39, FAULT: a service that never stopped kept the router until it was killed, without a `process ended` line.
+  it('ends the router within the grace when a service does not stop, with code 3', async () => {
+    // The stop of the server for callers waits for a `setImmediate`.
+    const source = `process.once('SIGTERM', () => { globalThis.setImmediate = () => undefined; });`;
+    const preload = ['--import', `data:text/javascript,${encodeURIComponent(source)}`];
+    const program = await start('router', undefined, PORTS, preload);
+    await waitUntilReady();
+    program.kill('SIGTERM');
+    expect(await program.waitForEnd(GRACE_S * MS_PER_SECOND), program.output).to.deep.equal({
+      code: 3,
+      signal: null,
+    });
+    const errors = program.findLines('service not stopped').map(({ context }) => context.error);
+    expect(errors).to.contain('Not stopped in time: CallerServer.');
+    const [end] = program.findLines('process ended');
+    expect(end?.context).to.deep.include({ cause: 'SIGTERM, stop not complete in time', code: 3 });
+  });
+
   // Issue 39, FAULT: a router whose start failed stayed for good, without serving and without ending.
   it('ends the router with code 2 when a service cannot start', async () => {
     const program = await start('router', undefined, { ...PORTS, front: INVALID_PORT });
