--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -3,6 +3,7 @@
 import {
   RefusedError,
   toRequestId,
+  type Refusal,
   type OrganisationConfiguration,
   type RequestId,
 } from '../domain/index.js';
@@ -133,7 +134,7 @@
     } catch (error) {
       const refusal = error instanceof RefusedError ? error.refusal : toInternalRefusal();
       this.deps.metrics.count(`entry_refused_${refusal.reason}`);
-      writer.refuse(refusal);
+      this.refuse(writer, response, refusal);
     }
     this.deps.metrics.recordMs('entry_total_ms', this.deps.clock.nowMs() - receivedAtMs);
     this.activeCount--;
@@ -144,6 +145,16 @@
     }
   }
 
+  /** Sends a refusal, or closes the connection if the response has begun already and can't be refused any more. */
+  private refuse(writer: ResponseWriter, response: ServerResponse, refusal: Refusal): void {
+    try {
+      writer.refuse(refusal);
+    } catch (error) {
+      this.deps.log.backgroundError(error, 'refusal of a request');
+      response.destroy();
+    }
+  }
+
   private async handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
--- a/test/router/EntryServer.test.ts
+++ b/test/router/EntryServer.test.ts
@@ -12,6 +12,15 @@
 /** Time after the stop signal after which a stopping router closes idle connections, in milliseconds. */
 const STOP_GRACE_MS = 1_000;
 
+/** Time in which a connection is answered or closed, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 2_000;
+/** Time in which a router without requests stops, in milliseconds. */
+const STOP_TIMEOUT_MS = 5_000;
+/** Model whose list cannot be written, which shows only after the head of the response. */
+const UNWRITABLE_MODEL = 1n as unknown as string;
+
+const backgroundErrors: unknown[] = [];
+
 /** Creates a router that only lists models. */
 function createServer(models: readonly string[]): EntryServer {
   const deps: Partial<Record<keyof EntryServerDependencies, unknown>> = {
@@ -19,6 +28,7 @@
     incarnation: 'i',
     clock: CLOCK,
     metrics: new Metrics(),
+    log: { backgroundError: (error: unknown) => backgroundErrors.push(error) },
     authenticator: { getOrganisation: () => ({}) },
     parser: { listModels: () => models },
   };
@@ -45,6 +55,23 @@
       await stopped;
     });
 
+    // Issue 39, FAULT: a request whose refusal could not be written never counted as ended, and a stop waited for it.
+    it('ends although a refusal could not be written', async () => {
+      const server = createServer([UNWRITABLE_MODEL]);
+      await server.start();
+      const isClosed = new Promise<boolean>((resolve) => {
+        const outgoing = request({ port: PORT, path: '/v1/models', headers: { authorization: 'Bearer t' } });
+        outgoing.on('error', () => resolve(true));
+        outgoing.setTimeout(ANSWER_TIMEOUT_MS, () => resolve(false));
+        outgoing.end();
+      });
+      const hasClosed = await isClosed;
+      const stopped = server.stop().then(() => true);
+      const hasStopped = await Promise.race([stopped, delay(CLOCK, STOP_TIMEOUT_MS).then(() => false)]);
+      expect({ hasClosed, hasStopped }).to.deep.equal({ hasClosed: true, hasStopped: true });
+      expect(backgroundErrors).to.have.length(1);
+    });
+
     // Issue 30, LOST: a response that was complete, but not yet written, was cut.
     it('completes responses that their callers read slowly', async () => {
       const server = createServer(Array.from({ length: 100_000 }, (_, index) => `model-${index}`));
