--- a/test/platform/refusedResources.test.ts
+++ b/test/platform/refusedResources.test.ts
@@ -46,7 +46,7 @@
   before(async () => {
     directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
     await chmod(directory, 0o755);
-    await bundleProgram(join(directory, 'main.cjs'));
+    await bundleProgram(directory);
   });
 
   after(async () => {
