--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -16,6 +16,8 @@
  * What has been read by then is served too.
  */
 const MAX_OPEN_RESPONSES = 100;
+/** Number of bytes that may be read from a connection whose requests are not read, to notice that its caller has left. */
+const READ_AHEAD_BYTES = 64 * 1024;
 /** Response to a request whose head takes too long. */
 const LATE_HEAD_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -37,9 +39,13 @@
   receivedBytes: number;
   /** Longest limit in force since its last request, whose response announced the limit of that time. */
   idleTimeoutMs: number;
+  /** Number of bytes received when it was last paused for its open responses. */
+  pausedAtBytes: number;
+  /** Whether it is read although too many responses are open. */
+  isReadingAhead: boolean;
 }
 
-/** Counts the requests on callers' connections, and closes those that stay idle for longer than their limit. */
+/** Counts the requests on callers' connections, and closes those that stay idle for longer than their limit or whose callers leave. */
 export class CallerConnections {
   private readonly states = new Map<Socket, ConnectionState>();
   private readonly checkTask: PeriodicTask;
@@ -47,7 +53,10 @@
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: CallerConnectionsDependencies) {
-    this.checkTask = new PeriodicTask(deps.clock, CHECK_INTERVAL_MS, () => this.closeIdle());
+    this.checkTask = new PeriodicTask(deps.clock, CHECK_INTERVAL_MS, () => {
+      this.closeIdle();
+      this.findLeftCallers();
+    });
   }
 
   /** Starts to close idle connections. */
@@ -80,15 +89,22 @@
    */
   add(socket: Socket): void {
     const openResponses = new Set<ServerResponse>();
-    this.states.set(socket, {
+    const state: ConnectionState = {
       requestCount: 0,
       openResponses,
       idleSinceMs: this.deps.clock.nowMs(),
       receivedBytes: 0,
       idleTimeoutMs: this.idleTimeoutMs,
-    });
+      pausedAtBytes: 0,
+      isReadingAhead: false,
+    };
+    this.states.set(socket, state);
     // Node.js resumes the connection for the body of each request.
-    socket.on('resume', () => pauseIfFull(socket, openResponses));
+    socket.on('resume', () => {
+      if (!state.isReadingAhead) {
+        pauseIfFull(socket, openResponses);
+      }
+    });
     socket.once('close', () => {
       this.states.delete(socket);
       closeQueued(openResponses);
@@ -107,6 +123,9 @@
     }
     state.requestCount++;
     state.openResponses.add(response);
+    if (state.openResponses.size === MAX_OPEN_RESPONSES) {
+      state.pausedAtBytes = socket.bytesRead;
+    }
     pauseIfFull(socket, state.openResponses);
     state.idleTimeoutMs = this.idleTimeoutMs;
     response.once('close', () => {
@@ -169,6 +188,16 @@
     }
   }
 
+  /** Reads a little from the connections that are paused: the end of a connection shows only when it is read. */
+  private findLeftCallers(): void {
+    for (const [socket, state] of this.states) {
+      const isPaused = state.openResponses.size >= MAX_OPEN_RESPONSES;
+      if (isPaused && socket.bytesRead - state.pausedAtBytes < READ_AHEAD_BYTES) {
+        runInBackground('reading ahead', () => readAhead(socket, state));
+      }
+    }
+  }
+
   private recordActivity(socket: Socket, state: ConnectionState): void {
     state.idleSinceMs = this.deps.clock.nowMs();
     state.receivedBytes = socket.bytesRead;
@@ -229,6 +258,17 @@
   }
 }
 
+/** Reads once from a connection with too many open responses. */
+async function readAhead(socket: Socket, state: ConnectionState): Promise<void> {
+  state.isReadingAhead = true;
+  socket.resume();
+  // The stream begins to flow in the next tick, and the sockets are polled after the first turn.
+  await pollSockets();
+  await pollSockets();
+  state.isReadingAhead = false;
+  pauseIfFull(socket, state.openResponses);
+}
+
 /** Closes the responses that waited for an earlier one on their connection, which Node.js does not when it is closed. */
 function closeQueued(openResponses: ReadonlySet<ServerResponse>): void {
   for (const response of [...openResponses]) {
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -71,6 +71,29 @@
     expect(bench.bodyBudget.tryTake(BUDGET_BYTES)).to.equal(true);
   });
 
+  for (const count of [100, 150]) {
+    // Issue 39, GONE: a connection that was not read because of its open responses did not notice that its caller had left.
+    it(`are cancelled when the caller leaves while ${count} of them wait`, async () => {
+      let closedCount = 0;
+      await bench.close();
+      bench = new RouterBench();
+      bench.bodyBudget = new ByteBudget(BUDGET_BYTES);
+      await bench.addServer('p', (incoming) => incoming.socket.on('close', () => closedCount++), ORDERS);
+      await bench.start([{ ...ONCE_ROUTE, timeoutMs: 10_000 }]);
+      connection = new CallerConnection(bench.callerPort);
+      for (let index = 0; index < count; index++) {
+        connection.writeRest(makeRequest(`r${index}`));
+        await delay(CLOCK, 2);
+      }
+      await waitUntil(() => getRunIds().length >= 100, 2_000);
+      connection.close();
+      await delay(CLOCK, 500);
+      expect(getRunIds().length).to.be.within(100, count);
+      expect(closedCount).to.equal(getRunIds().length);
+      expect(bench.bodyBudget.hasRoom(BUDGET_BYTES)).to.equal(true);
+    }).timeout(10_000);
+  }
+
   // Issue 39, FAULT: all requests on a connection were read and served at once, until the heap was full.
   it('are not read while many wait for their responses, and are all answered then', async () => {
     const requestCount = 600;
