--- a/src/daemon/ProcessLifecycle.ts
+++ b/src/daemon/ProcessLifecycle.ts
@@ -21,11 +21,14 @@
 const MAX_STACK_CHARACTERS = 2_000;
 
 /** Signals that stop the process. */
-const STOP_SIGNALS: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT'];
+const STOP_SIGNALS: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT', 'SIGQUIT'];
 /** Signal that reads the settings again. */
 const RELOAD_SIGNAL = 'SIGHUP';
-/** Signals that programs for log rotation send; nothing has to be done, but by default they end a process. */
-const IGNORED_SIGNALS: readonly NodeJS.Signals[] = ['SIGUSR2'];
+/**
+ * Signals that nothing has to be done for. By default SIGUSR1 opens the debugger of Node.js to all users of the machine,
+ * and the others end a process; programs for log rotation send SIGUSR2.
+ */
+const IGNORED_SIGNALS: readonly NodeJS.Signals[] = ['SIGUSR1', 'SIGUSR2', 'SIGALRM', 'SIGVTALRM'];
 
 type LogFields = Readonly<Record<string, string | number | boolean>>;
 
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -9,6 +9,7 @@
 import { ObjectStore } from '../../standins/users/index.js';
 import { CallerConnection, formatRequest } from '../direct/CallerConnection.js';
 import { sleepMs, waitUntil } from '../waiting.js';
+import { DEBUGGER_PORT, isRefused } from './isRefused.js';
 import { ObservedProgram } from './ObservedProgram.js';
 import {
   bundleProgram,
@@ -25,6 +26,8 @@
 const METRICS_PORT = 9_464;
 /** Time after the start at which a program has uncaught errors, in milliseconds; it is ready and serving by then. */
 const UNCAUGHT_DELAY_MS = 1_500;
+/** Time for which a program must stay after a signal that does not stop it, in milliseconds. */
+const STAY_MS = 200;
 /** Port on which no process can listen. */
 const INVALID_PORT = 70_000;
 /** Time limit for a program to become ready, in milliseconds. */
@@ -244,6 +247,29 @@
       await program.waitForLine('process started');
       expect(program.isRunning).to.equal(true);
     });
+
+    // Issue 42, FAULT: SIGQUIT ended the process at once.
+    it(`stops the ${role} on SIGQUIT`, async () => {
+      const program = await start(role);
+      await program.waitForLine('process started');
+      program.kill('SIGQUIT');
+      expect(await program.waitForEnd(END_TIMEOUT_MS)).to.deep.equal({ code: 0, signal: null });
+      expect(program.findLines('process ended')[0]?.context).to.deep.include({ cause: 'SIGQUIT', code: 0 });
+    });
+
+    // Issue 42, FAULT: SIGALRM and SIGVTALRM ended the process, and SIGUSR1 opened a debugger.
+    for (const signal of ['SIGUSR1', 'SIGALRM', 'SIGVTALRM'] as const) {
+      it(`keeps the ${role} running on ${signal}`, async () => {
+        const program = await start(role);
+        await program.waitForLine('process started');
+        program.kill(signal);
+        await program.waitForLine('signal received');
+        expect(await program.waitForEnd(STAY_MS)).to.equal(undefined);
+        expect(program.findLines('signal received')[0]?.context).to.deep.include({ signal, action: 'none' });
+        expect(program.output).not.to.match(/debugger|inspector/i);
+        expect(await isRefused(DEBUGGER_PORT)).to.equal(true);
+      });
+    }
   }
 
   // Issue 39, FAULT: a second SIGTERM ended the process at once and cut the requests in progress.
--- a/test/process/signals.test.ts
+++ b/test/process/signals.test.ts
@@ -6,6 +6,7 @@
 import { DEMO_ENVIRONMENT } from '../../standins/DemoFleet.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { PlatformStandIn } from '../../standins/PlatformStandIn.js';
+import { DEBUGGER_PORT, isRefused } from '../platform/isRefused.js';
 import { ObservedProgram } from '../platform/ObservedProgram.js';
 import { sleepMs } from '../waiting.js';
 
@@ -88,6 +89,28 @@
     });
   }
 
+  // Issue 42, FAULT: SIGALRM and SIGVTALRM ended the daemon, and SIGUSR1 opened a debugger.
+  for (const signal of ['SIGUSR1', 'SIGALRM', 'SIGVTALRM'] as const) {
+    it(`keeps running on ${signal}`, async () => {
+      const daemon = await start();
+      daemon.kill(signal);
+      await daemon.waitForLine('signal received');
+      expect(await daemon.waitForEnd(STAY_MS)).to.equal(undefined);
+      expect(daemon.findLines('signal received')[0]?.context).to.deep.include({ signal, action: 'none' });
+      expect(daemon.output).not.to.match(/debugger|inspector/i);
+      expect(await isRefused(DEBUGGER_PORT)).to.equal(true);
+    });
+  }
+
+  // Issue 42, FAULT: SIGQUIT ended the daemon at once.
+  it('exits with code 0 on SIGQUIT', async () => {
+    const daemon = await start();
+    await daemon.waitForLine('process started');
+    daemon.kill('SIGQUIT');
+    expect(await daemon.waitForEnd(END_TIMEOUT_MS), daemon.output).to.deep.equal({ code: 0, signal: null });
+    expect(daemon.findLines('process ended')[0]?.context).to.deep.include({ cause: 'SIGQUIT', code: 0 });
+  });
+
   // Issue 39, FAULT: the daemon ended with code 1 when the reader of its log lines had gone.
   it('keeps running and stops with code 0 when nobody reads its output', async () => {
     const daemon = await start();
