--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -17,7 +17,13 @@
   LoadPermitClient,
   PlacementReviewer,
 } from '../home/index.js';
-import { onBackgroundError, Random, SystemClock, type ServiceContainer } from '../kernel/index.js';
+import {
+  ByteBudget,
+  onBackgroundError,
+  Random,
+  SystemClock,
+  type ServiceContainer,
+} from '../kernel/index.js';
 import { HttpInstanceList, HttpObjectStore, PlatformHttp } from '../platform/index.js';
 import {
   AttemptClient,
@@ -36,6 +42,8 @@
 import { SERVICE_NAMES } from './serviceNames.js';
 
 const MICROSECONDS_PER_SECOND = 1_000_000;
+/** Maximum size of the request bodies that a router holds at the same time, in bytes. */
+const MAX_REQUEST_BODY_BYTES = 48 * 1024 * 1024;
 /** Number of random bytes in an incarnation, which identifies one run of a process. */
 const INCARNATION_BYTES = 6;
 
@@ -208,6 +216,7 @@
     authenticator: new Authenticator(catalogue),
     parser: new RequestParser(catalogue),
     budgets: new BudgetService(clock, services.getOrThrow(SERVICE_NAMES.store), incarnation),
+    bodyBudget: new ByteBudget(MAX_REQUEST_BODY_BYTES),
     owners,
     attempts,
     metrics,
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -2,7 +2,6 @@
 import type { DataCentreId, ServiceId } from '../domain/index.js';
 import {
   AgentConnections,
-  ByteBudget,
   CallerServer,
   CrashTracker,
   EngineController,
@@ -23,6 +22,7 @@
   type RetryLimits,
 } from '../direct/index.js';
 import {
+  ByteBudget,
   onBackgroundError,
   Random,
   SystemClock,
--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -1,15 +1,9 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import type { Clock, Timer } from '../kernel/index.js';
+import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import type { AttemptEnd, BreakCause, ResponseHead } from './attemptEnds.js';
-import {
-  EventSplitter,
-  followsEvent,
-  ResponseProgress,
-  type ByteBudget,
-  type CompleteEvents,
-} from './decisions/index.js';
+import { EventSplitter, followsEvent, ResponseProgress, type CompleteEvents } from './decisions/index.js';
 import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
 
 /** Timeout for opening a connection, in milliseconds; the latency between data centres is a few milliseconds. */
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -2,7 +2,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket, type AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { delay, runInBackground, type Clock, type Random, type Service } from '../kernel/index.js';
+import {
+  type ByteBudget,
+  delay,
+  runInBackground,
+  type Clock,
+  type Random,
+  type Service,
+} from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
 import {
@@ -10,7 +17,7 @@
   type RequestForwarderDependencies,
   type CallerRequest,
 } from './RequestForwarder.js';
-import { pickTarget, type ByteBudget, type CallerLimits, type FleetView } from './decisions/index.js';
+import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
 import { CallerConnections } from './CallerConnections.js';
 import { CallerResponse } from './CallerResponse.js';
 import type { HeaderCodec } from './HeaderCodec.js';
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import type { Clock, Timer } from '../kernel/index.js';
-import type { ByteBudget } from './decisions/index.js';
+import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
 
 /** Size up to which a body may take the part of the budget that larger ones leave free, in bytes. */
 const SMALL_BODY_BYTES = 64 * 1024;
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from '../kernel/index.js';
+import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
@@ -8,7 +8,6 @@
 import { CrashEvidence } from './CrashEvidence.js';
 import {
   isRetryable,
-  type ByteBudget,
   RequestLimits,
   type CrashTracker,
   type CompleteEvents,
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -6,7 +6,6 @@
 export * from './ResponseProgress.js';
 export * from './EventSplitter.js';
 export * from './followsEvent.js';
-export * from './ByteBudget.js';
 export * from './SharedRetryBudget.js';
 export * from './StoreEras.js';
 export * from './OriginReplicas.js';
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,4 +1,5 @@
 export * from './Clock.js';
+export * from './ByteBudget.js';
 export * from './SystemClock.js';
 export * from './PeriodicTask.js';
 export * from './delay.js';
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { delay, type Clock, type Service } from '../kernel/index.js';
+import { delay, type ByteBudget, type Clock, type Service } from '../kernel/index.js';
 import {
   RefusedError,
   toRequestId,
@@ -25,6 +25,12 @@
 
 /** Maximum size of a request body, in bytes. */
 const MAX_BODY_BYTES = 1024 * 1024;
+/** Size up to which a body may take the part of the budget that larger ones leave free, in bytes. */
+const SMALL_BODY_BYTES = 64 * 1024;
+/** Part of the budget that only small bodies may take, in bytes. */
+const SMALL_BODIES_RESERVE_BYTES = 8 * 1024 * 1024;
+/** Retry delay sent to a caller whose body found no room, in milliseconds. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
 /**
  * Idle timeout of a connection, in milliseconds; longer than the load balancer's, so that the balancer closes first.
  */
@@ -49,6 +55,8 @@
   readonly authenticator: Authenticator;
   readonly parser: RequestParser;
   readonly budgets: BudgetService;
+  /** Memory for the bodies of all requests together, each until its request has ended. */
+  readonly bodyBudget: ByteBudget;
   readonly owners: OwnerClient;
   readonly attempts: AttemptClient;
   readonly metrics: Metrics;
@@ -129,13 +137,15 @@
     if (this.stopping) {
       response.setHeader('connection', 'close');
     }
+    const body = new BodyReader(request, this.deps.bodyBudget);
     try {
-      await this.handleRequest(request, response, requestId, writer);
+      await this.handleRequest(request, response, requestId, writer, body);
     } catch (error) {
       const refusal = error instanceof RefusedError ? error.refusal : toInternalRefusal();
       this.deps.metrics.count(`entry_refused_${refusal.reason}`);
       this.refuse(writer, response, refusal);
     }
+    body.release();
     this.deps.metrics.recordMs('entry_total_ms', this.deps.clock.nowMs() - receivedAtMs);
     this.activeCount--;
     if (this.activeCount === 0) {
@@ -160,6 +170,7 @@
     response: ServerResponse,
     requestId: RequestId,
     writer: ResponseWriter,
+    body: BodyReader,
   ): Promise<void> {
     const receivedAtMs = this.deps.clock.nowMs();
     const organisation = this.deps.authenticator.getOrganisation(request.headers.authorization);
@@ -178,7 +189,7 @@
       method: request.method ?? 'GET',
       url: request.url ?? '/',
       headers: request.headers,
-      body: await readBody(request),
+      body: await body.read(),
       receivedAtMs,
     };
     const parsed = this.parse(incoming, organisation);
@@ -259,18 +270,56 @@
   response.end(JSON.stringify({ object: 'list', data }));
 }
 
-/** Reads a request body and refuses one over the size limit. */
-async function readBody(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of request) {
-    sizeBytes += (chunk as Buffer).length;
-    if (sizeBytes > MAX_BODY_BYTES) {
+/** Reads a request's body, which takes its size from a budget until it is released. */
+class BodyReader {
+  private takenBytes = 0;
+
+  /**
+   * @param request - The request.
+   * @param budget - Memory for all bodies together.
+   */
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly budget: ByteBudget,
+  ) {}
+
+  /** Reads the body; refuses one over the size limit and one that finds no room, whose rest is dropped as it arrives. */
+  async read(): Promise<string> {
+    const chunks: Buffer[] = [];
+    try {
+      // The connection stays open for the refusal.
+      for await (const chunk of this.request.iterator({ destroyOnReturn: false })) {
+        this.take((chunk as Buffer).length);
+        chunks.push(chunk as Buffer);
+      }
+    } catch (error) {
+      this.request.resume();
+      throw error;
+    }
+    return Buffer.concat(chunks).toString('utf8');
+  }
+
+  /** Returns what the body has taken of the budget. */
+  release(): void {
+    this.budget.release(this.takenBytes);
+    this.takenBytes = 0;
+  }
+
+  private take(byteCount: number): void {
+    const totalBytes = this.takenBytes + byteCount;
+    if (totalBytes > MAX_BODY_BYTES) {
       throw createRefusedError('bodyTooLarge', `The body exceeds the limit of ${MAX_BODY_BYTES} bytes.`);
     }
-    chunks.push(chunk as Buffer);
+    const reservedBytes = totalBytes > SMALL_BODY_BYTES ? SMALL_BODIES_RESERVE_BYTES : 0;
+    if (!this.budget.tryTake(byteCount, reservedBytes)) {
+      throw createRefusedError(
+        'overloaded',
+        'The bodies of all requests together leave no room for this one.',
+        NO_ROOM_RETRY_AFTER_MS,
+      );
+    }
+    this.takenBytes = totalBytes;
   }
-  return Buffer.concat(chunks).toString('utf8');
 }
 
 /** Refunds unspent tokens; a request that may have run is charged in full. */
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -16,7 +16,6 @@
 import { toDataCentreId } from '../../src/domain/index.js';
 import {
   AgentConnections,
-  ByteBudget,
   CallerServer,
   CrashTracker,
   FleetView,
@@ -32,7 +31,7 @@
   type ServerEntry,
   type ServingConfiguration,
 } from '../../src/direct/index.js';
-import { delay, Random, SystemClock } from '../../src/kernel/index.js';
+import { ByteBudget, delay, Random, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { Socket } from 'node:net';
-import { ByteBudget, type Route } from '../../src/direct/index.js';
+import { ByteBudget } from '../../src/kernel/index.js';
+import { type Route } from '../../src/direct/index.js';
 import { Log } from '../../src/telemetry/index.js';
 import { makeRoute } from './fleetFixtures.js';
 import { requestRaw, type RawResponse } from './requestRaw.js';
--- a/test/direct/endlessResponses.test.ts
+++ b/test/direct/endlessResponses.test.ts
@@ -1,8 +1,7 @@
 import { expect } from 'chai';
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { sendHttpRequest } from '../../platform/sendHttpRequest.js';
-import { ByteBudget } from '../../src/direct/index.js';
-import { delay } from '../../src/kernel/index.js';
+import { ByteBudget, delay } from '../../src/kernel/index.js';
 import { makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, RouterBench } from './RouterBench.js';
 
--- a/test/direct/failingSteps.test.ts
+++ b/test/direct/failingSteps.test.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai';
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
-import { ByteBudget, type RequestHeaders } from '../../src/direct/index.js';
+import type { RequestHeaders } from '../../src/direct/index.js';
+import { ByteBudget } from '../../src/kernel/index.js';
 import { Log } from '../../src/telemetry/index.js';
 import { waitUntil } from '../waiting.js';
 import { CallerConnection } from './CallerConnection.js';
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
-import { ByteBudget } from '../../src/direct/index.js';
-import { delay } from '../../src/kernel/index.js';
+import { ByteBudget, delay } from '../../src/kernel/index.js';
 import { CallerConnection, formatRequest } from './CallerConnection.js';
 import { ONCE_ROUTE, ORDERS } from './fleetFixtures.js';
 import { waitUntil } from '../waiting.js';
--- a/test/direct/unsendableResponses.test.ts
+++ b/test/direct/unsendableResponses.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
-import { ByteBudget, type ResponseHeaders } from '../../src/direct/index.js';
-import { delay } from '../../src/kernel/index.js';
+import { type ResponseHeaders } from '../../src/direct/index.js';
+import { ByteBudget, delay } from '../../src/kernel/index.js';
 import { makeRoute, ORDERS } from './fleetFixtures.js';
 import { CLOCK, RouterBench, makeResponseHeaders } from './RouterBench.js';
 
--- a/test/router/EntryServer.test.ts
+++ b/test/router/EntryServer.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { request } from 'node:http';
-import { delay, SystemClock } from '../../src/kernel/index.js';
-import { EntryServer, type EntryServerDependencies } from '../../src/router/index.js';
+import { ByteBudget, delay, SystemClock } from '../../src/kernel/index.js';
+import { createRefusedError, EntryServer, type EntryServerDependencies } from '../../src/router/index.js';
 import { Metrics } from '../../src/telemetry/index.js';
 import { CallerConnection } from '../direct/CallerConnection.js';
 
@@ -19,10 +19,26 @@
 /** Model whose list cannot be written, which shows only after the head of the response. */
 const UNWRITABLE_MODEL = 1n as unknown as string;
 
+const MIB = 1024 * 1024;
+/** Memory for all bodies together, in bytes: 8 MiB are for small bodies alone. */
+const BUDGET_BYTES = 10 * MIB;
+/** Size of a body up to which it is small, in bytes. */
+const SMALL_BYTES = 64 * 1024;
+/** Time in which sent bytes arrive at the router, in milliseconds. */
+const ARRIVAL_MS = 200;
+const CHUNKED_HEAD =
+  'POST /v1/chat/completions HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer t\r\nTransfer-Encoding: chunked\r\n\r\n';
+const LAST_CHUNK = '0\r\n\r\n';
+
+/** Returns a chunk of a body. */
+function formatChunk(byteCount: number): string {
+  return `${byteCount.toString(16)}\r\n${'x'.repeat(byteCount)}\r\n`;
+}
+
 const backgroundErrors: unknown[] = [];
 
-/** Creates a router that only lists models. */
-function createServer(models: readonly string[]): EntryServer {
+/** Creates a router that lists models and refuses all other requests when it has read them. */
+function createServer(models: readonly string[], bodyBudget = new ByteBudget(BUDGET_BYTES)): EntryServer {
   const deps: Partial<Record<keyof EntryServerDependencies, unknown>> = {
     address: { host: '127.0.0.1', port: PORT },
     incarnation: 'i',
@@ -30,7 +46,13 @@
     metrics: new Metrics(),
     log: { backgroundError: (error: unknown) => backgroundErrors.push(error) },
     authenticator: { getOrganisation: () => ({}) },
-    parser: { listModels: () => models },
+    bodyBudget,
+    parser: {
+      listModels: () => models,
+      parseCompletion: () => {
+        throw createRefusedError('unknownModel', 'There is no model.');
+      },
+    },
   };
   return new EntryServer(deps as unknown as EntryServerDependencies);
 }
@@ -92,4 +114,73 @@
       await stopped;
     });
   });
+
+  describe('onRequest', () => {
+    let server: EntryServer;
+    const connections: CallerConnection[] = [];
+
+    beforeEach(async () => {
+      server = createServer([]);
+      await server.start();
+    });
+
+    afterEach(async () => {
+      for (const connection of connections.splice(0)) {
+        connection.close();
+      }
+      await server.stop();
+    });
+
+    /** Sends the head and a part of the body of a request. */
+    async function begin(byteCount: number): Promise<CallerConnection> {
+      const connection = new CallerConnection(PORT);
+      connections.push(connection);
+      connection.write(CHUNKED_HEAD + formatChunk(byteCount));
+      await delay(CLOCK, ARRIVAL_MS);
+      return connection;
+    }
+
+    /** Sends the end of the body and returns the status of the response, once it is complete. */
+    async function complete(connection: CallerConnection): Promise<number | undefined> {
+      connection.writeRest(LAST_CHUNK);
+      await connection.waitForEnd();
+      return connection.status;
+    }
+
+    // Issue 39, FAULT: the bodies of all callers together had no limit, only each of them.
+    it('refuses a body for which the others leave no room, and serves it when one of them has ended', async () => {
+      const first = await begin(MIB);
+      const second = await begin(MIB - SMALL_BYTES);
+      const refused = await begin(MIB / 2);
+      expect(refused.status).to.equal(503);
+      expect(refused.received).to.contain('x-verdict: didNotRun').and.to.contain('retry-after: 1');
+      expect(refused.received).to.contain('"title":"overloaded"');
+      expect(await complete(first)).to.equal(404);
+      expect(await complete(await begin(MIB / 2))).to.equal(404);
+      expect(await complete(second)).to.equal(404);
+    });
+
+    it('has room for small bodies when large ones have taken theirs', async () => {
+      await begin(MIB);
+      await begin(MIB);
+      expect(await complete(await begin(SMALL_BYTES))).to.equal(404);
+    });
+
+    it('releases what a caller has taken who disconnects', async () => {
+      const first = await begin(MIB);
+      await begin(MIB);
+      first.close();
+      await delay(CLOCK, ARRIVAL_MS);
+      expect(await complete(await begin(MIB))).to.equal(404);
+    });
+
+    // Issue 39, FAULT: the rest of a body that was too large was not read, so its connection served no further request.
+    it('answers a body that is too large, drops its rest and serves the next request on the connection', async () => {
+      const connection = await begin(MIB + 1);
+      await connection.waitForEnd();
+      expect(connection.status).to.equal(413);
+      connection.write(formatChunk(MIB) + LAST_CHUNK + GET_MODELS);
+      expect(await connection.waitForStatus()).to.equal(200);
+    });
+  });
 });
