--- a/src/transport/PeerDialer.ts
+++ b/src/transport/PeerDialer.ts
@@ -9,12 +9,17 @@
 /** Minimum time between a failed dial and the next dial of the same address, in milliseconds. */
 const REDIAL_DELAY_MS = 250;
 
+/** Last failed dial of an address. */
+interface FailedDial {
+  readonly atMs: number;
+  readonly isRefused: boolean;
+}
+
 /** Opens connections to other processes of the fleet and caches one per address. */
 export class PeerDialer {
   private readonly connections = new Map<string, Promise<PeerConnection>>();
-  private readonly failedAtMsByAddress = new Map<string, number>();
-  /** Addresses that refused the connection at the last dial. */
-  private readonly refusedAddresses = new Set<string>();
+  /** Failed dials after which an address is not dialled again yet, in the order of their times. */
+  private readonly failedDials = new Map<string, FailedDial>();
   private methods: PeerMethods = {};
 
   /**
@@ -30,6 +35,11 @@
     private readonly traffic: TrafficMeter,
   ) {}
 
+  /** Number of addresses whose failed dials are remembered. */
+  get failedDialCount(): number {
+    return this.failedDials.size;
+  }
+
   /** @param methods - Methods provided to the other ends of connections that are opened from now on. */
   exposeMethods(methods: PeerMethods): void {
     this.methods = methods;
@@ -45,21 +55,21 @@
     if (existing) {
       return existing;
     }
-    const failedAtMs = this.failedAtMsByAddress.get(address) ?? -Infinity;
-    if (this.clock.nowMs() - failedAtMs < REDIAL_DELAY_MS) {
-      throw new ConnectionLostError(this.refusedAddresses.has(address));
+    this.pruneFailedDials();
+    const failed = this.failedDials.get(address);
+    if (failed) {
+      throw new ConnectionLostError(failed.isRefused);
     }
     const pending = this.dial(address);
     this.connections.set(address, pending);
     try {
       const connection = await pending;
       connection.onClose(() => this.connections.delete(address));
-      this.failedAtMsByAddress.delete(address);
       return connection;
     } catch (error) {
       this.connections.delete(address);
-      this.failedAtMsByAddress.set(address, this.clock.nowMs());
-      this.recordRefused(address, error);
+      const isRefused = error instanceof ConnectionLostError && error.isRefused;
+      this.failedDials.set(address, { atMs: this.clock.nowMs(), isRefused });
       throw error;
     }
   }
@@ -72,11 +82,14 @@
     }
   }
 
-  private recordRefused(address: string, error: unknown): void {
-    if (error instanceof ConnectionLostError && error.isRefused) {
-      this.refusedAddresses.add(address);
-    } else {
-      this.refusedAddresses.delete(address);
+  /** Forgets the failed dials that no longer keep their addresses from being dialled. */
+  private pruneFailedDials(): void {
+    const nowMs = this.clock.nowMs();
+    for (const [address, { atMs }] of this.failedDials) {
+      if (nowMs - atMs < REDIAL_DELAY_MS) {
+        return;
+      }
+      this.failedDials.delete(address);
     }
   }
 
