--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -303,6 +303,26 @@
     expect((await callRouter(routerIp, PORTS.front, '/x/1'))?.status).to.equal(200);
   });
 
+  // Issue 39, FAULT: heads that do not end are bounded by their number alone, and exceed the memory of a small machine.
+  it('stays below that of the smallest machine under large heads that do not end', async () => {
+    const lines = ['GET /x/1 HTTP/1.1', 'Host: a.example', `Padding: ${'x'.repeat(LARGE_HEAD_BYTES)}`];
+    const sockets: Socket[] = [];
+    try {
+      for (let index = 0; index < LARGE_HEAD_COUNT; index++) {
+        const socket = connect({ host: routerIp, port: PORTS.front }).on('error', () => undefined);
+        socket.resume().write(lines.join('\r\n'));
+        sockets.push(socket);
+      }
+      await sleepMs(HEADS_TIMEOUT_MS / 2);
+      expect([child.exitCode, child.signalCode]).to.deep.equal([null, null]);
+      expect(await getPeakMb()).to.be.below(MACHINE_MB);
+    } finally {
+      for (const socket of sockets) {
+        socket.destroy();
+      }
+    }
+  });
+
   // Issue 39, FAULT: bodies that stalled were kept for ever.
   it('does not keep bodies that stall, and serves small requests meanwhile', async () => {
     openCallers(150, BODY.length - 1, { deadlineMs: STALLED_DEADLINE_MS });
