--- a/scripts/build-program.mjs
+++ b/scripts/build-program.mjs
@@ -1,45 +1,42 @@
-// Bundles the program into target/main.cjs; installs the packages first unless those of the lock file are installed.
+// Builds the program into target/, with packages that are installed there too: `node scripts/build-program.mjs`. Builds may run
+// at once.
 import { spawnSync } from 'node:child_process';
-import { readFileSync, rmSync } from 'node:fs';
+import { rmSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { installPackages } from './installPackages.mjs';
+import { PackageFolders } from './PackageFolders.mjs';
 
-const BUNDLE = 'target/main.cjs';
+const CHECKOUT = fileURLToPath(new URL('..', import.meta.url));
+const TARGET = 'target';
+const BUNDLE = join(TARGET, 'main.cjs');
 const LOCK_FILE = 'package-lock.json';
-/** List of installed packages that npm writes at the end of a complete installation. */
-const INSTALLED_FILE = 'node_modules/.package-lock.json';
 
-/** Whether the last installation was completed, with the versions of the lock file. */
-function isInstalled() {
-  try {
-    const { packages } = JSON.parse(readFileSync(LOCK_FILE, 'utf8'));
-    const { packages: installed } = JSON.parse(readFileSync(INSTALLED_FILE, 'utf8'));
-    return Object.entries(packages).every(
-      // Optional packages are for certain kinds of machine; the lock file lists the project itself under an empty path.
-      ([path, { version, optional }]) =>
-        path === '' || (installed[path] ? installed[path].version === version : optional === true),
-    );
-  } catch {
-    // No list, or one that was not written completely.
-    return false;
-  }
-}
-
-/** Installs the packages with the tools, also where the environment asks for those of production alone. */
-function install() {
-  return runNpm('ci', '--silent', '--include=dev');
+/** Bundles the program with the packages of a folder; returns whether that succeeded. */
+function bundle(folder) {
+  const words = [resolve('scripts', 'bundle.mjs'), TARGET, join(folder, 'node_modules')];
+  return spawnSync(process.execPath, words, { stdio: 'inherit' }).status === 0;
 }
 
-function bundle() {
-  return runNpm('run', '--silent', 'bundle');
-}
-
-function runNpm(...words) {
-  return spawnSync('npm', words, { stdio: 'inherit' }).status === 0;
+/** Builds the program. */
+async function build() {
+  const folders = new PackageFolders(TARGET, LOCK_FILE);
+  let folder = folders.find();
+  if (folder === undefined || !bundle(folder)) {
+    // Files of an installation may be missing or be for another kind of machine, which only the bundling shows.
+    folder = await folders.add(installPackages, folder);
+    if (!bundle(folder)) {
+      throw new Error('the bundler failed');
+    }
+  }
+  folders.removeOld(folder);
 }
 
-// Files of an installation may be missing or be for another kind of machine, which only the bundling shows.
-const isBundled = (isInstalled() && bundle()) || (install() && bundle());
-if (!isBundled) {
+process.chdir(CHECKOUT);
+try {
+  await build();
+} catch {
   rmSync(BUNDLE, { force: true });
   console.error(`${BUNDLE} could not be built.`);
+  process.exitCode = 1;
 }
-process.exitCode = isBundled ? 0 : 1;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,7 +4,7 @@
 import { createHash, randomUUID } from 'node:crypto';
 import { mkdirSync, readdirSync, readFileSync, renameSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
-import { join, resolve } from 'node:path';
+import { join, relative, resolve } from 'node:path';
 
 /** Time for which an earlier program is kept, in milliseconds; processes that start during a build still load it. */
 const KEPT_MS = 3_600_000;
@@ -14,6 +14,25 @@
 const [directory = 'target', packages = 'node_modules'] = process.argv.slice(2);
 const esbuild = createRequire(resolve(packages, 'index.js'))('esbuild');
 
+/** Takes the packages that the sources import from the given folder alone, since those of the checkout may be incomplete. */
+const packagesPlugin = {
+  name: 'packages',
+  setup(build) {
+    build.onResolve({ filter: /^[^./]/ }, async ({ path, kind, importer, resolveDir, pluginData }) => {
+      const isOfSources = !relative(process.cwd(), resolveDir).includes('node_modules');
+      if (kind === 'entry-point' || pluginData === packagesPlugin || !isOfSources) {
+        return undefined;
+      }
+      return build.resolve(path, {
+        kind,
+        importer,
+        resolveDir: resolve(packages),
+        pluginData: packagesPlugin,
+      });
+    });
+  },
+};
+
 /** Returns the bundle of a module and of what it imports. */
 async function bundle(entryPoint, plugins = []) {
   const { outputFiles } = await esbuild.build({
@@ -24,10 +43,9 @@
     target: 'node20',
     // The loader of ECMAScript modules would delay the start.
     supported: { 'dynamic-import': false },
-    nodePaths: [resolve(packages)],
     logLevel: 'warning',
     write: false,
-    plugins,
+    plugins: [packagesPlugin, ...plugins],
   });
   return outputFiles[0].contents;
 }
--- a/test/scripts/build-program.test.ts
+++ b/test/scripts/build-program.test.ts
@@ -1,216 +1,158 @@
 import { expect } from 'chai';
-import { execFile } from 'node:child_process';
-import {
-  access,
-  chmod,
-  cp,
-  mkdir,
-  mkdtemp,
-  readdir,
-  readFile,
-  rm,
-  utimes,
-  writeFile,
-} from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { delimiter, join, resolve } from 'node:path';
+import { chmod, cp, mkdir, readdir, readFile, rm, utimes, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { BuildCheckout, PROJECT } from './BuildCheckout.js';
 
-const PROJECT = resolve('.');
-/** Search path without the tools of this checkout, which npm adds when it runs the tests. */
-const PLAIN_PATH = (process.env.PATH ?? '')
-  .split(delimiter)
-  .filter((folder) => !folder.includes('node_modules'))
-  .join(delimiter);
 /** Time between two looks at the program during a build, in milliseconds. */
 const LOOK_INTERVAL_MS = 5;
-/** Files that the build command needs. */
-const SOURCES = ['package.json', 'package-lock.json', 'tsconfig.json', 'src', 'platform', 'scripts'];
-
-/**
- * Stand-in for npm that records its calls: `ci` installs links to the packages of this checkout, without the tools where the
- * environment asks for that, and `run` is left to npm.
- */
-const NPM = `#!/bin/sh
-echo "$*" >> "$NPM_CALLS"
-if [ "$1" != ci ]; then
-  PATH=$PLAIN_PATH exec npm "$@"
-fi
-rm -rf node_modules
-mkdir -p node_modules/.bin
-ln -s "$PROJECT"/node_modules/* "$PROJECT"/node_modules/@* node_modules/
-case "$NODE_ENV $*" in
-  "production "*--include=dev* | " "*) ln -s ../esbuild/bin/esbuild node_modules/.bin/esbuild ;;
-  *) rm node_modules/esbuild ;;
-esac
-cp "$PROJECT/node_modules/.package-lock.json" node_modules/
-`;
 
 // Issue 39, FAULT: after an interrupted installation each build ended with 127, so no process started.
 describe('build command of deploy/system.toml', function () {
   // Each build starts the bundler, which takes some 20 s on a busy machine.
   this.timeout(180_000);
-  let directory: string;
-  let checkout: string;
+  let checkout: BuildCheckout;
 
   beforeEach(async () => {
-    directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
-    checkout = join(directory, 'checkout');
-    await mkdir(join(directory, 'bin'));
-    await mkdir(checkout);
-    await writeFile(join(directory, 'bin', 'npm'), NPM);
-    await chmod(join(directory, 'bin', 'npm'), 0o755);
-    await writeFile(join(directory, 'calls'), '');
-    for (const source of SOURCES) {
-      await cp(join(PROJECT, source), join(checkout, source), { recursive: true });
-    }
+    checkout = await BuildCheckout.create();
   });
 
   afterEach(async () => {
-    await rm(directory, { recursive: true, force: true });
+    await checkout.remove();
   });
 
-  /** Runs the build command; returns its exit code and the calls of npm. */
-  async function build(environment: NodeJS.ProcessEnv = {}): Promise<{ code: number; calls: string[] }> {
-    const deployFile = await readFile(join(PROJECT, 'deploy', 'system.toml'), 'utf8');
-    const command = /^build = "(.*)"$/m.exec(deployFile)?.[1] ?? 'false';
-    const env = {
-      HOME: process.env.HOME,
-      PATH: `${join(directory, 'bin')}${delimiter}${PLAIN_PATH}`,
-      PLAIN_PATH,
-      NPM_CALLS: join(directory, 'calls'),
-      PROJECT,
-      ...environment,
-    };
-    const code = await new Promise<number>((done) => {
-      execFile('/bin/sh', ['-c', command], { cwd: checkout, env }, (error) =>
-        done(typeof error?.code === 'number' ? error.code : error ? 1 : 0),
-      );
-    });
-    const calls = (await readFile(join(directory, 'calls'), 'utf8')).trim().split('\n');
-    return { code, calls: calls.map((call) => call.split(' ')[0] ?? '') };
-  }
-
-  async function exists(...path: string[]): Promise<boolean> {
-    return access(join(checkout, ...path)).then(
-      () => true,
-      () => false,
-    );
-  }
-
   /** Leaves a folder without packages that is newer than the lock file, with or without npm's list of a complete one. */
-  async function makeInstallation(isListed: boolean): Promise<void> {
-    const modules = join(checkout, 'node_modules');
+  async function makeInstallation(folder: string, isListed: boolean): Promise<void> {
+    const modules = join(folder, 'node_modules');
+    await rm(modules, { recursive: true, force: true });
     await mkdir(join(modules, '.bin'), { recursive: true });
     if (isListed) {
       await cp(join(PROJECT, 'node_modules', '.package-lock.json'), join(modules, '.package-lock.json'));
     }
     const past = new Date(Date.now() - 60_000);
-    await utimes(join(checkout, 'package-lock.json'), past, past);
+    await utimes(join(checkout.path, 'package-lock.json'), past, past);
   }
 
-  async function installCompletely(): Promise<void> {
-    expect((await build()).code).to.equal(0);
-    await writeFile(join(checkout, 'node_modules', 'marker'), '');
-    await writeFile(join(directory, 'calls'), '');
+  async function expectBuild(...calls: string[]): Promise<void> {
+    const { code, output } = await checkout.build();
+    expect(code, output).to.equal(0);
+    expect(await checkout.getCalls()).to.deep.equal(calls);
   }
 
-  /** Expects the two files of a program and nothing else. */
+  /** Expects the two files of a program, one folder with packages and nothing else. */
   async function expectCompleteProgram(): Promise<void> {
-    const [main, program, ...others] = (await readdir(join(checkout, 'target'))).sort();
+    const [main, packages, program, ...others] = await checkout.list(/./);
     expect(main).to.equal('main.cjs');
+    expect(packages).to.match(/^packages-[0-9a-f]{16}$/);
     expect(program).to.match(/^program-[0-9a-f]{16}\.cjs$/);
     expect(others).to.deep.equal([]);
-    expect(await readFile(join(checkout, 'target', 'main.cjs'), 'utf8')).to.contain(program);
+    expect((await checkout.readProgram())['main.cjs']).to.contain(program);
   }
 
-  it('installs the packages in a clean checkout', async () => {
-    const { code, calls } = await build();
-    expect(calls).to.deep.equal(['ci', 'run']);
-    expect(code).to.equal(0);
-    expect(await exists('target', 'main.cjs')).to.equal(true);
+  // Issue 39, FAULT: no process started in a checkout without packages.
+  it('installs the packages in a clean checkout, under target/ alone', async () => {
+    await expectBuild('ci');
+    await expectCompleteProgram();
+    expect(await checkout.exists('node_modules')).to.equal(false);
   });
 
+  // Issue 42, FAULT: an installation that another build uses was removed and written again.
   it('installs nothing when the packages are complete', async () => {
-    await installCompletely();
-    const { code, calls } = await build();
-    expect(calls).to.deep.equal(['run']);
-    expect(code).to.equal(0);
-    expect(await exists('node_modules', 'marker')).to.equal(true);
+    await checkout.buildFirst();
+    const packages = await checkout.getPackages();
+    await writeFile(join(packages, 'marker'), '');
+    await expectBuild();
+    expect(await readdir(packages)).to.contain('marker');
+  });
+
+  // Issue 39, FAULT: packages of an interrupted `npm ci` were taken for complete.
+  it('installs after an interrupted installation in the checkout', async () => {
+    await makeInstallation(checkout.path, false);
+    await expectBuild('ci');
   });
 
-  it('installs again after an interrupted installation', async () => {
-    await makeInstallation(false);
-    const { code, calls } = await build();
-    expect(code).to.equal(0);
-    expect(calls).to.deep.equal(['ci', 'run']);
+  // Issue 39, FAULT: packages that npm lists but that are missing were taken for complete.
+  it('installs when packages are missing in the checkout although npm lists them', async () => {
+    await makeInstallation(checkout.path, true);
+    await expectBuild('ci');
   });
 
-  it('installs again when packages are missing although npm lists them', async () => {
-    await makeInstallation(true);
-    const { code, calls } = await build();
-    expect(code).to.equal(0);
-    expect(calls).to.deep.equal(['run', 'ci', 'run']);
+  // Issue 42, FAULT: damaged packages under target/ must not fail each later build.
+  it('installs again when packages are missing under target/ although npm lists them', async () => {
+    await checkout.buildFirst();
+    const damaged = await checkout.getPackages();
+    await makeInstallation(damaged, true);
+    await expectBuild('ci');
+    // Another build may use the damaged folder, so it stays as it is.
+    expect(await readdir(join(damaged, 'node_modules'))).to.have.members(['.bin', '.package-lock.json']);
+    await checkout.forgetCalls();
+    await expectBuild();
   });
 
+  // Issue 39, FAULT: packages of other versions were taken for those of the lock file.
   it('installs again when the lock file names other versions', async () => {
-    await installCompletely();
-    const file = join(checkout, 'package-lock.json');
+    await checkout.buildFirst();
+    const file = join(checkout.path, 'package-lock.json');
     const text = await readFile(file, 'utf8');
     await writeFile(file, text.replace(/("node_modules\/zod": \{\s+"version": ")[^"]+/, '$10.0.0'));
     const past = new Date(Date.now() - 60_000);
     await utimes(file, past, past);
-    const { code, calls } = await build();
-    expect(code).to.equal(0);
-    expect(calls).to.deep.equal(['ci', 'run']);
+    await expectBuild('ci');
   });
 
-  it('installs the tools in an environment of production', async () => {
-    const { code } = await build({ NODE_ENV: 'production' });
-    expect(code).to.equal(0);
-    expect(await exists('target', 'main.cjs')).to.equal(true);
+  // Issue 39, FAULT: no process started where the environment asks for the packages of production alone.
+  it('installs the bundler in an environment of production', async () => {
+    const { code, output } = await checkout.build({ NODE_ENV: 'production' });
+    expect(code, output).to.equal(0);
   });
 
+  // Issue 39, FAULT: a bundler of another kind of machine, from a folder that was carried over, failed each build.
   it('installs again when the bundler is for another kind of machine', async () => {
-    await installCompletely();
-    const modules = join(checkout, 'node_modules');
-    await rm(join(modules, 'esbuild'));
-    await cp(join(PROJECT, 'node_modules', 'esbuild'), join(modules, 'esbuild'), { recursive: true });
-    await rm(join(modules, '@esbuild'));
-    await cp(join(PROJECT, 'node_modules', '@esbuild'), join(modules, '@esbuild'), { recursive: true });
-    for (const machine of await readdir(join(modules, '@esbuild'))) {
-      await writeFile(join(modules, '@esbuild', machine, 'bin', 'esbuild'), '\x7fELF of another machine');
+    await checkout.buildFirst();
+    const tools = join(await checkout.getPackages(), 'node_modules', '@esbuild');
+    for (const name of await readdir(tools)) {
+      const tool = join(tools, name, 'bin', 'esbuild');
+      await rm(tool);
+      await writeFile(tool, '\x7fELF of another machine');
+      await chmod(tool, 0o755);
+    }
+    await expectBuild('ci');
+  });
+
+  // Issue 42, FAULT: packages of the checkout that an `npm ci` changed meanwhile were bundled.
+  it('bundles no packages of the checkout', async () => {
+    for (const name of ['ws', 'zod', 'esbuild']) {
+      await mkdir(join(checkout.path, 'node_modules', name), { recursive: true });
+      await writeFile(join(checkout.path, 'node_modules', name, 'index.js'), 'half written (');
     }
-    const { code, calls } = await build();
-    expect(code).to.equal(0);
-    expect(calls).to.deep.equal(['run', 'ci', 'run']);
+    await expectBuild('ci');
+    expect(JSON.stringify(await checkout.readProgram())).to.not.contain('half written');
+    expect(await readdir(join(checkout.path, 'node_modules', 'ws'))).to.deep.equal(['index.js']);
   });
 
   it('fails and leaves no older program when the sources cannot be bundled', async () => {
-    await installCompletely();
-    await writeFile(join(checkout, 'platform', 'main.ts'), 'import "./missing.js";\n');
-    const { code } = await build();
-    expect(code).to.not.equal(0);
-    expect(await exists('target', 'main.cjs')).to.equal(false);
+    await checkout.buildFirst();
+    await writeFile(join(checkout.path, 'platform', 'main.ts'), 'import "./missing.js";\n');
+    expect((await checkout.build()).code).to.not.equal(0);
+    expect(await checkout.exists('target', 'main.cjs')).to.equal(false);
   });
 
   it('fails and leaves no older program when npm does not work', async () => {
-    await installCompletely();
-    await rm(join(checkout, 'node_modules'), { recursive: true });
-    await writeFile(join(directory, 'bin', 'npm'), '#!/bin/sh\nexit 1\n');
-    const { code } = await build();
-    expect(code).to.not.equal(0);
-    expect(await exists('target', 'main.cjs')).to.equal(false);
+    await checkout.buildFirst();
+    await rm(await checkout.getPackages(), { recursive: true });
+    await checkout.writeNpm('#!/bin/sh\nexit 1\n');
+    expect((await checkout.build()).code).to.not.equal(0);
+    expect(await checkout.exists('target', 'main.cjs')).to.equal(false);
   });
 
   // Issue 39, FAULT: the program was missing while it was built again, so a process that started meanwhile ended at once.
   it('keeps the older program until the new one is complete', async () => {
-    await installCompletely();
+    await checkout.buildFirst();
     let isBuilt = false;
-    const building = build().finally(() => (isBuilt = true));
+    const building = checkout.build().finally(() => (isBuilt = true));
     let missingCount = 0;
     while (!isBuilt) {
-      missingCount += (await exists('target', 'main.cjs')) ? 0 : 1;
+      missingCount += (await checkout.exists('target', 'main.cjs')) ? 0 : 1;
       await sleep(LOOK_INTERVAL_MS);
     }
     expect((await building).code).to.equal(0);
@@ -218,24 +160,13 @@
     await expectCompleteProgram();
   });
 
-  // Guards against builds that disturb each other; held before too.
-  it('replaces the older program when several builds run at once', async () => {
-    await installCompletely();
-    const program = join(checkout, 'target', 'main.cjs');
-    const expected = await readFile(program, 'utf8');
-    await writeFile(program, 'older');
-    const results = await Promise.all([build(), build(), build()]);
-    expect(results.map(({ code }) => code)).to.deep.equal([0, 0, 0]);
-    expect((await readFile(program, 'utf8')) === expected).to.equal(true);
-    await expectCompleteProgram();
-  });
-
+  // Guards against an unfinished file that is left; held before too.
   it('leaves no unfinished program when a file cannot be replaced', async () => {
-    await installCompletely();
-    const target = join(checkout, 'target');
+    await checkout.buildFirst();
+    const target = join(checkout.path, 'target');
     await rm(join(target, 'main.cjs'));
     await mkdir(join(target, 'main.cjs', 'directory'), { recursive: true });
-    expect((await build()).code).to.not.equal(0);
-    expect((await readdir(target)).filter((name) => name.endsWith('.unfinished'))).to.deep.equal([]);
+    expect((await checkout.build()).code).to.not.equal(0);
+    expect(await checkout.list(/unfinished$/)).to.deep.equal([]);
   });
 });
