--- a/scripts/build-program.mjs
+++ b/scripts/build-program.mjs
@@ -1,7 +1,6 @@
 // Builds the program into target/, with packages that are installed there too: `node scripts/build-program.mjs`. Builds may run
-// at once.
+// at once. A build that fails leaves the earlier program as it was.
 import { spawnSync } from 'node:child_process';
-import { rmSync } from 'node:fs';
 import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { installPackages } from './installPackages.mjs';
@@ -36,7 +35,6 @@
 try {
   await build();
 } catch {
-  rmSync(BUNDLE, { force: true });
-  console.error(`${BUNDLE} could not be built.`);
+  console.error(`${BUNDLE} could not be built. An earlier program was left as it was.`);
   process.exitCode = 1;
 }
