--- a/scripts/build-program.mjs
+++ b/scripts/build-program.mjs
@@ -1,32 +1,51 @@
 // Builds the program into target/, with packages that are installed there too: `node scripts/build-program.mjs`. Builds may run
-// at once. A build that fails leaves the earlier program as it was.
+// at once. A build that fails leaves the earlier program as it was and says what to do in its last line.
 import { spawnSync } from 'node:child_process';
 import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { BuildError } from './BuildError.mjs';
 import { installPackages } from './installPackages.mjs';
 import { PackageFolders } from './PackageFolders.mjs';
 
 const CHECKOUT = fileURLToPath(new URL('..', import.meta.url));
 const TARGET = 'target';
-const BUNDLE = join(TARGET, 'main.cjs');
 const LOCK_FILE = 'package-lock.json';
+/** Time after which the bundler is ended, in milliseconds; it needs half a second, and some 20 s on a busy machine. */
+const BUNDLE_LIMIT_MS = 120_000;
 
-/** Bundles the program with the packages of a folder; returns whether that succeeded. */
+/** Bundles the program with the given packages; returns why that failed, if it did. */
 function bundle(folder) {
-  const words = [resolve('scripts', 'bundle.mjs'), TARGET, join(folder, 'node_modules')];
-  return spawnSync(process.execPath, words, { stdio: 'inherit' }).status === 0;
+  const { status, signal, error } = spawnSync(
+    process.execPath,
+    [resolve('scripts', 'bundle.mjs'), TARGET, join(folder, 'node_modules')],
+    { stdio: ['ignore', process.stderr, 'inherit'], timeout: BUNDLE_LIMIT_MS, killSignal: 'SIGKILL' },
+  );
+  if (status === 0) {
+    return undefined;
+  }
+  return error?.message ?? (signal === null ? `exit code ${status}` : signal);
 }
 
 /** Builds the program. */
 async function build() {
   const folders = new PackageFolders(TARGET, LOCK_FILE);
   let folder = folders.find();
-  if (folder === undefined || !bundle(folder)) {
-    // Files of an installation may be missing or be for another kind of machine, which only the bundling shows.
-    folder = await folders.add(installPackages, folder);
-    if (!bundle(folder)) {
-      throw new Error('the bundler failed');
+  let failure = folder === undefined ? undefined : bundle(folder);
+  if (folder === undefined || failure !== undefined) {
+    if (failure !== undefined) {
+      console.error(
+        `Bundling with ${folder} failed (${failure}); its packages may be damaged, so they are installed again.`,
+      );
     }
+    folder = await folders.add(installPackages, folder);
+    failure = bundle(folder);
+  }
+  if (failure !== undefined) {
+    throw new BuildError(
+      'bundle the program',
+      `scripts/bundle.mjs failed with new packages (${failure})`,
+      'see its messages above; correct the sources they name, or check the space on the disk',
+    );
   }
   folders.removeOld(folder);
 }
@@ -34,7 +53,15 @@
 process.chdir(CHECKOUT);
 try {
   await build();
-} catch {
-  console.error(`${BUNDLE} could not be built. An earlier program was left as it was.`);
+} catch (error) {
+  const reason =
+    error instanceof BuildError
+      ? error
+      : new BuildError(
+          'build the program',
+          error.message,
+          'check the space on the disk and who may write target/',
+        );
+  console.error(`${reason.message} An earlier program in ${TARGET}/ was left as it was.`);
   process.exitCode = 1;
 }
--- a/scripts/installPackages.mjs
+++ b/scripts/installPackages.mjs
@@ -1,6 +1,7 @@
 import { spawnSync } from 'node:child_process';
-import { copyFileSync, existsSync } from 'node:fs';
+import { closeSync, copyFileSync, existsSync, openSync, readFileSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
+import { BuildError } from './BuildError.mjs';
 
 /** Files of the checkout that npm reads. */
 const PACKAGE_FILES = ['package.json', 'package-lock.json'];
@@ -15,8 +16,32 @@
   for (const file of PACKAGE_FILES) {
     copyFileSync(file, join(folder, file));
   }
-  const { status } = spawnSync('npm', ['ci', '--silent', '--omit=dev'], { cwd: folder, stdio: 'inherit' });
-  if (status !== 0 || !existsSync(join(folder, INSTALLED_FILE))) {
-    throw new Error('npm ci failed');
+  const failure = runNpm(folder, ['ci', '--loglevel=error', '--logs-max=0', '--omit=dev']);
+  if (failure !== undefined) {
+    throw new BuildError(
+      'install the packages',
+      `npm ci failed: ${failure}`,
+      'see the messages of npm above; check the registry, the space on the disk and that npm is installed',
+    );
   }
 }
+
+/** Runs npm, shows its messages on the standard error and returns why it failed, if it did. */
+function runNpm(folder, words) {
+  const messageFile = join(folder, 'npm.txt');
+  const descriptor = openSync(messageFile, 'w');
+  const { status, signal, error } = spawnSync('npm', words, {
+    cwd: folder,
+    stdio: ['ignore', descriptor, descriptor],
+  });
+  closeSync(descriptor);
+  const messages = readFileSync(messageFile, 'utf8');
+  rmSync(messageFile);
+  if (status === 0 && existsSync(join(folder, INSTALLED_FILE))) {
+    return undefined;
+  }
+  process.stderr.write(messages);
+  const code = /^npm (?:error|ERR!) code (\w+)$/m.exec(messages)?.[1] ?? error?.code;
+  const end = status === null ? (signal ?? 'not started') : `exit code ${status}`;
+  return code === undefined ? end : `${code} (${end})`;
+}
