--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -1,6 +1,6 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
+import { ChunkCollector, type ByteBudget, type Clock, type Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import type { AttemptEnd, BreakCause, ResponseHead } from './attemptEnds.js';
 import { EventSplitter, followsEvent, ResponseProgress, type CompleteEvents } from './decisions/index.js';
@@ -323,7 +323,7 @@
   }
 
   private readBody(response: IncomingMessage, head: ResponseHead): void {
-    const chunks: Buffer[] = [];
+    const chunks = new ChunkCollector();
     let progressLength = 0;
     response.on('data', (chunk: Buffer) => {
       this.progress.recordBody(chunk.length);
@@ -349,7 +349,7 @@
       } else if (this.params.isStreamBegun()) {
         this.failToContinue(head);
       } else {
-        this.finish({ kind: 'answered', head, body: Buffer.concat(chunks) });
+        this.finish({ kind: 'answered', head, body: chunks.take() });
       }
     });
   }
--- a/src/direct/RequestBody.ts
+++ b/src/direct/RequestBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
+import { ChunkCollector, type ByteBudget, type Clock, type Timer } from '../kernel/index.js';
 
 /** Size up to which a body may take the part of the budget that larger ones leave free, in bytes. */
 const SMALL_BODY_BYTES = 64 * 1024;
@@ -37,7 +37,8 @@
 /** Receives a request's body; the request takes the size of its head and body from a budget until it is released. */
 export class RequestBody {
   private timer: Timer | undefined;
-  private chunks: Buffer[] = [];
+  /** Received part of a body without a declared size. */
+  private readonly chunks = new ChunkCollector();
   /** Received part of a body of a declared size, with room for more chunks. */
   private buffer: Buffer | undefined;
   /** Size of the body that the request declares, in bytes; 0 if none. */
@@ -90,7 +91,7 @@
   private releaseBody(): void {
     this.hasEnded = true;
     this.timer?.cancel();
-    this.chunks = [];
+    this.chunks.clear();
     this.buffer = undefined;
     this.limits.budget.release(this.takenBytes);
     this.takenBytes = 0;
@@ -168,10 +169,9 @@
     }
     this.hasEnded = true;
     this.timer?.cancel();
-    const { chunks, buffer } = this;
-    this.chunks = [];
+    const { buffer } = this;
     this.buffer = undefined;
-    this.onComplete(buffer ?? (chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
+    this.onComplete(buffer ?? this.chunks.take());
   }
 
   private fail(failure: BodyFailure): void {
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,5 +1,6 @@
 export * from './Clock.js';
 export * from './ByteBudget.js';
+export * from './ChunkCollector.js';
 export * from './SystemClock.js';
 export * from './PeriodicTask.js';
 export * from './delay.js';
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { delay, type ByteBudget, type Clock, type Service } from '../kernel/index.js';
+import { ChunkCollector, delay, type ByteBudget, type Clock, type Service } from '../kernel/index.js';
 import {
   RefusedError,
   toRequestId,
@@ -285,7 +285,7 @@
 
   /** Reads the body; refuses one over the size limit and one that finds no room, whose rest is dropped as it arrives. */
   async read(): Promise<string> {
-    const chunks: Buffer[] = [];
+    const chunks = new ChunkCollector();
     try {
       // The connection stays open for the refusal.
       for await (const chunk of this.request.iterator({ destroyOnReturn: false })) {
@@ -296,7 +296,7 @@
       this.request.resume();
       throw error;
     }
-    return Buffer.concat(chunks).toString('utf8');
+    return chunks.take().toString('utf8');
   }
 
   /** Returns what the body has taken of the budget. */
--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -24,6 +24,11 @@
 const BODY = Buffer.alloc(3_900_000, 'x');
 /** Path of the requests whose responses are large. */
 const LARGE_RESPONSE_PATH = '/x/large';
+/** Path of the requests whose responses are sent in chunks of one byte. */
+const SMALL_CHUNKS_PATH = '/x/chunks';
+/** Number of chunks of one byte that a body has. */
+const SMALL_CHUNK_COUNT = 1_000_000;
+const SMALL_CHUNKS = '1\r\nx\r\n'.repeat(SMALL_CHUNK_COUNT);
 /** Number of callers that do not read their large responses. */
 const UNREAD_COUNT = 60;
 /** Time that the worker takes, in milliseconds. */
@@ -47,6 +52,12 @@
 
   protected override serve(incoming: IncomingMessage, response: ServerResponse): void {
     incoming.resume();
+    if (incoming.url === SMALL_CHUNKS_PATH) {
+      response.writeHead(200, makeSignedHeaders(getRequestId(incoming), 'text/plain'));
+      response.write('x');
+      response.socket?.write(SMALL_CHUNKS, () => response.end());
+      return;
+    }
     setTimeout(() => {
       if (this.responseBody && incoming.url === LARGE_RESPONSE_PATH) {
         response.writeHead(200, {
@@ -271,6 +282,28 @@
     });
   }
 
+  // Issue 42, FAULT: one body in chunks of one byte filled the heap and ended the router.
+  it('stays below that of the smallest machine under a body in many small chunks', async () => {
+    const socket = connect({ host: routerIp, port: PORTS.front }).on('error', () => undefined);
+    let received = '';
+    socket.on('data', (data) => (received += data.toString()));
+    const head = ['POST /x/1 HTTP/1.1', 'Host: a.example', 'Request-Id: c1', 'Transfer-Encoding: chunked'];
+    socket.write(`${head.join('\r\n')}\r\n\r\n${SMALL_CHUNKS}0\r\n\r\n`);
+    await waitUntil(() => received !== '' || child.signalCode !== null, ROUTE_TIMEOUT_MS);
+    socket.destroy();
+    expect([child.exitCode, child.signalCode]).to.deep.equal([null, null]);
+    expect(received).to.match(/^HTTP\/1.1 200 /);
+    expect(await getPeakMb()).to.be.below(MACHINE_MB);
+  });
+
+  // Issue 42, FAULT: one answer in chunks of one byte filled the heap and ended the router.
+  it('stays below that of the smallest machine under a response in many small chunks', async () => {
+    const response = await callRouter(routerIp, PORTS.front, SMALL_CHUNKS_PATH);
+    expect([child.exitCode, child.signalCode]).to.deep.equal([null, null]);
+    expect([response?.status, response?.text.length]).to.deep.equal([200, SMALL_CHUNK_COUNT + 1]);
+    expect(await getPeakMb()).to.be.below(MACHINE_MB);
+  });
+
   // Issue 39, FAULT: requests with large heads whose bodies stalled ended the router.
   it('stays below that of the smallest machine under large heads whose bodies stall', async () => {
     const lines = ['POST /x/1 HTTP/1.1', 'Host: a.example', 'Content-Length: 1'];
