--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -65,14 +65,23 @@
 function removeOldFiles() {
   const main = readFileSync(join(directory, 'main.cjs'), 'utf8');
   for (const name of readdirSync(directory)) {
-    const path = join(directory, name);
-    const { mtimeMs } = statSync(path, { throwIfNoEntry: false }) ?? { mtimeMs: Date.now() };
-    if (FILE_PATTERN.test(name) && !main.includes(name) && Date.now() - mtimeMs > KEPT_MS) {
-      rmSync(path, { force: true });
+    if (FILE_PATTERN.test(name) && !main.includes(name)) {
+      removeIfOld(join(directory, name));
     }
   }
 }
 
+function removeIfOld(path) {
+  try {
+    if (Date.now() - statSync(path).mtimeMs > KEPT_MS) {
+      rmSync(path);
+    }
+  } catch (error) {
+    // Another build may have removed it; the program is complete anyway.
+    console.error(`A leftover of an earlier build was not removed: ${error.message}`);
+  }
+}
+
 const program = await bundle('platform/program.ts');
 const programName = `program-${createHash('sha256').update(program).digest('hex').slice(0, 16)}.cjs`;
 const main = await bundle('platform/main.ts', [
--- a/test/scripts/bundle.test.ts
+++ b/test/scripts/bundle.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { execFile } from 'node:child_process';
-import { appendFile, cp, mkdtemp, readdir, rm, utimes, writeFile } from 'node:fs/promises';
+import { appendFile, cp, mkdir, mkdtemp, readdir, rm, utimes, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { promisify } from 'node:util';
@@ -81,4 +81,14 @@
     expect(program).to.match(/^program-[0-9a-f]{16}\.cjs$/);
     expect(others).to.deep.equal([]);
   });
+
+  // Issue 42, FAULT: a build failed, although its program was complete, when an old file could not be removed.
+  it('succeeds when an old file cannot be removed', async () => {
+    const old = join(checkout, 'target', 'program-0000.cjs');
+    await mkdir(old, { recursive: true });
+    const past = new Date(Date.now() - OLD_MS);
+    await utimes(old, past, past);
+    await bundle();
+    expect(await readdir(join(checkout, 'target'))).to.contain('main.cjs');
+  });
 });
