--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -29,6 +29,7 @@
   type Service,
   type ServiceContainer,
 } from '../kernel/index.js';
+import { RequestAuthorizer, type RevocationLimits } from '../organisations/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
 import { divideMemory } from './divideMemory.js';
 import { SERVICE_NAMES } from './serviceNames.js';
@@ -60,6 +61,8 @@
   readonly getRetryLimits: () => RetryLimits;
   /** Returns the time in which a change in the store must take effect, in milliseconds. */
   readonly getUpdateLimitMs: () => number;
+  /** Returns how long keys are trusted that the store does not confirm. */
+  readonly getRevocationLimits: () => RevocationLimits;
   readonly source: FleetSource;
   readonly codec: HeaderCodec;
 }
@@ -114,6 +117,11 @@
     }
   });
   const streamOrigins = new StreamOriginClient({ clock, view, agentConnections, log, metrics });
+  const authorizer = new RequestAuthorizer(
+    clock,
+    () => view.configurationKnowledge,
+    options.getRevocationLimits,
+  );
   const callerServer = new CallerServer({
     address: options.callerAddress,
     clock,
@@ -136,6 +144,7 @@
       bufferBudget: new ByteBudget(memory.responseBytes),
       getRetryBudget,
     },
+    authorizer,
     bodyBudget: new ByteBudget(memory.bodyBytes),
     log,
     metrics,
@@ -152,6 +161,7 @@
   watcher.onChange(() => {
     logWhenReady();
     callerServer.applyLimits();
+    callerServer.refuseRevoked();
     chooser.prune();
     agentConnections.updateConnections();
     modelLoader.scheduleReview();
--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net';
 import { ChunkCollector, type ByteBudget, type Clock, type Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
+import type { CallerAccess } from '../organisations/index.js';
 import type { AttemptEnd, BreakCause, ResponseHead } from './attemptEnds.js';
 import { EventSplitter, followsEvent, ResponseProgress, type CompleteEvents } from './decisions/index.js';
 import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
@@ -30,6 +31,8 @@
   readonly headers: RequestHeaders;
   readonly remainingMs: () => number;
   readonly urgency?: number;
+  /** What the request's key gives access to. */
+  readonly access: CallerAccess;
   /** Returns the ID of the event after which a stream is resumed. */
   readonly getLastEventId: () => string | undefined;
   /** Whether the caller has received a part of a stream, so that no other response can follow. */
@@ -210,6 +213,7 @@
       serverId: params.serverId,
       remainingMs: params.remainingMs(),
       urgency: params.urgency,
+      access: params.access,
       lastEventId: params.getLastEventId(),
     });
     if (params.body.length > 0) {
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket, type AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
@@ -10,18 +9,17 @@
   type Random,
   type Service,
 } from '../kernel/index.js';
+import type { RequestAuthorizer } from '../organisations/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
-import {
-  RequestForwarder,
-  type RequestForwarderDependencies,
-  type CallerRequest,
-} from './RequestForwarder.js';
-import { pickTarget, type CallerLimits, type FleetView } from './decisions/index.js';
+import { RequestForwarder, type RequestForwarderDependencies } from './RequestForwarder.js';
+import type { CallerLimits, FleetView } from './decisions/index.js';
 import { CallerConnections } from './CallerConnections.js';
+import type { CallerRequest } from './CallerRequest.js';
 import { CallerResponse } from './CallerResponse.js';
 import type { HeaderCodec } from './HeaderCodec.js';
 import { RequestBody, type BodyFailure } from './RequestBody.js';
+import { RequestResolver, type RequestRefusal } from './RequestResolver.js';
 
 /** Limits used until a configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -34,8 +32,6 @@
 const PARSER_HEADER_BYTES = 64 * 1024;
 /** Interval at which the header timeout is checked, in milliseconds. */
 const HEADER_CHECK_INTERVAL_MS = 1_000;
-/** Delay after which a caller should retry if no configuration is known yet, in milliseconds. */
-const STARTING_RETRY_MS = 500;
 /**
  * Time for which a stopping router accepts new requests, in milliseconds: the balancer detects the stop after two readiness
  * checks, and requests accepted later could be interrupted by the end of the process.
@@ -46,6 +42,15 @@
  * once.
  */
 const STOPPING_RETRY_MS = 100;
+/** Refusal of a request by a stopping router. */
+const STOPPING: RequestRefusal = {
+  kind: 'refused',
+  status: 503,
+  detail: 'the router is stopping',
+  retryAfterMs: STOPPING_RETRY_MS,
+};
+/** Refusal of a request whose key is no longer valid. */
+const REVOKED: RequestRefusal = { kind: 'refused', status: 401, detail: 'the key is no longer valid' };
 /** Time for the body of a request without a known route or deadline, in milliseconds. */
 const DEFAULT_BODY_TIMEOUT_MS = 30_000;
 /** Time for which the rest of a refused body is read and dropped before its connection is closed, in milliseconds. */
@@ -76,6 +81,7 @@
   readonly view: FleetView;
   readonly codec: HeaderCodec;
   readonly forwarder: RequestForwarderDependencies;
+  readonly authorizer: RequestAuthorizer;
   /** Memory for the heads and bodies of requests until their responses are closed. */
   readonly bodyBudget: ByteBudget;
   readonly log: Log;
@@ -92,6 +98,7 @@
   /** Bodies of the requests whose responses are not closed, by the response. */
   private readonly openBodies = new Map<ServerResponse, RequestBody>();
   private readonly connections: CallerConnections;
+  private readonly resolver: RequestResolver;
   private readonly listener: PortListener;
   private stopping = false;
   /** Whether new requests are refused because the process is stopping. */
@@ -108,6 +115,7 @@
       this.onProtocolError(error, socket),
     );
     this.connections = new CallerConnections(deps);
+    this.resolver = new RequestResolver(deps);
     this.http.on('connection', (socket: Socket) => this.connections.add(socket));
     // With a listener, the server does not close idle connections itself: it would do so at the limit of their last response.
     this.http.on('timeout', () => undefined);
@@ -153,7 +161,7 @@
     await delay(clock, ACCEPT_WHILE_STOPPING_MS);
     this.closing = true;
     for (const forwarder of [...this.activeForwarders.keys()]) {
-      forwarder.refuseUnsent('the router is stopping', STOPPING_RETRY_MS);
+      forwarder.refuseUnsent(STOPPING);
     }
     for (const body of [...this.openBodies.values()]) {
       body.endForShutdown();
@@ -188,6 +196,15 @@
     this.connections.applyIdleTimeout(limits.idleTimeoutMs);
   }
 
+  /** Refuses the requests whose keys are no longer valid and that no server has. */
+  refuseRevoked(): void {
+    for (const forwarder of [...this.activeForwarders.keys()]) {
+      if (this.deps.authorizer.isRevoked(forwarder.access)) {
+        forwarder.refuseUnsent(REVOKED);
+      }
+    }
+  }
+
   /** Whether a response has ended but its caller has yet to read a part that does not fit into the socket's buffer. */
   private get hasUnwrittenResponse(): boolean {
     for (const response of this.activeForwarders.values()) {
@@ -335,43 +352,20 @@
     body: Buffer,
     receivedAtMs: number,
   ): void {
-    const { view, codec, random } = this.deps;
-    const headers = codec.decodeRequest(request.headers);
-    const path = request.url ?? '/';
-    const method = request.method ?? 'GET';
+    const requestId = this.deps.codec.getRequestId(request.headers);
     if (this.closing) {
-      this.refuse(response, headers?.requestId, 503, 'the router is stopping', STOPPING_RETRY_MS);
+      this.refuse(response, requestId, STOPPING.status, STOPPING.detail, STOPPING.retryAfterMs);
       return;
     }
-    if (!view.configuration) {
-      this.refuse(response, headers?.requestId, 503, 'no configuration is known yet', STARTING_RETRY_MS);
-      return;
-    }
-    const route = view.routeTable.getRoute(request.headers.host ?? '', path);
-    const target = route && pickTarget(route, random.nextFraction());
-    if (!route || !target) {
-      this.refuse(response, headers?.requestId, 404, 'no route takes this host and path', undefined);
-      return;
+    const requestNumber = this.connections.getRequestCount(request.socket);
+    const resolved = this.resolver.resolve(request, body, receivedAtMs, requestNumber);
+    switch (resolved.kind) {
+      case 'refused':
+        this.refuse(response, requestId, resolved.status, resolved.detail, resolved.retryAfterMs);
+        return;
+      case 'accepted':
+        this.forward(resolved.request, response);
     }
-    if (!headers) {
-      this.refuse(response, undefined, 400, 'the request id is missing', undefined);
-      return;
-    }
-    const { serviceId } = target;
-    const fingerprint = getFingerprint(method, path, headers.model, body);
-    const connectionRequestNumber = this.connections.getRequestCount(request.socket);
-    const callerRequest = {
-      headers,
-      route,
-      serviceId,
-      method,
-      path,
-      body,
-      fingerprint,
-      receivedAtMs,
-      connectionRequestNumber,
-    };
-    this.forward(callerRequest, response);
   }
 
   private forward(request: CallerRequest, response: ServerResponse): void {
@@ -418,15 +412,10 @@
     const body = JSON.stringify({ error: detail });
     response.writeHead(status, {
       ...this.deps.codec.encodeRefusal(requestId, retryAfterMs),
+      ...(status === 401 ? { 'WWW-Authenticate': 'Bearer' } : {}),
       'Content-Type': 'application/json',
       'Content-Length': Buffer.byteLength(body),
     });
     return body;
   }
 }
-
-/** Returns the fingerprint of a request, the same for requests with equal method, path, model and body. */
-function getFingerprint(method: string, path: string, model: string | undefined, body: Buffer): string {
-  const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
-  return hash.update(body).digest('base64url');
-}
--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -5,7 +5,7 @@
 import type { BreakCause } from './attemptEnds.js';
 import type { CrashTracker, FleetView, PromptPartSuspects, ServerEntry } from './decisions/index.js';
 import { getSharedParts } from './HeaderCodec.js';
-import type { CallerRequest } from './RequestForwarder.js';
+import type { CallerRequest } from './CallerRequest.js';
 
 /**
  * Time for which a stream must have delivered events to show that its prompt does not crash the server, in milliseconds.
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -364,6 +364,7 @@
       heldModels: engine.heldModels.filter(({ name }) => this.planner.acceptsRequests(name)),
       uses: this.planner.getModelUses(nowMs),
       routerCount: this.publisher.followerCount,
+      configurationVersion: this.planner.configurationVersion,
       crashCounts: Object.fromEntries(this.crashCounts),
       leavingServers: Object.fromEntries(this.leavingServers),
     };
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -265,13 +265,18 @@
 
   private applyConfiguration(result: ConfigurationRead): void {
     const { configuration } = result;
+    this.deps.view.confirmConfiguration(this.deps.clock.nowMs());
     if (configuration && this.deps.view.applyConfiguration(configuration)) {
       this.deps.log.info('configuration applied', {
         version: configuration.version,
         routeCount: configuration.routes.length,
         headerTimeoutMs: configuration.callerLimits.headerTimeoutMs,
         idleTimeoutMs: configuration.callerLimits.idleTimeoutMs,
+        organisationCount: configuration.organisations?.organisations.length ?? 0,
       });
+      for (const problem of configuration.organisations?.problems ?? []) {
+        this.deps.log.warn('organisation cannot be read', { version: configuration.version, problem });
+      }
       this.changeListener();
     }
   }
--- a/src/direct/HeaderCodec.ts
+++ b/src/direct/HeaderCodec.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 import type { ServerId } from '../domain/index.js';
+import type { CallerAccess } from '../organisations/index.js';
 
 /** Part of a prompt; requests share all parts but the last. */
 export interface PromptPart {
@@ -34,6 +35,8 @@
   readonly remainingMs: number;
   /** Rank in the engine's queue, 0 first; absent for plain services. */
   readonly urgency?: number;
+  /** What the request's key gives access to; the key itself is not sent. */
+  readonly access: CallerAccess;
   /** ID of the event after which a stream is resumed. */
   readonly lastEventId?: string;
 }
@@ -73,6 +76,12 @@
    */
   abstract getRequestId(headers: IncomingHttpHeaders): string | undefined;
 
+  /**
+   * Returns the key that a caller presents; undefined if there is none.
+   * @param headers - Headers as received.
+   */
+  abstract getKey(headers: IncomingHttpHeaders): string | undefined;
+
   /**
    * Decodes a caller's headers; returns undefined if there is no request ID.
    * @param headers - Headers as received.
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -1,10 +1,12 @@
 import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
+import type { CallerAccess } from '../organisations/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import { applyServerNotice } from './applyServerNotice.js';
 import { describeEnd, isServerFault, type AttemptEnd, type ResponseHead } from './attemptEnds.js';
 import { BackendAttempt } from './BackendAttempt.js';
+import type { CallerRequest } from './CallerRequest.js';
 import { CrashEvidence } from './CrashEvidence.js';
 import {
   isRetryable,
@@ -15,12 +17,12 @@
   type KnownServer,
   type PromptPartSuspects,
   type SharedRetryBudget,
-  type Route,
   type ServerChooser,
 } from './decisions/index.js';
-import type { RequestHeaders, HeaderCodec } from './HeaderCodec.js';
+import type { HeaderCodec } from './HeaderCodec.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
+import type { RequestRefusal } from './RequestResolver.js';
 import { RequestRetries } from './RequestRetries.js';
 import type { StreamOriginClient } from './StreamOriginClient.js';
 import { ServerSearch } from './ServerSearch.js';
@@ -52,21 +54,6 @@
   readonly getRetryBudget: (serviceId: ServiceId) => SharedRetryBudget;
 }
 
-/** A caller's request as received. */
-export interface CallerRequest {
-  readonly headers: RequestHeaders;
-  readonly route: Route;
-  readonly serviceId: ServiceId;
-  readonly method: string;
-  readonly path: string;
-  readonly body: Buffer;
-  /** Fingerprint, the same for equal requests. */
-  readonly fingerprint: string;
-  readonly receivedAtMs: number;
-  /** Number of this request among those on its caller's connection, from 1. */
-  readonly connectionRequestNumber: number;
-}
-
 /** Destination of the response. */
 export interface ResponseSink {
   /** Sends a complete response of a backend server. */
@@ -106,7 +93,7 @@
   private bufferedLength = 0;
   private isClosed = false;
   /** How the request is refused once it is with no server; undefined while it may be sent. */
-  private refusalOfUnsent: { detail: string; retryAfterMs: number } | undefined;
+  private refusalOfUnsent: RequestRefusal | undefined;
   private latencyMs: number | undefined;
   private readonly crashEvidence: CrashEvidence;
   private longestGapMs = 0;
@@ -143,6 +130,11 @@
     this.deadlineTimer = deps.clock.schedule(this.remainingMs(), () => this.onDeadline());
   }
 
+  /** What the request's key gives access to. */
+  get access(): CallerAccess {
+    return this.request.access;
+  }
+
   /** Runs the request; resolves when the response or refusal has been sent. */
   async run(): Promise<void> {
     this.retries.recordRequest();
@@ -180,11 +172,10 @@
 
   /**
    * Refuses the request as soon as it is with no server and did not run on any.
-   * @param detail - Reason for the refusal.
-   * @param retryAfterMs - Delay after which the caller should retry, in milliseconds.
+   * @param refusal - The refusal.
    */
-  refuseUnsent(detail: string, retryAfterMs: number): void {
-    this.refusalOfUnsent = { detail, retryAfterMs };
+  refuseUnsent(refusal: RequestRefusal): void {
+    this.refusalOfUnsent = refusal;
     this.endIfUnsent();
   }
 
@@ -251,7 +242,7 @@
    */
   private createAttempt(server: KnownServer, priorRunCount: number): BackendAttempt {
     const { clock, codec, bufferBudget } = this.deps;
-    const { headers, route, method, path, body } = this.request;
+    const { headers, priority, access, method, path, body } = this.request;
     const { serverId, address } = server.entry;
     const chunkTimeouts = this.limits.getChunkTimeouts(priorRunCount, () => this.search.hasOther(serverId));
     const attempt = new BackendAttempt(
@@ -265,7 +256,8 @@
         body,
         headers,
         remainingMs: () => this.remainingMs(),
-        urgency: headers.model === undefined ? undefined : Math.min(MAX_URGENCY_RANK, route.priority),
+        urgency: headers.model === undefined ? undefined : Math.min(MAX_URGENCY_RANK, priority),
+        access,
         getLastEventId: () => this.resumption.lastEventId,
         isStreamBegun: () => this.resumption.hasBegun,
         ...chunkTimeouts,
@@ -505,8 +497,8 @@
     if (!this.refusalOfUnsent || this.hasEnded || this.tracker.verdict !== 'didNotRun') {
       return false;
     }
-    const { detail, retryAfterMs } = this.refusalOfUnsent;
-    this.refuse(503, detail, retryAfterMs);
+    const { status, detail, retryAfterMs } = this.refusalOfUnsent;
+    this.refuse(status, detail, retryAfterMs);
     return true;
   }
 
--- a/src/direct/RequestRetries.ts
+++ b/src/direct/RequestRetries.ts
@@ -4,7 +4,7 @@
 import type { CrashEvidence } from './CrashEvidence.js';
 import type { FleetView, RequestLimits, SharedRetryBudget } from './decisions/index.js';
 import { getSharingRouterCount } from './engineEntries.js';
-import type { CallerRequest } from './RequestForwarder.js';
+import type { CallerRequest } from './CallerRequest.js';
 import type { RetryAllowance } from './SilentServerReplacement.js';
 
 /** Maximum sends of one request, including refused ones; limits a request that every server refuses. */
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -10,7 +10,7 @@
   type ServerChooser,
   type ServerRequirements,
 } from './decisions/index.js';
-import type { CallerRequest } from './RequestForwarder.js';
+import type { CallerRequest } from './CallerRequest.js';
 import type { ModelLoader } from './ModelLoader.js';
 import type { RequestPermits } from './RequestPermits.js';
 
--- a/src/direct/StreamResumption.ts
+++ b/src/direct/StreamResumption.ts
@@ -10,7 +10,7 @@
   RequestLimits,
   ServerChooser,
 } from './decisions/index.js';
-import type { CallerRequest } from './RequestForwarder.js';
+import type { CallerRequest } from './CallerRequest.js';
 import { MAX_SENDS } from './RequestRetries.js';
 import type { StreamOriginClient } from './StreamOriginClient.js';
 import type { SearchResult, ServerSearch } from './ServerSearch.js';
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,4 +1,5 @@
 import { toServerId, type ServerId, type ServiceId } from '../../domain/index.js';
+import type { ConfigurationKnowledge } from '../../organisations/index.js';
 import { RouterCounts } from './RouterCounts.js';
 import { RouteTable } from './RouteTable.js';
 import { ServerDirectory } from './ServerDirectory.js';
@@ -46,12 +47,20 @@
   private currentConfiguration: ServingConfiguration | undefined;
   private currentRouteTable = new RouteTable([]);
   private maxInteractiveTargetsMs = new Map<ServiceId, number>();
+  private confirmedAtMs = -Infinity;
+  private reportedVersion = -Infinity;
 
   /** Newest configuration that was applied. */
   get configuration(): ServingConfiguration | undefined {
     return this.currentConfiguration;
   }
 
+  /** What this router knows of the configuration that is in force; undefined before the first one. */
+  get configurationKnowledge(): ConfigurationKnowledge | undefined {
+    const { currentConfiguration, confirmedAtMs, reportedVersion } = this;
+    return currentConfiguration && { ...currentConfiguration, confirmedAtMs, reportedVersion };
+  }
+
   /** Routes of the newest configuration. */
   get routeTable(): RouteTable {
     return this.currentRouteTable;
@@ -77,6 +86,14 @@
     return true;
   }
 
+  /**
+   * Records that the store has just stated that there is no newer configuration than the applied one.
+   * @param nowMs - Current time.
+   */
+  confirmConfiguration(nowMs: number): void {
+    this.confirmedAtMs = nowMs;
+  }
+
   /**
    * Returns the longest latency target of interactive requests to a service, in milliseconds.
    * @param serviceId - The service.
@@ -93,6 +110,7 @@
   applyReport(report: AgentReport, nowMs: number): void {
     const previous = this.reports.get(report.address)?.report;
     this.routerCounts.record(report.address, report.routerCount, nowMs);
+    this.reportedVersion = Math.max(this.reportedVersion, report.configurationVersion ?? -Infinity);
     this.applyReportedLimit(previous, report);
     this.reports.set(report.address, { report, atMs: nowMs });
     this.lastReports.set(report.address, { bornAtMs: report.bornAtMs, atMs: nowMs });
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -84,6 +84,11 @@
     return this.report;
   }
 
+  /** Newest version of the configuration that a router has sent; undefined before the first one. */
+  get configurationVersion(): number | undefined {
+    return this.capacity?.configurationVersion;
+  }
+
   /** Requested models that are not loaded yet, in the order in which they are to be loaded. */
   get queuedModels(): string[] {
     return this.getSortedLoadRequests().map(([model]) => model);
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -78,6 +78,8 @@
   readonly routerCount: number;
   /** Number of server crashes by request fingerprint, as reported to the agent. */
   readonly crashCounts: Readonly<Record<string, number>>;
+  /** Newest version of the configuration that a router has sent to the agent; absent in reports of older agents. */
+  readonly configurationVersion?: number;
   /** Start times of servers that have stated that they are leaving, by server ID; absent in reports of older agents. */
   readonly leavingServers?: Readonly<Record<string, number>>;
 }
--- a/src/direct/decisions/ServingConfiguration.ts
+++ b/src/direct/decisions/ServingConfiguration.ts
@@ -1,4 +1,5 @@
 import type { ServiceId } from '../../domain/index.js';
+import type { OrganisationDirectory } from '../../organisations/index.js';
 
 /** Kind of a route, which determines whether its requests may be retried; a stream only if it can be resumed. */
 export type RouteKind = 'idempotent' | 'nonIdempotent' | 'stream';
@@ -27,6 +28,8 @@
   /** Maximum number of backend servers that may run one request. */
   readonly maxAttempts: number;
   readonly isResumable: boolean;
+  /** Whether callers need no key; absent if they need one where the configuration has organisations. */
+  readonly isPublic?: boolean;
 }
 
 /** Memory and load times of one model on a backend server. */
@@ -77,6 +80,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceId, BackendService>;
   readonly callerLimits: CallerLimits;
+  /** Organisations whose keys callers must present; absent if callers need no key. */
+  readonly organisations?: OrganisationDirectory;
 }
 
 /** Latency target up to which requests are interactive in any case, in milliseconds. */
--- a/src/direct/decisions/isCompleteReport.ts
+++ b/src/direct/decisions/isCompleteReport.ts
@@ -31,7 +31,8 @@
     isRecord(report.uses) &&
     Object.values(report.uses).every((use: unknown) => isRecord(use)) &&
     isRecord(report.crashCounts) &&
-    isLimit(report.maxRequestsPerSecond)
+    isLimit(report.maxRequestsPerSecond) &&
+    (report.configurationVersion === undefined || Number.isFinite(report.configurationVersion))
   );
 }
 
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -13,6 +13,8 @@
 export * from './modelWaits.js';
 export * from './ModelLoader.js';
 export * from './BackendAttempt.js';
+export * from './CallerRequest.js';
+export * from './RequestResolver.js';
 export * from './RequestForwarder.js';
 export * from './CallerResponse.js';
 export * from './CallerServer.js';
--- a/src/router/Authenticator.ts
+++ b/src/router/Authenticator.ts
@@ -1,5 +1,5 @@
-import { createHash, timingSafeEqual } from 'node:crypto';
 import type { OrganisationConfiguration } from '../domain/index.js';
+import { digestKey } from '../organisations/index.js';
 import type { Catalogue } from '../state/index.js';
 
 /** Authenticates callers by bearer token. */
@@ -8,24 +8,11 @@
   constructor(private readonly catalogue: Catalogue) {}
 
   /**
-   * Returns the organisation that the token belongs to, comparing hashes in constant time.
+   * Returns the organisation that the token belongs to.
    * @param authorization - Value of the `Authorization` header.
    */
   getOrganisation(authorization: string | undefined): OrganisationConfiguration | undefined {
     const token = /^Bearer (.+)$/.exec(authorization ?? '')?.[1];
-    if (token === undefined) {
-      return undefined;
-    }
-    const presented = createHash('sha256').update(token).digest();
-    let found: OrganisationConfiguration | undefined;
-    for (const organisation of this.catalogue.getOrganisations()) {
-      for (const tokenSha256 of organisation.tokenSha256s) {
-        const expected = Buffer.from(tokenSha256, 'hex');
-        if (expected.length === presented.length && timingSafeEqual(expected, presented)) {
-          found = organisation;
-        }
-      }
-    }
-    return found;
+    return token === undefined ? undefined : this.catalogue.getOrganisationByKey(digestKey(token));
   }
 }
--- a/src/state/Catalogue.ts
+++ b/src/state/Catalogue.ts
@@ -11,6 +11,7 @@
   type ServiceConfiguration,
   type Versioned,
 } from '../domain/index.js';
+import { KeyDirectory } from '../organisations/index.js';
 import type { StateStore } from './decisions/index.js';
 
 /** Configuration of a model, or of the single target of a plain service. */
@@ -23,10 +24,17 @@
   readonly sizeBytes: number;
 }
 
+/** Organisation with the digests of its keys. */
+interface KeyedOrganisation {
+  readonly keyDigests: readonly string[];
+  readonly configuration: OrganisationConfiguration;
+}
+
 /** Typed view of the services, organisations, placements and drains in the state. */
 export class Catalogue {
   private readonly models = new Map<string, CatalogueModel>();
   private readonly organisations = new Map<string, OrganisationConfiguration>();
+  private organisationKeys = new KeyDirectory<KeyedOrganisation>([]);
   private isStale = true;
 
   /** @param state - State to read from. */
@@ -59,6 +67,15 @@
     return this.organisations.values();
   }
 
+  /**
+   * Returns the organisation that a key belongs to; undefined if there is none.
+   * @param digest - SHA-256 of the key, in hexadecimal.
+   */
+  getOrganisationByKey(digest: string): OrganisationConfiguration | undefined {
+    this.refresh();
+    return this.organisationKeys.getOwner(digest)?.configuration;
+  }
+
   /** @param modelId - Id of the model. */
   getPlacement(modelId: string): Versioned<Placement> | undefined {
     return this.state.get<Placement>(PLACEMENT_PREFIX + modelId);
@@ -82,6 +99,11 @@
     for (const { value } of this.state.list<OrganisationConfiguration>(ORGANISATION_PREFIX)) {
       this.organisations.set(value.organisation, value);
     }
+    const keyed = [...this.organisations.values()].map((configuration) => ({
+      keyDigests: configuration.tokenSha256s,
+      configuration,
+    }));
+    this.organisationKeys = new KeyDirectory(keyed);
   }
 
   private addService(service: ServiceConfiguration): void {
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -32,6 +32,7 @@
   type ServingConfiguration,
 } from '../../src/direct/index.js';
 import { ByteBudget, delay, Random, SystemClock } from '../../src/kernel/index.js';
+import { RequestAuthorizer } from '../../src/organisations/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
@@ -60,6 +61,7 @@
   bufferBudget = new ByteBudget(32 * 1024 * 1024);
   bodyBudget = new ByteBudget(48 * 1024 * 1024);
   retryLimits = RETRY_LIMITS;
+  revocationLimits = { isStrict: false, revocationLimitMs: 5_000 };
   log = new Log('test', () => undefined);
   /** Whether an agent has reported the number of routers, where the router connects to none. */
   isAgentKnown = true;
@@ -184,6 +186,11 @@
         bufferBudget: this.bufferBudget,
         getRetryBudget,
       },
+      authorizer: new RequestAuthorizer(
+        CLOCK,
+        () => view.configurationKnowledge,
+        () => this.revocationLimits,
+      ),
       bodyBudget: this.bodyBudget,
       log,
       metrics,
@@ -205,6 +212,7 @@
   applyConfiguration(configuration: ServingConfiguration): void {
     this.view.applyConfiguration(configuration);
     this.router?.applyLimits();
+    this.router?.refuseRevoked();
     this.modelLoader?.scheduleReview();
   }
 
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -1,9 +1,11 @@
 import { expect } from 'chai';
-import { toServerId } from '../../src/domain/index.js';
+import { toOrganisationId, toServerId } from '../../src/domain/index.js';
+import type { CallerAccess } from '../../src/organisations/index.js';
 import { decodeConfiguration } from '../../platform/configurationCodec.js';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
 import { decodeEngineReport, decodeServerEntry } from '../../platform/serverCodec.js';
 
+const UNMANAGED = { kind: 'unmanaged' } as const;
 const ENTRY = {
   Service: 'svc',
   Address: '10.0.0.1:80',
@@ -188,7 +190,7 @@
     expect(request?.promptTokens).to.equal(1_460);
     expect(request?.deadlineMs).to.equal(12_000);
     expect(
-      request && codec.encodeAttempt(request, { serverId, remainingMs: 99.7, urgency: 2 }),
+      request && codec.encodeAttempt(request, { serverId, remainingMs: 99.7, urgency: 2, access: UNMANAGED }),
     ).to.deep.equal({
       host: 'h.example',
       'request-id': 'r1',
@@ -221,9 +223,35 @@
   it('is undefined for a request without an id', () =>
     expect(codec.decodeRequest({ host: 'h' })).to.equal(undefined));
 
+  // The key passed on, or a name that the caller chose, would let backend servers take a caller for another one.
+  it('sends the name of the organisation in place of the key and of what the caller names', () => {
+    const request = codec.decodeRequest({ 'request-id': 'r1', authorization: 'Bearer k1', tenant: 'other' });
+    const encode = (access: CallerAccess) =>
+      request && codec.encodeAttempt(request, { serverId, remainingMs: 5, access });
+    const organisation = { organisationId: toOrganisationId('acme'), keyDigests: [] };
+    expect(encode({ kind: 'organisation', organisation, keyDigest: '' })).to.deep.equal({
+      'request-id': 'r1',
+      'Deadline-Ms': '5',
+      'Expect-Instance': 'i-1',
+      Tenant: 'acme',
+    });
+    expect(encode({ kind: 'public' })).to.have.keys('request-id', 'Deadline-Ms', 'Expect-Instance');
+    expect(encode(UNMANAGED)).to.include({ authorization: 'Bearer k1', tenant: 'other' });
+  });
+
+  it('finds the key of a request', () => {
+    expect(codec.getKey({ authorization: 'Bearer k1' })).to.equal('k1');
+    expect(codec.getKey({ authorization: 'bearer  k1 ' })).to.equal('k1');
+    for (const authorization of [undefined, '', 'Bearer', 'Basic k1', 'Bearer k1 k2']) {
+      expect(codec.getKey({ authorization }), authorization).to.equal(undefined);
+    }
+  });
+
   it('resumes after the last delivered event', () => {
     const request = codec.decodeRequest({ 'request-id': 'r1', 'last-event-id': '3' });
-    const headers = request && codec.encodeAttempt(request, { serverId, remainingMs: 5, lastEventId: '7' });
+    const headers =
+      request &&
+      codec.encodeAttempt(request, { serverId, remainingMs: 5, access: UNMANAGED, lastEventId: '7' });
     expect(headers?.['last-event-id']).to.equal('7');
   });
 
