Orders: a class of its own sends the orders to an engine

EngineController mixed the connections to routers with the sending of orders. EngineOrders takes the second part; nothing changes for engines and routers.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -11,9 +11,9 @@
   setNewest,
   type AgentReport,
   type EngineCrash,
-  type PlannedOrder,
 } from './decisions/index.js';
-import type { EnginePort, OrderResult } from './EnginePort.js';
+import { EngineOrders } from './EngineOrders.js';
+import type { EnginePort } from './EnginePort.js';
 import { ReportPublisher } from './ReportPublisher.js';
 import {
   RESIDENCY_METHODS,
@@ -33,10 +33,6 @@
 const POLL_INTERVAL_MS = 100;
 /** Interval at which the engine's state is read while it carries out an order or models are queued, in milliseconds. */
 const BUSY_POLL_INTERVAL_MS = 40;
-/** Timeout of a request for an adapter, in milliseconds; a load takes about 10 ms. */
-const ADAPTER_TIMEOUT_MS = 400;
-/** Interval at which a pending adapter is polled, in milliseconds. */
-const ADAPTER_POLL_MS = 4;
 /** Maximum number of stored leaving servers. */
 const MAX_LEAVING_SERVERS = 200;
 /** Maximum number of stored fingerprints of crashing requests. */
@@ -60,6 +56,7 @@
  */
 export class EngineController implements Service {
   private readonly planner = new ResidencyPlanner();
+  private readonly orders: EngineOrders;
   private readonly publisher: ReportPublisher;
   /** Numbers of running requests of each connected router, by model. */
   private readonly runningCounts = new Map<PeerConnection, Map<string, number>>();
@@ -67,16 +64,17 @@
   private readonly crashRecorder = new EngineCrashRecorder();
   /** Start times of servers that routers have found to be leaving. */
   private readonly leavingServers = new Map<ServerId, number>();
-  private lastOrder: Promise<unknown> = Promise.resolve();
-  private loadingModel: string | undefined;
-  private loadingSinceMs = 0;
   private isEngineUp = true;
   private endDelay: () => void = () => undefined;
   private stopped = false;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: EngineControllerDependencies) {
-    this.publisher = new ReportPublisher(deps.clock);
+    const { clock, engine, log, metrics } = deps;
+    const { planner } = this;
+    const readEngine = () => this.readEngine();
+    this.orders = new EngineOrders({ clock, engine, planner, log, metrics, readEngine });
+    this.publisher = new ReportPublisher(clock);
   }
 
   /** Number of routers that are connected to this agent. */
@@ -116,11 +114,7 @@
   private async runLoop(): Promise<void> {
     while (!this.stopped) {
       await this.readEngine();
-      const nowMs = this.deps.clock.nowMs();
-      const order = this.planner.getNextOrder(nowMs);
-      if (order) {
-        await this.runExclusively(() => this.sendOrder(order));
-      }
+      await this.orders.orderModel();
       this.publishReport();
       this.publishCrashes();
       const queuedCount = this.planner.queuedModels.length;
@@ -167,42 +161,8 @@
     }
     this.planner.applyReport(report, clock.nowMs());
     if (!report.isBusy) {
-      this.loadingModel = undefined;
-    }
-  }
-
-  /** Sends one order, conditional on the state from which it was decided. */
-  private async sendOrder(order: PlannedOrder): Promise<OrderResult> {
-    const { engine, log, metrics } = this.deps;
-    const state = this.planner.engineReport;
-    if (!state) {
-      return 'unknown';
-    }
-    const result = await engine.sendOrder({ ...order, expectedOrderCount: state.orderCount });
-    metrics.count(`orders_${order.kind}_${result}`);
-    log.decision('order', {
-      kind: order.kind,
-      model: order.model,
-      adapter: order.adapter ?? '',
-      expectedOrderCount: state.orderCount,
-      answer: result,
-    });
-    if (result === 'accepted' && order.kind === 'load' && order.adapter === undefined) {
-      this.loadingModel = order.model;
-      this.loadingSinceMs = this.deps.clock.nowMs();
-    }
-    if (result === 'accepted' && order.kind === 'unload' && order.adapter === undefined) {
-      this.planner.markUnloading(order.model);
+      this.orders.onIdle();
     }
-    await this.readEngine();
-    return result;
-  }
-
-  /** Runs orders one at a time, since each is conditional on the state after the previous one. */
-  private runExclusively<T>(run: () => Promise<T>): Promise<T> {
-    const result = this.lastOrder.then(run);
-    this.lastOrder = result.catch(() => undefined);
-    return result;
   }
 
   private onFollow(params: FollowEngineParams, from: PeerConnection): void {
@@ -254,46 +214,7 @@
   }
 
   private async ensureAdapter({ model, adapter }: EnsureAdapterParams): Promise<EnsureAdapterReply> {
-    const { clock } = this.deps;
-    const untilMs = clock.nowMs() + ADAPTER_TIMEOUT_MS;
-    this.planner.recordAdapterUse(model, adapter, clock.nowMs());
-    while (clock.nowMs() < untilMs) {
-      const state = this.getAdapterState(model, adapter);
-      if (state === 'ready' || state === 'modelGone') {
-        return { isReady: state === 'ready' };
-      }
-      if (state === 'absent' && this.planner.engineReport?.isBusy !== true) {
-        await this.runExclusively(() => this.orderAdapter(model, adapter));
-      } else {
-        await delay(clock, ADAPTER_POLL_MS);
-        await this.readEngine();
-      }
-    }
-    return { isReady: false };
-  }
-
-  private async orderAdapter(model: string, adapter: string): Promise<void> {
-    const order =
-      this.getAdapterState(model, adapter) === 'absent'
-        ? this.planner.getAdapterOrder(model, adapter, this.deps.clock.nowMs())
-        : undefined;
-    const result = order && (await this.sendOrder(order));
-    if (result !== 'accepted' && result !== 'alreadyDone') {
-      await delay(this.deps.clock, ADAPTER_POLL_MS);
-      await this.readEngine();
-    }
-  }
-
-  private getAdapterState(model: string, adapter: string): 'ready' | 'coming' | 'absent' | 'modelGone' {
-    const engine = this.planner.engineReport;
-    const held = engine?.heldModels.find(({ name }) => name === model);
-    if (!engine || !held) {
-      return 'modelGone';
-    }
-    if (held.adapters.includes(adapter)) {
-      return 'ready';
-    }
-    return engine.comingAdapters.includes(`${model}/${adapter}`) ? 'coming' : 'absent';
+    return { isReady: await this.orders.ensureAdapter(model, adapter) };
   }
 
   private onCrash({ fingerprint, crashCount }: CrashedParams): void {
@@ -358,8 +279,8 @@
     const report: AgentReport = {
       ...engine,
       address: this.deps.engineAddress,
-      loadingModel: this.loadingModel,
-      loadingForMs: nowMs - this.loadingSinceMs,
+      loadingModel: this.orders.loadingModel,
+      loadingForMs: this.orders.getLoadingForMs(nowMs),
       queuedModels: this.planner.queuedModels,
       heldModels: engine.heldModels.filter(({ name }) => this.planner.acceptsRequests(name)),
       uses: this.planner.getModelUses(nowMs),
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -3,6 +3,7 @@
 export * from './FleetWatcher.js';
 export * from './HeaderCodec.js';
 export * from './EnginePort.js';
+export * from './EngineOrders.js';
 export * from './EngineController.js';
 export * from './AgentConnections.js';
 export type { TakePermitParams, WantModelParams } from './messages.js';
