Orders: a decision and the state that it is based on travel together

Cause: the agent decided on a load of a model from one report and queued the order behind orders for adapters; sendOrder took the expected order count from the report at the time of sending.

PlannedOrder now holds the start time and the order count of the state that it was decided on, and nothing else supplies them. The decision on a model is made again when its turn among the orders has come, so that an order behind adapter orders is not sent in vain.

The fuzz test of the planner takes the count from the order.

--- a/src/direct/EngineOrders.ts
+++ b/src/direct/EngineOrders.ts
@@ -48,9 +48,15 @@
 
   /** Sends the next order for a model, if there is one. */
   async orderModel(): Promise<void> {
-    const order = this.deps.planner.getNextOrder(this.deps.clock.nowMs());
-    if (order) {
-      await this.runExclusively(() => this.sendOrder(order));
+    const { clock, planner } = this.deps;
+    if (planner.getNextOrder(clock.nowMs())) {
+      // Orders for adapters that are sent before it may change what fits, so that the decision is made when they are over.
+      await this.runExclusively(async () => {
+        const order = planner.getNextOrder(clock.nowMs());
+        if (order) {
+          await this.sendOrder(order);
+        }
+      });
     }
   }
 
@@ -103,20 +109,16 @@
     return engine.comingAdapters.includes(`${model}/${adapter}`) ? 'coming' : 'absent';
   }
 
-  /** Sends one order, conditional on the state from which it was decided. */
+  /** Sends one order. */
   private async sendOrder(order: PlannedOrder): Promise<OrderResult> {
     const { clock, engine, log, metrics, planner, readEngine } = this.deps;
-    const state = planner.engineReport;
-    if (!state) {
-      return 'unknown';
-    }
-    const result = await engine.sendOrder({ ...order, expectedOrderCount: state.orderCount });
+    const result = await engine.sendOrder(order);
     metrics.count(`orders_${order.kind}_${result}`);
     log.decision('order', {
       kind: order.kind,
       model: order.model,
       adapter: order.adapter ?? '',
-      expectedOrderCount: state.orderCount,
+      expectedOrderCount: order.expectedOrderCount,
       answer: result,
     });
     if (result === 'accepted' && order.adapter === undefined) {
@@ -131,7 +133,7 @@
     return result;
   }
 
-  /** Runs orders one at a time, since each is conditional on the state after the previous one. */
+  /** Decides on and sends orders one at a time, since each is conditional on the state after the previous one. */
   private runExclusively<T>(run: () => Promise<T>): Promise<T> {
     const result = this.lastOrder.then(run);
     this.lastOrder = result.catch(() => undefined);
--- a/src/direct/EnginePort.ts
+++ b/src/direct/EnginePort.ts
@@ -1,13 +1,7 @@
-import type { EngineReport } from './decisions/index.js';
+import type { EngineReport, PlannedOrder } from './decisions/index.js';
 
 /** Order to an engine; carried out only if the engine has accepted exactly `expectedOrderCount` orders before. */
-export interface ResidencyOrder {
-  readonly kind: 'load' | 'unload';
-  readonly model: string;
-  /** Set when the order concerns an adapter of the model. */
-  readonly adapter?: string;
-  readonly expectedOrderCount: number;
-}
+export type ResidencyOrder = PlannedOrder;
 
 /** Result of an order. */
 export type OrderResult =
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -29,13 +29,22 @@
   readonly models: ReadonlyMap<string, ModelFootprint>;
 }
 
-/** Order to send to the engine next. */
-export interface PlannedOrder {
+/** What an order is to change. */
+interface OrderSubject {
   readonly kind: 'load' | 'unload';
   readonly model: string;
+  /** Set when the order concerns an adapter of the model. */
   readonly adapter?: string;
 }
 
+/** Order to send to the engine next, with the state that it was decided on. */
+export interface PlannedOrder extends OrderSubject {
+  /** When the engine's process started, in milliseconds since the epoch. */
+  readonly bornAtMs: number;
+  /** Number of orders that the engine had accepted in that state. */
+  readonly expectedOrderCount: number;
+}
+
 /** What may be evicted for a requested model. */
 export interface RequestedEvictions {
   /** Models that must not be evicted. */
@@ -204,7 +213,8 @@
    * @param nowMs - Current time.
    */
   getNextOrder(nowMs: number): PlannedOrder | undefined {
-    if (!this.report || !this.capacity || this.report.isBusy) {
+    const { report } = this;
+    if (!report || !this.capacity || report.isBusy) {
       return undefined;
     }
     this.expire(nowMs);
@@ -214,7 +224,7 @@
     for (const [model, request] of this.getSortedLoadRequests()) {
       const order = this.planOrder(model, request, nowMs);
       if (order) {
-        return order;
+        return bindToState(order, report);
       }
     }
     return undefined;
@@ -266,10 +276,10 @@
     this.adapterUsage.recordUse(model, adapter, nowMs);
     const hasFreeSlot = countAdapters(report) < capacity.adapterSlotCount;
     if (hasFreeSlot && footprint.adapterMb <= this.getFreeMb()) {
-      return { kind: 'load', model, adapter };
+      return bindToState({ kind: 'load', model, adapter }, report);
     }
     const adapterToEvict = this.adapterUsage.getLeastRecentlyUsed(report, model, adapter);
-    return adapterToEvict && { kind: 'unload', ...adapterToEvict };
+    return adapterToEvict && bindToState({ kind: 'unload', ...adapterToEvict }, report);
   }
 
   /**
@@ -298,7 +308,7 @@
     );
   }
 
-  private planOrder(model: string, request: LoadRequest, nowMs: number): PlannedOrder | undefined {
+  private planOrder(model: string, request: LoadRequest, nowMs: number): OrderSubject | undefined {
     const footprint = this.capacity?.models.get(model);
     if (!footprint) {
       return undefined;
@@ -407,3 +417,7 @@
     }
   }
 }
+
+function bindToState(subject: OrderSubject, { bornAtMs, orderCount }: EngineReport): PlannedOrder {
+  return { ...subject, bornAtMs, expectedOrderCount: orderCount };
+}
--- a/test/direct/decisions/ResidencyPlanner.test.ts
+++ b/test/direct/decisions/ResidencyPlanner.test.ts
@@ -10,6 +10,8 @@
 
 const PROFILE = makeProfile();
 const CAPACITY = { ...PROFILE, configurationVersion: 1 };
+/** State that orders of a planner of {@link makePlanner} are bound to. */
+const STATE = { bornAtMs: 1, expectedOrderCount: 0 };
 
 /** Simulated engine that executes orders bound to its state and can receive orders late. */
 class ModelEngine {
@@ -17,13 +19,13 @@
   orderCount = 0;
   orderInProgress: PlannedOrder | undefined;
   /** Orders without a result that may still arrive. */
-  readonly delayedOrders: { order: PlannedOrder; expectedOrderCount: number }[] = [];
+  readonly delayedOrders: PlannedOrder[] = [];
 
   /** @param checksOrderCount - Whether orders are accepted only in the state that they were planned for. */
   constructor(private readonly checksOrderCount = true) {}
 
-  accept(order: PlannedOrder, expectedOrderCount: number): void {
-    if ((this.checksOrderCount && expectedOrderCount !== this.orderCount) || this.orderInProgress) {
+  accept(order: PlannedOrder): void {
+    if ((this.checksOrderCount && order.expectedOrderCount !== this.orderCount) || this.orderInProgress) {
       return;
     }
     this.orderCount++;
@@ -118,13 +120,10 @@
       planner.applyReport(engine.report(), 0);
       let nowMs = 0;
       const send = (order: PlannedOrder | undefined, isLost: boolean) => {
-        const expectedOrderCount = planner.engineReport?.orderCount;
-        if (order && expectedOrderCount !== undefined) {
-          if (isLost) {
-            engine.delayedOrders.push({ order, expectedOrderCount });
-          } else {
-            engine.accept(order, expectedOrderCount);
-          }
+        if (order && isLost) {
+          engine.delayedOrders.push(order);
+        } else if (order) {
+          engine.accept(order);
         }
       };
       for (const next of steps) {
@@ -138,7 +137,7 @@
         } else if (next.kind === 'late') {
           const delayed = engine.delayedOrders.shift();
           if (delayed) {
-            engine.accept(delayed.order, delayed.expectedOrderCount);
+            engine.accept(delayed);
           }
         } else if (next.kind === 'finish') {
           engine.finish();
@@ -159,7 +158,7 @@
     it('loads a requested model when enough memory is free', () => {
       const planner = makePlanner([makeHeldModel('b')]);
       planner.requestModel('a', false, 0);
-      expect(planner.getNextOrder(1)).to.deep.equal({ kind: 'load', model: 'a' });
+      expect(planner.getNextOrder(1)).to.deep.equal({ ...STATE, kind: 'load', model: 'a' });
     });
 
     it('drains a model before its unload, so that routers are notified first', () => {
@@ -180,7 +179,7 @@
       planner.requestModel('a', false, 2_400);
       expect(planner.getNextOrder(2_400)).to.equal(undefined);
       planner.requestModel('a', false, 3_800);
-      expect(planner.getNextOrder(3_800)).to.deep.equal({ kind: 'unload', model: 'b' });
+      expect(planner.getNextOrder(3_800)).to.deep.equal({ ...STATE, kind: 'unload', model: 'b' });
     });
 
     it('does not evict models in interactive use for batch work', () => {
@@ -198,7 +197,7 @@
       const planner = makePlanner([makeHeldModel('b'), makeHeldModel('c')]);
       planner.requestModel('a', false, 1_000, { keptModels: ['b'] });
       planner.getNextOrder(1_000);
-      expect(planner.getNextOrder(1_050)).to.deep.equal({ kind: 'unload', model: 'c' });
+      expect(planner.getNextOrder(1_050)).to.deep.equal({ ...STATE, kind: 'unload', model: 'c' });
     });
 
     it('plans interactive load requests first and removes those that are not renewed', () => {
@@ -226,6 +225,7 @@
       planner.recordAdapterUse('a', 'a1', 10);
       planner.recordAdapterUse('a', 'a2', 5);
       expect(planner.getAdapterOrder('a', 'a3', 20)).to.deep.equal({
+        ...STATE,
         kind: 'unload',
         model: 'a',
         adapter: 'a2',
