Orders: an order names the incarnation of the engine that it is for

Cause: orders carried no Expect-Instance and always the fencing number 1, and the order count begins again with each start.

Routers send the health path of the service with the follow message (absent from older ones; older agents ignore it). The agent asks an incarnation for its ID there once, again at most twice if no answer comes, and believes an answer only if a report after it shows the incarnation that was asked. Only the first orders for a new incarnation wait for it. Without an answer, orders go without an ID, as before.

An engine may start again under the ID that it had. The fencing number is then raised to the start time in seconds, so that the order of the incarnation before is rejected with 412. It stays 1 otherwise: an agent of an older version sends 1, and would be rejected after a downgrade. An agent that is rejected with 412 raises it too, since its predecessor may have done so.

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -167,6 +167,9 @@
 
   private onFollow(params: FollowEngineParams, from: PeerConnection): void {
     this.planner.setCapacity({ ...params, models: new Map(params.models) });
+    if (typeof params.healthPath === 'string') {
+      this.orders.setHealthPath(params.healthPath);
+    }
     if (this.publisher.add(from)) {
       this.runningCounts.set(from, new Map());
       from.onClose(() => this.onDisconnect(from));
--- a/src/direct/EngineOrders.ts
+++ b/src/direct/EngineOrders.ts
@@ -1,6 +1,12 @@
 import { delay, type Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import { OrderGate, type EngineReport, type PlannedOrder, type ResidencyPlanner } from './decisions/index.js';
+import {
+  EngineIdentity,
+  OrderGate,
+  type EngineReport,
+  type PlannedOrder,
+  type ResidencyPlanner,
+} from './decisions/index.js';
 import type { EnginePort, OrderResult } from './EnginePort.js';
 
 /** Timeout of a request for an adapter, in milliseconds; a load takes about 10 ms. */
@@ -26,8 +32,12 @@
 /** Reads the state of one engine and sends it the orders for models and adapters, one at a time. */
 export class EngineOrders {
   private readonly gate = new OrderGate();
+  private readonly identity = new EngineIdentity();
   /** Reading that is under way. */
-  private reading: Promise<void> | undefined;
+  private reading: Promise<EngineReport | undefined> | undefined;
+  /** Last request for the engine's ID. */
+  private identifying: Promise<void> = Promise.resolve();
+  private healthPath: string | undefined;
   /** Whether an order for a model waits; requests for adapters start no orders meanwhile. */
   private isModelOrderDue = false;
   private lastOrder: Promise<unknown> = Promise.resolve();
@@ -55,8 +65,16 @@
     this.acceptedLoad = undefined;
   }
 
+  /**
+   * Sets the path at which the engine tells the ID of its incarnation.
+   * @param healthPath - Path of health checks of its service.
+   */
+  setHealthPath(healthPath: string): void {
+    this.healthPath = healthPath;
+  }
+
   /** Reads the engine's state; callers at the same time share one reading. */
-  read(): Promise<void> {
+  read(): Promise<EngineReport | undefined> {
     this.reading ??= this.startReading();
     return this.reading;
   }
@@ -74,6 +92,7 @@
     this.isModelOrderDue = true;
     try {
       await this.runExclusively(async () => {
+        await this.waitForIdentity();
         await this.waitForFreshReport();
         // Orders for adapters that were sent before it may have changed what fits.
         const order = this.gate.isOpen(clock.nowMs()) ? planner.getNextOrder(clock.nowMs()) : undefined;
@@ -117,6 +136,7 @@
   /** Sends the next order on the way to an adapter, if there is one; resolves with whether the engine has followed it. */
   private async orderAdapter(model: string, adapter: string): Promise<boolean> {
     const { clock, planner } = this.deps;
+    await this.waitForIdentity();
     const mayOrder = this.gate.isOpen(clock.nowMs()) && this.getAdapterState(model, adapter) === 'absent';
     const order = mayOrder ? planner.getAdapterOrder(model, adapter, clock.nowMs()) : undefined;
     const result = order && (await this.sendOrder(order));
@@ -138,10 +158,11 @@
   /** Sends one order. */
   private async sendOrder(order: PlannedOrder): Promise<OrderResult> {
     const { clock, engine, log, metrics, planner } = this.deps;
+    const conditions = this.identity.getConditions(order.bornAtMs);
     this.gate.beginOrder();
     let result: OrderResult = 'unknown';
     try {
-      result = await engine.sendOrder(order);
+      result = await engine.sendOrder({ ...order, ...conditions });
     } finally {
       this.gate.endOrder(order, result === 'accepted', clock.nowMs());
     }
@@ -151,6 +172,7 @@
       model: order.model,
       adapter: order.adapter ?? '',
       expectedOrderCount: order.expectedOrderCount,
+      instanceId: conditions.instanceId ?? '',
       answer: result,
     });
     if (result === 'accepted' && order.adapter === undefined) {
@@ -161,14 +183,19 @@
         planner.markUnloading(order.model);
       }
     }
+    if (result === 'otherInstance') {
+      this.identity.onOtherInstance();
+    } else if (result === 'fenced') {
+      this.identity.onFenced();
+    }
     // A reading that began before the end of the order may not show its outcome.
     this.reading = this.startReading();
     await this.reading;
     return result;
   }
 
-  private startReading(): Promise<void> {
-    const reading: Promise<void> = this.readOnce().finally(() => {
+  private startReading(): Promise<EngineReport | undefined> {
+    const reading: Promise<EngineReport | undefined> = this.readOnce().finally(() => {
       if (this.reading === reading) {
         this.reading = undefined;
       }
@@ -176,12 +203,47 @@
     return reading;
   }
 
-  private async readOnce(): Promise<void> {
+  private async readOnce(): Promise<EngineReport | undefined> {
     const { clock, engine, onReading } = this.deps;
     const reading = this.gate.beginReading(clock.nowMs());
     const report = await engine.readReport();
     if (this.gate.endReading(reading, report)) {
       onReading(report);
+      if (report) {
+        this.identity.applyReport(report.bornAtMs);
+        this.identifyIfDue();
+      }
+    }
+    return report;
+  }
+
+  private identifyIfDue(): void {
+    const { healthPath } = this;
+    if (healthPath !== undefined && this.identity.shouldAsk(this.deps.clock.nowMs())) {
+      this.identifying = this.identify(healthPath);
+    }
+  }
+
+  /** Asks the engine for its ID; a report after the answer shows which incarnation has answered. */
+  private async identify(healthPath: string): Promise<void> {
+    const { clock, engine, log } = this.deps;
+    const askedBornAtMs = this.identity.beginAsking();
+    let instanceId: string | undefined;
+    let report: EngineReport | undefined;
+    try {
+      instanceId = await engine.readInstanceId(healthPath);
+      report = instanceId === undefined ? undefined : await this.startReading();
+    } catch (error) {
+      log.warn('engine not identified', { error: String(error) });
+    }
+    this.identity.endAsking(report?.bornAtMs, instanceId, askedBornAtMs, clock.nowMs());
+    log.info('engine asked for its ID', { bornAtMs: askedBornAtMs ?? 0, instanceId: instanceId ?? '' });
+  }
+
+  private async waitForIdentity(): Promise<void> {
+    this.identifyIfDue();
+    if (this.identity.isAwaited) {
+      await this.identifying;
     }
   }
 
--- a/src/direct/decisions/ServingConfiguration.ts
+++ b/src/direct/decisions/ServingConfiguration.ts
@@ -55,6 +55,8 @@
   /** Number of loads from the weight store that may start in a second, over all engines. */
   readonly loadsPerSecond: number;
   readonly models: ReadonlyMap<string, ModelFootprint>;
+  /** Path of health checks of the service, whose responses name the engine's incarnation; absent if it has none. */
+  readonly healthPath?: string;
 }
 
 /** Group of interchangeable backend servers. */
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -33,5 +33,6 @@
 export * from './EngineCrashRecorder.js';
 export * from './PromptPartSuspects.js';
 export * from './promptPartEvidence.js';
+export * from './EngineIdentity.js';
 export * from './OrderGate.js';
 export * from './ResidencyPlanner.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -35,6 +35,8 @@
   readonly weightsMb: number;
   readonly adapterSlotCount: number;
   readonly models: readonly (readonly [string, ModelFootprint])[];
+  /** Path of health checks of the service; absent if it has none, and from routers of older versions. */
+  readonly healthPath?: string;
 }
 
 /** Requests that an agent load a model. */
@@ -132,6 +134,6 @@
  * @param configurationVersion - Version of the configuration that contains the profile.
  */
 export function toFollowParams(profile: EngineProfile, configurationVersion: number): FollowEngineParams {
-  const { weightsMb, adapterSlotCount, models } = profile;
-  return { configurationVersion, weightsMb, adapterSlotCount, models: [...models] };
+  const { weightsMb, adapterSlotCount, models, healthPath } = profile;
+  return { configurationVersion, weightsMb, adapterSlotCount, models: [...models], healthPath };
 }
--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -42,6 +42,9 @@
 /** Time for which a worker asks for a pause, in milliseconds. */
 export const PAUSE_MS = 1_500;
 
+/** Path at which a worker answers with its ID. */
+export const HEALTH_PATH = '/health';
+
 const DEFAULT_VERSION = 'v1';
 
 /** Options and dependencies of a worker. */
@@ -61,6 +64,13 @@
   readonly drawFault: () => InjectedFault | undefined;
   /** Draws whether a response has neither a length nor chunks and ends with its connection; absent means never. */
   readonly drawUnframed?: () => boolean;
+  /**
+   * Draws the time after which an order that gets no answer is carried out, in milliseconds, also by a later incarnation;
+   * undefined for an order that is answered. Absent means that all are answered.
+   */
+  readonly drawLateMs?: () => number | undefined;
+  /** Whether each restart has an ID of its own; absent means that the worker keeps its ID. */
+  readonly changesId?: boolean;
 }
 
 /** Stand-in for one of the users' workers: serves requests, publishes its entry in the store, drains, stalls and crashes. */
@@ -72,7 +82,8 @@
   /** Whether answers omit that the worker is leaving or wants a pause, for tests that inject a fault. */
   omitsNotices = false;
   protected bornAtMs = Date.now();
-  private isDown = false;
+  protected isDown = false;
+  private restartCount = 0;
   private stalledUntilMs = 0;
   private readonly unframedResponses = new Set<ServerResponse>();
   private crashCount = 0;
@@ -83,6 +94,12 @@
   /** @param options - Options and dependencies. */
   constructor(readonly options: WorkerOptions) {}
 
+  /** ID of the current incarnation, which names its entry. */
+  get instanceId(): string {
+    const { workerId, changesId } = this.options;
+    return changesId === true && this.restartCount > 0 ? `${workerId}.${this.restartCount}` : workerId;
+  }
+
   async start(): Promise<void> {
     const { host, port } = this.options;
     await new Promise<void>((resolve) => {
@@ -111,9 +128,7 @@
     this.server.closeAllConnections();
     setTimeout(() => {
       this.isDown = false;
-      this.bornAtMs = Date.now();
-      this.clearState();
-      this.publishEntry();
+      this.beginIncarnation();
     }, downMs);
   }
 
@@ -129,11 +144,11 @@
   /** Reports that the worker is draining, or replaces it by its next incarnation, which accepts requests. */
   setDraining(isDraining: boolean): void {
     this.drainingSinceMs = isDraining ? Date.now() : undefined;
-    if (!isDraining) {
-      this.bornAtMs = Date.now();
-      this.clearState();
+    if (isDraining) {
+      this.publishEntry();
+    } else {
+      this.beginIncarnation();
     }
-    this.publishEntry();
   }
 
   /** Writes the worker's entry again after the store has lost it, unless the worker is down. */
@@ -163,8 +178,8 @@
 
   /** Writes the worker's entry to the store. */
   protected publishEntry(): void {
-    const { store, workerId, service, host, port } = this.options;
-    store.put('servers', workerId, {
+    const { store, service, host, port } = this.options;
+    store.put('servers', this.instanceId, {
       Service: service,
       Address: `${host}:${port}`,
       Zone: 'z1',
@@ -195,6 +210,16 @@
   /** Responds to a request that has started to run. */
   protected abstract serve(incoming: IncomingMessage, response: ServerResponse, fault?: InjectedFault): void;
 
+  private beginIncarnation(): void {
+    if (this.options.changesId === true) {
+      this.options.store.remove('servers', this.instanceId);
+    }
+    this.restartCount++;
+    this.bornAtMs = Date.now();
+    this.clearState();
+    this.publishEntry();
+  }
+
   private handleRequest(incoming: IncomingMessage, response: ServerResponse): void {
     if (this.isDown) {
       incoming.socket.destroy();
@@ -211,7 +236,9 @@
         if (this.maxRequestsPerSecond !== undefined && !this.omitsNotices) {
           response.setHeader('server-limit', String(this.maxRequestsPerSecond));
         }
-        if (!this.handleControlRequest(incoming, response, body)) {
+        if (incoming.url === HEALTH_PATH) {
+          response.writeHead(200, { 'instance-id': this.instanceId }).end();
+        } else if (!this.handleControlRequest(incoming, response, body)) {
           this.handleServiceRequest(incoming, response, arrivedAtMs);
         }
       });
@@ -225,7 +252,7 @@
   ): void {
     const { workerId, service, onArrival, onRun, drawFault, drawUnframed } = this.options;
     const requestId = getRequestId(incoming);
-    const isMisdirected = (incoming.headers['expect-instance'] ?? workerId) !== workerId;
+    const isMisdirected = (incoming.headers['expect-instance'] ?? this.instanceId) !== this.instanceId;
     const refusalStatus = isMisdirected ? 421 : this.getRefusalStatus(incoming);
     const fault = drawFault();
     const isPause = refusalStatus === undefined && fault === 'pause';
@@ -241,7 +268,7 @@
       bornAtMs: this.bornAtMs,
     });
     if (refusalStatus !== undefined || fault === 'refuse' || isPause) {
-      const headers = { 'request-id': requestId, 'not-run': '1', 'instance-id': workerId };
+      const headers = { 'request-id': requestId, 'not-run': '1', 'instance-id': this.instanceId };
       const pauseHeaders = isPause && !this.omitsNotices ? { 'retry-after': String(PAUSE_MS / 1_000) } : {};
       response.writeHead(refusalStatus ?? 503, { ...headers, ...pauseHeaders }).end();
       return;
--- a/test/direct/lateCopies.test.ts
+++ b/test/direct/lateCopies.test.ts
@@ -186,7 +186,14 @@
   it("of a refusal never reach the next order on the users' platform", async () => {
     const refusing = new RefusingServer('409 Conflict');
     const port = new HttpEnginePort(new SystemClock(), await refusing.start(), 'side-1');
-    const order = { kind: 'load', model: 'a', bornAtMs: 1, expectedOrderCount: 0 } as const;
+    const order = {
+      kind: 'load',
+      model: 'a',
+      bornAtMs: 1,
+      expectedOrderCount: 0,
+      fenceNumber: 1,
+      instanceId: undefined,
+    } as const;
     expect(await port.sendOrder(order)).to.equal('conflict');
     await sleepMs(ANSWER_DELAY_MS);
     expect(await port.sendOrder(order)).to.equal('alreadyDone');
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -121,6 +121,7 @@
     Services: [
       {
         Name: 's',
+        HealthPath: '/health',
         MaxConns: 300,
         Engine: {
           Slots: 48,
@@ -147,6 +148,7 @@
     expect(decoded?.routes[0]?.targets.map(({ weight }) => weight)).to.deep.equal([90, 10]);
     const engine = [...(decoded?.services.values() ?? [])][0]?.engine;
     expect(engine?.weightsMb).to.equal(200_000);
+    expect(engine?.healthPath).to.equal('/health');
     expect(engine?.models.get('m')).to.deep.equal({
       weightsMb: 42_700,
       adapterMb: 66,
@@ -158,6 +160,14 @@
     expect(decoded?.callerLimits.idleTimeoutMs).to.equal(15_000);
   });
 
+  it('takes a health path that cannot be requested for none', () => {
+    for (const HealthPath of ['health', '/a b', '', 7, null]) {
+      const Services = [{ ...configuration.Services[0], HealthPath }];
+      const [service] = [...(decodeConfiguration({ ...configuration, Services })?.services.values() ?? [])];
+      expect(service?.engine).to.include({ weightsMb: 200_000, healthPath: undefined });
+    }
+  });
+
   it('is undefined for an invalid configuration', () =>
     expect(decodeConfiguration({ ...configuration, Routes: 'none' })).to.equal(undefined));
 });
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -6,6 +6,7 @@
 import { bundleProgram, makeSettingsFile, startProgram } from '../platform/programs.js';
 import {
   CALLER_LIMITS,
+  HEALTH_PATH,
   ModelWorker,
   ObjectStore,
   PlainWorker,
@@ -142,6 +143,7 @@
         { Name: 'plain-2', MaxConns: 100 },
         {
           Name: 'models',
+          HealthPath: HEALTH_PATH,
           MaxConns: 100,
           Engine: {
             Slots: 16,
