Orders: adapters that are being unloaded, on their way or just told to be ready

Causes, the same class of fault in the orders for adapters: - An unload that the engine had accepted was not remembered.

--- a/src/direct/EngineOrders.ts
+++ b/src/direct/EngineOrders.ts
@@ -115,9 +115,13 @@
     const untilMs = clock.nowMs() + ADAPTER_TIMEOUT_MS;
     planner.recordAdapterUse(model, adapter, clock.nowMs());
     while (clock.nowMs() < untilMs) {
-      const state = this.getAdapterState(model, adapter);
-      if (state === 'ready' || state === 'modelGone') {
-        return state === 'ready';
+      const state = planner.getAdapterState(model, adapter);
+      if (state === 'ready') {
+        planner.recordAdapterUse(model, adapter, clock.nowMs());
+        return true;
+      }
+      if (state === 'modelGone') {
+        return false;
       }
       const mayOrder = state === 'absent' && planner.engineReport?.isBusy !== true;
       const isOrdered =
@@ -137,28 +141,20 @@
   private async orderAdapter(model: string, adapter: string): Promise<boolean> {
     const { clock, planner } = this.deps;
     await this.waitForIdentity();
-    const mayOrder = this.gate.isOpen(clock.nowMs()) && this.getAdapterState(model, adapter) === 'absent';
+    const mayOrder = this.gate.isOpen(clock.nowMs()) && planner.getAdapterState(model, adapter) === 'absent';
     const order = mayOrder ? planner.getAdapterOrder(model, adapter, clock.nowMs()) : undefined;
     const result = order && (await this.sendOrder(order));
     return result === 'accepted' || result === 'alreadyDone';
   }
 
-  private getAdapterState(model: string, adapter: string): 'ready' | 'coming' | 'absent' | 'modelGone' {
-    const engine = this.deps.planner.engineReport;
-    const held = engine?.heldModels.find(({ name }) => name === model);
-    if (!engine || !held) {
-      return 'modelGone';
-    }
-    if (held.adapters.includes(adapter)) {
-      return 'ready';
-    }
-    return engine.comingAdapters.includes(`${model}/${adapter}`) ? 'coming' : 'absent';
-  }
-
   /** Sends one order. */
   private async sendOrder(order: PlannedOrder): Promise<OrderResult> {
     const { clock, engine, log, metrics, planner } = this.deps;
     const conditions = this.identity.getConditions(order.bornAtMs);
+    const adapterToUnload = order.kind === 'unload' ? order.adapter : undefined;
+    if (adapterToUnload !== undefined) {
+      planner.markAdapterUnloading(order.model, adapterToUnload, clock.nowMs());
+    }
     this.gate.beginOrder();
     let result: OrderResult = 'unknown';
     try {
@@ -175,6 +171,9 @@
       instanceId: conditions.instanceId ?? '',
       answer: result,
     });
+    if (adapterToUnload !== undefined && result !== 'accepted' && result !== 'alreadyDone') {
+      planner.unmarkAdapterUnloading(order.model, adapterToUnload);
+    }
     if (result === 'accepted' && order.adapter === undefined) {
       if (order.kind === 'load') {
         this.acceptedLoad = order.model;
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -21,6 +21,9 @@
 /** Maximum idle time that is reported, in milliseconds. */
 const MAX_IDLE_MS = 1_000_000;
 
+/** Maximum number of adapters that may be on their way to an engine at the same time. */
+const MAX_COMING_ADAPTERS = 4;
+
 /** Memory and adapter slots of an engine, and the sizes of the models that it may hold. */
 export interface EngineCapacity {
   readonly configurationVersion: number;
@@ -45,6 +48,9 @@
   readonly expectedOrderCount: number;
 }
 
+/** Whether requests can use an adapter, or it can be ordered. */
+export type AdapterState = 'ready' | 'coming' | 'absent' | 'modelGone';
+
 /** What may be evicted for a requested model. */
 export interface RequestedEvictions {
   /** Models that must not be evicted. */
@@ -119,9 +125,11 @@
    * @param nowMs - Current time.
    */
   applyReport(report: EngineReport, nowMs: number): void {
-    if (this.report && this.report.bornAtMs !== report.bornAtMs) {
+    const isRestarted = this.report !== undefined && this.report.bornAtMs !== report.bornAtMs;
+    if (isRestarted) {
       this.usageByModel.clear();
     }
+    this.adapterUsage.applyReport(report, isRestarted, nowMs);
     if (!report.isBusy) {
       this.unloadingModel = undefined;
     }
@@ -238,6 +246,42 @@
     this.unloadingModel = model;
   }
 
+  /**
+   * Marks an adapter as unloading, so that no request is sent to it.
+   * @param model - Model of the adapter.
+   * @param adapter - Adapter whose unload is ordered.
+   * @param nowMs - Current time.
+   */
+  markAdapterUnloading(model: string, adapter: string, nowMs: number): void {
+    this.adapterUsage.markUnloading(model, adapter, nowMs);
+  }
+
+  /**
+   * Withdraws the mark of an adapter whose unload the engine has not accepted.
+   * @param model - Model of the adapter.
+   * @param adapter - The adapter.
+   */
+  unmarkAdapterUnloading(model: string, adapter: string): void {
+    this.adapterUsage.unmarkUnloading(model, adapter);
+  }
+
+  /**
+   * Returns the state of an adapter for requests: one that is being unloaded counts as coming, since it is not ready and cannot
+   * be ordered yet.
+   * @param model - Model of the adapter.
+   * @param adapter - The adapter.
+   */
+  getAdapterState(model: string, adapter: string): AdapterState {
+    const held = this.report?.heldModels.find(({ name }) => name === model);
+    if (!this.report || !held) {
+      return 'modelGone';
+    }
+    if (held.adapters.includes(adapter)) {
+      return this.adapterUsage.isUnloading(model, adapter) ? 'coming' : 'ready';
+    }
+    return this.report.comingAdapters.includes(`${model}/${adapter}`) ? 'coming' : 'absent';
+  }
+
   /**
    * Whether a model accepts new requests.
    * @param model - The model.
@@ -270,15 +314,19 @@
   getAdapterOrder(model: string, adapter: string, nowMs: number): PlannedOrder | undefined {
     const { report, capacity } = this;
     const footprint = capacity?.models.get(model);
-    if (!report || !capacity || !footprint || !this.isLoaded(model)) {
+    // While the engine is busy, its reports do not contain the model that it loads.
+    if (!report || report.isBusy || !capacity || !footprint || !this.isLoaded(model)) {
       return undefined;
     }
     this.adapterUsage.recordUse(model, adapter, nowMs);
+    if (report.comingAdapters.length >= MAX_COMING_ADAPTERS) {
+      return undefined;
+    }
     const hasFreeSlot = countAdapters(report) < capacity.adapterSlotCount;
     if (hasFreeSlot && footprint.adapterMb <= this.getFreeMb()) {
       return bindToState({ kind: 'load', model, adapter }, report);
     }
-    const adapterToEvict = this.adapterUsage.getLeastRecentlyUsed(report, model, adapter);
+    const adapterToEvict = this.adapterUsage.getLeastRecentlyUsed(report, model, adapter, nowMs);
     return adapterToEvict && bindToState({ kind: 'unload', ...adapterToEvict }, report);
   }
 
--- a/test/direct/EngineOrders.test.ts
+++ b/test/direct/EngineOrders.test.ts
@@ -134,5 +134,26 @@
         0, 1, 2,
       ]);
     });
+
+    // The report is older than the unload, and an answer on it sent the request to an adapter that was gone.
+    it('does not report an adapter as ready that is being unloaded, while reports lag', async () => {
+      bench = new AgentBench(305, 1);
+      await bench.start({ a: ['a1'] });
+      bench.engine.reportLagMs = 80;
+      await delay(CLOCK, 150);
+      const other = bench.ensureAdapter('a', 'a2');
+      await delay(CLOCK, 20);
+      const isReady = await bench.ensureAdapter('a', 'a1');
+      expect(isReady).to.equal(bench.engine.held.get('a')?.has('a1'));
+      await other;
+    });
+
+    it('orders the unload of an adapter in use once', async () => {
+      bench = new AgentBench(305, 1);
+      await bench.start({ a: ['a1'] });
+      bench.engine.adapterUnloadMs = 200;
+      expect(await bench.ensureAdapter('a', 'a2')).to.equal(true);
+      expect(bench.engine.received.map(({ kind }) => kind)).to.deep.equal(['unload', 'load']);
+    });
   });
 });
--- a/test/direct/StrictEngine.ts
+++ b/test/direct/StrictEngine.ts
@@ -37,6 +37,8 @@
   executionDelayMs = 0;
   /** Age of the state in reports, in milliseconds. */
   reportLagMs = 0;
+  /** Time that the unload of an adapter waits for the requests that use it, in milliseconds. */
+  adapterUnloadMs = 0;
   private orderCount = 0;
   private isBusy = false;
   private readonly states: { readonly atMs: number; readonly report: EngineReport }[] = [];
@@ -102,6 +104,8 @@
         this.coming.delete(name);
         adapters.add(adapter);
       });
+    } else if (this.adapterUnloadMs > 0) {
+      this.runLater(this.adapterUnloadMs, () => adapters.delete(adapter));
     } else {
       adapters.delete(adapter);
     }
