Orders: no order on the order count that the engine has just rejected

Cause: an order that got 409 was decided on again with each report that still showed the same count, while reports lag. Reports with that count now count as outdated for 100 ms; one with another count lifts this at once.

--- a/src/direct/EngineOrders.ts
+++ b/src/direct/EngineOrders.ts
@@ -160,7 +160,8 @@
     try {
       result = await engine.sendOrder({ ...order, ...conditions });
     } finally {
-      this.gate.endOrder(order, result === 'accepted', clock.nowMs());
+      const outcome = result === 'accepted' || result === 'conflict' ? result : 'other';
+      this.gate.endOrder(order, outcome, clock.nowMs());
     }
     metrics.count(`orders_${order.kind}_${result}`);
     log.decision('order', {
--- a/src/direct/decisions/OrderGate.ts
+++ b/src/direct/decisions/OrderGate.ts
@@ -11,6 +11,15 @@
  */
 const MAX_REPORT_LAG_MS = 2_000;
 
+/**
+ * Time for which reports with the order count that the engine rejected count as outdated, in milliseconds. It is short, since
+ * an order is also rejected for reasons that do not change the count.
+ */
+const REJECTED_COUNT_MS = 100;
+
+/** Outcome of an order that matters for the next one. */
+export type OrderOutcome = 'accepted' | 'conflict' | 'other';
+
 /** Reading of an engine's state that is under way. */
 export interface EngineReading {
   /** Number in the order in which the readings began. */
@@ -38,8 +47,8 @@
   private isOrdering = false;
   /** Last reading that succeeded; undefined while the engine does not respond. */
   private base: (EngineReading & Pick<EngineReport, 'bornAtMs' | 'orderCount'>) | undefined;
-  /** Last accepted order, until a report counts it. */
-  private accepted: (OrderedState & { readonly atMs: number }) | undefined;
+  /** State of the last order that was accepted or in conflict, and the time until which reports of that state are outdated. */
+  private outdated: (OrderedState & { readonly untilMs: number }) | undefined;
 
   /** Whether the last reading reached the engine. */
   get isEnginePresent(): boolean {
@@ -92,28 +101,27 @@
   /**
    * Records the end of the order that was sent last.
    * @param order - State that it was bound to.
-   * @param isAccepted - Whether the engine has stated that it accepted the order.
+   * @param outcome - Its outcome.
    * @param nowMs - Current time.
    */
-  endOrder(order: OrderedState, isAccepted: boolean, nowMs: number): void {
+  endOrder(order: OrderedState, outcome: OrderOutcome, nowMs: number): void {
     this.isOrdering = false;
     this.orderEvents++;
-    if (isAccepted) {
+    if (outcome !== 'other') {
       const { bornAtMs, expectedOrderCount } = order;
-      this.accepted = { bornAtMs, expectedOrderCount, atMs: nowMs };
+      const untilMs = nowMs + (outcome === 'accepted' ? MAX_REPORT_LAG_MS : REJECTED_COUNT_MS);
+      this.outdated = { bornAtMs, expectedOrderCount, untilMs };
     }
   }
 
-  /** Whether a report does not count the last accepted order yet. */
+  /** Whether a report does not count an order yet that the engine has accepted. */
   private isBehind(
     { bornAtMs, orderCount }: Pick<EngineReport, 'bornAtMs' | 'orderCount'>,
     nowMs: number,
   ): boolean {
-    const { accepted } = this;
+    const { outdated } = this;
     return (
-      accepted?.bornAtMs === bornAtMs &&
-      orderCount <= accepted.expectedOrderCount &&
-      nowMs - accepted.atMs < MAX_REPORT_LAG_MS
+      outdated?.bornAtMs === bornAtMs && orderCount <= outdated.expectedOrderCount && nowMs < outdated.untilMs
     );
   }
 }
--- a/test/direct/decisions/OrderGate.test.ts
+++ b/test/direct/decisions/OrderGate.test.ts
@@ -29,7 +29,7 @@
       gate.beginOrder();
       const during = gate.beginReading(10);
       expect(gate.isOpen(10)).to.equal(false);
-      gate.endOrder(STATE, false, 20);
+      gate.endOrder(STATE, 'other', 20);
       gate.endReading(during, IDLE_ENGINE);
       expect(gate.isOpen(20)).to.equal(false);
       read(30);
@@ -38,7 +38,7 @@
 
     it('is false until a report counts an accepted order, another process started or a time has passed', () => {
       gate.beginOrder();
-      gate.endOrder(STATE, true, 10);
+      gate.endOrder(STATE, 'accepted', 10);
       read(20);
       expect(gate.isOpen(20)).to.equal(false);
       read(30, 1);
@@ -50,6 +50,20 @@
     });
   });
 
+  describe('endOrder', () => {
+    // Each report of the lag was answered with an order that the engine rejected again.
+    it('keeps the gate closed for reports with the rejected order count, for a short time', () => {
+      gate.beginOrder();
+      gate.endOrder(STATE, 'conflict', 10);
+      read(20);
+      expect(gate.isOpen(20)).to.equal(false);
+      read(30, 1);
+      expect(gate.isOpen(30)).to.equal(true);
+      read(110);
+      expect(gate.isOpen(110)).to.equal(true);
+    });
+  });
+
   describe('endReading', () => {
     it('rejects a report that a later one has overtaken', () => {
       const early = gate.beginReading(10);
