Orders: routers learn at once that a model is about to be unloaded

Cause: reports to a router are at least 80 ms apart, and the unload of a model without requests is ordered one turn of the loop after its drain began (40 ms). A report shortly before the drain held back the one that announces it, and requests to the model were still on their way when it was unloaded. The report of a new drain is now sent in any case. The new test fails on the code before (the last report before the unload named the model).

--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -116,7 +116,7 @@
     while (!this.stopped) {
       await this.orders.read();
       await this.orders.orderModel();
-      this.publishReport();
+      this.publishReport(this.planner.takeNewDrain());
       this.publishCrashes();
       const queuedCount = this.planner.queuedModels.length;
       const isActive = queuedCount > 0 || this.planner.engineReport?.isBusy === true;
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -89,6 +89,7 @@
   private readonly adapterUsage = new AdapterUsage();
   /** Start of the drain of each model that accepts no new requests before its eviction. */
   private readonly drainingSinceMsByModel = new Map<string, number>();
+  private hasNewDrain = false;
   /** Model whose unload the engine has accepted. */
   private unloadingModel: string | undefined;
   private capacity: EngineCapacity | undefined;
@@ -238,6 +239,13 @@
     return undefined;
   }
 
+  /** Returns whether a model has begun to accept no requests since the last call, which routers must learn at once. */
+  takeNewDrain(): boolean {
+    const { hasNewDrain } = this;
+    this.hasNewDrain = false;
+    return hasNewDrain;
+  }
+
   /**
    * Marks a model as unloading, so that it accepts no new requests.
    * @param model - Model whose unload the engine has accepted.
@@ -375,6 +383,7 @@
     request.blockedSinceMs = undefined;
     for (const modelToEvict of modelsToEvict) {
       const drainingSinceMs = this.drainingSinceMsByModel.get(modelToEvict) ?? nowMs;
+      this.hasNewDrain ||= !this.drainingSinceMsByModel.has(modelToEvict);
       this.drainingSinceMsByModel.set(modelToEvict, drainingSinceMs);
       const isRunning = this.getOrCreateUsage(modelToEvict).runningCount > 0;
       // One report without the use of the model reaches the routers before the unload is ordered, so that no request
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -92,6 +92,23 @@
     expect(router.reports[reportIndex]?.orderCount).to.equal(0);
   });
 
+  // Two reports to a router are 80 ms apart, so that the unload came before the report that announces it.
+  it('reports that a model accepts no requests before its unload also shortly after another report', async () => {
+    const heldAtUnload: (readonly string[])[] = [];
+    const sendOrder = engine.sendOrder.bind(engine);
+    engine.sendOrder = (order) => {
+      if (order.kind === 'unload') {
+        const reported = router.reports.at(-1)?.heldModels.map(({ name }) => name) ?? [];
+        heldAtUnload.push(reported.filter((name) => name === order.model));
+      }
+      return sendOrder(order);
+    };
+    router.call('residency.crashed', { fingerprint: 'f', crashCount: 2 });
+    router.call('residency.want', { model: 'a', isInteractive: false, keptModels: [] });
+    await delay(CLOCK, 600);
+    expect(heldAtUnload).to.deep.equal([[]]);
+  });
+
   it('retries an order without a response, conditional on the same state', async () => {
     engine.unansweredCount = 1;
     router.call('residency.want', { model: 'a', isInteractive: false, keptModels: [] });
