--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -21,6 +21,9 @@
 /** Maximum idle time that is reported, in milliseconds. */
 const MAX_IDLE_MS = 1_000_000;
 
+/** Maximum number of adapters that may be on their way to an engine at the same time. */
+const MAX_COMING_ADAPTERS = 4;
+
 /** Memory and adapter slots of an engine, and the sizes of the models that it may hold. */
 export interface EngineCapacity {
   readonly configurationVersion: number;
@@ -29,13 +32,25 @@
   readonly models: ReadonlyMap<string, ModelFootprint>;
 }
 
-/** Order to send to the engine next. */
-export interface PlannedOrder {
+/** What an order is to change. */
+interface OrderSubject {
   readonly kind: 'load' | 'unload';
   readonly model: string;
+  /** Set when the order concerns an adapter of the model. */
   readonly adapter?: string;
 }
 
+/** Order to send to the engine next, with the state that it was decided on. */
+export interface PlannedOrder extends OrderSubject {
+  /** When the engine's process started, in milliseconds since the epoch. */
+  readonly bornAtMs: number;
+  /** Number of orders that the engine had accepted in that state. */
+  readonly expectedOrderCount: number;
+}
+
+/** Whether requests can use an adapter, or it can be ordered. */
+export type AdapterState = 'ready' | 'coming' | 'absent' | 'modelGone';
+
 /** What may be evicted for a requested model. */
 export interface RequestedEvictions {
   /** Models that must not be evicted. */
@@ -74,6 +89,7 @@
   private readonly adapterUsage = new AdapterUsage();
   /** Start of the drain of each model that accepts no new requests before its eviction. */
   private readonly drainingSinceMsByModel = new Map<string, number>();
+  private hasNewDrain = false;
   /** Model whose unload the engine has accepted. */
   private unloadingModel: string | undefined;
   private capacity: EngineCapacity | undefined;
@@ -110,9 +126,11 @@
    * @param nowMs - Current time.
    */
   applyReport(report: EngineReport, nowMs: number): void {
-    if (this.report && this.report.bornAtMs !== report.bornAtMs) {
+    const isRestarted = this.report !== undefined && this.report.bornAtMs !== report.bornAtMs;
+    if (isRestarted) {
       this.usageByModel.clear();
     }
+    this.adapterUsage.applyReport(report, isRestarted, nowMs);
     if (!report.isBusy) {
       this.unloadingModel = undefined;
     }
@@ -204,7 +222,8 @@
    * @param nowMs - Current time.
    */
   getNextOrder(nowMs: number): PlannedOrder | undefined {
-    if (!this.report || !this.capacity || this.report.isBusy) {
+    const { report } = this;
+    if (!report || !this.capacity || report.isBusy) {
       return undefined;
     }
     this.expire(nowMs);
@@ -214,12 +233,19 @@
     for (const [model, request] of this.getSortedLoadRequests()) {
       const order = this.planOrder(model, request, nowMs);
       if (order) {
-        return order;
+        return bindToState(order, report);
       }
     }
     return undefined;
   }
 
+  /** Returns whether a model has begun to accept no requests since the last call, which routers must learn at once. */
+  takeNewDrain(): boolean {
+    const { hasNewDrain } = this;
+    this.hasNewDrain = false;
+    return hasNewDrain;
+  }
+
   /**
    * Marks a model as unloading, so that it accepts no new requests.
    * @param model - Model whose unload the engine has accepted.
@@ -228,6 +254,42 @@
     this.unloadingModel = model;
   }
 
+  /**
+   * Marks an adapter as unloading, so that no request is sent to it.
+   * @param model - Model of the adapter.
+   * @param adapter - Adapter whose unload is ordered.
+   * @param nowMs - Current time.
+   */
+  markAdapterUnloading(model: string, adapter: string, nowMs: number): void {
+    this.adapterUsage.markUnloading(model, adapter, nowMs);
+  }
+
+  /**
+   * Withdraws the mark of an adapter whose unload the engine has not accepted.
+   * @param model - Model of the adapter.
+   * @param adapter - The adapter.
+   */
+  unmarkAdapterUnloading(model: string, adapter: string): void {
+    this.adapterUsage.unmarkUnloading(model, adapter);
+  }
+
+  /**
+   * Returns the state of an adapter for requests: one that is being unloaded counts as coming, since it is not ready and cannot
+   * be ordered yet.
+   * @param model - Model of the adapter.
+   * @param adapter - The adapter.
+   */
+  getAdapterState(model: string, adapter: string): AdapterState {
+    const held = this.report?.heldModels.find(({ name }) => name === model);
+    if (!this.report || !held) {
+      return 'modelGone';
+    }
+    if (held.adapters.includes(adapter)) {
+      return this.adapterUsage.isUnloading(model, adapter) ? 'coming' : 'ready';
+    }
+    return this.report.comingAdapters.includes(`${model}/${adapter}`) ? 'coming' : 'absent';
+  }
+
   /**
    * Whether a model accepts new requests.
    * @param model - The model.
@@ -260,16 +322,20 @@
   getAdapterOrder(model: string, adapter: string, nowMs: number): PlannedOrder | undefined {
     const { report, capacity } = this;
     const footprint = capacity?.models.get(model);
-    if (!report || !capacity || !footprint || !this.isLoaded(model)) {
+    // While the engine is busy, its reports do not contain the model that it loads.
+    if (!report || report.isBusy || !capacity || !footprint || !this.isLoaded(model)) {
       return undefined;
     }
     this.adapterUsage.recordUse(model, adapter, nowMs);
+    if (report.comingAdapters.length >= MAX_COMING_ADAPTERS) {
+      return undefined;
+    }
     const hasFreeSlot = countAdapters(report) < capacity.adapterSlotCount;
     if (hasFreeSlot && footprint.adapterMb <= this.getFreeMb()) {
-      return { kind: 'load', model, adapter };
+      return bindToState({ kind: 'load', model, adapter }, report);
     }
-    const adapterToEvict = this.adapterUsage.getLeastRecentlyUsed(report, model, adapter);
-    return adapterToEvict && { kind: 'unload', ...adapterToEvict };
+    const adapterToEvict = this.adapterUsage.getLeastRecentlyUsed(report, model, adapter, nowMs);
+    return adapterToEvict && bindToState({ kind: 'unload', ...adapterToEvict }, report);
   }
 
   /**
@@ -298,7 +364,7 @@
     );
   }
 
-  private planOrder(model: string, request: LoadRequest, nowMs: number): PlannedOrder | undefined {
+  private planOrder(model: string, request: LoadRequest, nowMs: number): OrderSubject | undefined {
     const footprint = this.capacity?.models.get(model);
     if (!footprint) {
       return undefined;
@@ -317,6 +383,7 @@
     request.blockedSinceMs = undefined;
     for (const modelToEvict of modelsToEvict) {
       const drainingSinceMs = this.drainingSinceMsByModel.get(modelToEvict) ?? nowMs;
+      this.hasNewDrain ||= !this.drainingSinceMsByModel.has(modelToEvict);
       this.drainingSinceMsByModel.set(modelToEvict, drainingSinceMs);
       const isRunning = this.getOrCreateUsage(modelToEvict).runningCount > 0;
       // One report without the use of the model reaches the routers before the unload is ordered, so that no request
@@ -407,3 +474,7 @@
     }
   }
 }
+
+function bindToState(subject: OrderSubject, { bornAtMs, orderCount }: EngineReport): PlannedOrder {
+  return { ...subject, bornAtMs, expectedOrderCount: orderCount };
+}
