--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,5 +1,6 @@
 /** Runs the measurements and prints their figures: `npm run measure [-- --json] [--only TEXT] [--seed N]`. */
 import { parseArgs } from 'node:util';
+import { measureChooseServer } from './chooseServer.js';
 import { measureColdStarts } from './coldStart.js';
 import type { Figure } from './Figure.js';
 import { measureKeepAlive } from './keepAlive.js';
@@ -17,6 +18,7 @@
 /** Measurements by name; `--only` selects those whose name contains the given text. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Figure[]>>> = {
   keepAlive: () => Promise.resolve(measureKeepAlive(Number(values.seed))),
+  chooseServer: () => Promise.resolve(measureChooseServer()),
   coldStart: measureColdStarts,
   warmOverhead: measureWarmOverhead,
   goodput: measureGoodput,
