--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -148,11 +148,9 @@
    * Notifies an agent that a request on a model starts or has ended at its engine.
    * @param address - Address of the agent's engine.
    * @param event - Whether the request starts or has ended.
-   * @param model - Name of the model.
-   * @param isInteractive - Whether the request is interactive.
+   * @param use - Model and kind of the request, and the pace of its stream.
    */
-  notifyModelUse(address: string, event: 'started' | 'ended', model: string, isInteractive: boolean): void {
-    const use: ModelUseParams = { model, isInteractive };
+  notifyModelUse(address: string, event: 'started' | 'ended', use: ModelUseParams): void {
     this.runningUses.record(address, event, use);
     this.notify(address, RESIDENCY_METHODS[event], use);
   }
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -1,5 +1,6 @@
 import { delay, keepRunning, type Clock, type Service } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
+import { ModelPaceAverages } from '../pace/decisions/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
 import {
@@ -63,6 +64,7 @@
   private readonly publisher: ReportPublisher;
   /** Numbers of running requests of each connected router, by model. */
   private readonly runningCounts = new Map<PeerConnection, Map<string, number>>();
+  private readonly paceAverages = new ModelPaceAverages();
   private readonly crashCounts = new Map<string, number>();
   private readonly crashRecorder = new EngineCrashRecorder();
   /** Start times of servers that routers have found to be leaving. */
@@ -244,12 +246,14 @@
     }
   }
 
-  private onRequestEnded({ model, isInteractive }: ModelUseParams, from: PeerConnection): void {
+  private onRequestEnded({ model, isInteractive, eventGapMs }: ModelUseParams, from: PeerConnection): void {
     const counts = this.runningCounts.get(from);
     const count = counts?.get(model) ?? 0;
     if (counts && count > 0) {
       counts.set(model, count - 1);
-      this.planner.onRequestEnded(model, isInteractive, this.deps.clock.nowMs());
+      const nowMs = this.deps.clock.nowMs();
+      this.planner.onRequestEnded(model, isInteractive, nowMs);
+      this.paceAverages.record(model, eventGapMs, this.planner.engineReport?.runningCount ?? 0, nowMs);
     }
   }
 
@@ -367,6 +371,7 @@
       configurationVersion: this.planner.configurationVersion,
       crashCounts: Object.fromEntries(this.crashCounts),
       leavingServers: Object.fromEntries(this.leavingServers),
+      paces: this.paceAverages.getPaces(nowMs),
     };
     this.publisher.publish(report, isForced);
   }
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -1,6 +1,7 @@
 import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { CallerAccess } from '../organisations/index.js';
+import { StreamPace } from '../pace/decisions/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import { applyServerNotice } from './applyServerNotice.js';
@@ -96,7 +97,7 @@
   private refusalOfUnsent: RequestRefusal | undefined;
   private latencyMs: number | undefined;
   private readonly crashEvidence: CrashEvidence;
-  private longestGapMs = 0;
+  private readonly streamPace = new StreamPace();
 
   /**
    * @param deps - Dependencies.
@@ -328,7 +329,8 @@
     const { clock, chooser, log } = this.deps;
     const { headers } = this.request;
     const { serverId } = server.entry;
-    this.notifyModelUse(server, 'ended');
+    const eventGapMs = this.streamPace.getMeanGapMs(attempt, clock.nowMs());
+    this.notifyModelUse(server, 'ended', eventGapMs);
     const nowMs = clock.nowMs();
     const latencyMs = end.kind === 'answered' ? nowMs - sentAtMs : this.latencyMs;
     const isUnanswered =
@@ -343,6 +345,7 @@
       silentMs: Math.round(nowMs - attempt.lastReceivedAtMs),
       configurationVersion: this.deps.view.configuration?.version ?? 0,
       softwareVersion: server.entry.softwareVersion ?? '',
+      eventGapMs: Math.round(eventGapMs ?? -1),
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
     if (end.kind === 'broken') {
@@ -464,11 +467,12 @@
     const nowMs = this.deps.clock.nowMs();
     this.deps.chooser.recordHeard(server.entry.serverId, nowMs);
     this.latencyMs ??= nowMs - this.request.receivedAtMs;
-    this.longestGapMs = Math.max(this.longestGapMs, nowMs - (this.resumption.lastEventAtMs ?? nowMs));
+    this.streamPace.record(attempt, events.eventCount, nowMs);
     this.resumption.recordEvents(events, server, nowMs);
     this.crashEvidence.recordEvents(nowMs);
     if (!this.sink.sendEvents(events.bytes)) {
       attempt.pause();
+      this.streamPace.markDisturbed();
       this.sink.onceDrained(() => attempt.resume());
     }
   }
@@ -502,15 +506,11 @@
     return true;
   }
 
-  private notifyModelUse(server: KnownServer, event: 'started' | 'ended'): void {
+  private notifyModelUse({ entry }: KnownServer, event: 'started' | 'ended', eventGapMs?: number): void {
     const { model } = this.request.headers;
     if (model !== undefined) {
-      this.deps.agentConnections.notifyModelUse(
-        server.entry.address,
-        event,
-        model,
-        this.limits.isInteractive,
-      );
+      const use = { model, isInteractive: this.limits.isInteractive, eventGapMs };
+      this.deps.agentConnections.notifyModelUse(entry.address, event, use);
     }
   }
 
@@ -574,7 +574,7 @@
       tookMs: Math.round(tookMs),
       sendCount: this.sendCount,
       firstPieceMs: Math.round(this.latencyMs ?? -1),
-      longestPauseMs: Math.round(this.longestGapMs),
+      longestPauseMs: Math.round(this.streamPace.longestGapMs),
       model: headers.model ?? '',
       resumedRequestId: headers.resumedRequestId ?? '',
     });
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,5 +1,6 @@
 import { toServerId, type ServerId, type ServiceId } from '../../domain/index.js';
 import type { ConfigurationKnowledge } from '../../organisations/index.js';
+import { PaceEstimator, readModelPaces, type ServerPaces } from '../../pace/decisions/index.js';
 import { RouterCounts } from './RouterCounts.js';
 import { RouteTable } from './RouteTable.js';
 import { ServerDirectory } from './ServerDirectory.js';
@@ -14,6 +15,10 @@
 const REPORT_LIFETIME_MS = 2_500;
 /** Time for which a model refused by a server counts as not loaded, in milliseconds; a new report arrives sooner. */
 const REFUSAL_LIFETIME_MS = 400;
+/** Minimum time between two estimates of the servers' paces, in milliseconds. */
+const MIN_PACE_INTERVAL_MS = 1_000;
+/** Time between two estimates for each server with a known pace, in milliseconds: an estimate takes about 3 µs a server. */
+const PACE_INTERVAL_PER_SERVER_MS = 1;
 
 /** Backend server with the combined information from its list entry and the reports of its agent. */
 export interface KnownServer {
@@ -36,6 +41,9 @@
 
 /** A router's view of the fleet: the configuration and the backend servers. */
 export class FleetView extends ServerDirectory {
+  /** How fast the servers are, by the reports of their agents. */
+  readonly pace = new PaceEstimator();
+  private paceUpdatedAtMs = -Infinity;
   private readonly reports = new Map<string, { report: AgentReport; atMs: number }>();
   /** Process and time of the latest report of each agent, including agents that are no longer connected. */
   private readonly lastReports = new Map<string, { readonly bornAtMs: number; readonly atMs: number }>();
@@ -117,6 +125,7 @@
     this.crashReporters[Object.keys(report.crashCounts).length > 0 ? 'add' : 'delete'](report.address);
     this.applyLeavingServers(report);
     this.confirm(report.address, report.bornAtMs);
+    this.updatePace(nowMs);
   }
 
   /**
@@ -245,6 +254,23 @@
     return count;
   }
 
+  private updatePace(nowMs: number): void {
+    const intervalMs = Math.max(MIN_PACE_INTERVAL_MS, PACE_INTERVAL_PER_SERVER_MS * this.pace.serverCount);
+    if (nowMs - this.paceUpdatedAtMs >= intervalMs) {
+      this.paceUpdatedAtMs = nowMs;
+      this.pace.update(this.getReportedPaces(nowMs), nowMs);
+    }
+  }
+
+  private *getReportedPaces(nowMs: number): IterableIterator<ServerPaces> {
+    for (const entry of this.getEntries()) {
+      const report = this.getCurrentReport(entry, nowMs);
+      if (report?.paces !== undefined) {
+        yield { serverId: entry.serverId, paces: readModelPaces(report.paces) };
+      }
+    }
+  }
+
   private applyLeavingServers({ address, bornAtMs, isLeaving, leavingServers }: AgentReport): void {
     for (const [serverId, leavingBornAtMs] of Object.entries(leavingServers ?? {})) {
       this.recordLeaving({ serverId: toServerId(serverId), bornAtMs: leavingBornAtMs });
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -1,4 +1,5 @@
 import type { DataCentreId, ServerId, ServiceId } from '../../domain/index.js';
+import type { ModelPace } from '../../pace/decisions/index.js';
 
 /** Model that is loaded on a backend server, with its loaded adapters. */
 export interface HeldModel {
@@ -82,4 +83,6 @@
   readonly configurationVersion?: number;
   /** Start times of servers that have stated that they are leaving, by server ID; absent in reports of older agents. */
   readonly leavingServers?: Readonly<Record<string, number>>;
+  /** Pace of the recent streams of each model, also of one that is no longer loaded; absent in reports of older agents. */
+  readonly paces?: Readonly<Record<string, ModelPace>>;
 }
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -51,6 +51,8 @@
 export interface ModelUseParams {
   readonly model: string;
   readonly isInteractive: boolean;
+  /** Mean time between two events of a stream that has ended, in milliseconds; absent if it is not known. */
+  readonly eventGapMs?: number;
 }
 
 /** Requests that an agent make an adapter of a model ready. */
--- /dev/null
+++ b/src/pace/index.ts
@@ -0,0 +1,2 @@
+export * from './decisions/index.js';
+export * from './PaceReporter.js';
--- a/src/telemetry/Metrics.ts
+++ b/src/telemetry/Metrics.ts
@@ -31,6 +31,14 @@
     this.gauges.set(name, read);
   }
 
+  /**
+   * Removes a gauge.
+   * @param name - Name without the prefix `monsoonglade_`.
+   */
+  removeGauge(name: string): void {
+    this.gauges.delete(name);
+  }
+
   /**
    * Records a duration.
    * @param name - Name without the prefix `monsoonglade_`.
--- a/test/direct/AgentConnections.test.ts
+++ b/test/direct/AgentConnections.test.ts
@@ -99,7 +99,7 @@
   describe('notifyModelUse', () => {
     it('protects the models of running requests also after a silent connection was replaced', async () => {
       for (const model of ['b', 'c']) {
-        agentConnections.notifyModelUse(ENGINE_ADDRESS, 'started', model, false);
+        agentConnections.notifyModelUse(ENGINE_ADDRESS, 'started', { model, isInteractive: false });
       }
       await replaceSilentConnection();
       agentConnections.requestModel(ENGINE_ADDRESS, { model: 'a', isInteractive: false, keptModels: [] });
@@ -109,10 +109,10 @@
 
     it('protects no model whose requests ended while the connection was silent', async () => {
       for (const model of ['b', 'c']) {
-        agentConnections.notifyModelUse(ENGINE_ADDRESS, 'started', model, false);
+        agentConnections.notifyModelUse(ENGINE_ADDRESS, 'started', { model, isInteractive: false });
       }
       const replaced = replaceSilentConnection();
-      agentConnections.notifyModelUse(ENGINE_ADDRESS, 'ended', 'c', false);
+      agentConnections.notifyModelUse(ENGINE_ADDRESS, 'ended', { model: 'c', isInteractive: false });
       await replaced;
       agentConnections.requestModel(ENGINE_ADDRESS, { model: 'a', isInteractive: false, keptModels: [] });
       await sleepMs(UNLOAD_LIMIT_MS);
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -76,6 +76,15 @@
 
   afterEach(() => controller.stop());
 
+  it('reports the pace of streams that routers have measured, and ignores values that are no time', async () => {
+    for (const eventGapMs of [40, 40, undefined, 'x', -3]) {
+      router.call('residency.started', { model: 'a', isInteractive: true });
+      router.call('residency.ended', { model: 'a', isInteractive: true, eventGapMs });
+    }
+    await delay(CLOCK, 700);
+    expect(router.reports.at(-1)?.paces?.a).to.deep.equal({ gapMs: 40, streamCount: 2, runningCount: 0 });
+  });
+
   function heldNames(): string[] {
     return engine.heldModels.map(({ name }) => name);
   }
