--- a/measure/main.ts
+++ b/measure/main.ts
@@ -5,6 +5,7 @@
 import type { Figure } from './Figure.js';
 import { measureKeepAlive } from './keepAlive.js';
 import { measureGoodput, measureWarmOverhead } from './load.js';
+import { measureMixedPace } from './mixedPace.js';
 import { measureIdleCost, measureRequestCost, measureTargetState, measureTokenCost } from './slopes.js';
 
 const { values } = parseArgs({
@@ -19,6 +20,7 @@
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Figure[]>>> = {
   keepAlive: () => Promise.resolve(measureKeepAlive(Number(values.seed))),
   chooseServer: () => Promise.resolve(measureChooseServer()),
+  mixedPace: () => Promise.resolve(measureMixedPace()),
   coldStart: measureColdStarts,
   warmOverhead: measureWarmOverhead,
   goodput: measureGoodput,
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -30,6 +30,7 @@
   type ServiceContainer,
 } from '../kernel/index.js';
 import { RequestAuthorizer, type RevocationLimits } from '../organisations/index.js';
+import { PaceReporter } from '../pace/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
 import { divideMemory } from './divideMemory.js';
 import { SERVICE_NAMES } from './serviceNames.js';
@@ -63,6 +64,8 @@
   readonly getUpdateLimitMs: () => number;
   /** Returns how long keys are trusted that the store does not confirm. */
   readonly getRevocationLimits: () => RevocationLimits;
+  /** Returns whether servers are chosen by their pace. */
+  readonly isPaceRoutingEnabled: () => boolean;
   readonly source: FleetSource;
   readonly codec: HeaderCodec;
 }
@@ -86,7 +89,12 @@
   const dialer = new PeerDialer(options.instanceId, options.peerSecret, clock, new TrafficMeter());
   const agentConnections = new AgentConnections({ clock, dialer, view, peerPort: options.agentPort, log });
   dialer.exposeMethods(agentConnections.getMethods());
-  const chooser = new ServerChooser(view, options.dataCentre, () => random.nextFraction());
+  const chooser = new ServerChooser(
+    view,
+    options.dataCentre,
+    () => random.nextFraction(),
+    options.isPaceRoutingEnabled,
+  );
   const modelLoader = new ModelLoader({ clock, view, chooser, agentConnections, log });
   const watcher = new FleetWatcher({
     clock,
@@ -171,6 +179,9 @@
   await services.start(agentConnections);
   await services.start(streamOrigins);
   await services.start(modelLoader);
+  await services.start(
+    new PaceReporter({ clock, pace: view.pace, log, metrics, isEnabled: options.isPaceRoutingEnabled }),
+  );
   const readinessServer = new ReadinessServer(options.readinessAddress, isReady, { clock, log, metrics });
   await startTogether(services, [readinessServer, callerServer]);
   logWhenReady();
--- a/src/direct/ServerSearch.ts
+++ b/src/direct/ServerSearch.ts
@@ -287,13 +287,20 @@
   }
 
   private toRequirements(): ServerRequirements {
-    const { headers, serviceId } = this.request;
-    const isInteractive = this.limits.isInteractive && headers.model !== undefined;
-    const { model, adapter } = headers;
-    const tokenCount = headers.promptTokens + headers.maxOutputTokens;
-    const excludedServerIds = this.excludeLimited();
-    const { softwareVersion } = this;
-    return { serviceId, model, adapter, isInteractive, tokenCount, excludedServerIds, softwareVersion };
+    const { headers, serviceId, route } = this.request;
+    const { model, adapter, promptTokens } = headers;
+    return {
+      serviceId,
+      model,
+      adapter,
+      isInteractive: this.limits.isInteractive && model !== undefined,
+      tokenCount: promptTokens + headers.maxOutputTokens,
+      promptTokens,
+      maxGapMs: route.maxGapMs,
+      latencyTargetMs: route.latencyTargetMs,
+      excludedServerIds: this.excludeLimited(),
+      softwareVersion: this.softwareVersion,
+    };
   }
 
   private excludeLimited(): ReadonlySet<ServerId> {
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -1,8 +1,15 @@
 import type { DataCentreId, ServerId, ServiceId } from '../../domain/index.js';
+import {
+  getPacePenalty,
+  getRoomPenalty,
+  PlainDelays,
+  type PlainServerLoad,
+} from '../../pace/decisions/index.js';
 import { ArrivalRates } from './ArrivalRates.js';
 import { drawByRoom, type ScoredCandidate } from './drawByRoom.js';
 import type { FleetView, KnownServer } from './FleetView.js';
 import { getHeldModel, isRequiredVersion } from './FleetView.js';
+import type { ServerEntry } from './ServerEntry.js';
 
 /** Weight of a new outcome in the moving average of a server's failure share. */
 const FAILURE_SMOOTHING = 0.2;
@@ -37,7 +44,7 @@
 const UNRESPONSIVE_AFTER_MS = 800;
 /** Weight of a new measurement in the moving average of a server's latency. */
 const LATENCY_SMOOTHING = 0.2;
-/** Penalty of each 100 ms of average latency on a server without models. */
+/** Penalty of each 100 ms of expected delay on a server without models. */
 const LATENCY_PENALTY = 0.3;
 
 /** A request that was sent to a server. */
@@ -54,10 +61,27 @@
   failureShare: number;
   failureUpdatedAtMs: number;
   latencyMs: number | undefined;
+  latencyAtMs: number;
   /** When the server last sent a part of a response. */
   heardAtMs: number;
 }
 
+/** What the scores of all candidates for a request are based on. */
+interface Knowledge {
+  readonly nowMs: number;
+  readonly usesPace: boolean;
+  /** Tokens that the other routers are expected to send to each candidate, per millisecond. */
+  readonly otherTokensPerMs: number;
+  /** Expected delays of a plain service; undefined for requests for a model. */
+  readonly plainDelays: PlainDelays | undefined;
+}
+
+/** Requests to a server that its latest report can't show yet. */
+interface UnseenRequests {
+  readonly count: number;
+  readonly tokenCount: number;
+}
+
 /** Requirements of a request on its server. */
 export interface ServerRequirements {
   readonly serviceId: ServiceId;
@@ -67,6 +91,12 @@
   readonly isInteractive: boolean;
   /** Number of tokens that the request takes in the memory of an engine. */
   readonly tokenCount?: number;
+  /** Number of tokens of its prompt. */
+  readonly promptTokens?: number;
+  /** Longest time between two events that its route allows, in milliseconds; absent if it is not limited. */
+  readonly maxGapMs?: number;
+  /** Longest time to the first event that its route allows, in milliseconds. */
+  readonly latencyTargetMs?: number;
   readonly excludedServerIds: ReadonlySet<ServerId>;
   /** Version that the server's software must have; absent if any will do. */
   readonly softwareVersion?: string;
@@ -81,11 +111,13 @@
    * @param fleet - View of the servers.
    * @param dataCentre - Data centre of this router.
    * @param drawFraction - Returns a random number in [0, 1).
+   * @param usesPace - Returns whether the paces of servers and their room for requests are taken into account.
    */
   constructor(
     private readonly fleet: FleetView,
     private readonly dataCentre: DataCentreId,
     private readonly drawFraction: () => number,
+    private readonly usesPace: () => boolean = () => true,
   ) {}
 
   /**
@@ -129,12 +161,7 @@
    */
   getLoad(server: KnownServer): number {
     const stats = this.getOrCreateStats(server.entry.serverId);
-    const { report } = server;
-    const reportedCount = report
-      ? report.runningCount + report.waitingCount + getUnseen(stats, server).count
-      : 0;
-    const inFlightCount = Math.max(reportedCount, stats.inFlightCount);
-    return inFlightCount / Math.max(1, server.entry.slotCount);
+    return getInFlightCount(stats, server, getUnseen(stats, server)) / Math.max(1, server.entry.slotCount);
   }
 
   /**
@@ -164,6 +191,7 @@
     if (latencyMs !== undefined) {
       const previousMs = stats.latencyMs ?? latencyMs;
       stats.latencyMs = previousMs + (latencyMs - previousMs) * LATENCY_SMOOTHING;
+      stats.latencyAtMs = nowMs;
     }
   }
 
@@ -212,20 +240,34 @@
   }
 
   private scoreCandidates(requirements: ServerRequirements, nowMs: number): ScoredCandidate<KnownServer>[] {
-    const candidates: ScoredCandidate<KnownServer>[] = [];
+    const servers: KnownServer[] = [];
     for (const server of this.fleet.getHolders(requirements.serviceId, requirements.model, nowMs)) {
-      if (!isCandidate(server, requirements)) {
-        continue;
+      if (isCandidate(server, requirements)) {
+        servers.push(server);
       }
-      const held = requirements.model === undefined ? undefined : getHeldModel(server, requirements.model);
-      const lacksAdapter =
-        requirements.adapter !== undefined && held?.adapters.includes(requirements.adapter) !== true;
-      const adapterPenalty = server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
-      const rankPenalty = requirements.isInteractive ? LAST_RANK_PENALTY * server.rankShare : 0;
-      const score = this.getScore(server, nowMs) + rankPenalty + (lacksAdapter ? adapterPenalty : 0);
-      candidates.push({ item: server, score });
     }
-    return candidates;
+    const knowledge = this.getKnowledge(servers, requirements, nowMs);
+    return servers.map((server) => ({ item: server, score: this.getScore(server, requirements, knowledge) }));
+  }
+
+  /** Returns what the scores of all candidates for a request are based on. */
+  private getKnowledge(
+    servers: readonly KnownServer[],
+    { serviceId, model, tokenCount = 0 }: ServerRequirements,
+    nowMs: number,
+  ): Knowledge {
+    if (!this.usesPace()) {
+      return { nowMs, usesPace: false, otherTokensPerMs: 0, plainDelays: undefined };
+    }
+    const { routerCount } = this.fleet;
+    if (model === undefined) {
+      const loads = servers.map(({ entry }) => this.getPlainLoad(entry));
+      const plainDelays = new PlainDelays(loads, routerCount, nowMs);
+      return { nowMs, usesPace: true, otherTokensPerMs: 0, plainDelays };
+    }
+    const perMs = this.arrivalRates.getPerSecond(getArrivalKey(serviceId, model), nowMs) / 1_000;
+    const otherTokensPerMs = (perMs * (routerCount - 1) * tokenCount) / Math.max(1, servers.length);
+    return { nowMs, usesPace: true, otherTokensPerMs, plainDelays: undefined };
   }
 
   /** Returns the sum by which requests placed with the same knowledge raise the scores. */
@@ -244,27 +286,72 @@
     return (requestCount * risePerRequest) / candidates.length;
   }
 
-  private getScore(server: KnownServer, nowMs: number): number {
-    const stats = this.getOrCreateStats(server.entry.serverId);
-    const { report } = server;
-    const usedTokens = report ? report.usedCacheTokens + getUnseen(stats, server).tokenCount : 0;
+  private getScore(server: KnownServer, requirements: ServerRequirements, knowledge: Knowledge): number {
+    const { entry, report } = server;
+    const { nowMs } = knowledge;
+    const stats = this.getOrCreateStats(entry.serverId);
+    const unseen = getUnseen(stats, server);
+    const inFlightCount = getInFlightCount(stats, server, unseen);
+    const slotCount = Math.max(1, entry.slotCount);
+    const usedTokens = report ? report.usedCacheTokens + unseen.tokenCount : 0;
     const cacheShare = report ? usedTokens / Math.max(1, report.cacheTokens) : 0;
-    const queueShare = report ? report.waitingCount / Math.max(1, server.entry.slotCount) : 0;
+    const queueShare = report ? report.waitingCount / slotCount : 0;
     return (
-      this.getLoad(server) +
+      inFlightCount / slotCount +
       cacheShare +
       2 * queueShare +
       FAILURE_PENALTY * getDecayedFailureShare(stats, nowMs) +
-      this.getLatencyPenalty(stats, server) +
-      (server.entry.dataCentre === this.dataCentre ? 0 : REMOTE_PENALTY)
+      this.getLatencyPenalty(stats, server, knowledge) +
+      (entry.dataCentre === this.dataCentre ? 0 : REMOTE_PENALTY) +
+      (requirements.isInteractive ? LAST_RANK_PENALTY * server.rankShare : 0) +
+      getAdapterPenalty(server, requirements) +
+      (knowledge.usesPace
+        ? this.getPacePenalty(server, requirements, inFlightCount) +
+          getExpectedRoomPenalty(server, requirements, usedTokens, knowledge)
+        : 0)
     );
   }
 
-  private getLatencyPenalty(stats: LocalServerStats, server: KnownServer): number {
-    if (stats.latencyMs === undefined || server.entry.heldModels.length > 0) {
+  private getPacePenalty(
+    { entry, report }: KnownServer,
+    { model, isInteractive, promptTokens = 0, maxGapMs, latencyTargetMs }: ServerRequirements,
+    inFlightCount: number,
+  ): number {
+    const { pace } = this.fleet;
+    if (model === undefined || maxGapMs === undefined || pace.serverCount === 0) {
+      return 0;
+    }
+    const gapMs = pace.getExpectedGapMs(entry.serverId, model);
+    const waitingCount = report?.waitingCount ?? 0;
+    return gapMs === undefined
+      ? 0
+      : getPacePenalty({
+          gapMs,
+          paceFactor: pace.getPaceFactor(entry.serverId),
+          runningCount: inFlightCount - waitingCount + 1,
+          waitingCount,
+          promptTokens,
+          isInteractive,
+          maxGapMs,
+          latencyTargetMs,
+        });
+  }
+
+  private getLatencyPenalty(
+    stats: LocalServerStats,
+    { entry }: KnownServer,
+    { plainDelays }: Knowledge,
+  ): number {
+    if (stats.latencyMs === undefined || entry.heldModels.length > 0) {
       return 0;
     }
-    return (LATENCY_PENALTY * stats.latencyMs) / 100;
+    const delayMs = plainDelays?.getExpectedDelayMs(this.getPlainLoad(entry)) ?? stats.latencyMs;
+    return (LATENCY_PENALTY * delayMs) / 100;
+  }
+
+  private getPlainLoad({ serverId, slotCount }: ServerEntry): PlainServerLoad {
+    const { latencyMs, latencyAtMs, inFlightCount } = this.getOrCreateStats(serverId);
+    return { latencyMs, latencyAtMs, inFlightCount, slotCount };
   }
 
   private getOrCreateStats(serverId: ServerId): LocalServerStats {
@@ -276,6 +363,7 @@
         failureShare: 0,
         failureUpdatedAtMs: 0,
         latencyMs: undefined,
+        latencyAtMs: -Infinity,
         heardAtMs: -Infinity,
       };
       this.statsByServer.set(serverId, stats);
@@ -292,10 +380,7 @@
 }
 
 /** Returns the requests to a server that its latest report can't show yet. */
-function getUnseen(
-  { sends }: LocalServerStats,
-  { reportedAtMs }: KnownServer,
-): { readonly count: number; readonly tokenCount: number } {
+function getUnseen({ sends }: LocalServerStats, { reportedAtMs }: KnownServer): UnseenRequests {
   let count = 0;
   let tokenCount = 0;
   for (const send of sends) {
@@ -307,6 +392,40 @@
   return { count, tokenCount };
 }
 
+function getInFlightCount(
+  { inFlightCount }: LocalServerStats,
+  { report }: KnownServer,
+  unseen: UnseenRequests,
+): number {
+  const reportedCount = report ? report.runningCount + report.waitingCount + unseen.count : 0;
+  return Math.max(reportedCount, inFlightCount);
+}
+
+function getAdapterPenalty(server: KnownServer, { model, adapter }: ServerRequirements): number {
+  if (adapter === undefined) {
+    return 0;
+  }
+  const held = model === undefined ? undefined : getHeldModel(server, model);
+  if (held?.adapters.includes(adapter) === true) {
+    return 0;
+  }
+  return server.report?.isBusy === true ? BUSY_ADAPTER_PENALTY : ADAPTER_PENALTY;
+}
+
+/** Returns the penalty for the room that a request and the unseen ones of all routers leave on an engine. */
+function getExpectedRoomPenalty(
+  { report, reportedAtMs }: KnownServer,
+  { tokenCount = 0 }: ServerRequirements,
+  usedTokens: number,
+  { nowMs, otherTokensPerMs }: Knowledge,
+): number {
+  if (!report) {
+    return 0;
+  }
+  const otherTokens = otherTokensPerMs * (nowMs - reportedAtMs + REPORT_LAG_MS);
+  return getRoomPenalty(usedTokens + tokenCount + otherTokens, report.cacheTokens);
+}
+
 function getArrivalKey(serviceId: ServiceId, model: string | undefined): string {
   return `${serviceId}|${model ?? ''}`;
 }
--- a/test/direct/oddReports.fuzz.test.ts
+++ b/test/direct/oddReports.fuzz.test.ts
@@ -25,6 +25,7 @@
   'loadingModel',
   'leavingServers',
   'isLeaving',
+  'paces',
   '__proto__',
 ];
 
@@ -74,7 +75,14 @@
       for (const model of [undefined, 'a', 'b']) {
         for (const isInteractive of [true, false]) {
           chooser.chooseServer(
-            { serviceId: ENGINES, model, isInteractive, tokenCount: 1, excludedServerIds: new Set() },
+            {
+              serviceId: ENGINES,
+              model,
+              isInteractive,
+              tokenCount: 1,
+              maxGapMs: 1,
+              excludedServerIds: new Set(),
+            },
             nowMs,
           );
           loader.recordInteractiveUse(ENGINES, model ?? 'c');
--- a/test/platform/NodeSettings.test.ts
+++ b/test/platform/NodeSettings.test.ts
@@ -69,6 +69,7 @@
         expect(settings.readinessAddress).to.equal(undefined);
         expect(settings.engineAddress).to.equal(undefined);
         expect(settings.updateLimitMs).to.equal(2_000);
+        expect(settings.isPaceRoutingEnabled).to.equal(true);
       }
     });
 
@@ -94,6 +95,10 @@
       }
     });
 
+    it('turns the choice of servers by pace off', () => {
+      expect(decode({ Bounds: { PaceRouting: false } }).isPaceRoutingEnabled).to.equal(false);
+    });
+
     it('takes the first of one or more internal ports', () => {
       for (const InternalPorts of [[7380], [7380, 7395], [7380, 7395, 7400], [7380, null]]) {
         expect(decode({ InternalPorts }).peerPort).to.equal(7380);
