--- a/measure/main.ts
+++ b/measure/main.ts
@@ -1,9 +1,11 @@
 /** Runs the measurements and prints their figures: `npm run measure [-- --json] [--only TEXT] [--seed N]`. */
 import { parseArgs } from 'node:util';
+import { measureChooseServer } from './chooseServer.js';
 import { measureColdStarts } from './coldStart.js';
 import type { Figure } from './Figure.js';
 import { measureKeepAlive } from './keepAlive.js';
 import { measureGoodput, measureWarmOverhead } from './load.js';
+import { measureMixedPace } from './mixedPace.js';
 import { measureIdleCost, measureRequestCost, measureTargetState, measureTokenCost } from './slopes.js';
 
 const { values } = parseArgs({
@@ -17,6 +19,8 @@
 /** Measurements by name; `--only` selects those whose name contains the given text. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Figure[]>>> = {
   keepAlive: () => Promise.resolve(measureKeepAlive(Number(values.seed))),
+  chooseServer: () => Promise.resolve(measureChooseServer()),
+  mixedPace: () => Promise.resolve(measureMixedPace()),
   coldStart: measureColdStarts,
   warmOverhead: measureWarmOverhead,
   goodput: measureGoodput,
