Organisations: quotas over all routers

Cause: RatePerS and Burst of the configuration had no effect. Ruled out: full-rate issuers with substitutes, which exceed the limit when half of the routers are cut off; full buckets after a start; moving a router's share before its former issuer has certainly dropped it. Change: each router owns an equal share of every quota and lends it to one agent at a time, under a lease on the agent's own clock. The agent pools the shares in token buckets that start empty and counts unsent credit. PermitBuckets uses the same bucket. CallerServer takes the credit after the key check; a request that did not run returns it.

--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -10,12 +10,14 @@
   ModelLoader,
   PermitIssuer,
   PromptPartSuspects,
+  QuotaGate,
   ReadinessServer,
   RequestPermits,
   SharedRetryBudget,
   ServerChooser,
   StreamOriginClient,
   StreamOriginStore,
+  toQuotaFleet,
   type EnginePort,
   type FleetSource,
   type HeaderCodec,
@@ -29,7 +31,13 @@
   type Service,
   type ServiceContainer,
 } from '../kernel/index.js';
-import { RequestAuthorizer, type RevocationLimits } from '../organisations/index.js';
+import {
+  QuotaClient,
+  QuotaIssuer,
+  RequestAuthorizer,
+  type QuotaTolerance,
+  type RevocationLimits,
+} from '../organisations/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
 import { divideMemory } from './divideMemory.js';
 import { SERVICE_NAMES } from './serviceNames.js';
@@ -48,6 +56,8 @@
   readonly metricsAddress: ListenAddress;
   /** Returns the time from the stop signal until the process is killed, in milliseconds. */
   readonly getStopGraceMs: () => number;
+  /** Returns how far the requests of an organisation may exceed its quota. */
+  readonly getQuotaTolerance: () => QuotaTolerance;
 }
 
 /** Options of a router that sends requests directly to backend servers. */
@@ -122,6 +132,15 @@
     () => view.configurationKnowledge,
     options.getRevocationLimits,
   );
+  const quotaClient = new QuotaClient({
+    clock,
+    routerId: options.instanceId,
+    links: agentConnections,
+    fleet: toQuotaFleet(view),
+    getTolerance: options.getQuotaTolerance,
+    log,
+    metrics,
+  });
   const callerServer = new CallerServer({
     address: options.callerAddress,
     clock,
@@ -145,6 +164,7 @@
       getRetryBudget,
     },
     authorizer,
+    quotaGate: new QuotaGate(quotaClient),
     bodyBudget: new ByteBudget(memory.bodyBytes),
     log,
     metrics,
@@ -170,6 +190,7 @@
   await services.start(watcher);
   await services.start(agentConnections);
   await services.start(streamOrigins);
+  await services.start(quotaClient);
   await services.start(modelLoader);
   const readinessServer = new ReadinessServer(options.readinessAddress, isReady, { clock, log, metrics });
   await startTogether(services, [readinessServer, callerServer]);
@@ -188,11 +209,23 @@
   const originStore = new StreamOriginStore();
   const getRouterCount = () => controller.routerCount;
   const permitIssuer = new PermitIssuer({ clock, engineAddress, getRouterCount, metrics });
+  const quotaIssuer = new QuotaIssuer({
+    clock,
+    issuerId: randomBytes(8).toString('hex'),
+    getRouterCount,
+    getTolerance: options.getQuotaTolerance,
+    metrics,
+  });
   const peerServer = new PeerServer(
     options.peerAddress,
     options.peerSecret,
     clock,
-    { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
+    {
+      ...controller.getMethods(),
+      ...permitIssuer.getMethods(),
+      ...quotaIssuer.getMethods(),
+      ...originStore.getMethods(),
+    },
     new TrafficMeter(),
     { clock, log, metrics },
   );
--- a/src/direct/CallerRequest.ts
+++ b/src/direct/CallerRequest.ts
@@ -1,5 +1,5 @@
 import type { ServiceId } from '../domain/index.js';
-import type { CallerAccess } from '../organisations/index.js';
+import type { CallerAccess, QuotaCredit } from '../organisations/index.js';
 import type { Route } from './decisions/index.js';
 import type { RequestHeaders } from './HeaderCodec.js';
 
@@ -15,6 +15,8 @@
   readonly access: CallerAccess;
   /** Priority of its organisation, or else of its route; 0 is the highest. */
   readonly priority: number;
+  /** Credit that was taken for it; absent if its organisation has no quota. */
+  readonly credit?: QuotaCredit;
   /** Fingerprint, the same for equal requests. */
   readonly fingerprint: string;
   readonly receivedAtMs: number;
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -18,9 +18,12 @@
 import type { CallerRequest } from './CallerRequest.js';
 import { CallerResponse } from './CallerResponse.js';
 import type { HeaderCodec } from './HeaderCodec.js';
+import type { QuotaGate } from './QuotaGate.js';
 import { RequestBody, type BodyFailure } from './RequestBody.js';
 import { RequestResolver, type RequestRefusal } from './RequestResolver.js';
 
+type Refusal = Omit<RequestRefusal, 'kind'>;
+
 /** Limits used until a configuration is known. */
 const INITIAL_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
@@ -58,9 +61,7 @@
 /** Delay after which a caller should retry a request whose body found no room, in milliseconds. */
 const NO_ROOM_RETRY_MS = 1_000;
 /** Refusals of requests whose body was not received. */
-const BODY_REFUSALS: Readonly<
-  Record<BodyFailure, { status: number; detail: string; retryAfterMs?: number }>
-> = {
+const BODY_REFUSALS: Readonly<Record<BodyFailure, Refusal>> = {
   tooLarge: { status: 413, detail: 'the body is too large' },
   noRoom: { status: 503, detail: 'there is no memory left for the request', retryAfterMs: NO_ROOM_RETRY_MS },
   late: { status: 408, detail: 'the body did not arrive in time' },
@@ -82,6 +83,7 @@
   readonly codec: HeaderCodec;
   readonly forwarder: RequestForwarderDependencies;
   readonly authorizer: RequestAuthorizer;
+  readonly quotaGate: QuotaGate;
   /** Memory for the heads and bodies of requests until their responses are closed. */
   readonly bodyBudget: ByteBudget;
   readonly log: Log;
@@ -157,7 +159,7 @@
     }
     const startedAtMs = clock.nowMs();
     const endsAtMs = startedAtMs + this.deps.getStopGraceMs() - STOP_RESERVE_MS;
-    log.info('stopping', { activeCount: this.activeForwarders.size });
+    log.info('stopping', { activeCount: this.activeForwarders.size + this.deps.quotaGate.waitingCount });
     await delay(clock, ACCEPT_WHILE_STOPPING_MS);
     this.closing = true;
     for (const forwarder of [...this.activeForwarders.keys()]) {
@@ -303,9 +305,8 @@
     }
     try {
       response.shouldKeepAlive = false;
-      response.write(
-        this.beginRefusal(response, requestId, STATUS_BAD_GATEWAY, 'the request failed', undefined),
-      );
+      const refusal = { status: STATUS_BAD_GATEWAY, detail: 'the request failed' };
+      response.write(this.beginRefusal(response, requestId, refusal));
       this.endAfterBody(request, response);
     } catch {
       response.destroy();
@@ -325,10 +326,9 @@
    * refusal: closing it under bytes that are still arriving resets it.
    */
   private refuseBody(request: IncomingMessage, response: ServerResponse, failure: BodyFailure): void {
-    const { status, detail, retryAfterMs } = BODY_REFUSALS[failure];
     const requestId = this.deps.codec.decodeRequest(request.headers)?.requestId;
     response.shouldKeepAlive = false;
-    response.write(this.beginRefusal(response, requestId, status, detail, retryAfterMs));
+    response.write(this.beginRefusal(response, requestId, BODY_REFUSALS[failure]));
     // The head takes no part of the budget if it found no room, so it must not stay in memory while the rest is read.
     request.rawHeaders = [];
     request.headers = {};
@@ -354,24 +354,27 @@
   ): void {
     const requestId = this.deps.codec.getRequestId(request.headers);
     if (this.closing) {
-      this.refuse(response, requestId, STOPPING.status, STOPPING.detail, STOPPING.retryAfterMs);
+      this.refuse(response, requestId, STOPPING);
       return;
     }
     const requestNumber = this.connections.getRequestCount(request.socket);
     const resolved = this.resolver.resolve(request, body, receivedAtMs, requestNumber);
-    switch (resolved.kind) {
-      case 'refused':
-        this.refuse(response, requestId, resolved.status, resolved.detail, resolved.retryAfterMs);
-        return;
-      case 'accepted':
-        this.forward(resolved.request, response);
+    if (resolved.kind === 'refused') {
+      this.refuse(response, requestId, resolved);
+      return;
     }
+    this.deps.quotaGate.admit(resolved.request, response, {
+      findRefusal: ({ access }) =>
+        this.closing ? STOPPING : this.deps.authorizer.isRevoked(access) ? REVOKED : undefined,
+      refuse: (refusal) => this.guard(request, response, () => this.refuse(response, requestId, refusal)),
+      forward: (admitted) => this.guard(request, response, () => this.forward(admitted, response)),
+    });
   }
 
   private forward(request: CallerRequest, response: ServerResponse): void {
     const { requestId } = request.headers;
     const callerResponse = new CallerResponse(response, (status, detail, retryAfterMs) =>
-      this.refuse(response, requestId, status, detail, retryAfterMs),
+      this.refuse(response, requestId, { status, detail, retryAfterMs }),
     );
     const forwarder = new RequestForwarder(this.deps.forwarder, request, callerResponse);
     this.activeForwarders.set(forwarder, response);
@@ -389,23 +392,15 @@
     });
   }
 
-  private refuse(
-    response: ServerResponse,
-    requestId: string | undefined,
-    status: number,
-    detail: string,
-    retryAfterMs: number | undefined,
-  ): void {
-    response.end(this.beginRefusal(response, requestId, status, detail, retryAfterMs));
+  private refuse(response: ServerResponse, requestId: string | undefined, refusal: Refusal): void {
+    response.end(this.beginRefusal(response, requestId, refusal));
   }
 
   /** Sends the head of a refusal; returns its body. */
   private beginRefusal(
     response: ServerResponse,
     requestId: string | undefined,
-    status: number,
-    detail: string,
-    retryAfterMs: number | undefined,
+    { status, detail, retryAfterMs }: Refusal,
   ): string {
     this.deps.metrics.count(`refusals_${status}`);
     this.deps.log.decision('request refused', { requestId: requestId ?? '', status, detail });
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -74,7 +74,7 @@
 
 /** Forwards one request to a backend server and its response to the caller. */
 export class RequestForwarder {
-  private readonly tracker = new VerdictTracker();
+  private readonly tracker: VerdictTracker;
   private readonly search: ServerSearch;
   private readonly resumption: StreamResumption;
   private readonly retries: RequestRetries;
@@ -109,6 +109,7 @@
     private readonly sink: ResponseSink,
   ) {
     const { route, headers, receivedAtMs } = request;
+    this.tracker = new VerdictTracker((mayHaveRun) => request.credit?.recordSent(mayHaveRun));
     const maxInteractiveTargetMs = deps.view.getMaxInteractiveTargetMs(request.serviceId);
     this.limits = new RequestLimits(route, headers.deadlineMs, receivedAtMs, maxInteractiveTargetMs);
     this.search = new ServerSearch(deps, request, this.limits, () => this.hasEnded);
@@ -283,12 +284,11 @@
   /** Records that an attempt is sent. */
   private start(prepared: PreparedAttempt): SentAttempt {
     const { clock, chooser } = this.deps;
-    const { headers } = this.request;
-    const attemptId = `${headers.requestId}.${++this.sendCount}`;
+    const { requestId, promptTokens, maxOutputTokens } = this.request.headers;
+    const attemptId = `${requestId}.${++this.sendCount}`;
     this.tracker.markPossiblySent(attemptId);
     const sentAtMs = clock.nowMs();
-    const tokenCount = headers.promptTokens + headers.maxOutputTokens;
-    chooser.recordSent(prepared.server.entry.serverId, sentAtMs, tokenCount);
+    chooser.recordSent(prepared.server.entry.serverId, sentAtMs, promptTokens + maxOutputTokens);
     this.notifyModelUse(prepared.server, 'started');
     return { ...prepared, attemptId, sentAtMs };
   }
--- a/src/direct/RequestResolver.ts
+++ b/src/direct/RequestResolver.ts
@@ -15,7 +15,7 @@
   readonly status: number;
   readonly detail: string;
   /** Delay after which the caller should retry, in milliseconds; absent if a retry cannot succeed. */
-  readonly retryAfterMs?: number;
+  readonly retryAfterMs?: number | undefined;
 }
 
 /** Route of a request and what its key gives access to. */
--- a/src/direct/decisions/PermitBuckets.ts
+++ b/src/direct/decisions/PermitBuckets.ts
@@ -1,4 +1,5 @@
 import type { ServerId } from '../../domain/index.js';
+import { CreditBucket } from '../../organisations/decisions/CreditBucket.js';
 import { setNewest } from './setNewest.js';
 
 /** Rate at which a server that accepts fewer requests, or none, is still tried, in requests per second. */
@@ -18,21 +19,12 @@
   /** The request may not be sent; its caller may return later. */
   | { readonly isGranted: false; readonly retryInMs: number };
 
-/** Permits of one server. */
-interface PermitBucket {
-  /** Number of permits left; negative while granted ones are still waiting. */
-  permitCount: number;
-  updatedAtMs: number;
-  /** Time that the caller of the last refused request was given. */
-  returnsAtMs: number;
-}
-
 /**
  * Issues permits for requests to servers that limit them: a token bucket for each server. It starts empty, since the
  * server has just accepted the request whose response named the limit.
  */
 export class PermitBuckets {
-  private readonly buckets = new Map<ServerId, PermitBucket>();
+  private readonly buckets = new Map<ServerId, CreditBucket>();
 
   /**
    * Decides on a permit for a request. Callers of refused requests are given times that are one permit apart.
@@ -45,26 +37,17 @@
     const permitsPerSecond = Math.max(MIN_PERMITS_PER_SECOND, maxRequestsPerSecond);
     const permitMs = MS_PER_SECOND / permitsPerSecond;
     const bucket = this.getOrCreate(serverId, nowMs);
-    const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
-    const maxCount = Math.max(1, permitsPerSecond * BURST_S);
-    bucket.permitCount = Math.min(maxCount, bucket.permitCount + elapsedMs / permitMs);
-    bucket.updatedAtMs = nowMs;
-    const waitMs = Math.max(0, (1 - bucket.permitCount) * permitMs);
+    bucket.accrue(permitsPerSecond, Math.max(1, permitsPerSecond * BURST_S), nowMs);
+    const waitMs = bucket.getWaitMs(1, permitsPerSecond);
     if (waitMs <= maxWaitMs) {
-      bucket.permitCount--;
+      bucket.credit--;
       return { isGranted: true, waitMs };
     }
-    const latestMs = nowMs + Math.max(waitMs, MAX_RETRY_MS);
-    bucket.returnsAtMs = Math.min(latestMs, Math.max(nowMs + waitMs, bucket.returnsAtMs + permitMs));
-    return { isGranted: false, retryInMs: bucket.returnsAtMs - nowMs };
+    return { isGranted: false, retryInMs: bucket.spreadReturn(waitMs, permitMs, MAX_RETRY_MS, nowMs) };
   }
 
-  private getOrCreate(serverId: ServerId, nowMs: number): PermitBucket {
-    const bucket = this.buckets.get(serverId) ?? {
-      permitCount: 0,
-      updatedAtMs: nowMs,
-      returnsAtMs: -Infinity,
-    };
+  private getOrCreate(serverId: ServerId, nowMs: number): CreditBucket {
+    const bucket = this.buckets.get(serverId) ?? new CreditBucket(nowMs);
     setNewest(this.buckets, serverId, bucket, MAX_BUCKETS);
     return bucket;
   }
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -16,6 +16,8 @@
 export * from './CallerRequest.js';
 export * from './RequestResolver.js';
 export * from './RequestForwarder.js';
+export * from './QuotaGate.js';
+export * from './toQuotaFleet.js';
 export * from './CallerResponse.js';
 export * from './CallerServer.js';
 export * from './ReadinessServer.js';
--- a/src/domain/Verdict.ts
+++ b/src/domain/Verdict.ts
@@ -26,14 +26,19 @@
   private readonly openAttempts = new Set<string>();
   private completed = false;
 
+  /** @param onChange - Called after each change of the attempts with whether the request may have run. */
+  constructor(private readonly onChange: (mayHaveRun: boolean) => void = () => undefined) {}
+
   /** @param attemptId - Attempt that may be sent from now on. */
   markPossiblySent(attemptId: string): void {
     this.openAttempts.add(attemptId);
+    this.onChange(true);
   }
 
   /** @param proof - Proof that an attempt did not run. */
   proveDidNotRun(proof: DidNotRunProof): void {
     this.openAttempts.delete(proof.attemptId);
+    this.onChange(this.verdict !== 'didNotRun');
   }
 
   /** Records that an attempt ran to completion. */
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -21,10 +21,12 @@
   FleetView,
   ModelLoader,
   PromptPartSuspects,
+  QuotaGate,
   RequestPermits,
   SharedRetryBudget,
   ServerChooser,
   StreamOriginClient,
+  toQuotaFleet,
   type CallerLimits,
   type HeaderCodec,
   type Route,
@@ -32,7 +34,7 @@
   type ServingConfiguration,
 } from '../../src/direct/index.js';
 import { ByteBudget, delay, Random, SystemClock } from '../../src/kernel/index.js';
-import { RequestAuthorizer } from '../../src/organisations/index.js';
+import { QuotaClient, RequestAuthorizer } from '../../src/organisations/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
@@ -63,6 +65,7 @@
   retryLimits = RETRY_LIMITS;
   revocationLimits = { isStrict: false, revocationLimitMs: 5_000 };
   log = new Log('test', () => undefined);
+  quotaTolerance = { windowMs: 8_000, ratio: 0.1, slack: 0 };
   /** Whether an agent has reported the number of routers, where the router connects to none. */
   isAgentKnown = true;
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
@@ -72,6 +75,8 @@
   private agentConnections: AgentConnections | undefined;
   private streamOrigins: StreamOriginClient | undefined;
   private port = 0;
+  /** Source of the credit of organisations; tests pass their own. */
+  quotas: Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent'> | undefined;
 
   /**
    * @param codec - Codec for the headers of requests and responses; tests pass faulty ones.
@@ -164,6 +169,15 @@
       this.streamOrigins = streamOrigins;
       await streamOrigins.start();
     }
+    this.quotas ??= new QuotaClient({
+      clock: CLOCK,
+      routerId: 'router',
+      links: agentConnections,
+      fleet: toQuotaFleet(view),
+      getTolerance: () => this.quotaTolerance,
+      log,
+      metrics,
+    });
     this.router = new CallerServer({
       address: { host: '127.0.0.1', port: 0 },
       clock: CLOCK,
@@ -191,6 +205,7 @@
         () => view.configurationKnowledge,
         () => this.revocationLimits,
       ),
+      quotaGate: new QuotaGate(this.quotas),
       bodyBudget: this.bodyBudget,
       log,
       metrics,
