--- a/src/organisations/OrganisationDirectory.ts
+++ b/src/organisations/OrganisationDirectory.ts
@@ -1,3 +1,4 @@
+import type { OrganisationId } from '../domain/index.js';
 import { digestKey, KeyDirectory } from './KeyDirectory.js';
 import type { Organisation } from './Organisation.js';
 
@@ -15,6 +16,7 @@
 /** Organisations of one version of the configuration, by their keys. */
 export class OrganisationDirectory {
   private readonly keys: KeyDirectory<Organisation>;
+  private readonly byId: ReadonlyMap<OrganisationId, Organisation>;
 
   /**
    * @param organisations - The organisations.
@@ -25,12 +27,21 @@
     readonly problems: readonly string[] = [],
   ) {
     this.keys = new KeyDirectory(organisations);
+    this.byId = new Map(organisations.map((organisation) => [organisation.organisationId, organisation]));
     if (this.keys.sharedKeyCount > 0) {
       const detail = `${this.keys.sharedKeyCount} keys of several organisations are valid for none of them`;
       this.problems = [...problems, detail];
     }
   }
 
+  /**
+   * Returns an organisation; undefined if there is none of this ID.
+   * @param organisationId - The ID.
+   */
+  find(organisationId: OrganisationId): Organisation | undefined {
+    return this.byId.get(organisationId);
+  }
+
   /**
    * Returns what a request may access.
    * @param isPublicRoute - Whether the request's route needs no key.
--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -8,9 +8,11 @@
   IssuerFollowing,
   QUOTA_GROUP_COUNT,
   QuotaShare,
+  QUOTA_LEASE_MS,
   ROUTER_COUNT_MEMORY_MS,
   type FollowingStep,
   type QuotaDecision,
+  type QuotaTerms,
 } from './decisions/index.js';
 import {
   QUOTA_METHODS,
@@ -138,6 +140,8 @@
   private readonly suspendedUntilMs = new Map<string, number>();
   private readonly counters: OrganisationCounters;
   private readonly checkTask: PeriodicTask;
+  /** When the number of routers was first known. */
+  private countKnownAtMs = Infinity;
   /** Issuers of each group in their order, as of a change count of the fleet. */
   private candidates:
     { readonly changeCount: number; readonly byGroup: readonly (readonly string[])[] } | undefined;
@@ -290,7 +294,7 @@
   /** Asks for the credit of all waiting requests of an organisation, with one call at a time. */
   private async callForWaiting(
     { organisationId }: Organisation,
-    { ratePerSecond, burst }: Quota,
+    quota: Quota,
     group: number,
     state: OrganisationState,
   ): Promise<void> {
@@ -299,9 +303,8 @@
       while (state.waiting.length > 0) {
         const batch = state.waiting.splice(0, MAX_COSTS);
         const costs = batch.map(({ cost }) => cost);
-        const version = this.deps.fleet.version ?? -1;
         const { unsent } = state;
-        const terms = { organisationId, version, ratePerSecond, burst };
+        const terms = { organisationId, ...this.getTerms(organisationId, quota) };
         state.asked = costs.reduce((sum, cost) => sum + cost, 0);
         const retriesInMs = await this.callIssuer(group, { ...terms, costs, unsent }, state);
         state.asked = 0;
@@ -375,7 +378,7 @@
     const { clock, getTolerance } = this.deps;
     const { following, share } = this.getGroup(group);
     const nowMs = clock.nowMs();
-    const limits = getBucketLimits(quota, getTolerance());
+    const limits = getBucketLimits(this.getTerms(organisationId, quota), getTolerance());
     const isOwn = following.issuer === undefined;
     return share.take(organisationId, limits, this.getRouterCount(), isOwn, state.unsent, cost, nowMs);
   }
@@ -392,6 +395,9 @@
     const { clock, fleet, links } = this.deps;
     const quotas = this.getQuotas();
     const nowMs = clock.nowMs();
+    if (this.countKnownAtMs === Infinity && fleet.getRouterCount(nowMs) !== undefined) {
+      this.countKnownAtMs = nowMs;
+    }
     for (const [group, state] of this.groups.entries()) {
       const { following, share } = state;
       const hasQuotas = quotas.some(({ organisationId }) => getQuotaGroup(organisationId) === group);
@@ -443,11 +449,13 @@
         return;
       }
       case 'renew': {
+        const nowMs = clock.nowMs();
         const params: RenewShareParams = {
           group,
           routerId,
           echo: step.echo,
-          routerCount: fleet.getRouterCount(clock.nowMs() - ROUTER_COUNT_MEMORY_MS) ?? 1,
+          routerCount: fleet.getRouterCount(nowMs - ROUTER_COUNT_MEMORY_MS) ?? 1,
+          isCountReliable: nowMs - this.countKnownAtMs >= QUOTA_LEASE_MS,
           unsent: this.listUnsent(group),
           quotas: step.echo ? this.getNewQuotas(group, state.issuerVersion, quotas) : undefined,
         };
@@ -498,6 +506,15 @@
     return unsent;
   }
 
+  /** Returns the newest quota of an organisation; that of a request may be from an earlier version of the configuration. */
+  private getTerms(organisationId: OrganisationId, { ratePerSecond, burst }: Quota): QuotaTerms {
+    const { version = -1, organisations } = this.deps.fleet;
+    const newest = organisations?.find(organisationId)?.quota;
+    return newest
+      ? { version, ratePerSecond: newest.ratePerSecond, burst: newest.burst }
+      : { version: -1, ratePerSecond, burst };
+  }
+
   private getQuotas(): readonly Organisation[] {
     return (this.deps.fleet.organisations?.organisations ?? []).filter(({ quota }) => quota !== undefined);
   }
--- a/src/organisations/QuotaIssuer.ts
+++ b/src/organisations/QuotaIssuer.ts
@@ -59,7 +59,8 @@
     } as PeerMethods;
   }
 
-  private renew({ group, routerId, echo, routerCount, unsent, quotas }: RenewShareParams): RenewShareReply {
+  private renew(params: RenewShareParams): RenewShareReply {
+    const { group, routerId, echo, routerCount, isCountReliable, unsent, quotas } = params;
     const { clock, issuerId, getRouterCount } = this.deps;
     const nowMs = clock.nowMs();
     const pool = this.getPool(group);
@@ -77,6 +78,9 @@
     ) {
       const amounts = unsent.filter(([, amount]) => isAmount(amount));
       const count = Math.max(routerCount, getRouterCount());
+      if (isCountReliable) {
+        pool.markReady(nowMs);
+      }
       pool.renew(String(routerId), echo.atMs, count, new Map<OrganisationId, number>(amounts), nowMs);
     }
     return { issuerId, atMs: nowMs, version: Math.max(-1, pool?.version ?? -1) };
--- a/src/organisations/decisions/QuotaPool.ts
+++ b/src/organisations/decisions/QuotaPool.ts
@@ -69,12 +69,13 @@
 
   /**
    * @param updatedAtMs - Current time.
-   * @param readyAtMs - Time before which nothing is granted: an issuer that has just started does not know all routers.
+   * @param readyAtMs - Time before which nothing is granted, unless a router knows the number of routers: an issuer that has
+   *   just started does not.
    * @param getTolerance - Returns how far quotas may be exceeded.
    */
   constructor(
     private updatedAtMs: number,
-    private readonly readyAtMs: number,
+    private readyAtMs: number,
     private readonly getTolerance: () => QuotaTolerance,
   ) {}
 
@@ -148,6 +149,12 @@
     this.limitCredit();
   }
 
+  /** Ends the time before which nothing is granted, since the number of routers is known. */
+  markReady(nowMs: number): void {
+    this.advance(nowMs);
+    this.readyAtMs = Math.min(this.readyAtMs, nowMs);
+  }
+
   /**
    * Removes a router whose share no longer belongs to this pool.
    * @param routerId - The router.
--- a/src/organisations/messages.ts
+++ b/src/organisations/messages.ts
@@ -17,6 +17,8 @@
   readonly echo?: IssuerStamp;
   /** Largest number of routers that this one has known of lately. */
   readonly routerCount: number;
+  /** Whether it has known of routers for long enough that the number can be relied on. */
+  readonly isCountReliable: boolean;
   /** Credit of requests that were not sent yet, for each organisation that has some. */
   readonly unsent: readonly (readonly [OrganisationId, number])[];
   /** Quotas of the group, if the agent knows only an older version. */
