--- a/src/organisations/decisions/IssuerFollowing.ts
+++ b/src/organisations/decisions/IssuerFollowing.ts
@@ -4,7 +4,7 @@
 const RENEW_INTERVAL_MS = 500;
 /** Interval at which it tries to withdraw its share from an issuer that does not answer, in milliseconds. */
 const RELEASE_INTERVAL_MS = 200;
-/** Interval at which it calls an issuer whose answers it still lacks, in milliseconds. */
+/** Interval at which it calls an issuer that has not counted it yet or has not answered, in milliseconds. */
 const JOIN_INTERVAL_MS = 50;
 
 /** Time of an issuer, which a router returns to prove how recent its message is. */
@@ -128,7 +128,7 @@
     if (this.followedIssuer !== preferred) {
       return RELEASE_INTERVAL_MS;
     }
-    return this.isMember(nowMs) ? RENEW_INTERVAL_MS : JOIN_INTERVAL_MS;
+    return this.isMember(nowMs) && this.silences === 0 ? RENEW_INTERVAL_MS : JOIN_INTERVAL_MS;
   }
 
   private follow(issuer: string | undefined): void {
