--- a/test/platform/programs.ts
+++ b/test/platform/programs.ts
@@ -41,11 +41,13 @@
   readonly engineAddress?: string;
   /** Memory that the program may use, in MB; absent for no limit. */
   readonly memoryMb?: number;
+  /** Further limits of `Bounds`. */
+  readonly bounds?: Readonly<Record<string, number>>;
 }
 
 /** Returns the content of a program's settings file in the platform's format. */
 export function makeSettingsFile(settings: ProgramSettings): Record<string, unknown> {
-  const { name, ip, ports, storeAddress, graceS, engineAddress, memoryMb } = settings;
+  const { name, ip, ports, storeAddress, graceS, engineAddress, memoryMb, bounds } = settings;
   const isRouter = engineAddress === undefined;
   return {
     NodeName: name,
@@ -53,7 +55,7 @@
     Zone: 'z1',
     Listen: isRouter ? { Front: `${ip}:${ports.front}`, Ready: `${ip}:${ports.ready}` } : {},
     InternalPorts: [ports.peer, ports.spare],
-    Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 50, BudgetWindowS: 10, GraceS: graceS },
+    Bounds: { RetryBudgetRatio: 0.2, RetrySlack: 50, BudgetWindowS: 10, GraceS: graceS, ...bounds },
     Platform: { Address: storeAddress },
     ...(memoryMb === undefined ? {} : { Limits: { MemoryMb: memoryMb } }),
     ...(isRouter ? {} : { app: engineAddress, Service: 'models' }),
@@ -96,9 +98,10 @@
   host: string,
   port: number,
   path: string,
+  otherHeaders: Readonly<Record<string, string>> = {},
 ): Promise<{ status: number; text: string } | undefined> {
   return new Promise((resolve) => {
-    const headers = { host: 'a.example', 'request-id': 'r1' };
+    const headers = { host: 'a.example', 'request-id': 'r1', ...otherHeaders };
     const outgoing = request({ host, port, path, headers, agent: false }, (response) => {
       let text = '';
       response.on('data', (chunk: Buffer) => (text += chunk.toString()));
