Agents count a router once that has dialled again

Cause: after a cut, a router dials again while its former connection stays open at the agent for up to 60 s. The agent reported more routers than there are, which lowers each router's share for as long as the largest number is remembered. Change: ReportPublisher counts the names of its routers. The stand-ins of two tests got a name for each router, as processes have. Unit tests of quotas; the table of faults begins each fault with the whole burst.

--- a/src/direct/ReportPublisher.ts
+++ b/src/direct/ReportPublisher.ts
@@ -48,13 +48,17 @@
  */
 export class ReportPublisher {
   private readonly followers = new Map<PeerConnection, Follower>();
+  private routerNames = new Set<string>();
 
   /** @param clock - Source of time. */
   constructor(private readonly clock: Clock) {}
 
-  /** Number of routers that follow the engine. */
+  /**
+   * Number of routers that follow the engine. A router that has lost its connection and dialled again counts once, although
+   * its former connection may stay open at this end for a minute.
+   */
   get followerCount(): number {
-    return this.followers.size;
+    return this.routerNames.size;
   }
 
   /**
@@ -66,6 +70,7 @@
       return false;
     }
     this.followers.set(connection, { activeAtMs: -Infinity, sentAtMs: -Infinity, sentReport: undefined });
+    this.updateNames();
     return true;
   }
 
@@ -75,6 +80,7 @@
    */
   remove(connection: PeerConnection): void {
     this.followers.delete(connection);
+    this.updateNames();
   }
 
   /**
@@ -129,6 +135,10 @@
       }
     }
   }
+
+  private updateNames(): void {
+    this.routerNames = new Set([...this.followers.keys()].map(({ peerName }) => peerName));
+  }
 }
 
 function isDue(follower: Follower, kind: ChangeKind, isActive: boolean, nowMs: number): boolean {
--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -116,6 +116,7 @@
 
 /** State of one organisation. */
 interface OrganisationState {
+  readonly group: number;
   /** Credit of the requests that were not sent yet. */
   unsent: number;
   /** Cost of the requests in the call that is being made. */
@@ -142,6 +143,13 @@
   private readonly checkTask: PeriodicTask;
   /** When the number of routers was first known. */
   private countKnownAtMs = Infinity;
+  /** Organisations with a quota by group, as of a configuration. */
+  private limited:
+    | {
+        readonly directory: OrganisationDirectory | undefined;
+        readonly byGroup: readonly (readonly Organisation[])[];
+      }
+    | undefined;
   /** Issuers of each group in their order, as of a change count of the fleet. */
   private candidates:
     { readonly changeCount: number; readonly byGroup: readonly (readonly string[])[] } | undefined;
@@ -187,13 +195,13 @@
     if (!quota) {
       return GRANTED;
     }
-    const group = getQuotaGroup(organisationId);
+    const state = this.getState(organisationId);
+    const { group } = state;
     const groupState = this.getGroup(group);
     const { following } = groupState;
     await this.waitForShare(groupState);
     const { clock } = this.deps;
-    const state = this.getState(organisationId);
-    const issuer = following.issuer;
+    const { issuer } = following;
     const issued = following.isMember(clock.nowMs())
       ? await this.askIssuer(organisation, quota, group, state, cost)
       : undefined;
@@ -230,7 +238,7 @@
     const { clock, links, routerId } = this.deps;
     const state = this.getState(organisationId);
     state.unsent = Math.max(0, state.unsent - cost);
-    const group = getQuotaGroup(organisationId);
+    const { group } = state;
     const { following, share } = this.getGroup(group);
     if (following.issuer === undefined) {
       share.giveBack(organisationId, cost);
@@ -393,14 +401,14 @@
   /** Renews the shares at the issuers or moves them, as far as it is due. */
   private check(): void {
     const { clock, fleet, links } = this.deps;
-    const quotas = this.getQuotas();
     const nowMs = clock.nowMs();
     if (this.countKnownAtMs === Infinity && fleet.getRouterCount(nowMs) !== undefined) {
       this.countKnownAtMs = nowMs;
     }
     for (const [group, state] of this.groups.entries()) {
       const { following, share } = state;
-      const hasQuotas = quotas.some(({ organisationId }) => getQuotaGroup(organisationId) === group);
+      const quotas = this.getQuotas(group);
+      const hasQuotas = quotas.length > 0;
       if (!hasQuotas && following.issuer === undefined) {
         continue;
       }
@@ -457,7 +465,7 @@
           routerCount: fleet.getRouterCount(nowMs - ROUTER_COUNT_MEMORY_MS) ?? 1,
           isCountReliable: nowMs - this.countKnownAtMs >= QUOTA_LEASE_MS,
           unsent: this.listUnsent(group),
-          quotas: step.echo ? this.getNewQuotas(group, state.issuerVersion, quotas) : undefined,
+          quotas: step.echo ? this.getNewQuotas(state.issuerVersion, quotas) : undefined,
         };
         const result = await links.call<RenewShareReply>(
           issuer,
@@ -478,7 +486,6 @@
   }
 
   private getNewQuotas(
-    group: number,
     issuerVersion: number,
     organisations: readonly Organisation[],
   ): GroupQuotas | undefined {
@@ -488,7 +495,7 @@
     }
     const limits: (readonly [OrganisationId, number, number])[] = [];
     for (const { organisationId, quota } of organisations) {
-      if (quota && getQuotaGroup(organisationId) === group) {
+      if (quota) {
         limits.push([organisationId, quota.ratePerSecond, quota.burst]);
       }
     }
@@ -499,7 +506,7 @@
     const unsent: (readonly [OrganisationId, number])[] = [];
     for (const [organisationId, state] of this.states) {
       const amount = state.unsent + state.asked;
-      if (amount > 0 && getQuotaGroup(organisationId) === group) {
+      if (amount > 0 && state.group === group) {
         unsent.push([organisationId, amount]);
       }
     }
@@ -515,8 +522,19 @@
       : { version: -1, ratePerSecond, burst };
   }
 
-  private getQuotas(): readonly Organisation[] {
-    return (this.deps.fleet.organisations?.organisations ?? []).filter(({ quota }) => quota !== undefined);
+  /** Returns the organisations with a quota in a group. */
+  private getQuotas(group: number): readonly Organisation[] {
+    const { organisations: directory } = this.deps.fleet;
+    if (!this.limited || this.limited.directory !== directory) {
+      const byGroup = this.groups.map((): Organisation[] => []);
+      for (const organisation of directory?.organisations ?? []) {
+        if (organisation.quota) {
+          byGroup[getQuotaGroup(organisation.organisationId)]?.push(organisation);
+        }
+      }
+      this.limited = { directory, byGroup };
+    }
+    return this.limited.byGroup[group] ?? [];
   }
 
   private getCandidates(fleet: QuotaFleet, group: number): readonly string[] {
@@ -555,8 +573,16 @@
   private getState(organisationId: OrganisationId): OrganisationState {
     let state = this.states.get(organisationId);
     if (!state) {
-      state = { unsent: 0, asked: 0, isCalling: false, waiting: [], spent: 0, answeredAtMs: -Infinity };
       this.forgetRemoved();
+      state = {
+        group: getQuotaGroup(organisationId),
+        unsent: 0,
+        asked: 0,
+        isCalling: false,
+        waiting: [],
+        spent: 0,
+        answeredAtMs: -Infinity,
+      };
       this.states.set(organisationId, state);
     }
     return state;
@@ -564,9 +590,9 @@
 
   /** Forgets organisations that the configuration no longer has and that have no requests. */
   private forgetRemoved(): void {
-    const listed = new Set(this.getQuotas().map(({ organisationId }) => organisationId));
+    const directory = this.deps.fleet.organisations;
     for (const [organisationId, { unsent, isCalling, waiting }] of this.states) {
-      if (!listed.has(organisationId) && unsent === 0 && !isCalling && waiting.length === 0) {
+      if (!directory?.find(organisationId) && unsent === 0 && !isCalling && waiting.length === 0) {
         this.states.delete(organisationId);
       }
     }
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -14,6 +14,9 @@
 
 const CLOCK = new SystemClock();
 
+/** Number of routers so far; agents count routers by their names. */
+let routerCount = 0;
+
 /** Router's side of a connection: receives reports and calls the controller's methods. */
 class FakeRouter {
   readonly reports: AgentReport[] = [];
@@ -21,7 +24,7 @@
   readonly receivedChanges: ReportChanges[] = [];
   readonly crashes: EngineCrashesParams[] = [];
   readonly connection = {
-    peerName: 'router-1',
+    peerName: `router-${++routerCount}`,
     onClose: () => () => undefined,
     notify: (method: string, changes: ReportChanges) => {
       if (method === 'routing.engineCrashes') {
--- a/test/direct/ReportPublisher.test.ts
+++ b/test/direct/ReportPublisher.test.ts
@@ -51,6 +51,15 @@
     };
   }
 
+  // A larger number would lower the share of each router for as long as it is remembered.
+  it('counts a router once that has dialled again while its former connection is still open', () => {
+    const counted = new ReportPublisher(clock);
+    for (const peerName of ['router-1', 'router-2', 'router-1']) {
+      counted.add({ peerName } as unknown as PeerConnection);
+    }
+    expect(counted.followerCount).to.equal(2);
+  });
+
   describe('publish', () => {
     it('sends an unchanged state twice a second to routers that use the engine, once a second to others', () => {
       expect(publishFor(2_000, makeReport(entry))).to.deep.equal({ active: 4, idle: 2 });
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -57,6 +57,8 @@
 /** Handles a request at a scripted server. */
 export type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
 
+let benchCount = 0;
+
 /** A router in this process with backend servers whose behaviour the tests define. */
 export class RouterBench {
   readonly view = new FleetView();
@@ -75,6 +77,8 @@
   private agentConnections: AgentConnections | undefined;
   private streamOrigins: StreamOriginClient | undefined;
   private port = 0;
+  /** Unique, as agents count routers by their names. */
+  private readonly routerId = `router-${++benchCount}`;
   /** Source of the credit of organisations; tests pass their own. */
   quotas: Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent'> | undefined;
 
@@ -139,7 +143,7 @@
       view.applyConfiguration(makeConfiguration(1, routes));
     }
     const metrics = new Metrics();
-    const dialer = new PeerDialer('test', PEER_SECRET, CLOCK, new TrafficMeter());
+    const dialer = new PeerDialer(this.routerId, PEER_SECRET, CLOCK, new TrafficMeter());
     const peerPort = this.agentPort ?? 1;
     const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort, log });
     const streamOrigins = new StreamOriginClient({ clock: CLOCK, view, agentConnections, log, metrics });
@@ -171,7 +175,7 @@
     }
     this.quotas ??= new QuotaClient({
       clock: CLOCK,
-      routerId: 'router',
+      routerId: this.routerId,
       links: agentConnections,
       fleet: toQuotaFleet(view),
       getTolerance: () => this.quotaTolerance,
--- a/test/organisations/quotaFaults.ts
+++ b/test/organisations/quotaFaults.ts
@@ -5,6 +5,11 @@
 /** Time of a fault, in milliseconds. */
 export const FAULT_MS = 8_000;
 
+/** Time before the fault in which the burst fills, in milliseconds. */
+const QUIET_MS = 4_000;
+/** Demand in that time as a multiple of the rate. */
+const QUIET_LOAD = 0.2;
+
 /** Fault and its end, on a simulation with an issuer. */
 export interface QuotaFault {
   readonly begin: (simulation: QuotaFleetSimulation) => void;
@@ -125,9 +130,9 @@
 export interface FaultResult {
   /** Share of the rate that was used before the fault. */
   readonly calmShare: number;
-  /** Share of the rate that was used during the fault. */
+  /** Share of the rate and the burst that was used during the fault, which begins with the whole burst unused. */
   readonly faultShare: number;
-  /** Share used in the 8 s after its end. */
+  /** Share of the rate that was used in the 8 s after its end. */
   readonly laterShare: number;
   /** Largest use of a window as a multiple of the quota for it. */
   readonly quotaRatio: number;
@@ -138,17 +143,23 @@
 /** Simulates a fault. */
 export async function simulateFault(scenario: QuotaScenario, fault: QuotaFault): Promise<FaultResult> {
   const simulation = new QuotaFleetSimulation(scenario);
-  const getShare = (fromMs: number, untilMs: number) =>
-    simulation.oracle.getSum(fromMs, untilMs) / (((untilMs - fromMs) / 1_000) * scenario.quota.ratePerSecond);
+  const { ratePerSecond, burst } = scenario.quota;
+  const getUse = (fromMs: number, untilMs: number, extra: number) =>
+    simulation.oracle.getSum(fromMs, untilMs) / (((untilMs - fromMs) / 1_000) * ratePerSecond + extra);
   await simulation.run(CALM_MS);
+  simulation.load = QUIET_LOAD;
+  await simulation.run(QUIET_MS);
+  const beganAtMs = simulation.clock.nowMs();
+  simulation.load = scenario.load;
   fault.begin(simulation);
   await simulation.run(FAULT_MS);
+  const endedAtMs = simulation.clock.nowMs();
   fault.end?.(simulation);
   await simulation.run(FAULT_MS);
   return {
-    calmShare: getShare(4_000, CALM_MS),
-    faultShare: getShare(CALM_MS, CALM_MS + FAULT_MS),
-    laterShare: getShare(CALM_MS + FAULT_MS, CALM_MS + 2 * FAULT_MS),
+    calmShare: getUse(4_000, CALM_MS, 0),
+    faultShare: getUse(beganAtMs, endedAtMs, burst),
+    laterShare: getUse(endedAtMs, endedAtMs + FAULT_MS, 0),
     quotaRatio: simulation.oracle.getLargestQuotaRatio(),
     boundRatio: simulation.oracle.getLargestRatio(),
   };
