--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -21,10 +21,12 @@
   FleetView,
   ModelLoader,
   PromptPartSuspects,
+  QuotaGate,
   RequestPermits,
   SharedRetryBudget,
   ServerChooser,
   StreamOriginClient,
+  toQuotaFleet,
   type CallerLimits,
   type HeaderCodec,
   type Route,
@@ -32,7 +34,7 @@
   type ServingConfiguration,
 } from '../../src/direct/index.js';
 import { ByteBudget, delay, Random, SystemClock } from '../../src/kernel/index.js';
-import { RequestAuthorizer } from '../../src/organisations/index.js';
+import { QuotaClient, RequestAuthorizer } from '../../src/organisations/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerDialer, TrafficMeter } from '../../src/transport/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/index.js';
@@ -55,6 +57,8 @@
 /** Handles a request at a scripted server. */
 export type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void;
 
+let benchCount = 0;
+
 /** A router in this process with backend servers whose behaviour the tests define. */
 export class RouterBench {
   readonly view = new FleetView();
@@ -63,6 +67,7 @@
   retryLimits = RETRY_LIMITS;
   revocationLimits = { isStrict: false, revocationLimitMs: 5_000 };
   log = new Log('test', () => undefined);
+  quotaTolerance = { windowMs: 8_000, ratio: 0.1, slack: 0 };
   /** Whether an agent has reported the number of routers, where the router connects to none. */
   isAgentKnown = true;
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
@@ -72,6 +77,10 @@
   private agentConnections: AgentConnections | undefined;
   private streamOrigins: StreamOriginClient | undefined;
   private port = 0;
+  /** Unique, as agents count routers by their names. */
+  private readonly routerId = `router-${++benchCount}`;
+  /** Source of the credit of organisations; tests pass their own. */
+  quotas: Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent'> | undefined;
 
   /**
    * @param codec - Codec for the headers of requests and responses; tests pass faulty ones.
@@ -134,7 +143,7 @@
       view.applyConfiguration(makeConfiguration(1, routes));
     }
     const metrics = new Metrics();
-    const dialer = new PeerDialer('test', PEER_SECRET, CLOCK, new TrafficMeter());
+    const dialer = new PeerDialer(this.routerId, PEER_SECRET, CLOCK, new TrafficMeter());
     const peerPort = this.agentPort ?? 1;
     const agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort, log });
     const streamOrigins = new StreamOriginClient({ clock: CLOCK, view, agentConnections, log, metrics });
@@ -164,6 +173,15 @@
       this.streamOrigins = streamOrigins;
       await streamOrigins.start();
     }
+    this.quotas ??= new QuotaClient({
+      clock: CLOCK,
+      routerId: this.routerId,
+      links: agentConnections,
+      fleet: toQuotaFleet(view),
+      getTolerance: () => this.quotaTolerance,
+      log,
+      metrics,
+    });
     this.router = new CallerServer({
       address: { host: '127.0.0.1', port: 0 },
       clock: CLOCK,
@@ -191,6 +209,7 @@
         () => view.configurationKnowledge,
         () => this.revocationLimits,
       ),
+      quotaGate: new QuotaGate(this.quotas),
       bodyBudget: this.bodyBudget,
       log,
       metrics,
