--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -32,9 +32,12 @@
 /** Interval at which a router checks its issuers, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
 /** Timeout of a call that renews or withdraws a share, in milliseconds. */
-const RENEW_TIMEOUT_MS = 150;
-/** Timeout of a request for credit, in milliseconds; an agent answers within a few milliseconds. */
-const TAKE_TIMEOUT_MS = 80;
+const RENEW_TIMEOUT_MS = 500;
+/**
+ * Timeout of a request for credit, in milliseconds. Agents answer within a few milliseconds, but may be late by some 100 ms
+ * after a start; giving up costs the router its share for the length of a lease.
+ */
+const TAKE_TIMEOUT_MS = 400;
 /** Time that a request waits while the share is on its way to an issuer, in milliseconds. */
 const JOIN_WAIT_MS = 60;
 /** Interval at which such a request checks whether the share has arrived, in milliseconds. */
@@ -185,7 +188,7 @@
   }
 
   /**
-   * Takes the credit for one request, within about 150 ms.
+   * Takes the credit for one request, within about half a second.
    * @param organisation - The request's organisation.
    * @param cost - Cost of the request, in the unit of the quota.
    * @param requestId - ID of the request, for the log.
