--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -57,8 +57,8 @@
 /** Locally observed load, failures and latency of one server. */
 interface LocalServerStats {
   inFlightCount: number;
-  /** Recent requests, of which the latest report may not show all. */
-  sends: Send[];
+  /** Recent requests in their order, of which the latest report may not show all. */
+  readonly sends: Send[];
   failureShare: number;
   failureUpdatedAtMs: number;
   latencyMs: number | undefined;
@@ -183,7 +183,8 @@
   recordSent(serverId: ServerId, nowMs: number, tokenCount = 0): void {
     const stats = this.getOrCreateStats(serverId);
     stats.inFlightCount++;
-    stats.sends = stats.sends.filter(({ atMs }) => nowMs - atMs < SEND_MEMORY_MS);
+    const oldCount = stats.sends.findIndex(({ atMs }) => nowMs - atMs < SEND_MEMORY_MS);
+    stats.sends.splice(0, oldCount < 0 ? stats.sends.length : oldCount);
     stats.sends.push({ atMs: nowMs, tokenCount });
   }
 
@@ -399,11 +400,13 @@
 function getUnseen({ sends }: LocalServerStats, { reportedAtMs }: KnownServer): UnseenRequests {
   let count = 0;
   let tokenCount = 0;
-  for (const send of sends) {
-    if (send.atMs > reportedAtMs - REPORT_LAG_MS) {
-      count++;
-      tokenCount += send.tokenCount;
+  for (let index = sends.length - 1; index >= 0; index--) {
+    const send = sends[index];
+    if (!send || send.atMs <= reportedAtMs - REPORT_LAG_MS) {
+      break;
     }
+    count++;
+    tokenCount += send.tokenCount;
   }
   return { count, tokenCount };
 }
