--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -17,7 +17,7 @@
 const REFUSAL_LIFETIME_MS = 400;
 /** Minimum time between two estimates of the servers' paces, in milliseconds. */
 const MIN_PACE_INTERVAL_MS = 1_000;
-/** Time between two estimates for each server with a known pace, in milliseconds: an estimate takes about 3 µs a server. */
+/** Time between two estimates for each server with a known pace, in milliseconds: an estimate takes about 2 µs a server. */
 const PACE_INTERVAL_PER_SERVER_MS = 1;
 
 /** Backend server with the combined information from its list entry and the reports of its agent. */
