--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -1,7 +1,7 @@
 import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { CallerAccess } from '../organisations/index.js';
-import { StreamPace } from '../pace/decisions/index.js';
+import { describePace, StreamPace } from '../pace/decisions/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import { applyServerNotice } from './applyServerNotice.js';
@@ -345,7 +345,7 @@
       silentMs: Math.round(nowMs - attempt.lastReceivedAtMs),
       configurationVersion: this.deps.view.configuration?.version ?? 0,
       softwareVersion: server.entry.softwareVersion ?? '',
-      eventGapMs: Math.round(eventGapMs ?? -1),
+      ...describePace(this.deps.view.pace, serverId, headers.model, eventGapMs),
       reportAgeMs: Number.isFinite(server.reportedAtMs) ? Math.round(nowMs - server.reportedAtMs) : -1,
     });
     if (end.kind === 'broken') {
--- a/src/pace/decisions/pacePenalty.ts
+++ b/src/pace/decisions/pacePenalty.ts
@@ -9,11 +9,11 @@
 const SAFE_SHARE = 0.7;
 /** The same for other requests, which leave the fast servers to interactive ones. */
 const BATCH_SAFE_SHARE = 0.85;
-/** Penalty of an expected pause as long as the longest allowed one, for requests that prefer fast servers. */
+/** Penalty of an expected pause at the safe share of the longest allowed one, for interactive requests. */
 const PAUSE_PENALTY = 0.3;
 /** Penalty of a server without pauses, for requests that leave the fast servers to interactive ones. */
 const FAST_SERVER_PENALTY = 0.6;
-/** Penalty of each further pause of that length, where the pauses are too long. */
+/** Penalty of a time as long as its limit beyond the safe share. */
 const LATE_PENALTY = 2;
 /** Largest penalty for the pauses or the first event: a slow server is better than one that sheds or fails. */
 const MAX_LATE_PENALTY = 3;
