Fuzz test of orders: engines that end, start again and cannot be reached

The fuzz test of the planner now runs the gate, the identity and the planner together against an engine that ends and starts again, under another ID or the same one, and that late orders reach in any order, in particular when they meet its order count.

--- a/test/direct/decisions/ResidencyPlanner.test.ts
+++ b/test/direct/decisions/ResidencyPlanner.test.ts
@@ -1,10 +1,14 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
 import {
+  EngineIdentity,
+  OrderGate,
   ResidencyPlanner,
-  type PlannedOrder,
   type EngineReport,
   type HeldModel,
+  type OrderOutcome,
+  type PlannedOrder,
+  type ResidencyOrder,
 } from '../../../src/direct/index.js';
 import { makeHeldModel, makeProfile } from '../fleetFixtures.js';
 
@@ -13,20 +17,81 @@
 /** State that orders of a planner of {@link makePlanner} are bound to. */
 const STATE = { bornAtMs: 1, expectedOrderCount: 0 };
 
-/** Simulated engine that executes orders bound to its state and can receive orders late. */
+/** Conditions of orders, each of which an engine or its agent can omit, to show that the fuzz test finds the fault. */
+interface Safeguards {
+  /** Whether the engine accepts orders only in the state that they were planned for. */
+  readonly checksOrderCount: boolean;
+  /** Whether the engine tells its ID, so that orders name the incarnation. */
+  readonly tellsId: boolean;
+  /** Whether the engine rejects orders with a lower fencing number than it has received. */
+  readonly checksFence: boolean;
+  /** Whether the agent orders once on a report, and reads the engine's state after each order. */
+  readonly ordersOnce: boolean;
+}
+
+const ALL_SAFEGUARDS: Safeguards = {
+  checksOrderCount: true,
+  tellsId: true,
+  checksFence: true,
+  ordersOnce: true,
+};
+
+/** Time between the starts of two incarnations, in milliseconds; the fencing number is in seconds. */
+const INCARNATION_MS = 5_000;
+
+/** Simulated engine that executes orders under their conditions, can receive orders late, and can start again. */
 class ModelEngine {
   heldModels: HeldModel[] = [];
   orderCount = 0;
   orderInProgress: PlannedOrder | undefined;
-  /** Orders without a result that may still arrive. */
-  readonly delayedOrders: PlannedOrder[] = [];
+  isUp = true;
+  /** Whether an order that was decided on for this incarnation has reached it. */
+  hasOwnOrder = false;
+  /** Orders without a result that may still arrive, also at a later incarnation. */
+  readonly delayedOrders: ResidencyOrder[] = [];
+  private bornAtMs = 1;
+  private id = 1;
+  private highestFence = 0;
 
-  /** @param checksOrderCount - Whether orders are accepted only in the state that they were planned for. */
-  constructor(private readonly checksOrderCount = true) {}
+  /** @param safeguards - Conditions that the engine checks. */
+  constructor(private readonly safeguards: Safeguards = ALL_SAFEGUARDS) {}
 
-  accept(order: PlannedOrder): void {
-    if ((this.checksOrderCount && order.expectedOrderCount !== this.orderCount) || this.orderInProgress) {
-      return;
+  get instanceId(): string | undefined {
+    return this.safeguards.tellsId ? `i-${this.id}` : undefined;
+  }
+
+  /** Starts again with empty state, under another ID or the same one. */
+  restart(keepsId: boolean): void {
+    this.heldModels = [];
+    this.orderCount = 0;
+    this.orderInProgress = undefined;
+    this.isUp = true;
+    this.hasOwnOrder = false;
+    this.bornAtMs += INCARNATION_MS;
+    this.id += keepsId ? 0 : 1;
+    this.highestFence = 0;
+  }
+
+  /** Removes the oldest delayed order, or the oldest one that meets the order count. */
+  takeDelayedOrder(isMatching: boolean): ResidencyOrder | undefined {
+    const index = this.delayedOrders.findIndex(
+      ({ expectedOrderCount }) => !isMatching || expectedOrderCount === this.orderCount,
+    );
+    return index < 0 ? undefined : this.delayedOrders.splice(index, 1)[0];
+  }
+
+  accept(order: ResidencyOrder): OrderOutcome {
+    if (order.instanceId !== undefined && order.instanceId !== this.instanceId) {
+      return 'other';
+    }
+    if (this.safeguards.checksFence && order.fenceNumber < this.highestFence) {
+      return 'other';
+    }
+    this.highestFence = order.fenceNumber;
+    this.hasOwnOrder ||= order.bornAtMs === this.bornAtMs;
+    const isOtherState = order.expectedOrderCount !== this.orderCount;
+    if ((this.safeguards.checksOrderCount && isOtherState) || this.orderInProgress) {
+      return 'conflict';
     }
     this.orderCount++;
     if (order.adapter === undefined) {
@@ -34,6 +99,7 @@
     } else {
       this.execute(order);
     }
+    return 'accepted';
   }
 
   finish(): void {
@@ -58,7 +124,7 @@
 
   report(): EngineReport {
     return {
-      bornAtMs: 1,
+      bornAtMs: this.bornAtMs,
       heldModels: this.heldModels,
       comingAdapters: [],
       isBusy: this.orderInProgress !== undefined,
@@ -94,8 +160,67 @@
   return planner;
 }
 
-/** Runs random steps on a planner and an engine and checks the engine's memory and adapter slots after each step. */
-function checkCapacity(checksOrderCount: boolean): void {
+/** Agent's decisions on the orders to one engine, with readings that take no time. */
+class OrderingAgent {
+  readonly planner = new ResidencyPlanner();
+  /** Number of orders since the last reading that reached the engine. */
+  ordersSinceReading = 0;
+  private readonly gate = new OrderGate();
+  private readonly identity = new EngineIdentity();
+
+  constructor(
+    private readonly engine: ModelEngine,
+    private readonly ordersOnce: boolean,
+  ) {
+    this.planner.setCapacity(CAPACITY);
+    this.read(0);
+  }
+
+  read(nowMs: number): void {
+    const { engine, gate, identity, planner } = this;
+    const report = engine.isUp ? engine.report() : undefined;
+    gate.endReading(gate.beginReading(nowMs), report);
+    if (!report) {
+      return;
+    }
+    this.ordersSinceReading = 0;
+    planner.applyReport(report, nowMs);
+    identity.applyReport(report.bornAtMs);
+    if (identity.shouldAsk(nowMs)) {
+      identity.endAsking(report.bornAtMs, engine.instanceId, identity.beginAsking(), nowMs);
+    }
+  }
+
+  /** Sends an order if one may be decided on; a lost one may arrive later. */
+  order(plan: () => PlannedOrder | undefined, isLost: boolean, nowMs: number): void {
+    const { engine, gate, identity } = this;
+    const planned = gate.isOpen(nowMs) || !this.ordersOnce ? plan() : undefined;
+    if (!planned) {
+      return;
+    }
+    this.ordersSinceReading++;
+    const order = { ...planned, ...identity.getConditions(planned.bornAtMs) };
+    gate.beginOrder();
+    let outcome: OrderOutcome = 'other';
+    if (isLost || !engine.isUp) {
+      engine.delayedOrders.push(order);
+    } else {
+      outcome = engine.accept(order);
+    }
+    gate.endOrder(order, outcome, nowMs);
+    if (this.ordersOnce) {
+      expect(this.ordersSinceReading).to.equal(1);
+      this.read(nowMs);
+    }
+  }
+}
+
+/**
+ * Runs random steps on an agent and an engine and checks the engine's memory and adapter slots, and that the agent sends at
+ * most one order on a report, after each step. Orders that are late reach an incarnation with the ID of an earlier one only
+ * once an order that was meant for it has: before, nothing tells the engine that they are outdated.
+ */
+function checkCapacity(safeguards: Safeguards, keepsId: boolean): void {
   const models = ['a', 'b', 'c', 'd'];
   const step = fc.oneof(
     fc.record({
@@ -109,41 +234,65 @@
       index: fc.nat(3),
       isLost: fc.boolean(),
     }),
-    fc.record({ kind: fc.constant('order' as const), isLost: fc.boolean() }),
-    fc.record({ kind: fc.constantFrom('late' as const, 'finish' as const, 'report' as const) }),
+    fc.record({
+      kind: fc.constant('order' as const),
+      wantedModel: fc.constantFrom(undefined, ...models),
+      isLost: fc.boolean(),
+    }),
+    fc.record({ kind: fc.constant('late' as const), isMatching: fc.boolean() }),
+    fc.record({ kind: fc.constantFrom('finish' as const, 'report' as const) }),
+    fc.record({
+      kind: fc.constantFrom('finish' as const, 'finish' as const, 'restart' as const, 'down' as const),
+    }),
   );
   fc.assert(
     fc.property(fc.array(step, { minLength: 20, maxLength: 120, size: 'max' }), (steps) => {
-      const engine = new ModelEngine(checksOrderCount);
-      const planner = new ResidencyPlanner();
-      planner.setCapacity(CAPACITY);
-      planner.applyReport(engine.report(), 0);
+      const engine = new ModelEngine(safeguards);
+      const agent = new OrderingAgent(engine, safeguards.ordersOnce);
+      const { planner } = agent;
       let nowMs = 0;
-      const send = (order: PlannedOrder | undefined, isLost: boolean) => {
-        if (order && isLost) {
-          engine.delayedOrders.push(order);
-        } else if (order) {
-          engine.accept(order);
-        }
-      };
       for (const next of steps) {
         nowMs += 100;
-        if (next.kind === 'want') {
-          planner.requestModel(next.model, next.isInteractive, nowMs);
-        } else if (next.kind === 'adapter') {
-          send(planner.getAdapterOrder(next.model, `a${next.index}`, nowMs), next.isLost);
-        } else if (next.kind === 'order') {
-          send(planner.getNextOrder(nowMs), next.isLost);
-        } else if (next.kind === 'late') {
-          const delayed = engine.delayedOrders.shift();
-          if (delayed) {
-            engine.accept(delayed);
+        switch (next.kind) {
+          case 'want':
+            planner.requestModel(next.model, next.isInteractive, nowMs);
+            break;
+          case 'adapter':
+            agent.order(
+              () => planner.getAdapterOrder(next.model, `a${next.index}`, nowMs),
+              next.isLost,
+              nowMs,
+            );
+            break;
+          case 'order':
+            if (next.wantedModel !== undefined) {
+              planner.requestModel(next.wantedModel, false, nowMs);
+            }
+            agent.order(() => planner.getNextOrder(nowMs), next.isLost, nowMs);
+            break;
+          case 'late': {
+            const isKnownOutdated = engine.hasOwnOrder || !keepsId;
+            const delayed =
+              engine.isUp && isKnownOutdated ? engine.takeDelayedOrder(next.isMatching) : undefined;
+            if (delayed) {
+              engine.accept(delayed);
+            }
+            break;
           }
-        } else if (next.kind === 'finish') {
-          engine.finish();
-          planner.applyReport(engine.report(), nowMs);
-        } else {
-          planner.applyReport(engine.report(), nowMs);
+          case 'finish':
+            engine.finish();
+            agent.read(nowMs);
+            break;
+          case 'report':
+            agent.read(nowMs);
+            break;
+          case 'down':
+            engine.isUp = false;
+            break;
+          case 'restart':
+            engine.restart(keepsId);
+            agent.read(nowMs);
+            break;
         }
         expect(engine.usedMb).to.be.at.most(CAPACITY.weightsMb);
         expect(engine.adapterCount).to.be.at.most(CAPACITY.adapterSlotCount);
@@ -269,11 +418,28 @@
     });
   });
 
-  it('never exceeds the capacity of the engine when orders are delayed or lost', () => {
-    checkCapacity(true);
-  });
+  for (const keepsId of [false, true]) {
+    const which = keepsId ? 'that keeps its ID' : 'with another ID each time';
 
-  it('exceeds the capacity of an engine that does not check the expected order count', () => {
-    expect(() => checkCapacity(false)).to.throw('Property failed');
-  });
+    describe(`with an engine that ends and starts again, ${which}`, () => {
+      it('never exceeds its capacity when orders are delayed or lost, and orders once on a report', () => {
+        checkCapacity(ALL_SAFEGUARDS, keepsId);
+      }).timeout(60_000);
+
+      it('never exceeds its capacity when orders are repeated on outdated reports as well', () => {
+        checkCapacity({ ...ALL_SAFEGUARDS, ordersOnce: false }, keepsId);
+      }).timeout(60_000);
+
+      it('exceeds the capacity if the engine does not check the expected order count', () => {
+        expect(() => checkCapacity({ ...ALL_SAFEGUARDS, checksOrderCount: false }, keepsId)).to.throw(
+          'Property failed',
+        );
+      }).timeout(60_000);
+
+      it('exceeds the capacity if the incarnation of orders is not told or not checked', () => {
+        const omitted = keepsId ? { checksFence: false } : { tellsId: false };
+        expect(() => checkCapacity({ ...ALL_SAFEGUARDS, ...omitted }, keepsId)).to.throw('Property failed');
+      }).timeout(60_000);
+    });
+  }
 });
