--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -87,7 +87,7 @@
   const agentConnections = new AgentConnections({ clock, dialer, view, peerPort: options.agentPort, log });
   dialer.exposeMethods(agentConnections.getMethods());
   const chooser = new ServerChooser(view, options.dataCentre, () => random.nextFraction());
-  const modelLoader = new ModelLoader({ clock, view, chooser, agentConnections, log });
+  const modelLoader = new ModelLoader({ clock, view, chooser, agentConnections, log, metrics });
   const watcher = new FleetWatcher({
     clock,
     random,
--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -1,11 +1,10 @@
 import type { Clock, Service, Timer } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
 import type { ServiceId } from '../domain/index.js';
-import type { Log } from '../telemetry/index.js';
+import { ModelPlacer, type PaceSource } from '../placement/index.js';
+import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import {
-  getReplicatedModels,
-  getSurplusModels,
   getWaitKey,
   isWithoutPlace,
   toPlacementRequirements,
@@ -17,19 +16,15 @@
   choosePlacement,
   countPlaces,
   findPendingLoad,
-  findSurplusReplicas,
-  findUnderReplicatedModels,
   getHeldModel,
   isRequiredVersion,
-  MAX_REPLICA_LOAD,
-  MIN_INTERACTIVE_REPLICAS,
   type EngineProfile,
   type FleetView,
   type KnownServer,
+  type PendingLoad,
   type PlacementChoice,
   type PlacementRequirements,
   type ServerChooser,
-  type SurplusReplicas,
 } from './decisions/index.js';
 
 /** Interval at which all waits are reviewed, in milliseconds. */
@@ -48,22 +43,6 @@
 const REPORT_DELAY_MS = 150;
 /** Time by which a second load must finish before a pending one to justify using another server, in milliseconds. */
 const MIN_TIME_SAVED_MS = 1_000;
-/** Interval at which the replicas of models in interactive use are reviewed, in milliseconds. */
-const REPLICA_INTERVAL_MS = 250;
-/** Time after its last interactive request for which a model counts as in interactive use, in milliseconds. */
-const INTERACTIVE_USE_MS = 2_000;
-/**
- * Delay between two new replicas of one model, in milliseconds: a replica loaded from disk affects the load by then.
- */
-const REPLICA_DELAY_MS = 1_500;
-
-/** Time for which the replicas that may be evicted are reused, in milliseconds: many waits are reviewed after each other. */
-const SURPLUS_LIFETIME_MS = 50;
-/** Delay after models were requested ahead of use, in milliseconds: reports show by then which agent loads what. */
-const FETCH_DELAY_MS = 600;
-/** Number of servers that should have each model on disk, used until the first request arrives. */
-const IDLE_DISK_COPIES = 2;
-
 /** Dependencies of {@link ModelLoader}. */
 export interface ModelLoaderDependencies {
   readonly clock: Clock;
@@ -71,53 +50,40 @@
   readonly chooser: ServerChooser;
   readonly agentConnections: AgentConnections;
   readonly log: Log;
+  readonly metrics?: Metrics;
+  /** What is known of the speed of the servers; absent if nothing is. */
+  readonly pace?: PaceSource;
 }
 
-/** Interactive use of a model at this router. */
-interface InteractiveUse {
-  readonly serviceId: ServiceId;
-  readonly model: string;
-  usedAtMs: number;
-  replicaRequestedAtMs: number;
-}
-
-/** Requests loads of models that requests are waiting for, and keeps enough replicas of models in interactive use. */
+/** Requests loads of models that requests are waiting for. */
 export class ModelLoader implements Service {
   private readonly waitedModels = new Map<string, WaitedModel>();
   /** Since when no server has room for a model whose requests were refused for that, by the key of their waits. */
   private readonly withoutPlaceSinceMs = new Map<string, number>();
-  /** Replicas that may be evicted, and when they were found, by service. */
-  private readonly surplusReplicas = new Map<ServiceId, { atMs: number; replicas: SurplusReplicas }>();
-  private readonly interactiveUses = new Map<string, InteractiveUse>();
-  private lastFetchAtMs = -Infinity;
-  /** Time of the first request; undefined before it. */
-  private firstRequestAtMs: number | undefined;
+  private readonly placer: ModelPlacer;
   private reviewTimer: Timer | undefined;
   private readonly reviewTask: PeriodicTask;
-  private readonly replicaTask: PeriodicTask;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: ModelLoaderDependencies) {
     this.reviewTask = new PeriodicTask(deps.clock, REVIEW_INTERVAL_MS, () => this.reviewWaits());
-    this.replicaTask = new PeriodicTask(deps.clock, REPLICA_INTERVAL_MS, () => this.reviewReplicas());
+    this.placer = new ModelPlacer(deps);
   }
 
   start(): Promise<void> {
     this.reviewTask.start();
-    this.replicaTask.start();
-    return Promise.resolve();
+    return this.placer.start();
   }
 
   stop(): Promise<void> {
     this.reviewTimer?.cancel();
     this.reviewTask.stop();
-    this.replicaTask.stop();
-    return Promise.resolve();
+    return this.placer.stop();
   }
 
   /** Records that requests arrive. */
   recordTraffic(): void {
-    this.firstRequestAtMs ??= this.deps.clock.nowMs();
+    this.placer.recordTraffic();
   }
 
   /**
@@ -126,14 +92,7 @@
    * @param model - Name of the model.
    */
   recordInteractiveUse(serviceId: ServiceId, model: string): void {
-    const nowMs = this.deps.clock.nowMs();
-    const key = getWaitKey({ serviceId, model });
-    const use = this.interactiveUses.get(key);
-    if (use) {
-      use.usedAtMs = nowMs;
-    } else {
-      this.interactiveUses.set(key, { serviceId, model, usedAtMs: nowMs, replicaRequestedAtMs: -Infinity });
-    }
+    this.placer.recordInteractiveUse(serviceId, model);
   }
 
   /**
@@ -282,11 +241,8 @@
     servers: readonly KnownServer[],
     nowMs: number,
   ): number | undefined {
-    const requirements = toPlacementRequirements(
-      waited,
-      () => this.getSurplusReplicas(waited.serviceId, nowMs),
-      nowMs,
-    );
+    const values = this.placer.getValues(waited.serviceId, nowMs);
+    const requirements = toPlacementRequirements(waited, values, nowMs);
     const profile = this.getProfile(waited.serviceId);
     if (!profile) {
       return undefined;
@@ -323,17 +279,14 @@
     servers: readonly KnownServer[],
     profile: EngineProfile,
     nowMs: number,
-    pending: PlacementChoice,
+    pending: PendingLoad,
   ): number {
     const pendingMs = pending.readyInMs;
     if (nowMs - waited.requestedAtMs < RENEWAL_INTERVAL_MS) {
       return pendingMs;
     }
-    const requirements = toPlacementRequirements(
-      waited,
-      () => this.getSurplusReplicas(waited.serviceId, nowMs),
-      nowMs,
-    );
+    const values = this.placer.getValues(waited.serviceId, nowMs);
+    const requirements = toPlacementRequirements(waited, values, nowMs);
     const choice =
       waited.isInteractive && pendingMs > MIN_TIME_SAVED_MS
         ? choosePlacement(requirements, servers, profile)
@@ -346,13 +299,7 @@
     // A load request of another router is renewed too, since that router's callers may have left by now.
     waited.requestedAddress ??= pending.server.entry.address;
     waited.requestedAtMs = nowMs;
-    const surplusReplicas = this.getSurplusReplicas(waited.serviceId, nowMs);
-    this.deps.agentConnections.requestModel(waited.requestedAddress, {
-      model: waited.model,
-      isInteractive: waited.isInteractive,
-      keptModels: [],
-      evictableModels: getSurplusModels({ surplusReplicas }, waited.requestedAddress),
-    });
+    this.placer.renewLoad(waited.requestedAddress, requirements, servers, profile);
     return pendingMs;
   }
 
@@ -362,22 +309,8 @@
     choice: PlacementChoice,
     requirements: PlacementRequirements,
   ): number {
-    const { model, isInteractive } = waited;
-    const { address } = choice.server.entry;
-    const evictableModels = getSurplusModels(requirements, address);
-    this.deps.agentConnections.requestModel(address, {
-      model,
-      isInteractive,
-      keptModels: [],
-      evictableModels,
-    });
-    this.deps.log.decision('model load requested', {
-      model,
-      address,
-      evictableModels: evictableModels.join(' '),
-      readyInMs: choice.readyInMs,
-      waitingCount: waited.waiters.size,
-    });
+    const inputs = { waitingCount: waited.waiters.size };
+    this.placer.requestLoad('model load requested', choice, requirements, inputs);
     return choice.readyInMs;
   }
 
@@ -388,103 +321,6 @@
     }
   }
 
-  private reviewReplicas(): void {
-    const nowMs = this.deps.clock.nowMs();
-    if (nowMs - this.lastFetchAtMs >= FETCH_DELAY_MS) {
-      this.fetchUnderReplicated(nowMs);
-    }
-    for (const [key, use] of this.interactiveUses) {
-      if (nowMs - use.usedAtMs > INTERACTIVE_USE_MS) {
-        this.interactiveUses.delete(key);
-      } else if (nowMs - use.replicaRequestedAtMs >= REPLICA_DELAY_MS) {
-        this.reviewReplicasOfModel(use.model, use, nowMs);
-      }
-    }
-  }
-
-  /**
-   * Requests loads of under-replicated models, such as those only in the weight store, so that the first request
-   * finds them on a disk.
-   */
-  private fetchUnderReplicated(nowMs: number): void {
-    const { view, agentConnections, log } = this.deps;
-    const copyCount = this.firstRequestAtMs === undefined ? IDLE_DISK_COPIES : 1;
-    for (const { serviceId, engine } of view.configuration?.services.values() ?? []) {
-      const servers = engine ? this.getServers(serviceId, nowMs) : [];
-      if (!engine || servers.length === 0) {
-        continue;
-      }
-      const requestedAddresses = new Set<string>();
-      for (const model of findUnderReplicatedModels(servers, engine, copyCount)) {
-        const footprint = engine.models.get(model);
-        const others = servers.filter((server) => !requestedAddresses.has(server.entry.address));
-        const requirements = footprint && {
-          model,
-          footprint,
-          isInteractive: false,
-          maxStartMs: 0,
-          mayFetchCopy: true,
-        };
-        const choice = requirements && choosePlacement(requirements, others, engine);
-        if (choice) {
-          requestedAddresses.add(choice.server.entry.address);
-          this.lastFetchAtMs = nowMs;
-          const keptModels = getReplicatedModels(servers);
-          const { address } = choice.server.entry;
-          agentConnections.requestModel(address, { model, isInteractive: false, keptModels });
-          log.decision('model load requested ahead of use', { model, address });
-        }
-      }
-    }
-  }
-
-  private reviewReplicasOfModel(model: string, use: InteractiveUse, nowMs: number): void {
-    const { chooser, agentConnections, log } = this.deps;
-    const profile = this.getProfile(use.serviceId);
-    const footprint = profile?.models.get(model);
-    const servers = this.getServers(use.serviceId, nowMs);
-    const holders = servers.filter((server) => getHeldModel(server, model));
-    const requirements = footprint && {
-      model,
-      footprint,
-      isInteractive: true,
-      maxStartMs: Infinity,
-      mayFetchCopy: true,
-      isReplica: holders.length > 0,
-    };
-    if (!profile || !requirements || findPendingLoad(requirements, servers, profile)) {
-      return;
-    }
-    let load = 0;
-    for (const holder of holders) {
-      load += chooser.getLoad(holder) / holders.length;
-    }
-    if (holders.length >= MIN_INTERACTIVE_REPLICAS && load < MAX_REPLICA_LOAD) {
-      return;
-    }
-    const choice = choosePlacement(requirements, servers, profile);
-    if (choice) {
-      use.replicaRequestedAtMs = nowMs;
-      const { address } = choice.server.entry;
-      agentConnections.requestModel(address, { model, isInteractive: true, keptModels: [] });
-      log.decision('replica load requested', {
-        model,
-        address,
-        replicaCount: holders.length,
-        load,
-      });
-    }
-  }
-
-  private getSurplusReplicas(serviceId: ServiceId, nowMs: number): SurplusReplicas {
-    let found = this.surplusReplicas.get(serviceId);
-    if (!found || nowMs - found.atMs >= SURPLUS_LIFETIME_MS) {
-      found = { atMs: nowMs, replicas: findSurplusReplicas(this.getServers(serviceId, nowMs)) };
-      this.surplusReplicas.set(serviceId, found);
-    }
-    return found.replicas;
-  }
-
   private getProfile(serviceId: ServiceId): EngineProfile | undefined {
     return this.deps.view.configuration?.services.get(serviceId)?.engine;
   }
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -1,4 +1,3 @@
-import type { SurplusReplicas } from './findSurplusReplicas.js';
 import { hashToFraction } from './rendezvous.js';
 import type { KnownServer } from './FleetView.js';
 import { getHeldModel } from './FleetView.js';
@@ -47,15 +46,37 @@
 /** Maximum hash-based score that breaks ties, in milliseconds; it is the same on all routers. */
 const MAX_TIE_BREAK_MS = 100;
 
+/** Values the models that servers hold, and the servers for a model. */
+export interface EvictionPolicy {
+  /**
+   * Returns what the fleet loses when a server evicts a model, in milliseconds of waiting; undefined if the server may not
+   * evict it.
+   * @param server - The server.
+   * @param model - Name of the model that it holds.
+   * @param requirements - Model that it is evicted for.
+   */
+  getCostMs(server: KnownServer, model: string, requirements: PlacementRequirements): number | undefined;
+  /**
+   * Returns the penalty of a server's speed for a model, in milliseconds of waiting.
+   * @param server - The server.
+   * @param requirements - Model that is to be loaded.
+   */
+  getPacePenaltyMs(server: KnownServer, requirements: PlacementRequirements): number;
+}
+
 /** Server that loads a model. */
 export interface PlacementChoice {
   readonly server: KnownServer;
   /** Estimated time until the model can be used there, in milliseconds. */
   readonly readyInMs: number;
+  /** Models that the server evicts for it. */
+  readonly evictedModels: readonly string[];
+  /** What the fleet loses with them, in milliseconds of waiting. */
+  readonly evictionCostMs: number;
 }
 
 /** Load of a model that is in progress or queued. */
-export interface PendingLoad extends PlacementChoice {
+export interface PendingLoad extends Pick<PlacementChoice, 'server' | 'readyInMs'> {
   /** Whether it waits behind a load that takes long, so that another server may be ready sooner. */
   readonly isBlocked: boolean;
 }
@@ -74,8 +95,12 @@
   readonly mayFetchCopy: boolean;
   /** Whether another server holds the model already, so that its load must not slow others from the store down. */
   readonly isReplica?: boolean;
-  /** Models that may be evicted although they are in interactive use, by address of the server. */
-  readonly surplusReplicas?: SurplusReplicas;
+  /** Values the evictions over all servers; absent if each server's own use decides. */
+  readonly evictionPolicy?: EvictionPolicy;
+  /** Whether it may take the slot of a live model's replica that is only kept in case a server is lost. */
+  readonly mayEvictSpares?: boolean;
+  /** Maximum cost of the evictions, in milliseconds of waiting; no limit if absent. */
+  readonly maxEvictionCostMs?: number;
 }
 
 /**
@@ -112,7 +137,7 @@
       continue;
     }
     const evictionPlan = planEviction(requirements, server, profile);
-    if (!evictionPlan) {
+    if (!evictionPlan || evictionPlan.costMs > (requirements.maxEvictionCostMs ?? Infinity)) {
       continue;
     }
     const startMs =
@@ -125,16 +150,19 @@
     const readyInMs = loadMs + startMs + UNLOAD_MS;
     const slotUseShare = report.runningCount / Math.max(1, server.entry.slotCount);
     const adapterDelayMs = hasInteractiveAdapterUse(report) ? ADAPTER_DELAY_PENALTY_MS : 0;
-    const rank = requirements.isInteractive ? server.rank : servers.length - server.rank;
+    const { model, isInteractive, evictionPolicy } = requirements;
+    const rank = isInteractive ? server.rank : servers.length - server.rank;
     const scoreMs =
       readyInMs +
       evictionPlan.costMs +
+      (evictionPolicy?.getPacePenaltyMs(server, requirements) ?? 0) +
       adapterDelayMs +
       RANK_PENALTY_MS * rank +
       SLOT_USE_PENALTY_MS * slotUseShare +
-      MAX_TIE_BREAK_MS * hashToFraction(requirements.model, server.entry.serverId);
+      MAX_TIE_BREAK_MS * hashToFraction(model, server.entry.serverId);
     if (scoreMs < bestScoreMs) {
-      best = { server, readyInMs };
+      const { evictedModels, costMs } = evictionPlan;
+      best = { server, readyInMs, evictedModels, evictionCostMs: costMs };
       bestScoreMs = scoreMs;
     }
   }
@@ -219,24 +247,24 @@
  * @param servers - Servers of the service that accept new requests.
  * @param profile - Engine profile of the service.
  * @param targetCopyCount - Number of servers that should have a copy of each model.
+ * @param getDemandPerSecond - Returns the number of requests per second for a model; those with more go first.
  */
 export function findUnderReplicatedModels(
   servers: readonly KnownServer[],
   profile: EngineProfile,
   targetCopyCount: number,
+  getDemandPerSecond: (model: string) => number = () => 0,
 ): string[] {
   const copyCounts = new Map<string, number>();
-  for (const { report } of servers) {
-    if (!report) {
-      // The models of this server are unknown, so the copies can't be counted.
-      return [];
-    }
+  for (const { report, entry } of servers) {
+    // A server without a fresh report counts as having what its list entry names.
+    const { modelsOnDisk, modelsInMemory } = report ?? entry;
     const availableModels = new Set([
-      ...report.modelsOnDisk,
-      ...report.modelsInMemory,
-      ...report.queuedModels,
+      ...modelsOnDisk,
+      ...modelsInMemory,
+      ...(report?.queuedModels ?? entry.heldModels.map(({ name }) => name)),
     ]);
-    availableModels.add(report.loadingModel ?? '');
+    availableModels.add(report?.loadingModel ?? '');
     for (const model of availableModels) {
       copyCounts.set(model, (copyCounts.get(model) ?? 0) + 1);
     }
@@ -244,16 +272,15 @@
   const underReplicatedModels = [...profile.models.keys()].filter(
     (model) => (copyCounts.get(model) ?? 0) < targetCopyCount,
   );
-  // Models with adapters go first: only interactive requests name adapters, and those can't wait for the store.
+  // Among models in equal demand, those with adapters go first: only interactive requests name adapters, and those can't wait for the store.
   underReplicatedModels.sort(
     (left, right) =>
       (copyCounts.get(left) ?? 0) - (copyCounts.get(right) ?? 0) ||
+      getDemandPerSecond(right) - getDemandPerSecond(left) ||
       getAdapterCount(profile, right) - getAdapterCount(profile, left),
   );
-  return underReplicatedModels.slice(
-    0,
-    Math.max(0, getMaxConcurrentStoreLoads(profile) - countStoreLoads(servers)),
-  );
+  const maxLoadCount = Math.min(getMaxConcurrentStoreLoads(profile), Math.ceil(profile.loadsPerSecond));
+  return underReplicatedModels.slice(0, Math.max(0, maxLoadCount - countStoreLoads(servers)));
 }
 
 function getAdapterCount(profile: EngineProfile, model: string): number {
@@ -281,24 +308,31 @@
   return count;
 }
 
-/** Delay and cost of the evictions that free memory for a model. */
-interface EvictionPlan {
+/** Evictions that free memory for a model, with their delay and cost. */
+export interface EvictionPlan {
   /** Estimated time until the requests on the evicted models have ended, in milliseconds. */
   readonly startMs: number;
   /** Total eviction cost, in milliseconds of waiting. */
   readonly costMs: number;
+  readonly evictedModels: readonly string[];
 }
 
-/** Plans the evictions that free memory for a model; undefined when not enough memory can be freed. */
-function planEviction(
+/**
+ * Plans the evictions that free memory for a model, and for those that the server is to load before it; undefined when
+ * not enough memory can be freed.
+ * @param requirements - Model to load.
+ * @param server - The server.
+ * @param profile - Engine profile of the service.
+ */
+export function planEviction(
   requirements: PlacementRequirements,
   server: KnownServer,
   profile: EngineProfile,
 ): EvictionPlan | undefined {
   const { report } = server;
-  const surplusModels = requirements.surplusReplicas?.get(server.entry.address);
-  let freeMb = profile.weightsMb;
-  const candidates: { use: ModelUse; sizeMb: number }[] = [];
+  const { model, isInteractive, evictionPolicy } = requirements;
+  let freeMb = profile.weightsMb - getPendingMb(requirements, server, profile);
+  const candidates: { name: string; use: ModelUse; sizeMb: number; costMs: number }[] = [];
   for (const { name, adapters } of report?.heldModels ?? []) {
     const footprint = profile.models.get(name);
     if (!footprint) {
@@ -307,23 +341,50 @@
     const sizeMb = footprint.weightsMb + adapters.length * footprint.adapterMb;
     freeMb -= sizeMb;
     const use = report?.uses[name];
-    const isEvictable = use?.isProtected !== true || surplusModels?.has(name) === true;
-    if (use && (isEvictable || (requirements.isInteractive && use.runningCount === 0))) {
-      candidates.push({ use, sizeMb });
+    const costMs = evictionPolicy
+      ? evictionPolicy.getCostMs(server, name, requirements)
+      : use && getOwnCostMs(use, isInteractive);
+    if (use && costMs !== undefined && name !== model) {
+      candidates.push({ name, use, sizeMb, costMs });
     }
   }
-  candidates.sort((left, right) => getEvictionCostMs(left.use) - getEvictionCostMs(right.use));
+  candidates.sort((left, right) => left.costMs - right.costMs);
   let startMs = 0;
   let totalCostMs = 0;
-  for (const { use, sizeMb } of candidates) {
+  const evictedModels: string[] = [];
+  for (const { name, use, sizeMb, costMs } of candidates) {
     if (freeMb >= requirements.footprint.weightsMb) {
       break;
     }
     freeMb += sizeMb;
     startMs = Math.max(startMs, use.runningCount * REMAINING_REQUEST_MS);
-    totalCostMs += getEvictionCostMs(use);
+    totalCostMs += costMs;
+    evictedModels.push(name);
+  }
+  return freeMb >= requirements.footprint.weightsMb
+    ? { startMs, costMs: totalCostMs, evictedModels }
+    : undefined;
+}
+
+/** Returns the memory that the server's load in progress and its queue take, in MB, where evictions are planned for all. */
+function getPendingMb(
+  { model, evictionPolicy }: PlacementRequirements,
+  { report }: KnownServer,
+  profile: EngineProfile,
+): number {
+  let pendingMb = 0;
+  for (const name of evictionPolicy ? new Set([report?.loadingModel, ...(report?.queuedModels ?? [])]) : []) {
+    const isHeld = report?.heldModels.some((held) => held.name === name) === true;
+    pendingMb +=
+      name === undefined || name === model || isHeld ? 0 : (profile.models.get(name)?.weightsMb ?? 0);
   }
-  return freeMb >= requirements.footprint.weightsMb ? { startMs, costMs: totalCostMs } : undefined;
+  return pendingMb;
+}
+
+/** Returns the cost of an eviction by the server's own use of the model; undefined if it may not be evicted. */
+function getOwnCostMs(use: ModelUse, isInteractive: boolean): number | undefined {
+  const isEvictable = !use.isProtected || (isInteractive && use.runningCount === 0);
+  return isEvictable ? getEvictionCostMs(use) : undefined;
 }
 
 /**
--- a/src/direct/decisions/ServerChooser.ts
+++ b/src/direct/decisions/ServerChooser.ts
@@ -97,6 +97,16 @@
     this.arrivalRates.record(getArrivalKey(serviceId, model), nowMs);
   }
 
+  /**
+   * Returns the recent number of requests per second for a model that have arrived at this router.
+   * @param serviceId - Service of the model.
+   * @param model - Name of the model.
+   * @param nowMs - Current time.
+   */
+  getArrivalsPerSecond(serviceId: ServiceId, model: string, nowMs: number): number {
+    return this.arrivalRates.getPerSecond(getArrivalKey(serviceId, model), nowMs);
+  }
+
   /**
    * Draws one of the best servers that can run a request now; undefined when there is none.
    * @param requirements - Requirements of the request.
--- a/src/direct/decisions/findSurplusReplicas.ts
+++ b/src/direct/decisions/findSurplusReplicas.ts
@@ -49,8 +49,12 @@
   return surplusByAddress;
 }
 
-/** Returns the number of holders, from the first on, that carry the requests of all holders on a model. */
-function getRequiredCount(model: string, holders: readonly KnownServer[]): number {
+/**
+ * Returns the number of holders, from the first on, that carry the requests of all holders on a model.
+ * @param model - Name of the model.
+ * @param holders - Servers that hold it.
+ */
+export function getRequiredCount(model: string, holders: readonly KnownServer[]): number {
   let modelLoad = 0;
   for (const { report, entry } of holders) {
     modelLoad += (report?.uses[model]?.runningCount ?? 0) / Math.max(1, entry.slotCount);
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -9,7 +9,7 @@
 export * from './SharedRetryBudget.js';
 export * from './StoreEras.js';
 export * from './OriginReplicas.js';
-export { findFirstForKey, rankForKey } from './rendezvous.js';
+export { findFirstForKey, hashToFraction, rankForKey } from './rendezvous.js';
 export * from './StreamOrigins.js';
 export * from './watchTimes.js';
 export * from './ServerRetirements.js';
--- a/src/direct/modelWaits.ts
+++ b/src/direct/modelWaits.ts
@@ -1,5 +1,5 @@
 import type { ServiceId } from '../domain/index.js';
-import type { KnownServer, ModelFootprint, PlacementRequirements } from './decisions/index.js';
+import type { EvictionPolicy, ModelFootprint, PlacementRequirements } from './decisions/index.js';
 
 /** Time for which a model waits for an idle engine before a busy one is accepted, in milliseconds. */
 const IDLE_ONLY_MS = 300;
@@ -7,6 +7,8 @@
 const MAX_SHORT_START_MS = 1_000;
 /** Time after which any server is accepted, in milliseconds. */
 const ANY_SERVER_AFTER_MS = 2_000;
+/** Time after which a batch model may take the slot of a live model's spare replica, in milliseconds. */
+const SPARES_AFTER_MS = 1_000;
 /** Time for which no server may have had room for a model before its requests are refused, in milliseconds. */
 const NO_PLACE_AFTER_MS = 3_000;
 
@@ -60,13 +62,10 @@
   return nowMs - placedAtMs >= NO_PLACE_AFTER_MS;
 }
 
-/**
- * Returns the placement requirements of a model; they loosen the longer requests have been waiting for it, until it may
- * take the place of another model's spare replica.
- */
+/** Returns the placement requirements of a model; they loosen the longer requests have been waiting for it. */
 export function toPlacementRequirements(
   waited: WaitedModel,
-  getSurplusReplicas: () => PlacementRequirements['surplusReplicas'],
+  evictionPolicy: EvictionPolicy | undefined,
   nowMs: number,
 ): PlacementRequirements {
   const { model, footprint, isInteractive } = waited;
@@ -75,29 +74,7 @@
   if (!isInteractive && waitedMs < ANY_SERVER_AFTER_MS) {
     maxStartMs = waitedMs < IDLE_ONLY_MS ? 0 : MAX_SHORT_START_MS;
   }
-  const mayUseAny = waitedMs >= ANY_SERVER_AFTER_MS;
-  const surplusReplicas = mayUseAny ? getSurplusReplicas() : undefined;
-  return { model, footprint, isInteractive, maxStartMs, mayFetchCopy: mayUseAny, surplusReplicas };
-}
-
-/** Returns the models in interactive use that a server may evict for a model. */
-export function getSurplusModels(
-  { surplusReplicas }: Pick<PlacementRequirements, 'surplusReplicas'>,
-  address: string,
-): string[] {
-  return [...(surplusReplicas?.get(address) ?? [])];
-}
-
-/**
- * Returns the models that several servers hold. These are the most requested ones, also before the first request
- * arrives.
- */
-export function getReplicatedModels(servers: readonly KnownServer[]): string[] {
-  const holderCounts = new Map<string, number>();
-  for (const { heldModels } of servers) {
-    for (const { name } of heldModels) {
-      holderCounts.set(name, (holderCounts.get(name) ?? 0) + 1);
-    }
-  }
-  return [...holderCounts].filter(([, count]) => count > 1).map(([model]) => model);
+  const mayFetchCopy = waitedMs >= ANY_SERVER_AFTER_MS;
+  const mayEvictSpares = isInteractive || waitedMs >= SPARES_AFTER_MS;
+  return { model, footprint, isInteractive, maxStartMs, mayFetchCopy, mayEvictSpares, evictionPolicy };
 }
--- /dev/null
+++ b/src/placement/decisions/index.ts
@@ -0,0 +1,2 @@
+export * from './ServerPace.js';
+export * from './CopyValues.js';
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,3 @@
+export * from './PaceSource.js';
+export * from './decisions/index.js';
+export * from './ModelPlacer.js';
--- a/test/direct/ModelTurnSimulation.ts
+++ b/test/direct/ModelTurnSimulation.ts
@@ -17,19 +17,8 @@
 const LIST_DELAY_MS = 1_000;
 const ENGINE_COUNT = 31;
 const ROUTER_COUNT = 12;
-/** Number of models that interactive requests ask for; batch requests ask for the others. */
-const INTERACTIVE_MODEL_COUNT = 21;
-const MODEL_COUNT = 89;
 /** Number of disks that each model is on at the start. */
 const DISK_COPIES = 2;
-const FOOTPRINT: ModelFootprint = {
-  weightsMb: 72_700,
-  adapterMb: 66,
-  adapterCount: 0,
-  storeLoadMs: 13_200,
-  diskLoadMs: 780,
-  memoryLoadMs: 600,
-};
 
 /** Requests that one kind of caller sends. */
 interface Traffic {
@@ -51,8 +40,42 @@
   aimMs: 2_500,
 };
 
+/** Models and traffic of a simulated day. */
+export interface TurnsFleet {
+  /** Number of models that interactive requests ask for; batch requests ask for the following ones. */
+  readonly interactiveModelCount: number;
+  readonly batchModelCount: number;
+  /** Number of further models that nobody asks for. */
+  readonly unusedModelCount: number;
+  /** Memory of an engine, and of the models in turn. */
+  readonly weightsMb: number;
+  readonly modelSizesMb: readonly number[];
+  readonly traffics: readonly Traffic[];
+}
+
+/** More models in demand than the engines hold: two each. */
+export const SCARCE_FLEET: TurnsFleet = {
+  interactiveModelCount: 21,
+  batchModelCount: 68,
+  unusedModelCount: 0,
+  weightsMb: 160_000,
+  modelSizesMb: [72_700],
+  traffics: [DRAFTS, CHECKS, AUDITS],
+};
+
+/** Room for all 50 models in demand: engines hold three to five models each. */
+export const ROOMY_FLEET: TurnsFleet = {
+  interactiveModelCount: 13,
+  batchModelCount: 37,
+  unusedModelCount: 43,
+  weightsMb: 83_000,
+  modelSizesMb: [27_000, 16_500, 22_000, 18_000, 25_000],
+  traffics: [DRAFTS, CHECKS, { ...AUDITS, perSecond: 33 }],
+};
+
 /** Conditions of a simulated day. */
 export interface TurnsDay {
+  readonly fleet: TurnsFleet;
   readonly seed: number;
   readonly durationMs: number;
   /** Engines that crash together, when, and when they are back without models in memory; infinite if they stay away. */
@@ -94,6 +117,8 @@
   readonly batch: OutcomeCounts = { inAim: 0, late: 0, refused: 0 };
   /** Number of running requests that were cut by the eviction of their model or a crash. */
   cutCount = 0;
+  /** Number of models that engines have loaded; a load of a model that another engine held counts as a replica. */
+  readonly loads = { total: 0, replicas: 0 };
   private readonly clock = new ManualClock();
   private readonly random: Random;
   private readonly engines: SimulatedEngine[] = [];
@@ -105,15 +130,18 @@
   constructor(private readonly day: TurnsDay) {
     this.random = new Random(day.seed);
     const models: string[] = [];
-    for (let index = 0; index < MODEL_COUNT; index++) {
+    const { interactiveModelCount, batchModelCount, unusedModelCount, modelSizesMb } = day.fleet;
+    for (let index = 0; index < interactiveModelCount + batchModelCount + unusedModelCount; index++) {
       models.push(`m${index}`);
     }
     const profile: EngineProfile = {
       batchSlotCount: 32,
-      weightsMb: 160_000,
+      weightsMb: day.fleet.weightsMb,
       adapterSlotCount: 8,
       loadsPerSecond: 18,
-      models: new Map(models.map((model) => [model, FOOTPRINT])),
+      models: new Map(
+        models.map((model, index) => [model, makeFootprint(modelSizesMb[index % modelSizesMb.length] ?? 0)]),
+      ),
     };
     this.createEngines(profile, models);
     const base = makeConfiguration(1);
@@ -131,14 +159,14 @@
     for (const { atMs, engineCount, backAtMs } of this.day.crashes) {
       this.clock.schedule(atMs, () => this.crash(engineCount, backAtMs - atMs));
     }
-    for (const traffic of [DRAFTS, CHECKS, AUDITS]) {
+    for (const traffic of this.day.fleet.traffics) {
       this.scheduleArrival(traffic);
     }
     for (let nowMs = STEP_MS; nowMs <= this.day.durationMs; nowMs += STEP_MS) {
       this.clock.advance(STEP_MS);
       const storeLoadCount = this.engines.filter(({ isLoadingFromStore }) => isLoadingFromStore).length;
       for (const [index, engine] of this.engines.entries()) {
-        engine.advance(nowMs, STEP_MS, storeLoadCount);
+        this.recordLoad(engine.advance(nowMs, STEP_MS, storeLoadCount));
         if (engine.isUp && (nowMs / STEP_MS + index) % (POLL_INTERVAL_MS / STEP_MS) === 0) {
           this.publish(engine, engine.poll(nowMs));
         }
@@ -191,7 +219,7 @@
   }
 
   private createEngines(profile: EngineProfile, models: readonly string[]): void {
-    const held = [...models.slice(0, INTERACTIVE_MODEL_COUNT), ...models];
+    const held = [...models.slice(0, this.day.fleet.interactiveModelCount), ...models];
     for (let index = 0; index < ENGINE_COUNT; index++) {
       const entry = makeEntry(`engine-${index}`, { address: `10.0.0.${index}:1`, slotCount: 32 });
       const pair = [held[index], held[index + ENGINE_COUNT]].filter((model) => model !== undefined);
@@ -207,6 +235,13 @@
     }
   }
 
+  private recordLoad(model: string | undefined): void {
+    if (model !== undefined) {
+      this.loads.total++;
+      this.loads.replicas += Number(this.engines.filter((engine) => engine.holds(model)).length > 1);
+    }
+  }
+
   private scheduleArrival(traffic: Traffic): void {
     const { burst } = this.day;
     const nowMs = this.clock.nowMs();
@@ -215,8 +250,9 @@
     this.clock.schedule(this.random.exponential(1_000 / perSecond), () => {
       this.scheduleArrival(traffic);
       const { isInteractive } = traffic;
-      const firstIndex = isInteractive ? 0 : INTERACTIVE_MODEL_COUNT;
-      const count = isInteractive ? INTERACTIVE_MODEL_COUNT : MODEL_COUNT - INTERACTIVE_MODEL_COUNT;
+      const { interactiveModelCount, batchModelCount } = this.day.fleet;
+      const firstIndex = isInteractive ? 0 : interactiveModelCount;
+      const count = isInteractive ? interactiveModelCount : batchModelCount;
       void this.request(traffic, `m${firstIndex + this.random.nextInt(count)}`);
     });
   }
@@ -308,3 +344,14 @@
     }
   }
 }
+
+function makeFootprint(weightsMb: number): ModelFootprint {
+  return {
+    weightsMb,
+    adapterMb: 66,
+    adapterCount: 0,
+    storeLoadMs: 13_200,
+    diskLoadMs: 780,
+    memoryLoadMs: 600,
+  };
+}
--- a/test/direct/SimulatedEngine.ts
+++ b/test/direct/SimulatedEngine.ts
@@ -83,21 +83,24 @@
   }
 
   /**
-   * Advances the order in progress and ends requests.
+   * Advances the order in progress and ends requests; returns the model whose load has ended, if any.
    * @param nowMs - Current time.
    * @param durationMs - Time since the last call, in milliseconds.
    * @param storeLoadCount - Number of loads that share the weight store.
    */
-  advance(nowMs: number, durationMs: number, storeLoadCount: number): void {
+  advance(nowMs: number, durationMs: number, storeLoadCount: number): string | undefined {
     const ended = this.running.filter(({ endsAtMs }) => endsAtMs <= nowMs);
     this.running = this.running.filter(({ endsAtMs }) => endsAtMs > nowMs);
     for (const { onEnd } of ended) {
       onEnd(true);
     }
     this.remainingOrderMs -= this.isLoadingFromStore ? durationMs / storeLoadCount : durationMs;
-    if (this.order && this.remainingOrderMs <= 0) {
-      this.finish(this.order);
+    const { order } = this;
+    if (!order || this.remainingOrderMs > 0) {
+      return undefined;
     }
+    this.finish(order);
+    return order.kind === 'load' ? order.model : undefined;
   }
 
   /**
--- a/test/direct/modelTurns.test.ts
+++ b/test/direct/modelTurns.test.ts
@@ -1,5 +1,11 @@
 import { expect } from 'chai';
-import { ModelTurnSimulation, type ModelRecord, type TurnsDay } from './ModelTurnSimulation.js';
+import {
+  ModelTurnSimulation,
+  ROOMY_FLEET,
+  SCARCE_FLEET,
+  type ModelRecord,
+  type TurnsDay,
+} from './ModelTurnSimulation.js';
 
 const SEED = Number(process.env.TURNS_SEED ?? 1);
 /** Number of requests for a model, and time between the first and the last, from which it counts as asked for. */
@@ -11,7 +17,7 @@
 const MAX_INTERACTIVE_MISS_SHARE = 0.01;
 
 const BURST = { fromMs: 9_000, toMs: 13_000, factor: 1.7 };
-const STEADY: TurnsDay = { seed: SEED, durationMs: 45_000, crashes: [] };
+const STEADY: TurnsDay = { fleet: SCARCE_FLEET, seed: SEED, durationMs: 45_000, crashes: [] };
 const LOST: TurnsDay = {
   ...STEADY,
   crashes: [{ atMs: 3_000, engineCount: 6, backAtMs: Infinity }],
@@ -32,6 +38,12 @@
   return simulation;
 }
 
+function show(name: string, { interactive, batch, cutCount, loads }: ModelTurnSimulation): void {
+  if (process.env.TURNS_SHOWN !== undefined) {
+    process.stdout.write(`${JSON.stringify({ name, seed: SEED, interactive, batch, cutCount, loads })}\n`);
+  }
+}
+
 function getRequestedRecords({ records }: ModelTurnSimulation): [string, ModelRecord][] {
   return [...records].filter(
     ([, { askCount, firstAskMs, lastAskMs }]) =>
@@ -66,10 +78,7 @@
       let simulation: ModelTurnSimulation;
       before(async () => {
         simulation = await play(day);
-        if (process.env.TURNS_SHOWN !== undefined) {
-          const { interactive, batch, cutCount } = simulation;
-          process.stdout.write(`${JSON.stringify({ name, seed: SEED, interactive, batch, cutCount })}\n`);
-        }
+        show(name, simulation);
       });
 
       // Guards against models that callers ask for all day and that never get a place (issue 30).
@@ -95,3 +104,12 @@
     expect(() => expectFewNeverServed(simulation)).to.throw();
   });
 });
+
+describe('placement with room for all models in demand', () => {
+  for (const [name, day] of Object.entries({ STEADY, LOST, RESTARTED })) {
+    it(`day ${name} shown`, async () => {
+      const simulation = await play({ ...day, fleet: ROOMY_FLEET });
+      show(`ROOMY ${name}`, simulation);
+    });
+  }
+});
