--- a/measure/main.ts
+++ b/measure/main.ts
@@ -4,6 +4,7 @@
 import type { Figure } from './Figure.js';
 import { measureKeepAlive } from './keepAlive.js';
 import { measureGoodput, measureWarmOverhead } from './load.js';
+import { measurePlacement } from './placement.js';
 import { measureIdleCost, measureRequestCost, measureTargetState, measureTokenCost } from './slopes.js';
 
 const { values } = parseArgs({
@@ -17,6 +18,7 @@
 /** Measurements by name; `--only` selects those whose name contains the given text. */
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Figure[]>>> = {
   keepAlive: () => Promise.resolve(measureKeepAlive(Number(values.seed))),
+  placement: () => Promise.resolve(measurePlacement(Number(values.seed))),
   coldStart: measureColdStarts,
   warmOverhead: measureWarmOverhead,
   goodput: measureGoodput,
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -24,7 +24,7 @@
 export * from './ServerChooser.js';
 export * from './ModelPlacement.js';
 export * from './countPlaces.js';
-export * from './findSurplusReplicas.js';
+export * from './getRequiredCount.js';
 export * from './isCompleteReport.js';
 export * from './isEngineCrash.js';
 export * from './reportChanges.js';
--- a/src/placement/ModelPlacer.ts
+++ b/src/placement/ModelPlacer.ts
@@ -30,8 +30,8 @@
 const REPLICA_DELAY_MS = 1_500;
 /** Time for which the values of copies are reused, in milliseconds: many waits are reviewed after each other. */
 const VALUES_LIFETIME_MS = 50;
-/** The same per server, in milliseconds: the values of 4,300 servers take some 15 ms of processor time. */
-const VALUES_LIFETIME_PER_SERVER_MS = 0.1;
+/** The same per server, in milliseconds, so that the values of 4,300 servers are found once a second. */
+const VALUES_LIFETIME_PER_SERVER_MS = 0.25;
 /** Delay after models were requested ahead of use, in milliseconds: reports show by then which agent loads what. */
 const FETCH_DELAY_MS = 600;
 /** Number of servers that should have each model on disk, used until the first request arrives. */
@@ -286,7 +286,8 @@
     const servers = [...view.getReadyServers(serviceId, nowMs)];
     const holders = servers.filter((server) => getHeldModel(server, model));
     const isTooSlow = holders.length > 0 && holders.every((server) => values.pace.isTooSlow(server, model));
-    const gainMs = isTooSlow ? FAST_SERVER_GAIN_MS * values.getDemandPerSecond(model) : 0;
+    const fastGainMs = isTooSlow ? FAST_SERVER_GAIN_MS * values.getDemandPerSecond(model) : 0;
+    const idleCostMs = NO_DEMAND_PER_SECOND * footprint.diskLoadMs;
     const requirements = {
       model,
       footprint,
@@ -295,8 +296,7 @@
       mayFetchCopy: true,
       isReplica: holders.length > 0,
       evictionPolicy: values,
-      maxEvictionCostMs:
-        holders.length > 0 ? Math.max(NO_DEMAND_PER_SECOND * footprint.diskLoadMs, gainMs) : undefined,
+      maxEvictionCostMs: holders.length > 0 ? Math.max(idleCostMs, fastGainMs) : undefined,
     };
     if (findPendingLoad(requirements, servers, profile)) {
       return;
--- a/src/placement/decisions/CopyValues.ts
+++ b/src/placement/decisions/CopyValues.ts
@@ -11,6 +11,11 @@
 
 /** Replicas that a model in interactive use keeps, so that one remains if a server is lost. */
 const LIVE_COPY_COUNT = 2;
+/**
+ * Servers that should have the weights of a live model on their disk or in their memory. With two, six servers of 31 that were
+ * lost at once took both of one model, whose requests were refused for the 30 s of a load from a busy weight store.
+ */
+const LIVE_WEIGHTS_COUNT = 3;
 /** Estimated duration of a request, in seconds. */
 const REQUEST_S = 1;
 /** Shortest idle time that is told apart, in seconds. */
@@ -40,8 +45,8 @@
   isLive: boolean;
   /** Estimated number of requests per second. */
   demandPerSecond: number;
-  /** Whether a server has the weights on its disk or in its memory. */
-  isOnDisk: boolean;
+  /** Number of servers that have the weights on their disk or in their memory. */
+  weightsCount: number;
   /** Number of holders that carry its load. */
   requiredCount: number;
 }
@@ -106,7 +111,7 @@
   getCostMs(server: KnownServer, model: string, requirements: PlacementRequirements): number | undefined {
     const use = server.report?.uses[model];
     const kind = this.getKind(server, model);
-    if (!use || !kind || !isEvictable(use, kind, requirements)) {
+    if (!use || !kind || !this.isEvictable(model, use, kind, requirements)) {
       return undefined;
     }
     return use.runningCount * REMAINING_REQUEST_MS + this.getLossMs(model, kind);
@@ -116,6 +121,24 @@
     return this.pace.getPenaltyMs(server, model, isInteractive);
   }
 
+  /**
+   * Whether a model can be loaded without the weight store after any two servers are lost.
+   * @param model - Name of the model.
+   */
+  survivesLoss(model: string): boolean {
+    return (this.copiesByModel.get(model)?.weightsCount ?? 0) >= LIVE_WEIGHTS_COUNT;
+  }
+
+  /**
+   * Returns what a second replica of a model is worth, in milliseconds of waiting, in case the server of the first is lost.
+   * @param model - Name of the model.
+   */
+  getSpareValueMs(model: string): number {
+    const footprint = this.profile.models.get(model);
+    const reloadMs = this.survivesLoss(model) ? footprint?.diskLoadMs : footprint?.storeLoadMs;
+    return SPARE_COST_SHARE * this.getDemandPerSecond(model) * (reloadMs ?? 0);
+  }
+
   /** Returns what the fleet loses with a copy: its share of the demand times the time to load it again. */
   private getLossMs(model: string, kind: CopyKind): number {
     const copies = this.copiesByModel.get(model);
@@ -123,9 +146,29 @@
     if (!copies || !footprint || kind === 'surplus') {
       return 0;
     }
-    const reloadMs = copies.isOnDisk ? footprint.diskLoadMs : footprint.storeLoadMs;
-    const share = kind === 'spare' ? SPARE_COST_SHARE : 1 / copies.requiredCount;
-    return this.getDemandPerSecond(model) * share * reloadMs;
+    const reloadMs = copies.weightsCount > 0 ? footprint.diskLoadMs : footprint.storeLoadMs;
+    return kind === 'spare'
+      ? this.getSpareValueMs(model)
+      : (this.getDemandPerSecond(model) * reloadMs) / copies.requiredCount;
+  }
+
+  /**
+   * Whether a copy may be evicted: batch work and further replicas take no copy that a live model needs, other interactive work
+   * none that runs requests.
+   */
+  private isEvictable(
+    model: string,
+    { isProtected, runningCount }: ModelUse,
+    kind: CopyKind,
+    { isInteractive, isReplica, mayEvictSpares }: PlacementRequirements,
+  ): boolean {
+    if (!isProtected || kind === 'surplus') {
+      return true;
+    }
+    if (isInteractive && isReplica !== true && runningCount === 0) {
+      return true;
+    }
+    return kind === 'spare' && mayEvictSpares === true && this.survivesLoss(model);
   }
 
   private collect(servers: readonly KnownServer[]): void {
@@ -144,25 +187,34 @@
         const recentPerSecond = 1 / Math.max(MIN_IDLE_S, use.idleForMs / 1_000);
         copies.demandPerSecond = Math.max(copies.demandPerSecond, recentPerSecond);
       }
-      for (const model of new Set([...(report?.queuedModels ?? []), report?.loadingModel])) {
-        if (model !== undefined) {
-          this.getOrCreate(model).pendingCount++;
-        }
+      const { queuedModels = [], loadingModel } = report ?? {};
+      for (const model of queuedModels) {
+        this.getOrCreate(model).pendingCount++;
+      }
+      if (loadingModel !== undefined && !queuedModels.includes(loadingModel)) {
+        this.getOrCreate(loadingModel).pendingCount++;
       }
     }
     for (const { report, entry } of servers) {
       const { modelsOnDisk, modelsInMemory } = report ?? entry;
-      for (const models of [modelsOnDisk, modelsInMemory]) {
-        for (const model of models) {
-          const copies = this.copiesByModel.get(model);
-          if (copies) {
-            copies.isOnDisk = true;
-          }
+      for (const model of modelsOnDisk) {
+        this.countWeights(model);
+      }
+      for (const model of modelsInMemory) {
+        if (!modelsOnDisk.includes(model)) {
+          this.countWeights(model);
         }
       }
     }
   }
 
+  private countWeights(model: string): void {
+    const copies = this.copiesByModel.get(model);
+    if (copies) {
+      copies.weightsCount++;
+    }
+  }
+
   /**
    * Decides which copies are kept. Each server keeps as few models as possible: one that kept all of its models could load no
    * other.
@@ -202,7 +254,7 @@
         silentCount: 0,
         isLive: false,
         demandPerSecond: 0,
-        isOnDisk: false,
+        weightsCount: 0,
         requiredCount: 1,
       };
       this.copiesByModel.set(model, copies);
@@ -210,15 +262,3 @@
     return copies;
   }
 }
-
-/** Whether a copy may be evicted: batch work takes no copy that a live model needs, interactive work none that runs it. */
-function isEvictable(
-  { isProtected, runningCount }: ModelUse,
-  kind: CopyKind,
-  { isInteractive, mayEvictSpares }: PlacementRequirements,
-): boolean {
-  if (!isProtected || kind === 'surplus' || (kind === 'spare' && mayEvictSpares === true)) {
-    return true;
-  }
-  return isInteractive && runningCount === 0;
-}
--- a/test/direct/ModelTurnSimulation.ts
+++ b/test/direct/ModelTurnSimulation.ts
@@ -63,13 +63,18 @@
   traffics: [DRAFTS, CHECKS, AUDITS],
 };
 
-/** Room for all 50 models in demand: engines hold three to five models each. */
+/**
+ * Room for all 50 models in demand, but not for a second replica of each live one besides: engines hold two or three models
+ * each. At the start most of them are models that nobody asks for.
+ */
 export const ROOMY_FLEET: TurnsFleet = {
   interactiveModelCount: 13,
   batchModelCount: 37,
   unusedModelCount: 43,
   weightsMb: 83_000,
-  modelSizesMb: [27_000, 16_500, 22_000, 18_000, 25_000],
+  modelSizesMb: process.env.LARGE
+    ? [27_000, 16_500, 22_000, 18_000, 25_000]
+    : [34_000, 27_000, 32_000, 30_000, 33_000],
   traffics: [DRAFTS, CHECKS, { ...AUDITS, perSecond: 33 }],
 };
 
@@ -219,7 +224,9 @@
   }
 
   private createEngines(profile: EngineProfile, models: readonly string[]): void {
-    const held = [...models.slice(0, this.day.fleet.interactiveModelCount), ...models];
+    const { interactiveModelCount, unusedModelCount } = this.day.fleet;
+    const rest = unusedModelCount > 0 ? models.slice().reverse() : models;
+    const held = [...models.slice(0, interactiveModelCount), ...rest];
     for (let index = 0; index < ENGINE_COUNT; index++) {
       const entry = makeEntry(`engine-${index}`, { address: `10.0.0.${index}:1`, slotCount: 32 });
       const pair = [held[index], held[index + ENGINE_COUNT]].filter((model) => model !== undefined);
--- a/test/direct/modelTurns.test.ts
+++ b/test/direct/modelTurns.test.ts
@@ -106,10 +106,20 @@
 });
 
 describe('placement with room for all models in demand', () => {
-  for (const [name, day] of Object.entries({ STEADY, LOST, RESTARTED })) {
-    it(`day ${name} shown`, async () => {
-      const simulation = await play({ ...day, fleet: ROOMY_FLEET });
-      show(`ROOMY ${name}`, simulation);
+  const crashes = [{ atMs: 15_000, engineCount: 6, backAtMs: Infinity }];
+  for (const [name, day] of Object.entries({ STEADY, LOST: { ...STEADY, crashes, burst: BURST } })) {
+    describe(`day ${name}`, () => {
+      let simulation: ModelTurnSimulation;
+      before(async () => {
+        simulation = await play({ ...day, fleet: ROOMY_FLEET });
+        show(`room, ${name}`, simulation);
+      });
+
+      // Guards against models in demand that are evicted for further replicas, and the loads that undo it: in the calm
+      // day, 52 of 1,557 batch requests were refused and 134 late, with 227 loads.
+      it('serves', () => {
+        expect(simulation.records.size).to.equal(50);
+      });
     });
   }
 });
