--- a/src/placement/ModelPlacer.ts
+++ b/src/placement/ModelPlacer.ts
@@ -287,6 +287,8 @@
     const holders = servers.filter((server) => getHeldModel(server, model));
     const isTooSlow = holders.length > 0 && holders.every((server) => values.pace.isTooSlow(server, model));
     const fastGainMs = isTooSlow ? FAST_SERVER_GAIN_MS * values.getDemandPerSecond(model) : 0;
+    // A live model whose weights only one server has may displace a batch model, which loads again from a disk.
+    const spareGainMs = values.survivesLoss(model, 1) ? 0 : values.getSpareValueMs(model);
     const idleCostMs = NO_DEMAND_PER_SECOND * footprint.diskLoadMs;
     const requirements = {
       model,
@@ -296,7 +298,7 @@
       mayFetchCopy: true,
       isReplica: holders.length > 0,
       evictionPolicy: values,
-      maxEvictionCostMs: holders.length > 0 ? Math.max(idleCostMs, fastGainMs) : undefined,
+      maxEvictionCostMs: holders.length > 0 ? Math.max(idleCostMs, fastGainMs, spareGainMs) : undefined,
     };
     if (findPendingLoad(requirements, servers, profile)) {
       return;
--- a/src/placement/decisions/CopyValues.ts
+++ b/src/placement/decisions/CopyValues.ts
@@ -12,10 +12,11 @@
 /** Replicas that a model in interactive use keeps, so that one remains if a server is lost. */
 const LIVE_COPY_COUNT = 2;
 /**
- * Servers that should have the weights of a live model on their disk or in their memory. With two, six servers of 31 that were
- * lost at once took both of one model, whose requests were refused for the 30 s of a load from a busy weight store.
+ * Lost servers after which a live model must still be loadable from a disk for batch work to take its spare replica. With one,
+ * six servers of 31 that were lost at once took both of one model, whose requests were refused for the 30 s of a load from a
+ * busy weight store.
  */
-const LIVE_WEIGHTS_COUNT = 3;
+const MAX_LOST_COUNT = 2;
 /** Estimated duration of a request, in seconds. */
 const REQUEST_S = 1;
 /** Shortest idle time that is told apart, in seconds. */
@@ -122,11 +123,12 @@
   }
 
   /**
-   * Whether a model can be loaded without the weight store after any two servers are lost.
+   * Whether a model can be loaded without the weight store after any servers of a given number are lost.
    * @param model - Name of the model.
+   * @param lostCount - Number of lost servers.
    */
-  survivesLoss(model: string): boolean {
-    return (this.copiesByModel.get(model)?.weightsCount ?? 0) >= LIVE_WEIGHTS_COUNT;
+  survivesLoss(model: string, lostCount: number): boolean {
+    return (this.copiesByModel.get(model)?.weightsCount ?? 0) > lostCount;
   }
 
   /**
@@ -135,7 +137,7 @@
    */
   getSpareValueMs(model: string): number {
     const footprint = this.profile.models.get(model);
-    const reloadMs = this.survivesLoss(model) ? footprint?.diskLoadMs : footprint?.storeLoadMs;
+    const reloadMs = this.survivesLoss(model, 1) ? footprint?.diskLoadMs : footprint?.storeLoadMs;
     return SPARE_COST_SHARE * this.getDemandPerSecond(model) * (reloadMs ?? 0);
   }
 
@@ -168,7 +170,7 @@
     if (isInteractive && isReplica !== true && runningCount === 0) {
       return true;
     }
-    return kind === 'spare' && mayEvictSpares === true && this.survivesLoss(model);
+    return kind === 'spare' && mayEvictSpares === true && this.survivesLoss(model, MAX_LOST_COUNT);
   }
 
   private collect(servers: readonly KnownServer[]): void {
--- a/test/direct/decisions/ModelPlacement.test.ts
+++ b/test/direct/decisions/ModelPlacement.test.ts
@@ -135,6 +135,21 @@
     expect(findUnderReplicatedModels(servers, PROFILE, 2)).to.deep.equal(['a', 'd', 'c']);
   });
 
+  it('returns models in demand first', () => {
+    const servers = makeServers([{ modelsOnDisk: ['b', 'c'] }, { modelsOnDisk: ['b'] }]);
+    const getDemand = (model: string) => (model === 'd' ? 1 : 0);
+    expect(findUnderReplicatedModels(servers, PROFILE, 1, getDemand)).to.deep.equal(['d', 'a']);
+  });
+
+  // Guards against a fleet that fetches nothing ahead because one engine is silent.
+  it('counts what the list entry of a server without a fresh report names', () => {
+    const [server] = makeServers([{ modelsOnDisk: ['d'] }]);
+    const view = new FleetView();
+    view.applyList([makeEntry('xx', { heldModels: [makeHeldModel('b')], modelsOnDisk: ['c'] })], 0);
+    const servers = [...(server ? [server] : []), ...view.getReadyServers(ENGINES, 0)];
+    expect(findUnderReplicatedModels(servers, PROFILE, 1)).to.deep.equal(['a']);
+  });
+
   it('returns one model at a time where a load takes more than half of the maximum total load time', () => {
     const models = [...PROFILE.models].map(([name, footprint]) => {
       return [name, { ...footprint, storeLoadMs: 13_200 }] as const;
