Orders: requests for adapters queue behind an order that is under way

With the gate, a request that came during an order waited 4 ms and read the engine's state before it tried again, and the gate stayed unused meanwhile. It queues again, as before the gate, and decides when its turn has come; it still sends nothing while the gate is closed.

--- a/src/direct/EngineOrders.ts
+++ b/src/direct/EngineOrders.ts
@@ -41,6 +41,8 @@
   /** Whether an order for a model waits; requests for adapters start no orders meanwhile. */
   private isModelOrderDue = false;
   private lastOrder: Promise<unknown> = Promise.resolve();
+  /** Number of orders under way and waiting; requests queue behind them, so that the next one follows without a delay. */
+  private exclusiveCount = 0;
   private loadingSinceMs = 0;
   private acceptedLoad: string | undefined;
 
@@ -126,7 +128,7 @@
       const mayOrder = state === 'absent' && planner.engineReport?.isBusy !== true;
       const isOrdered =
         mayOrder &&
-        this.gate.isOpen(clock.nowMs()) &&
+        (this.gate.isOpen(clock.nowMs()) || this.exclusiveCount > 0) &&
         !this.isModelOrderDue &&
         (await this.runExclusively(() => this.orderAdapter(model, adapter)));
       if (!isOrdered) {
@@ -259,7 +261,8 @@
 
   /** Decides on and sends orders one at a time, since each is conditional on the state after the previous one. */
   private runExclusively<T>(run: () => Promise<T>): Promise<T> {
-    const result = this.lastOrder.then(run);
+    this.exclusiveCount++;
+    const result = this.lastOrder.then(run).finally(() => this.exclusiveCount--);
     this.lastOrder = result.catch(() => undefined);
     return result;
   }
