Organisations: requests that wait with the credit of a former limit are refused when it is lowered

Ruled out: another call for credit at the send, which RequestForwarder has no place for. Change: with a new configuration, a router refuses unsent requests of an organisation whose unsent credit exceeds the router's share of a lowered limit.

--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -9,7 +9,7 @@
   type Random,
   type Service,
 } from '../kernel/index.js';
-import type { RequestAuthorizer } from '../organisations/index.js';
+import type { CallerAccess, RequestAuthorizer } from '../organisations/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
 import { RequestForwarder, type RequestForwarderDependencies } from './RequestForwarder.js';
@@ -198,15 +198,20 @@
     this.connections.applyIdleTimeout(limits.idleTimeoutMs);
   }
 
-  /** Refuses the requests whose keys are no longer valid and that no server has. */
+  /** Refuses the requests that no server has and whose keys are no longer valid or whose quotas were lowered. */
   refuseRevoked(): void {
     for (const forwarder of [...this.activeForwarders.keys()]) {
-      if (this.deps.authorizer.isRevoked(forwarder.access)) {
-        forwarder.refuseUnsent(REVOKED);
+      const refusal = this.findRevocation(forwarder.access);
+      if (refusal) {
+        forwarder.refuseUnsent(refusal);
       }
     }
   }
 
+  private findRevocation(access: CallerAccess): RequestRefusal | undefined {
+    return this.deps.authorizer.isRevoked(access) ? REVOKED : this.deps.quotaGate.findRefusal(access);
+  }
+
   /** Whether a response has ended but its caller has yet to read a part that does not fit into the socket's buffer. */
   private get hasUnwrittenResponse(): boolean {
     for (const response of this.activeForwarders.values()) {
@@ -364,8 +369,7 @@
       return;
     }
     this.deps.quotaGate.admit(resolved.request, response, {
-      findRefusal: ({ access }) =>
-        this.closing ? STOPPING : this.deps.authorizer.isRevoked(access) ? REVOKED : undefined,
+      findRefusal: ({ access }) => (this.closing ? STOPPING : this.findRevocation(access)),
       refuse: (refusal) => this.guard(request, response, () => this.refuse(response, requestId, refusal)),
       forward: (admitted) => this.guard(request, response, () => this.forward(admitted, response)),
     });
--- a/src/direct/QuotaGate.ts
+++ b/src/direct/QuotaGate.ts
@@ -1,9 +1,18 @@
 import type { ServerResponse } from 'node:http';
 import { runInBackground } from '../kernel/index.js';
-import { getRequestCost, QuotaCredit, type Organisation, type QuotaClient } from '../organisations/index.js';
+import {
+  getRequestCost,
+  QuotaCredit,
+  type CallerAccess,
+  type Organisation,
+  type QuotaClient,
+} from '../organisations/index.js';
 import type { CallerRequest } from './CallerRequest.js';
 import type { RequestRefusal } from './RequestResolver.js';
 
+/** Source of the credit. */
+export type QuotaSource = Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent' | 'isUnsentExcessive'>;
+
 /** What happens to a request at the gate. */
 export interface GateOutcomes {
   /** Returns why a request is refused that has waited for its credit; undefined if it may go on. */
@@ -12,12 +21,15 @@
   readonly forward: (request: CallerRequest) => void;
 }
 
+/** Time after which a caller may return whose request is refused since the limit was lowered, in milliseconds. */
+const LOWERED_RETRY_MS = 1_000;
+
 /** Admits requests of organisations with a quota once their credit is granted, and returns the credit of those that did not run. */
 export class QuotaGate {
   private waiting = 0;
 
   /** @param quotas - Source of the credit. */
-  constructor(private readonly quotas: Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent'>) {}
+  constructor(private readonly quotas: QuotaSource) {}
 
   /** Number of requests that wait for their credit. */
   get waitingCount(): number {
@@ -45,6 +57,18 @@
     );
   }
 
+  /**
+   * Returns why a request that no server has is refused since its organisation's limit was lowered; undefined if it may go on.
+   * @param access - What the request's key gives access to.
+   */
+  findRefusal(access: CallerAccess): RequestRefusal | undefined {
+    if (access.kind !== 'organisation' || !this.quotas.isUnsentExcessive(access.organisation)) {
+      return undefined;
+    }
+    const detail = 'the quota of the organisation was lowered';
+    return { kind: 'refused', status: 429, detail, retryAfterMs: LOWERED_RETRY_MS };
+  }
+
   private async decide(
     request: CallerRequest,
     organisation: Organisation,
--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -258,6 +258,20 @@
     state.unsent = Math.max(0, state.unsent + change);
   }
 
+  /**
+   * Whether a limit was lowered and this router's unsent requests have more credit than its share of the lower one allows.
+   * They could be sent together once a server is there.
+   * @param organisation - The requests' organisation, as of the version at which their credit was taken.
+   */
+  isUnsentExcessive({ organisationId, quota }: Organisation): boolean {
+    const newest = this.deps.fleet.organisations?.find(organisationId)?.quota;
+    if (!quota || !newest || (newest.ratePerSecond >= quota.ratePerSecond && newest.burst >= quota.burst)) {
+      return false;
+    }
+    const { maxUnsent } = getBucketLimits(newest, this.deps.getTolerance());
+    return this.getState(organisationId).unsent * (this.getRouterCount() ?? Infinity) > maxUnsent;
+  }
+
   /** Waits for a share that is on its way to an issuer, unless that failed a moment ago. */
   private async waitForShare(state: GroupState): Promise<void> {
     const { clock, fleet } = this.deps;
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -27,6 +27,7 @@
   ServerChooser,
   StreamOriginClient,
   toQuotaFleet,
+  type QuotaSource,
   type CallerLimits,
   type HeaderCodec,
   type Route,
@@ -80,7 +81,7 @@
   /** Unique, as agents count routers by their names. */
   private readonly routerId = `router-${++benchCount}`;
   /** Source of the credit of organisations; tests pass their own. */
-  quotas: Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent'> | undefined;
+  quotas: QuotaSource | undefined;
 
   /**
    * @param codec - Codec for the headers of requests and responses; tests pass faulty ones.
--- a/test/direct/quotaGate.test.ts
+++ b/test/direct/quotaGate.test.ts
@@ -32,6 +32,7 @@
   const taken: number[] = [];
   let returned = 0;
   let unsent = 0;
+  let isExcessive = false;
   let decide: (decision: QuotaDecision) => void;
 
   beforeEach(async () => {
@@ -39,6 +40,7 @@
     returned = 0;
     unsent = 0;
     status = 200;
+    isExcessive = false;
     bench = new RouterBench();
     bench.quotas = {
       take: (_organisation, cost) => {
@@ -47,6 +49,7 @@
       },
       giveBack: (_organisation, cost) => (returned += cost),
       changeUnsent: (_organisation, change) => (unsent += change),
+      isUnsentExcessive: () => isExcessive,
     };
     await bench.start([ROUTE]);
     bench.applyConfiguration({
@@ -120,6 +123,19 @@
     expect(returned).to.equal(7);
   });
 
+  // Fuzz seed 4042: credit of the former limit was used at once after the lower limit was in force.
+  it('refuses requests that wait for a server when the limit is lowered below their credit', async () => {
+    const { response } = await send();
+    decide({ isGranted: true });
+    isExcessive = true;
+    bench.applyConfiguration({
+      ...makeConfiguration(3, [ROUTE]),
+      organisations: new OrganisationDirectory([ACME]),
+    });
+    expect((await response).status).to.equal(429);
+    expect(returned).to.equal(7);
+  });
+
   it('answers a request that waits for its credit at a planned stop', async () => {
     const { response } = await send();
     const stopped = bench.stopRouter();
--- a/test/organisations/QuotaFleetSimulation.ts
+++ b/test/organisations/QuotaFleetSimulation.ts
@@ -83,7 +83,8 @@
   heardAtMs: Map<string, number>;
   organisation: Organisation;
   version: number;
-  isReachable: boolean;
+  /** Refuse the requests that were not sent if the limit was lowered. */
+  readonly refusals: Set<() => void>;
 }
 
 /** Routers and agents with the real client and issuer of quotas, over simulated time and links. */
@@ -223,6 +224,9 @@
         if (router.version < version) {
           router.organisation = organisation;
           router.version = version;
+          for (const refuse of [...router.refusals]) {
+            refuse();
+          }
         }
       });
     }
@@ -289,7 +293,7 @@
       heardAtMs: new Map<string, number>(),
       organisation: this.organisation,
       version: this.version,
-      isReachable: true,
+      refusals: new Set<() => void>(),
     };
     const getChangeCount = () => this.changeCount;
     const client = new QuotaClient({
@@ -445,7 +449,18 @@
     if (draw > 1 - (scenario.delayedShare ?? 0)) {
       // Requests that wait for a server are sent together once it is there.
       const waitMs = SERVER_INTERVAL_MS - (clock.nowMs() % SERVER_INTERVAL_MS);
-      router.clock.schedule(waitMs, send);
+      const timer = router.clock.schedule(waitMs, () => {
+        router.refusals.delete(refuse);
+        send();
+      });
+      const refuse = () => {
+        if (router.client.isUnsentExcessive(organisation)) {
+          timer.cancel();
+          router.refusals.delete(refuse);
+          credit.end();
+        }
+      };
+      router.refusals.add(refuse);
     } else {
       router.clock.run(send);
     }
