--- a/src/direct/QuotaGate.ts
+++ b/src/direct/QuotaGate.ts
@@ -1,9 +1,28 @@
 import type { ServerResponse } from 'node:http';
 import { runInBackground } from '../kernel/index.js';
-import { getRequestCost, QuotaCredit, type Organisation, type QuotaClient } from '../organisations/index.js';
+import {
+  getRequestCost,
+  QuotaCredit,
+  type CallerAccess,
+  type Organisation,
+  type QuotaClient,
+} from '../organisations/index.js';
 import type { CallerRequest } from './CallerRequest.js';
 import type { RequestRefusal } from './RequestResolver.js';
 
+/** Time after which a caller may return whose request is refused without a decision of an issuer, in milliseconds. */
+const UNDECIDED_RETRY_MS = 1_000;
+/** Refusal after an unexpected error. */
+const UNDECIDED: RequestRefusal = {
+  kind: 'refused',
+  status: 503,
+  detail: 'the quota of the organisation cannot be checked',
+  retryAfterMs: UNDECIDED_RETRY_MS,
+};
+
+/** Source of the credit. */
+export type QuotaSource = Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent' | 'isUnsentExcessive'>;
+
 /** What happens to a request at the gate. */
 export interface GateOutcomes {
   /** Returns why a request is refused that has waited for its credit; undefined if it may go on. */
@@ -17,7 +36,7 @@
   private waiting = 0;
 
   /** @param quotas - Source of the credit. */
-  constructor(private readonly quotas: Pick<QuotaClient, 'take' | 'giveBack' | 'changeUnsent'>) {}
+  constructor(private readonly quotas: QuotaSource) {}
 
   /** Number of requests that wait for their credit. */
   get waitingCount(): number {
@@ -45,6 +64,18 @@
     );
   }
 
+  /**
+   * Returns why a request that no server has is refused since its organisation's limit was lowered; undefined if it may go on.
+   * @param access - What the request's key gives access to.
+   */
+  findRefusal(access: CallerAccess): RequestRefusal | undefined {
+    if (access.kind !== 'organisation' || !this.quotas.isUnsentExcessive(access.organisation)) {
+      return undefined;
+    }
+    const detail = 'the quota of the organisation was lowered';
+    return { kind: 'refused', status: 429, detail, retryAfterMs: UNDECIDED_RETRY_MS };
+  }
+
   private async decide(
     request: CallerRequest,
     organisation: Organisation,
@@ -53,9 +84,13 @@
     { findRefusal, refuse, forward }: GateOutcomes,
   ): Promise<void> {
     this.waiting++;
-    const decision = await this.quotas.take(organisation, cost, request.headers.requestId).finally(() => {
-      this.waiting--;
-    });
+    const decision = await this.quotas
+      .take(organisation, cost, request.headers.requestId)
+      .catch((error: unknown) => {
+        refuse(UNDECIDED);
+        throw error;
+      })
+      .finally(() => this.waiting--);
     const hasLeft = response.destroyed || response.closed;
     if (!decision.isGranted) {
       if (!hasLeft) {
--- a/test/direct/quotaGate.test.ts
+++ b/test/direct/quotaGate.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { toOrganisationId } from '../../src/domain/index.js';
+import { onBackgroundError } from '../../src/kernel/index.js';
 import {
   digestKey,
   OrganisationDirectory,
@@ -32,6 +33,7 @@
   const taken: number[] = [];
   let returned = 0;
   let unsent = 0;
+  let isExcessive = false;
   let decide: (decision: QuotaDecision) => void;
 
   beforeEach(async () => {
@@ -39,6 +41,7 @@
     returned = 0;
     unsent = 0;
     status = 200;
+    isExcessive = false;
     bench = new RouterBench();
     bench.quotas = {
       take: (_organisation, cost) => {
@@ -47,6 +50,7 @@
       },
       giveBack: (_organisation, cost) => (returned += cost),
       changeUnsent: (_organisation, change) => (unsent += change),
+      isUnsentExcessive: () => isExcessive,
     };
     await bench.start([ROUTE]);
     bench.applyConfiguration({
@@ -120,6 +124,32 @@
     expect(returned).to.equal(7);
   });
 
+  // An error in the background would leave the caller without an answer.
+  it('answers a request whose quota cannot be checked', async () => {
+    const source = bench.quotas;
+    if (source) {
+      source.take = () => Promise.reject(new Error('faulty'));
+    }
+    const errors: unknown[] = [];
+    onBackgroundError((error) => errors.push(error));
+    expect((await bench.sendRequest('/once/x', HEADERS)).status).to.equal(503);
+    onBackgroundError(undefined);
+    expect(errors.length).to.equal(1);
+  });
+
+  // Fuzz seed 4042: credit of the former limit was used at once after the lower limit was in force.
+  it('refuses requests that wait for a server when the limit is lowered below their credit', async () => {
+    const { response } = await send();
+    decide({ isGranted: true });
+    isExcessive = true;
+    bench.applyConfiguration({
+      ...makeConfiguration(3, [ROUTE]),
+      organisations: new OrganisationDirectory([ACME]),
+    });
+    expect((await response).status).to.equal(429);
+    expect(returned).to.equal(7);
+  });
+
   it('answers a request that waits for its credit at a planned stop', async () => {
     const { response } = await send();
     const stopped = bench.stopRouter();
