--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -17,6 +17,7 @@
   LoadPermitClient,
   PlacementReviewer,
 } from '../home/index.js';
+import type { IngressLimits } from '../ingress/index.js';
 import {
   ByteBudget,
   onBackgroundError,
@@ -38,6 +39,7 @@
 import { AuditTrail, Log, Metrics } from '../telemetry/index.js';
 import { PeerDialer, PeerServer, TrafficMeter, type PortListenerDependencies } from '../transport/index.js';
 import { getAgentAdminSource, getRouterAdminSource } from './adminSources.js';
+import { divideIngress } from './divideIngress.js';
 import { getCallbackMethods, getRouterMethods } from './routerMethods.js';
 import { SERVICE_NAMES } from './serviceNames.js';
 
@@ -120,7 +122,7 @@
       clock,
       getRouterMethods(services),
       traffic,
-      getListenerDependencies(services),
+      getListenerDependencies(services, settings),
     ),
   );
   await services.start(services.getOrThrow(SERVICE_NAMES.stateWatcher));
@@ -132,7 +134,7 @@
       secrets.adminToken,
       metrics,
       getRouterAdminSource(services, settings.id),
-      getListenerDependencies(services),
+      getListenerDependencies(services, settings),
     ),
   );
   await services.start(services.getOrThrow(SERVICE_NAMES.scheduler));
@@ -221,6 +223,7 @@
     attempts,
     metrics,
     log: services.getOrThrow(SERVICE_NAMES.log),
+    ingressLimits: getIngressLimits(settings),
   });
   return services.register(SERVICE_NAMES.entry, entry);
 }
@@ -268,7 +271,7 @@
       clock,
       agent.getMethods(),
       services.getOrThrow(SERVICE_NAMES.traffic),
-      getListenerDependencies(services),
+      getListenerDependencies(services, settings),
     ),
   );
   await services.start(
@@ -277,22 +280,35 @@
       secrets.adminToken,
       metrics,
       getAgentAdminSource(services, settings.id),
-      getListenerDependencies(services),
+      getListenerDependencies(services, settings),
     ),
   );
   await services.start(agent);
 }
 
 /** Returns what listeners need; a port that is taken fails the start, since an operator or a service manager reads its exit code. */
-function getListenerDependencies(services: ServiceContainer): PortListenerDependencies {
+function getListenerDependencies(
+  services: ServiceContainer,
+  settings: DaemonSettings,
+): PortListenerDependencies {
   return {
     clock: services.getOrThrow(SERVICE_NAMES.clock),
     log: services.getOrThrow(SERVICE_NAMES.log),
     metrics: services.getOrThrow(SERVICE_NAMES.metrics),
     failsIfTaken: true,
+    ingressLimits: getIngressLimits(settings),
   };
 }
 
+function getIngressLimits({ ingress }: DaemonSettings): IngressLimits {
+  return divideIngress(undefined, {
+    connectionCount: ingress.connections,
+    unfinishedBytes: ingress.unfinishedHeadBytes,
+    waitingBytes: ingress.waitingBytes,
+    pipelinedCount: ingress.pipelinedRequests,
+  });
+}
+
 /** Returns the processor time that this process has used, user and system together. */
 function getCpuSeconds(): number {
   const { user, system } = process.cpuUsage();
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -31,6 +31,7 @@
 } from '../kernel/index.js';
 import { RequestAuthorizer, type RevocationLimits } from '../organisations/index.js';
 import { BoundedOutput, Log, Metrics, MetricsServer } from '../telemetry/index.js';
+import { divideIngress, divideInternalIngress, type IngressSettings } from './divideIngress.js';
 import { divideMemory } from './divideMemory.js';
 import { SERVICE_NAMES } from './serviceNames.js';
 import { PeerDialer, PeerServer, TrafficMeter, type ListenAddress } from '../transport/index.js';
@@ -46,6 +47,10 @@
   readonly instanceId: string;
   readonly peerSecret: string;
   readonly metricsAddress: ListenAddress;
+  /** Memory of the machine, in bytes; undefined when it is not known. */
+  readonly memoryLimitBytes?: number;
+  /** Limits of connections that the settings state. */
+  readonly ingress?: IngressSettings;
   /** Returns the time from the stop signal until the process is killed, in milliseconds. */
   readonly getStopGraceMs: () => number;
 }
@@ -56,8 +61,6 @@
   readonly callerAddress: ListenAddress;
   readonly readinessAddress: ListenAddress;
   readonly agentPort: number;
-  /** Memory of the machine, in bytes; undefined when it is not known. */
-  readonly memoryLimitBytes?: number;
   readonly getRetryLimits: () => RetryLimits;
   /** Returns the time in which a change in the store must take effect, in milliseconds. */
   readonly getUpdateLimitMs: () => number;
@@ -79,7 +82,7 @@
  * @param options - Settings and adapters of the router.
  */
 export async function startDirectRouter(options: DirectRouterOptions): Promise<ServiceContainer> {
-  const { services, clock, random, log, metrics } = startCommon(options);
+  const { services, clock, random, log, metrics, ingressLimits, internalPort } = startCommon(options);
   const { codec, source } = options;
   const memory = divideMemory(options.memoryLimitBytes);
   const view = new FleetView();
@@ -148,6 +151,7 @@
     bodyBudget: new ByteBudget(memory.bodyBytes),
     log,
     metrics,
+    ingressLimits,
     getStopGraceMs: options.getStopGraceMs,
   });
   const isReady = () => view.isComplete && callerServer.isListening && !callerServer.isStopping;
@@ -171,7 +175,7 @@
   await services.start(agentConnections);
   await services.start(streamOrigins);
   await services.start(modelLoader);
-  const readinessServer = new ReadinessServer(options.readinessAddress, isReady, { clock, log, metrics });
+  const readinessServer = new ReadinessServer(options.readinessAddress, isReady, internalPort);
   await startTogether(services, [readinessServer, callerServer]);
   logWhenReady();
   return services;
@@ -182,7 +186,7 @@
  * @param options - Settings and engine of the agent.
  */
 export async function startEngineAgent(options: EngineAgentOptions): Promise<ServiceContainer> {
-  const { services, clock, log, metrics } = startCommon(options);
+  const { services, clock, log, metrics, internalPort } = startCommon(options);
   const { engine, engineAddress } = options;
   const controller = new EngineController({ clock, engine, engineAddress, log, metrics });
   const originStore = new StreamOriginStore();
@@ -194,7 +198,7 @@
     clock,
     { ...controller.getMethods(), ...permitIssuer.getMethods(), ...originStore.getMethods() },
     new TrafficMeter(),
-    { clock, log, metrics },
+    internalPort,
   );
   await startTogether(services, [peerServer, controller]);
   return services;
@@ -214,11 +218,13 @@
   onBackgroundError((error, task) => log.backgroundError(error, task));
   const metrics = services.register(SERVICE_NAMES.metrics, new Metrics());
   metrics.gauge('log_lines_dropped', () => output.droppedCount);
+  const ingressLimits = divideIngress(options.memoryLimitBytes, options.ingress);
+  const internalPort = { clock, log, metrics, ingressLimits: divideInternalIngress(ingressLimits) };
   // Services stop in reverse order of their start: started first, the output still writes the last lines of the others.
   void services.start(output);
   // The process serves without its metrics until their port is available.
   services
-    .start(new MetricsServer(options.metricsAddress, metrics, { clock, log, metrics }))
+    .start(new MetricsServer(options.metricsAddress, metrics, internalPort))
     .catch((error: unknown) => log.warn('metrics not served', { error: String(error) }));
-  return { services, clock, random, log, metrics };
+  return { services, clock, random, log, metrics, ingressLimits, internalPort };
 }
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,24 +1,22 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket, type AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
-import {
-  type ByteBudget,
-  delay,
-  runInBackground,
-  type Clock,
-  type Random,
-  type Service,
-} from '../kernel/index.js';
+import { type ByteBudget, delay, runInBackground, type Random, type Service } from '../kernel/index.js';
 import type { RequestAuthorizer } from '../organisations/index.js';
-import type { Log, Metrics } from '../telemetry/index.js';
-import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
+import {
+  pollSockets,
+  PortListener,
+  type ListenAddress,
+  type PortListenerDependencies,
+} from '../transport/index.js';
 import { RequestForwarder, type RequestForwarderDependencies } from './RequestForwarder.js';
 import type { CallerLimits, FleetView } from './decisions/index.js';
 import { CallerConnections } from './CallerConnections.js';
 import type { CallerRequest } from './CallerRequest.js';
 import { CallerResponse } from './CallerResponse.js';
 import type { HeaderCodec } from './HeaderCodec.js';
-import { RequestBody, type BodyFailure } from './RequestBody.js';
+import { RequestBody } from './RequestBody.js';
+import { BODY_REFUSALS, declaresBody, isBodySkipped, REVOKED, STOPPING } from './refusals.js';
 import { RequestResolver, type RequestRefusal } from './RequestResolver.js';
 
 /** Limits used until a configuration is known. */
@@ -37,35 +35,10 @@
  * checks, and requests accepted later could be interrupted by the end of the process.
  */
 const ACCEPT_WHILE_STOPPING_MS = 2_800;
-/**
- * Delay after which a caller refused by a stopping router should retry, in milliseconds: other routers accept it at
- * once.
- */
-const STOPPING_RETRY_MS = 100;
-/** Refusal of a request by a stopping router. */
-const STOPPING: RequestRefusal = {
-  kind: 'refused',
-  status: 503,
-  detail: 'the router is stopping',
-  retryAfterMs: STOPPING_RETRY_MS,
-};
-/** Refusal of a request whose key is no longer valid. */
-const REVOKED: RequestRefusal = { kind: 'refused', status: 401, detail: 'the key is no longer valid' };
 /** Time for the body of a request without a known route or deadline, in milliseconds. */
 const DEFAULT_BODY_TIMEOUT_MS = 30_000;
 /** Time for which the rest of a refused body is read and dropped before its connection is closed, in milliseconds. */
 const REFUSED_BODY_DRAIN_MS = 3_000;
-/** Delay after which a caller should retry a request whose body found no room, in milliseconds. */
-const NO_ROOM_RETRY_MS = 1_000;
-/** Refusals of requests whose body was not received. */
-const BODY_REFUSALS: Readonly<
-  Record<BodyFailure, { status: number; detail: string; retryAfterMs?: number }>
-> = {
-  tooLarge: { status: 413, detail: 'the body is too large' },
-  noRoom: { status: 503, detail: 'there is no memory left for the request', retryAfterMs: NO_ROOM_RETRY_MS },
-  late: { status: 408, detail: 'the body did not arrive in time' },
-  stopping: { status: 503, detail: 'the router is stopping', retryAfterMs: STOPPING_RETRY_MS },
-};
 /** Part of the stop grace period that is reserved for the exit of the process, in milliseconds. */
 const STOP_RESERVE_MS = 500;
 /** Interval at which a stopping router checks whether it is idle, in milliseconds. */
@@ -74,9 +47,8 @@
 const STATUS_BAD_GATEWAY = 502;
 
 /** Dependencies of {@link CallerServer}. */
-export interface CallerServerDependencies {
+export interface CallerServerDependencies extends PortListenerDependencies {
   readonly address: ListenAddress;
-  readonly clock: Clock;
   readonly random: Random;
   readonly view: FleetView;
   readonly codec: HeaderCodec;
@@ -84,8 +56,6 @@
   readonly authorizer: RequestAuthorizer;
   /** Memory for the heads and bodies of requests until their responses are closed. */
   readonly bodyBudget: ByteBudget;
-  readonly log: Log;
-  readonly metrics: Metrics;
   /** Returns the time from the stop signal until the process is killed, in milliseconds. */
   readonly getStopGraceMs: () => number;
 }
@@ -259,6 +229,11 @@
       response.shouldKeepAlive = false;
     }
     request.on('error', () => this.deps.metrics.count('caller_connections_broken'));
+    const refusal = declaresBody(request) ? this.resolver.findRefusal(request) : undefined;
+    if (refusal) {
+      this.refuseUnread(request, response, refusal);
+      return;
+    }
     const body = new RequestBody(
       request,
       {
@@ -268,7 +243,8 @@
         timeoutMs: this.getBodyTimeoutMs(request),
       },
       (bytes) => this.guard(request, response, () => this.route(request, response, bytes, receivedAtMs)),
-      (failure) => this.guard(request, response, () => this.refuseBody(request, response, failure)),
+      (failure) =>
+        this.guard(request, response, () => this.refuseUnread(request, response, BODY_REFUSALS[failure])),
     );
     this.openBodies.set(response, body);
     response.once('close', () => {
@@ -321,12 +297,17 @@
   }
 
   /**
-   * Refuses a request whose body was not received. Its connection is closed, but only after the caller had time to read the
-   * refusal: closing it under bytes that are still arriving resets it.
+   * Refuses a request whose body was not received. Its connection is closed unless the rest of the body is small, but only after the
+   * caller had time to read the refusal: closing it under bytes that are still arriving resets it.
    */
-  private refuseBody(request: IncomingMessage, response: ServerResponse, failure: BodyFailure): void {
-    const { status, detail, retryAfterMs } = BODY_REFUSALS[failure];
-    const requestId = this.deps.codec.decodeRequest(request.headers)?.requestId;
+  private refuseUnread(request: IncomingMessage, response: ServerResponse, refusal: RequestRefusal): void {
+    const { status, detail, retryAfterMs } = refusal;
+    const requestId = this.deps.codec.getRequestId(request.headers);
+    if (!this.openBodies.has(response) && isBodySkipped(request)) {
+      request.resume();
+      this.refuse(response, requestId, status, detail, retryAfterMs);
+      return;
+    }
     response.shouldKeepAlive = false;
     response.write(this.beginRefusal(response, requestId, status, detail, retryAfterMs));
     // The head takes no part of the budget if it found no room, so it must not stay in memory while the rest is read.
--- /dev/null
+++ b/src/ingress/index.ts
@@ -0,0 +1,2 @@
+export * from './ConnectionGuard.js';
+export * from './IngressLimits.js';
--- a/src/router/EntryServer.ts
+++ b/src/router/EntryServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { ChunkCollector, delay, type ByteBudget, type Clock, type Service } from '../kernel/index.js';
+import { ChunkCollector, delay, type ByteBudget, type Service } from '../kernel/index.js';
 import {
   RefusedError,
   toRequestId,
@@ -7,8 +7,12 @@
   type OrganisationConfiguration,
   type RequestId,
 } from '../domain/index.js';
-import type { Log, Metrics } from '../telemetry/index.js';
-import { pollSockets, PortListener, type ListenAddress } from '../transport/index.js';
+import {
+  pollSockets,
+  PortListener,
+  type ListenAddress,
+  type PortListenerDependencies,
+} from '../transport/index.js';
 import type { AttemptClient } from './AttemptClient.js';
 import type { Authenticator } from './Authenticator.js';
 import type { BudgetReservation, BudgetService } from './BudgetService.js';
@@ -48,10 +52,9 @@
 const BUDGET_RETRY_AFTER_MS = 600_000;
 
 /** Dependencies of EntryServer. */
-export interface EntryServerDependencies {
+export interface EntryServerDependencies extends PortListenerDependencies {
   readonly address: ListenAddress;
   readonly incarnation: string;
-  readonly clock: Clock;
   readonly authenticator: Authenticator;
   readonly parser: RequestParser;
   readonly budgets: BudgetService;
@@ -59,8 +62,6 @@
   readonly bodyBudget: ByteBudget;
   readonly owners: OwnerClient;
   readonly attempts: AttemptClient;
-  readonly metrics: Metrics;
-  readonly log: Log;
 }
 
 /** HTTP server for callers' requests. */
--- a/src/settings/DaemonSettings.ts
+++ b/src/settings/DaemonSettings.ts
@@ -25,6 +25,27 @@
   ),
   admin: listener('Listener for operators, who authenticate with MONSOONGLADE_ADMIN_TOKEN.', 7430),
   platform,
+  ingress: z
+    .strictObject({
+      connections: z.int().positive().optional().describe('Maximum number of open connections to a port.'),
+      unfinishedHeadBytes: z
+        .int()
+        .positive()
+        .optional()
+        .describe('Memory for request heads that are still arriving, over all connections to a port.'),
+      waitingBytes: z
+        .int()
+        .positive()
+        .optional()
+        .describe('Memory for received bytes that wait for processor time, over all connections to a port.'),
+      pipelinedRequests: z
+        .int()
+        .positive()
+        .optional()
+        .describe('Number of open requests to a port from which each connection may have only one of them.'),
+    })
+    .prefault({})
+    .describe('Limits of connections. Those that are absent follow from the descriptors of the process.'),
 };
 
 /** Settings of a router. */
--- a/src/transport/PortListener.ts
+++ b/src/transport/PortListener.ts
@@ -1,4 +1,5 @@
 import type { Server } from 'node:http';
+import { ConnectionGuard, DEFAULT_INGRESS_LIMITS, type IngressLimits } from '../ingress/index.js';
 import type { Clock, Timer } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import { ListenError } from './ListenError.js';
@@ -27,9 +28,14 @@
   readonly metrics: Metrics;
   /** Whether the start fails if the port is not available; by default it is tried again. */
   readonly failsIfTaken?: boolean;
+  /** Limits of connections; the defaults if absent. */
+  readonly ingressLimits?: IngressLimits;
 }
 
-/** Binds a server to its port, however long the port is not available, and logs the errors of the bound server. */
+/**
+ * Binds a server to its port, however long the port is not available, bounds what its connections take, and logs the errors of the
+ * bound server.
+ */
 export class PortListener {
   private retryTimer: Timer | undefined;
   private endWait: (() => void) | undefined;
@@ -52,6 +58,7 @@
   ) {
     // Without a listener, an error such as that of a failed accept ends the process.
     server.on('error', (error: NodeJS.ErrnoException) => this.onError(error));
+    new ConnectionGuard(server, field, deps.ingressLimits ?? DEFAULT_INGRESS_LIMITS, deps);
   }
 
   /**
--- a/test/platform/NodeSettings.test.ts
+++ b/test/platform/NodeSettings.test.ts
@@ -42,6 +42,27 @@
     }
   });
 
+  it('decodes the limits of connections, and takes invalid ones as absent', () => {
+    const decode = (Limits: unknown) =>
+      decodeNodeSettings(JSON.stringify({ ...file, Limits }), 'node.json').ingress;
+    expect(
+      decode({ Connections: 700, UnfinishedHeadsMb: 5, WaitingBytesMb: 0.5, PipelinedRequests: 6.5 }),
+    ).to.deep.equal({
+      connectionCount: 700,
+      unfinishedBytes: 5_000_000,
+      waitingBytes: 500_000,
+      pipelinedCount: 6,
+    });
+    const absent = {
+      connectionCount: undefined,
+      unfinishedBytes: undefined,
+      waitingBytes: undefined,
+      pipelinedCount: undefined,
+    };
+    expect(decode({ Connections: -1, UnfinishedHeadsMb: 'x', WaitingBytesMb: null })).to.deep.equal(absent);
+    expect(decode(undefined)).to.deep.equal(absent);
+  });
+
   it('names the file and the invalid field in the error', () => {
     const invalidSettings = JSON.stringify({ ...file, Platform: { Address: 'store' } });
     expect(() => decodeNodeSettings(invalidSettings, 'node.json')).to.throw(
