--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -136,14 +136,15 @@
     if (loadMs === requirements.footprint.storeLoadMs && !mayUseStore) {
       continue;
     }
+    const busyMs = getRemainingBusyMs(server, profile) + report.queuedModels.length * QUEUED_MODEL_MS;
+    if (loadMs + busyMs + UNLOAD_MS >= bestScoreMs) {
+      continue;
+    }
     const evictionPlan = planEviction(requirements, server, profile);
     if (!evictionPlan || evictionPlan.costMs > (requirements.maxEvictionCostMs ?? Infinity)) {
       continue;
     }
-    const startMs =
-      getRemainingBusyMs(server, profile) +
-      report.queuedModels.length * QUEUED_MODEL_MS +
-      evictionPlan.startMs;
+    const startMs = busyMs + evictionPlan.startMs;
     if (startMs > requirements.maxStartMs) {
       continue;
     }
@@ -372,9 +373,12 @@
   { report }: KnownServer,
   profile: EngineProfile,
 ): number {
+  if (!evictionPolicy || !report || (report.loadingModel === undefined && report.queuedModels.length === 0)) {
+    return 0;
+  }
   let pendingMb = 0;
-  for (const name of evictionPolicy ? new Set([report?.loadingModel, ...(report?.queuedModels ?? [])]) : []) {
-    const isHeld = report?.heldModels.some((held) => held.name === name) === true;
+  for (const name of new Set([report.loadingModel, ...report.queuedModels])) {
+    const isHeld = report.heldModels.some((held) => held.name === name) === true;
     pendingMb +=
       name === undefined || name === model || isHeld ? 0 : (profile.models.get(name)?.weightsMb ?? 0);
   }
