--- a/test/platform/quotas.test.ts
+++ b/test/platform/quotas.test.ts
@@ -50,6 +50,7 @@
   const children = new Map<string, ChildProcess>();
   let output = '';
   let routerIps: string[];
+  let agentIps: string[];
 
   beforeEach(async () => {
     reservation = await LoopbackReservation.create();
@@ -70,7 +71,7 @@
       onRun: ({ startedAtMs }: { readonly startedAtMs: number }) => runs.push(startedAtMs),
       drawFault: () => undefined,
     });
-    const agentIps = [1, 2].map((host) => reservation.getAddress(host));
+    agentIps = [1, 2].map((host) => reservation.getAddress(host));
     routerIps = [11, 12].map((host) => reservation.getAddress(host));
     workers = [
       ...agentIps.map((ip) => new ModelWorker(makeOptions(ip, 'models', ip))),
@@ -158,6 +159,19 @@
     expect(output).not.to.contain('k1');
   });
 
+  // The issuer continues with an old view when another agent has taken its place.
+  it('stay within the bound when one agent after the other is frozen and continues', async () => {
+    await sendTraffic(2_500);
+    for (const ip of agentIps) {
+      children.get(ip)?.kill('SIGSTOP');
+      await sendTraffic(3_000);
+      children.get(ip)?.kill('SIGCONT');
+    }
+    await sendTraffic(2_500);
+    expect(countMostRuns()).to.be.at.most(MAX_RUNS);
+    expect(statuses.get(200)).to.be.above(0);
+  });
+
   // No process remembers what was spent before.
   it('stay within the bound when all processes are killed and started at once', async () => {
     await sendTraffic(3_000);
