--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -22,6 +22,10 @@
   readonly softwareVersion?: string;
   /** ID of the request that the client names as the one that brought the first event of the stream. */
   readonly resumedRequestId?: string;
+  /** Organisation that the sender names. */
+  readonly organisation?: string;
+  /** Whether the sender passes on a caller's key. */
+  readonly hasKey?: boolean;
 }
 
 /** Arrival of a request at a worker. */
@@ -283,6 +287,8 @@
       fault,
       softwareVersion: this.options.softwareVersion ?? DEFAULT_VERSION,
       resumedRequestId: resumes === undefined ? undefined : String(resumes),
+      organisation: incoming.headers.tenant === undefined ? undefined : String(incoming.headers.tenant),
+      hasKey: incoming.headers.authorization !== undefined,
     });
     if (!isAwaited) {
       return;
--- a/test/platform/openPorts.fuzz.test.ts
+++ b/test/platform/openPorts.fuzz.test.ts
@@ -44,7 +44,7 @@
     });
     await fuzzer.run(CONNECTION_COUNT);
     // Peers with the secret may have sent other capacities; those of a new configuration replace them.
-    fleet.writeConfiguration(2, 'plain-1');
+    fleet.publishConfiguration();
     const ended = fleet.processes.filter(
       ({ child }) => child?.exitCode !== null || child.signalCode !== null,
     );
--- a/test/soak/SoakCallers.ts
+++ b/test/soak/SoakCallers.ts
@@ -2,6 +2,7 @@
 import type { Random } from '../../src/kernel/index.js';
 import { sleepMs } from '../waiting.js';
 import type { SoakFleet, SoakProcess } from './SoakFleet.js';
+import type { DrawnKey, SoakOrganisations } from './SoakOrganisations.js';
 import { isStable, type RequestKind, type SoakRecorder, type SoakRequest } from './SoakRecorder.js';
 
 /** Interval between two requests, in milliseconds. */
@@ -12,6 +13,9 @@
 /** Share of the requests that are sent on a new connection, besides those for which no kept connection is free. */
 const NEW_CONNECTION_PROBABILITY = 0.25;
 
+/** Key that is always valid and has no quota. */
+const PROBE_KEY: DrawnKey = { key: 'k-acme-1', organisation: 'acme' };
+
 /** Connection to a router that callers keep open, for one request at a time. */
 interface KeptConnection {
   readonly agent: Agent;
@@ -30,17 +34,22 @@
     private readonly fleet: SoakFleet,
     private readonly recorder: SoakRecorder,
     private readonly random: Random,
+    private readonly organisations: SoakOrganisations,
   ) {}
 
   start(): void {
     this.timer = setInterval(() => {
-      const kind = KINDS[this.random.nextInt(KINDS.length)] ?? 'read';
-      const pendingRequest = this.sendRequest(kind, this.random.nextInt(this.fleet.routers.length));
-      this.openRequests.add(pendingRequest);
-      void pendingRequest.finally(() => this.openRequests.delete(pendingRequest));
+      this.send(KINDS[this.random.nextInt(KINDS.length)] ?? 'read', this.organisations.drawKey());
     }, REQUEST_INTERVAL_MS);
   }
 
+  /** Sends a request to a router drawn at random. */
+  send(kind: RequestKind, key: DrawnKey): void {
+    const pendingRequest = this.sendRequest(kind, this.random.nextInt(this.fleet.routers.length), key);
+    this.openRequests.add(pendingRequest);
+    void pendingRequest.finally(() => this.openRequests.delete(pendingRequest));
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.timer);
     await Promise.all(this.openRequests);
@@ -57,7 +66,7 @@
       const probeResults = await Promise.all(
         pendingProbes.map(async (probe) => ({
           probe,
-          result: await this.sendRequest(probe.kind, probe.router),
+          result: await this.sendRequest(probe.kind, probe.router, PROBE_KEY),
         })),
       );
       pendingProbes = probeResults
@@ -68,7 +77,11 @@
     return pendingProbes.length === 0;
   }
 
-  private sendRequest(kind: RequestKind, routerIndex: number): Promise<SoakRequest> {
+  private sendRequest(
+    kind: RequestKind,
+    routerIndex: number,
+    { key, organisation }: DrawnKey,
+  ): Promise<SoakRequest> {
     const router = this.fleet.routers[routerIndex] as SoakProcess;
     const connection = this.takeConnection(router);
     const id = `q${++this.count}`;
@@ -77,6 +90,8 @@
       kind,
       router: router.name,
       sentAtMs: Date.now(),
+      key,
+      organisation,
       isRouterStable: isStable(router.disturbedAtMs),
       text: '',
       isComplete: false,
@@ -89,6 +104,7 @@
       host: 'a.example',
       'request-id': id,
       'content-length': String(id.length),
+      authorization: `Bearer ${key}`,
     };
     const outgoing = request({
       host: router.ip,
--- a/test/soak/SoakFaultInjector.ts
+++ b/test/soak/SoakFaultInjector.ts
@@ -33,7 +33,6 @@
   private readonly affectedProcesses = new Set<SoakProcess>();
   private readonly startedAtMs = Date.now();
   private timer: NodeJS.Timeout | undefined;
-  private version = 1;
   private routedService = 'plain-1';
 
   constructor(
@@ -247,7 +246,7 @@
     this.recordFault('store restored from a copy');
     store.restore(copy);
     await sleepMs(this.random.nextInt(REWRITE_DELAY_MS));
-    this.fleet.writeConfiguration(this.version, this.routedService);
+    this.fleet.rewriteConfiguration();
     for (const worker of workers) {
       worker.rewriteEntry();
     }
@@ -309,7 +308,7 @@
   private changeRoute(): Promise<void> {
     this.routedService = this.routedService === 'plain-1' ? 'plain-2' : 'plain-1';
     this.recordFault(`/moved/ is routed to ${this.routedService}`);
-    this.fleet.writeConfiguration(++this.version, this.routedService);
+    this.fleet.publishConfiguration(this.routedService);
     this.recorder.routeChanges.push({ atMs: Date.now(), service: this.routedService });
     return Promise.resolve();
   }
--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -47,6 +47,10 @@
   readonly modelWorkers: ModelWorker[] = [];
   readonly plainWorkers: PlainWorker[] = [];
   readonly processes: SoakProcess[] = [];
+  /** Returns the organisations of the configuration; absent if callers need no keys. */
+  getOrganisations?: () => Record<string, unknown>[];
+  private version = 0;
+  private movedService = 'plain-1';
   private directory = '';
   private storeAddress = '';
   private reservation!: LoopbackReservation;
@@ -75,7 +79,7 @@
     await bundleProgram(this.directory);
     this.storeAddress = await this.store.start();
     await this.startWorkers();
-    this.writeConfiguration(1, 'plain-1');
+    this.publishConfiguration();
     for (let index = 1; index <= ROUTER_COUNT; index++) {
       await this.addProcess(`router-${index}`, this.reservation.getAddress(100 + index), true);
     }
@@ -114,11 +118,17 @@
   }
 
   /**
-   * Writes a configuration to the store.
-   * @param version - Version of the configuration.
-   * @param movedService - Service of the route `/moved/`.
+   * Writes a new version of the configuration to the store.
+   * @param movedService - Service of the route `/moved/`; unchanged if it is absent.
    */
-  writeConfiguration(version: number, movedService: string): void {
+  publishConfiguration(movedService = this.movedService): void {
+    this.version++;
+    this.movedService = movedService;
+    this.rewriteConfiguration();
+  }
+
+  /** Writes the current version of the configuration to the store again. */
+  rewriteConfiguration(): void {
     const route = (name: string, kind: string, service: string, overrides: Record<string, unknown> = {}) => ({
       Name: name,
       Hostname: 'a.example',
@@ -131,12 +141,12 @@
     });
     const models = this.modelWorkers[0]?.models ?? [];
     this.store.put('config', 'main', {
-      Version: version,
+      Version: this.version,
       Routes: [
         route('stream', 'stream', 'models', { MaxAttempts: 2, CanResume: true, GapAimMs: 100 }),
         route('read', 'idempotent', 'plain-1', { MaxAttempts: 2 }),
         route('write', 'non_idempotent', 'plain-1'),
-        route('moved', 'idempotent', movedService),
+        route('moved', 'idempotent', this.movedService),
       ],
       Services: [
         { Name: 'plain-1', MaxConns: 100 },
@@ -162,6 +172,7 @@
         },
       ],
       Limits: CALLER_LIMITS,
+      ...(this.getOrganisations ? { Tenants: this.getOrganisations() } : {}),
     });
   }
 
@@ -217,7 +228,8 @@
       graceS: GRACE_MS / 1_000,
       engineAddress: isRouter ? undefined : `${ip}:${PORTS.worker}`,
     });
-    await writeFile(settingsFile, JSON.stringify(settings));
+    const bounds = { ...(settings.Bounds as object), QuotaWindowS: 8, QuotaOver: 0.1, QuotaSlack: 20 };
+    await writeFile(settingsFile, JSON.stringify({ ...settings, Bounds: bounds }));
     this.processes.push({
       name,
       ip,
--- a/test/soak/SoakRecorder.ts
+++ b/test/soak/SoakRecorder.ts
@@ -4,6 +4,13 @@
   type WorkerArrival,
   type WorkerRun,
 } from '../../standins/users/index.js';
+import {
+  findAccessViolations,
+  findQuotaViolations,
+  type KeyChange,
+  type QuotaChange,
+} from './findAccessViolations.js';
+import { LIMITED_ORGANISATION } from './SoakOrganisations.js';
 import { MIN_REPORTED_MS, type EventLoopDelay } from './watchEventLoop.js';
 
 /** Time limits of the platform documentation for applying a configuration and a drain, in milliseconds. */
@@ -21,6 +28,9 @@
 /** Time before the timeout of a route from which a request may end without a response, in milliseconds. */
 const TIMEOUT_MARGIN_MS = 50;
 
+/** Statuses that state that a request has not run. */
+const NOT_RUN_STATUSES: readonly number[] = [401, 429, 503];
+
 export type RequestKind = 'stream' | 'read' | 'write' | 'moved';
 
 /** Request and its response as observed by the caller. */
@@ -29,6 +39,9 @@
   readonly kind: RequestKind;
   readonly router: string;
   readonly sentAtMs: number;
+  /** Key that it was sent with, and the organisation that the key belongs to; absent for no or an unknown one. */
+  readonly key?: string;
+  readonly organisation?: string;
   /** Whether checks with time limits applied to its router when the request was sent. */
   readonly isRouterStable: boolean;
   endedAtMs?: number;
@@ -59,6 +72,9 @@
   readonly arrivals: WorkerArrival[] = [];
   /** Services of the route `/moved/` and the times since which they apply. */
   readonly routeChanges: RouteChange[] = [];
+  readonly keyChanges: KeyChange[] = [];
+  /** Changes of the quota of {@link LIMITED_ORGANISATION}. */
+  readonly quotaChanges: QuotaChange[] = [];
   /** Periods in which a worker was draining. */
   readonly drains: { readonly workerId: string; readonly fromMs: number; toMs: number }[] = [];
   /** Periods in which a worker was down after a crash. */
@@ -81,7 +97,13 @@
     const violations = [...this.reportedViolations];
     for (const request of this.requests) {
       const runs = runsById.get(request.requestId) ?? [];
-      for (const violation of [...this.checkResponse(request, runs), ...this.checkTiming(request, runs)]) {
+      const isTimed = request.isRouterStable && !this.isNearStoreOutage(request.sentAtMs);
+      const found = [
+        ...this.checkResponse(request, runs),
+        ...this.checkTiming(request, runs),
+        ...findAccessViolations(request, runs, this.keyChanges, isTimed),
+      ];
+      for (const violation of found) {
         const { kind, requestId, router, status, sentAtMs, endedAtMs = Infinity } = request;
         const { writtenAtMs = NaN, headAtMs = NaN } = request;
         const workers = runs.map(({ workerId, fault = 'sound' }) => `${workerId} (${fault})`).join(', ');
@@ -90,7 +112,17 @@
         violations.push(`${violation}: ${kind} ${requestId} by ${router}, ${outcome}, runs: ${workers}`);
       }
     }
-    return [...violations, ...this.findIgnoredNotices()];
+    return [...violations, ...this.findIgnoredNotices(), ...this.findExceededQuotas(runsById)];
+  }
+
+  private findExceededQuotas(runsById: ReadonlyMap<string, readonly WorkerRun[]>): string[] {
+    const sentAtMs: number[] = [];
+    for (const request of this.requests) {
+      if (request.organisation === LIMITED_ORGANISATION && runsById.has(request.requestId)) {
+        sentAtMs.push(request.sentAtMs);
+      }
+    }
+    return findQuotaViolations(sentAtMs, this.quotaChanges);
   }
 
   /** Lists requests that routers sent to workers against the workers' notices in earlier answers to them. */
@@ -129,8 +161,8 @@
     if (runs.length > maxRuns) {
       yield 'twice';
     }
-    if (status === 503 && runs.length > 0) {
-      yield 'executed although refused with 503';
+    if (NOT_RUN_STATUSES.includes(status ?? 0) && runs.length > 0) {
+      yield `executed although refused with ${status}`;
     }
     if (this.isLostByRouter(request, runs)) {
       yield 'accepted request got no whole answer';
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -3,6 +3,7 @@
 import { sleepMs } from '../waiting.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SoakFaultInjector } from './SoakFaultInjector.js';
+import { SoakOrganisations } from './SoakOrganisations.js';
 import { SoakFleet, type SoakProcess } from './SoakFleet.js';
 import { SoakRecorder } from './SoakRecorder.js';
 import { SoakSignals } from './SoakSignals.js';
@@ -49,6 +50,7 @@
 /** Difference between the seeds of the faults and of everything else, so that neither depends on the timing of the other. */
 const FAULT_SEED_OFFSET = 1_000_000;
 const SIGNAL_SEED_OFFSET = 2_000_000;
+const ORGANISATION_SEED_OFFSET = 3_000_000;
 /** Probability that a worker injects a fault into a request. */
 const WORKER_FAULT_PROBABILITY = 0.04;
 /** Probability that a response of a worker ends with its connection. */
@@ -91,7 +93,13 @@
     () => random.nextFraction() < UNFRAMED_PROBABILITY,
   );
   const watch = watchEventLoop((delay) => recorder.ownDelays.push(delay));
-  const callers = new SoakCallers(fleet, recorder, random);
+  const organisations = new SoakOrganisations(
+    fleet,
+    recorder,
+    new Random(options.seed + ORGANISATION_SEED_OFFSET),
+  );
+  fleet.getOrganisations = () => organisations.getEntries();
+  const callers = new SoakCallers(fleet, recorder, random, organisations);
   const signals = new SoakSignals(fleet, recorder, new Random(options.seed + SIGNAL_SEED_OFFSET));
   const faultInjector = new SoakFaultInjector(
     fleet,
@@ -109,8 +117,12 @@
     callers.start();
     signals.start();
     faultInjector.start();
+    if (options.injectedViolation === undefined) {
+      organisations.start(callers);
+    }
     isFaultFree = false;
     await sleepMs(options.durationMs);
+    await organisations.stop();
     await faultInjector.stop();
     await signals.stop();
     isFaultFree = true;
