--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -34,9 +34,9 @@
 /** Timeout of a call that renews or withdraws a share, in milliseconds. */
 const RENEW_TIMEOUT_MS = 150;
 /** Timeout of a request for credit, in milliseconds; an agent answers within a few milliseconds. */
-const TAKE_TIMEOUT_MS = 80;
+const TAKE_TIMEOUT_MS = 100;
 /** Time that a request waits while the share is on its way to an issuer, in milliseconds. */
-const JOIN_WAIT_MS = 60;
+const JOIN_WAIT_MS = 50;
 /** Interval at which such a request checks whether the share has arrived, in milliseconds. */
 const JOIN_POLL_MS = 5;
 /** Time after such a wait in which no other request waits, in milliseconds. */
