--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -39,7 +39,7 @@
  */
 const TAKE_TIMEOUT_MS = 400;
 /** Time that a request waits while the share is on its way to an issuer, in milliseconds. */
-const JOIN_WAIT_MS = 60;
+const JOIN_WAIT_MS = 50;
 /** Interval at which such a request checks whether the share has arrived, in milliseconds. */
 const JOIN_POLL_MS = 5;
 /** Time after such a wait in which no other request waits, in milliseconds. */
