--- a/src/ingress/ConnectionGuard.ts
+++ b/src/ingress/ConnectionGuard.ts
@@ -16,7 +16,7 @@
 /** Maximum of that time over all connections between two polls, in milliseconds. */
 const MAX_CREDIT_MS = 10;
 /** Share of a processor at which that time is granted again. */
-const CREDIT_SHARE = 0.25;
+const CREDIT_SHARE = 0.5;
 /** Minimum time between two log lines about closed connections, in milliseconds. */
 const LOG_INTERVAL_MS = 10_000;
 
@@ -74,6 +74,10 @@
     return this.openRequestCount >= this.limits.pipelinedCount;
   }
 
+  get isAwaited(): boolean {
+    return !this.queue.isEmpty;
+  }
+
   onRequests(count: number): void {
     this.openRequestCount += count;
   }
@@ -185,8 +189,8 @@
         closedCount: this.closedCount,
       });
     }
-    this.remove(inlet.socket, inlet);
     inlet.refuse();
+    this.remove(inlet.socket, inlet);
   }
 
   private remove(socket: Socket, inlet: ConnectionInlet): void {
--- a/src/ingress/ConnectionInlet.ts
+++ b/src/ingress/ConnectionInlet.ts
@@ -6,7 +6,7 @@
 import { ProcessorDebt } from './ProcessorDebt.js';
 
 /** Size up to which the part of a head at the end of a slice is not counted, in bytes. */
-const SMALL_SLICE_BYTES = 4 * 1024;
+const SMALL_SLICE_BYTES = 16 * 1024;
 /** End of a head, of trailers or of a body in chunks. */
 const EMPTY_LINE = '\r\n\r\n';
 
@@ -26,6 +26,8 @@
   onRequests(count: number): void;
   /** Records that a connection waits for its response before its next request is read. */
   onHeld(): void;
+  /** Whether other connections wait for their turn. */
+  readonly isAwaited: boolean;
   /** Returns how long a connection may go on with further slices at once now, in milliseconds. */
   getAllowanceMs(): number;
   /**
@@ -213,10 +215,12 @@
     return usedMs;
   }
 
-  /** Closes the connection, with status 503 if a request has not arrived completely and no response has begun. */
+  /** Closes the connection, with status 503 if a request has not arrived completely and no response is open or has begun. */
   refuse(): void {
     this.isRefused = true;
-    const isRefusable = this.isBody && this.openResponseCount === 1 && this.response?.headersSent === false;
+    const isHead = this.openResponseCount === 0 && !this.isBody && this.unfinishedBytes > 0;
+    const isBody = this.openResponseCount === 1 && this.isBody && this.response?.headersSent === false;
+    const isRefusable = this.isHttp && (isHead || isBody);
     if (isRefusable && this.socket.writable) {
       this.socket.end(REFUSAL, () => this.socket.destroy());
     } else {
@@ -248,12 +252,16 @@
     }
     this.waiting.push(bytes);
     this.offset = 0;
-    if (this.debt.isCostly(nowMs)) {
+    const isSingle = findSliceEnd(bytes, 0, this.sliceKind) === bytes.length;
+    const isCostly = this.debt.isCostly(nowMs);
+    const allowanceMs = isSingle && !isCostly ? 0 : this.owner.getAllowanceMs();
+    if (isCostly && (!isSingle || allowanceMs <= 0 || this.owner.isAwaited)) {
       this.requestTurn();
-    } else if (findSliceEnd(bytes, 0, this.sliceKind) === bytes.length) {
-      this.run(0, nowMs);
     } else {
-      this.owner.onAllowanceUsed(this.run(this.owner.getAllowanceMs()));
+      const usedMs = this.run(allowanceMs, nowMs);
+      if (!isSingle || isCostly) {
+        this.owner.onAllowanceUsed(usedMs);
+      }
     }
     if (this.isWaiting) {
       this.setWaiting(bytes.length);
--- a/test/direct/callerKeys.test.ts
+++ b/test/direct/callerKeys.test.ts
@@ -3,6 +3,7 @@
 import { digestKey, OrganisationDirectory, type Organisation } from '../../src/organisations/index.js';
 import { makePlainText, makeSignedHeaders } from '../../standins/users/index.js';
 import { sleepMs } from '../waiting.js';
+import { CallerConnection } from './CallerConnection.js';
 import { makeConfiguration, makeRoute, ORDERS } from './fleetFixtures.js';
 import { RouterBench } from './RouterBench.js';
 
@@ -66,6 +67,18 @@
     expect(bench.receivedRequests.length).to.equal(3);
   });
 
+  // Bodies of callers without a valid key took memory until they were complete.
+  it('refuses a request without a valid key before its body has arrived', async () => {
+    const connection = new CallerConnection(bench.callerPort);
+    connection.write(
+      'POST /keyed/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nContent-Length: 5\r\n\r\n',
+    );
+    expect(await connection.waitForStatus()).to.equal(401);
+    connection.write('12345POST /keyed/x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n1');
+    expect(await connection.waitForStatus()).to.equal(401);
+    connection.close();
+  });
+
   // A key taken away from a connected caller must not serve its later requests on the same connection.
   it('refuses a revoked key on a connection that was opened before', async () => {
     await addServer();
