--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -10,6 +10,11 @@
  * takes 6 s and one where it takes 13 s. A slow load blocks all other orders to its engine.
  */
 const MAX_TOTAL_STORE_LOAD_MS = 24_000;
+/**
+ * Factor by which urgent loads may exceed the number of concurrent loads from the weight store: each one slows all others down,
+ * and keeps its engine from other loads meanwhile.
+ */
+const URGENT_STORE_LOAD_FACTOR = 2;
 /** Estimated remaining time of an order in progress that is an unload or concerns an adapter, in milliseconds. */
 const OTHER_ORDER_MS = 500;
 /**
@@ -121,10 +126,9 @@
     (server) => getLoadTimeMs(requirements, server) < requirements.footprint.storeLoadMs,
   );
   const isUrgent = requirements.isInteractive && requirements.isReplica !== true;
+  const maxStoreLoads = getMaxConcurrentStoreLoads(profile) * (isUrgent ? URGENT_STORE_LOAD_FACTOR : 1);
   const mayUseStore =
-    isUrgent ||
-    ((!isOnSomeDisk || requirements.mayFetchCopy) &&
-      countStoreLoads(servers) < getMaxConcurrentStoreLoads(profile));
+    (isUrgent || !isOnSomeDisk || requirements.mayFetchCopy) && countStoreLoads(servers) < maxStoreLoads;
   let best: PlacementChoice | undefined;
   let bestScoreMs = Infinity;
   for (const server of servers) {
--- a/src/placement/ModelPlacer.ts
+++ b/src/placement/ModelPlacer.ts
@@ -47,6 +47,19 @@
  */
 const FAST_SERVER_GAIN_MS = 300;
 
+/**
+ * Mean load of a live model's servers, as a share of their slots, from which a further replica may displace a batch model: its
+ * requests wait for slots then. At half of it, replicas displaced batch models whose requests were refused.
+ */
+const FULL_SERVER_LOAD = 0.9;
+/** What each request of such a model gains from a further server, in milliseconds of waiting. */
+const FURTHER_SERVER_GAIN_MS = 100;
+/**
+ * Interval at which the request for a queued replica is renewed, in milliseconds: agents discard it after three intervals, and
+ * the drain of the model that it replaces takes longer.
+ */
+const RENEWAL_INTERVAL_MS = 500;
+
 /** Dependencies of {@link ModelPlacer}. */
 export interface ModelPlacerDependencies {
   readonly clock: Clock;
@@ -65,6 +78,9 @@
   readonly model: string;
   usedAtMs: number;
   replicaRequestedAtMs: number;
+  /** Engine that was last asked for a replica; undefined before the first one. */
+  replicaAddress: string | undefined;
+  replicaRenewedAtMs: number;
 }
 
 /** Sends load requests with the evictions that cost the fleet least, and requests replicas and models ahead of use. */
@@ -108,7 +124,14 @@
     if (use) {
       use.usedAtMs = nowMs;
     } else {
-      this.interactiveUses.set(key, { serviceId, model, usedAtMs: nowMs, replicaRequestedAtMs: -Infinity });
+      this.interactiveUses.set(key, {
+        serviceId,
+        model,
+        usedAtMs: nowMs,
+        replicaRequestedAtMs: -Infinity,
+        replicaAddress: undefined,
+        replicaRenewedAtMs: -Infinity,
+      });
     }
   }
 
@@ -231,7 +254,7 @@
     for (const [key, use] of this.interactiveUses) {
       if (nowMs - use.usedAtMs > INTERACTIVE_USE_MS) {
         this.interactiveUses.delete(key);
-      } else if (nowMs - use.replicaRequestedAtMs >= REPLICA_DELAY_MS) {
+      } else {
         this.reviewReplicas(use, nowMs);
       }
     }
@@ -286,7 +309,13 @@
     const servers = [...view.getReadyServers(serviceId, nowMs)];
     const holders = servers.filter((server) => getHeldModel(server, model));
     const isTooSlow = holders.length > 0 && holders.every((server) => values.pace.isTooSlow(server, model));
-    const fastGainMs = isTooSlow ? FAST_SERVER_GAIN_MS * values.getDemandPerSecond(model) : 0;
+    let load = 0;
+    for (const holder of holders) {
+      load += chooser.getLoad(holder) / holders.length;
+    }
+    const demandPerSecond = values.getDemandPerSecond(model);
+    const fastGainMs = isTooSlow ? FAST_SERVER_GAIN_MS * demandPerSecond : 0;
+    const loadGainMs = load >= FULL_SERVER_LOAD ? FURTHER_SERVER_GAIN_MS * demandPerSecond : 0;
     // A live model whose weights only one server has may displace a batch model, which loads again from a disk.
     const spareGainMs = values.survivesLoss(model, 1) ? 0 : values.getSpareValueMs(model);
     const idleCostMs = NO_DEMAND_PER_SECOND * footprint.diskLoadMs;
@@ -298,14 +327,16 @@
       mayFetchCopy: true,
       isReplica: holders.length > 0,
       evictionPolicy: values,
-      maxEvictionCostMs: holders.length > 0 ? Math.max(idleCostMs, fastGainMs, spareGainMs) : undefined,
+      maxEvictionCostMs:
+        holders.length > 0 ? Math.max(idleCostMs, fastGainMs, loadGainMs, spareGainMs) : undefined,
     };
-    if (findPendingLoad(requirements, servers, profile)) {
+    const pending = findPendingLoad(requirements, servers, profile);
+    if (pending) {
+      this.renewReplica(use, pending.server, requirements, nowMs);
       return;
     }
-    let load = 0;
-    for (const holder of holders) {
-      load += chooser.getLoad(holder) / holders.length;
+    if (nowMs - use.replicaRequestedAtMs < REPLICA_DELAY_MS) {
+      return;
     }
     if (!isTooSlow && holders.length >= MIN_INTERACTIVE_REPLICAS && load < MAX_REPLICA_LOAD) {
       return;
@@ -316,6 +347,8 @@
     const choice = choosePlacement(requirements, candidates, profile);
     if (choice) {
       use.replicaRequestedAtMs = nowMs;
+      use.replicaAddress = choice.server.entry.address;
+      use.replicaRenewedAtMs = nowMs;
       this.requestLoad('replica load requested', choice, requirements, {
         replicaCount: holders.length,
         load: Number(load.toFixed(3)),
@@ -323,6 +356,26 @@
     }
   }
 
+  /** Renews this router's request for a replica that is in its engine's queue. */
+  private renewReplica(
+    use: InteractiveUse,
+    server: KnownServer,
+    requirements: PlacementRequirements,
+    nowMs: number,
+  ): void {
+    const profile = this.deps.view.configuration?.services.get(use.serviceId)?.engine;
+    const isOwn = server.entry.address === use.replicaAddress;
+    const isDue = nowMs - use.replicaRenewedAtMs >= RENEWAL_INTERVAL_MS;
+    if (!profile || !isOwn || !isDue || server.report?.queuedModels.includes(use.model) !== true) {
+      return;
+    }
+    use.replicaRenewedAtMs = nowMs;
+    const plan = planEviction(requirements, server, profile);
+    if (plan) {
+      this.sendRequest(server, requirements, plan.evictedModels);
+    }
+  }
+
   /** Returns the shortest limit of the gaps between events among the routes to a service; undefined without one. */
   private getMaxGapMs(serviceId: ServiceId): number | undefined {
     let shortestMs: number | undefined;
