--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,1 @@
+export * from './LateReadGuard.js';
--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import type { DataCentreId, ServiceId } from '../domain/index.js';
+import { LateReadGuard } from '../admission/index.js';
 import {
   AgentConnections,
   CallerServer,
@@ -160,6 +161,7 @@
     log,
     metrics,
   });
+  const lateReadGuard = new LateReadGuard({ clock, log, metrics });
   const callerServer = new CallerServer({
     address: options.callerAddress,
     clock,
@@ -183,6 +185,7 @@
       getRetryBudget,
     },
     authorizer,
+    lateReadGuard,
     quotaGate: new QuotaGate(quotaClient),
     bodyBudget: new ByteBudget(memory.bodyBytes),
     log,
@@ -211,6 +214,7 @@
   await services.start(agentConnections);
   await services.start(streamOrigins);
   await services.start(quotaClient);
+  await services.start(lateReadGuard);
   await services.start(modelLoader);
   await services.start(
     new PaceReporter({ clock, pace: view.pace, log, metrics, isEnabled: options.isPaceRoutingEnabled }),
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Socket, type AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { LateReadGuard } from '../admission/index.js';
 import { type ByteBudget, delay, runInBackground, type Random, type Service } from '../kernel/index.js';
 import type { CallerAccess, RequestAuthorizer } from '../organisations/index.js';
 import {
@@ -57,6 +58,7 @@
   readonly codec: HeaderCodec;
   readonly forwarder: RequestForwarderDependencies;
   readonly authorizer: RequestAuthorizer;
+  readonly lateReadGuard: LateReadGuard;
   readonly quotaGate: QuotaGate;
   /** Memory for the heads and bodies of requests until their responses are closed. */
   readonly bodyBudget: ByteBudget;
@@ -351,7 +353,12 @@
       this.refuse(response, requestId, resolved);
       return;
     }
-    this.deps.quotaGate.admit(resolved.request, response, {
+    this.deps.lateReadGuard.admit(response, () => this.admit(resolved.request, request, response));
+  }
+
+  private admit(callerRequest: CallerRequest, request: IncomingMessage, response: ServerResponse): void {
+    const { requestId } = callerRequest.headers;
+    this.deps.quotaGate.admit(callerRequest, response, {
       findRefusal: ({ access }) => (this.closing ? STOPPING : this.findRevocation(access)),
       refuse: (refusal) => this.guard(request, response, () => this.refuse(response, requestId, refusal)),
       forward: (admitted) => this.guard(request, response, () => this.forward(admitted, response)),
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -34,6 +34,7 @@
   type ServerEntry,
   type ServingConfiguration,
 } from '../../src/direct/index.js';
+import { LateReadGuard } from '../../src/admission/index.js';
 import { ByteBudget, delay, Random, SystemClock } from '../../src/kernel/index.js';
 import { QuotaClient, RequestAuthorizer } from '../../src/organisations/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
@@ -74,6 +75,7 @@
   readonly receivedRequests: { server: string; headers: IncomingMessage['headers']; body: string }[] = [];
   private readonly servers: (Server | SocketServer)[] = [];
   private router: CallerServer | undefined;
+  private lateReadGuard: LateReadGuard | undefined;
   private modelLoader: ModelLoader | undefined;
   private agentConnections: AgentConnections | undefined;
   private streamOrigins: StreamOriginClient | undefined;
@@ -183,6 +185,8 @@
       log,
       metrics,
     });
+    this.lateReadGuard = new LateReadGuard({ clock: CLOCK, log, metrics });
+    await this.lateReadGuard.start();
     this.router = new CallerServer({
       address: { host: '127.0.0.1', port: 0 },
       clock: CLOCK,
@@ -210,6 +214,7 @@
         () => view.configurationKnowledge,
         () => this.revocationLimits,
       ),
+      lateReadGuard: this.lateReadGuard,
       quotaGate: new QuotaGate(this.quotas),
       bodyBudget: this.bodyBudget,
       log,
@@ -291,6 +296,7 @@
 
   async close(): Promise<void> {
     await this.modelLoader?.stop();
+    await this.lateReadGuard?.stop();
     await this.streamOrigins?.stop();
     await this.agentConnections?.stop();
     await Promise.race([this.router?.stop(), delay(CLOCK, 10)]);
