--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { AuditCommand } from './commands/AuditCommand.js';
 import { DrainCommand } from './commands/DrainCommand.js';
+import { ExplainRefusalCommand } from './commands/ExplainRefusalCommand.js';
 import { ExplainCommand } from './commands/ExplainCommand.js';
 import { PublishCommand } from './commands/PublishCommand.js';
 import { QuarantineClearCommand, QuarantineListCommand } from './commands/QuarantineCommands.js';
@@ -17,6 +18,7 @@
 cli.register(PublishCommand);
 cli.register(StatusCommand);
 cli.register(ExplainCommand);
+cli.register(ExplainRefusalCommand);
 cli.register(DrainCommand);
 cli.register(AuditCommand);
 cli.register(QuarantineListCommand);
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -48,6 +48,7 @@
 /** Interval at which a stopping router checks whether it is idle, in milliseconds. */
 const STOP_POLL_MS = 50;
 
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_BAD_GATEWAY = 502;
 
 /** Dependencies of {@link CallerServer}. */
@@ -390,6 +391,18 @@
     response.end(this.beginRefusal(response, requestId, refusal));
   }
 
+  /** Describes the configuration by which a key is refused, for the log. */
+  private describeConfiguration(): Record<string, number> {
+    const { version, confirmedAtMs } = this.deps.view.configurationKnowledge ?? {
+      version: 0,
+      confirmedAtMs: 0,
+    };
+    return {
+      configurationVersion: version,
+      confirmedAgeMs: Math.round(this.deps.clock.nowMs() - confirmedAtMs),
+    };
+  }
+
   /** Sends the head of a refusal; returns its body. */
   private beginRefusal(
     response: ServerResponse,
@@ -397,11 +410,17 @@
     { status, detail, retryAfterMs }: Refusal,
   ): string {
     this.deps.metrics.count(`refusals_${status}`);
-    this.deps.log.decision('request refused', { requestId: requestId ?? '', status, detail });
+    const configuration = status === STATUS_UNAUTHORIZED ? this.describeConfiguration() : {};
+    this.deps.log.decision('request refused', {
+      requestId: requestId ?? '',
+      status,
+      detail,
+      ...configuration,
+    });
     const body = JSON.stringify({ error: detail });
     response.writeHead(status, {
       ...this.deps.codec.encodeRefusal(requestId, retryAfterMs),
-      ...(status === 401 ? { 'WWW-Authenticate': 'Bearer' } : {}),
+      ...(status === STATUS_UNAUTHORIZED ? { 'WWW-Authenticate': 'Bearer' } : {}),
       'Content-Type': 'application/json',
       'Content-Length': Buffer.byteLength(body),
     });
