--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -1,3 +1,4 @@
+import { rankForKey } from '../kernel/index.js';
 import { JSONRPCErrorCode, JSONRPCErrorException } from 'json-rpc-2.0';
 import type { Clock, Service, Timer } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
@@ -7,7 +8,6 @@
   applyReportChanges,
   isCompleteReport,
   isEngineCrash,
-  rankForKey,
   type AgentReport,
   type EngineCrash,
   type EngineProfile,
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -1,4 +1,4 @@
-import { delay, keepRunning, type Clock, type Service } from '../kernel/index.js';
+import { delay, keepRunning, type Clock, type Service, setNewest } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import { ModelPaceAverages } from '../pace/decisions/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
@@ -9,7 +9,6 @@
   isHistoryList,
   isPartList,
   ResidencyPlanner,
-  setNewest,
   type AgentReport,
   type EngineCrash,
   type EngineReport,
--- a/src/direct/PermitIssuer.ts
+++ b/src/direct/PermitIssuer.ts
@@ -1,8 +1,9 @@
+import { setNewest } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import type { Clock } from '../kernel/index.js';
 import type { Metrics } from '../telemetry/index.js';
 import type { PeerConnection, PeerMethods } from '../transport/index.js';
-import { PermitBuckets, setNewest, type PermitDecision } from './decisions/index.js';
+import { PermitBuckets, type PermitDecision } from './decisions/index.js';
 import { PERMIT_METHODS, type TakePermitParams } from './messages.js';
 
 /** Time after its last request for a permit for which a router counts as one that this agent serves, in milliseconds. */
--- a/src/direct/StreamOriginClient.ts
+++ b/src/direct/StreamOriginClient.ts
@@ -1,8 +1,7 @@
-import { delay, PeriodicTask, type Clock, type Service } from '../kernel/index.js';
+import { delay, PeriodicTask, type Clock, type Service, findFirstForKey } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import {
-  findFirstForKey,
   isStreamOrigin,
   ORIGIN_REPLICA_COUNT,
   OriginReplicas,
--- a/src/direct/decisions/AdapterUsage.ts
+++ b/src/direct/decisions/AdapterUsage.ts
@@ -1,5 +1,5 @@
 import type { EngineReport } from './ServerEntry.js';
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Maximum number of recorded adapters, whose names callers choose; the least recently used one is discarded first. */
 const MAX_ADAPTERS = 1_000;
--- a/src/direct/decisions/ArrivalRates.ts
+++ b/src/direct/decisions/ArrivalRates.ts
@@ -1,4 +1,4 @@
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Half-life of the weight of an arrival, in milliseconds. */
 const HALF_LIFE_MS = 2_000;
--- a/src/direct/decisions/CrashTracker.ts
+++ b/src/direct/decisions/CrashTracker.ts
@@ -1,5 +1,5 @@
 import type { ServerId } from '../../domain/index.js';
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Number of crashes at which a request is blocked. */
 const MAX_CRASHES = 2;
--- a/src/direct/decisions/EngineCrashRecorder.ts
+++ b/src/direct/decisions/EngineCrashRecorder.ts
@@ -1,4 +1,4 @@
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Number of failed readings in a row after which an engine counts as down. */
 const MAX_FAILED_READINGS = 2;
--- a/src/direct/decisions/EngineIdentity.ts
+++ b/src/direct/decisions/EngineIdentity.ts
@@ -1,4 +1,4 @@
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /**
  * Fencing number of orders to an engine that has not started again under the ID that it had. An engine receives orders only
--- a/src/direct/decisions/FleetView.ts
+++ b/src/direct/decisions/FleetView.ts
@@ -1,7 +1,7 @@
 import { toServerId, type ServerId, type ServiceId } from '../../domain/index.js';
 import type { ConfigurationKnowledge } from '../../organisations/index.js';
 import { PaceEstimator, readModelPaces, type ServerPaces } from '../../pace/decisions/index.js';
-import { RouterCounts } from './RouterCounts.js';
+import { RouterCounts } from '../../domain/RouterCounts.js';
 import { RouteTable } from './RouteTable.js';
 import { ServerDirectory } from './ServerDirectory.js';
 import type { AgentReport, HeldModel, ServerEntry } from './ServerEntry.js';
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -1,4 +1,4 @@
-import { hashToFraction } from './rendezvous.js';
+import { hashToFraction } from '../../kernel/rendezvous.js';
 import type { KnownServer } from './FleetView.js';
 import { getHeldModel } from './FleetView.js';
 import type { AgentReport, ModelUse } from './ServerEntry.js';
--- a/src/direct/decisions/OriginReplicas.ts
+++ b/src/direct/decisions/OriginReplicas.ts
@@ -1,5 +1,5 @@
-import { findFirstForKey } from './rendezvous.js';
-import { setNewest } from './setNewest.js';
+import { findFirstForKey } from '../../kernel/rendezvous.js';
+import { setNewest } from '../../kernel/setNewest.js';
 import type { StreamOrigin } from './StreamOrigins.js';
 
 /** Number of agents that store an origin, so that the loss of one or two does not matter. */
--- a/src/direct/decisions/PermitBuckets.ts
+++ b/src/direct/decisions/PermitBuckets.ts
@@ -1,6 +1,6 @@
 import type { ServerId } from '../../domain/index.js';
 import { CreditBucket } from '../../organisations/decisions/CreditBucket.js';
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Rate at which a server that accepts fewer requests, or none, is still tried, in requests per second. */
 const MIN_PERMITS_PER_SECOND = 0.2;
--- a/src/direct/decisions/PromptPartSuspects.ts
+++ b/src/direct/decisions/PromptPartSuspects.ts
@@ -1,7 +1,7 @@
 import { AttemptSample } from './AttemptSample.js';
 import { CRASH_LIFETIME_MS, type EngineCrash, type PromptPartHistory } from './EngineCrashRecorder.js';
 import { getCountEvidence, getLogTail } from './promptPartEvidence.js';
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Evidence above which a prompt part is blocked, as a logarithm of odds. */
 const MIN_EVIDENCE = 11;
--- a/src/direct/decisions/ServerDirectory.ts
+++ b/src/direct/decisions/ServerDirectory.ts
@@ -1,5 +1,5 @@
 import type { ServerId, ServiceId } from '../../domain/index.js';
-import { rankByHash } from './rendezvous.js';
+import { rankByHash } from '../../kernel/rendezvous.js';
 import type { ServerEntry } from './ServerEntry.js';
 import { ServerHolds } from './ServerHolds.js';
 import { ServerRateLimits } from './ServerRateLimits.js';
--- a/src/direct/decisions/ServerRateLimits.ts
+++ b/src/direct/decisions/ServerRateLimits.ts
@@ -1,5 +1,5 @@
 import type { ServerId } from '../../domain/index.js';
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Maximum number of servers with a limit; the oldest record is discarded first. */
 const MAX_LIMITS = 5_000;
--- a/src/direct/decisions/ServerRetirements.ts
+++ b/src/direct/decisions/ServerRetirements.ts
@@ -1,5 +1,5 @@
 import type { ServerId } from '../../domain/index.js';
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Maximum number of server IDs with a record; the oldest record is discarded first. */
 const MAX_RECORDS = 2_000;
--- a/src/direct/decisions/StreamOrigins.ts
+++ b/src/direct/decisions/StreamOrigins.ts
@@ -1,4 +1,4 @@
-import { setNewest } from './setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 
 /** Maximum number of stored streams; a stream lasts some seconds. */
 const MAX_STREAMS = 10_000;
--- a/src/domain/index.ts
+++ b/src/domain/index.ts
@@ -5,3 +5,4 @@
 export * from './Configuration.js';
 export * from './PeerMessages.js';
 export * from './paths.js';
+export * from './RouterCounts.js';
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -7,3 +7,5 @@
 export * from './runInBackground.js';
 export * from './Random.js';
 export * from './ServiceContainer.js';
+export * from './setNewest.js';
+export { findFirstForKey, hashToFraction, rankByHash, rankForKey } from './rendezvous.js';
--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -1,4 +1,4 @@
-import { findFirstForKey } from '../direct/decisions/rendezvous.js';
+import { findFirstForKey } from '../kernel/rendezvous.js';
 import type { OrganisationId } from '../domain/index.js';
 import { delay, PeriodicTask, runInBackground, type Clock, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
--- a/src/organisations/decisions/QuotaPool.ts
+++ b/src/organisations/decisions/QuotaPool.ts
@@ -1,5 +1,5 @@
-import { RouterCounts } from '../../direct/decisions/RouterCounts.js';
-import { setNewest } from '../../direct/decisions/setNewest.js';
+import { RouterCounts } from '../../domain/RouterCounts.js';
+import { setNewest } from '../../kernel/setNewest.js';
 import type { OrganisationId } from '../../domain/index.js';
 import type { QuotaTolerance } from '../Organisation.js';
 import { CreditBucket } from './CreditBucket.js';
--- a/src/organisations/decisions/QuotaShare.ts
+++ b/src/organisations/decisions/QuotaShare.ts
@@ -1,4 +1,4 @@
-import { setNewest } from '../../direct/decisions/setNewest.js';
+import { setNewest } from '../../kernel/setNewest.js';
 import type { OrganisationId } from '../../domain/index.js';
 import { CreditBucket } from './CreditBucket.js';
 import type { BucketLimits } from './quotaTerms.js';
--- a/src/organisations/decisions/quotaTerms.ts
+++ b/src/organisations/decisions/quotaTerms.ts
@@ -1,4 +1,4 @@
-import { hashToFraction } from '../../direct/decisions/rendezvous.js';
+import { hashToFraction } from '../../kernel/rendezvous.js';
 import type { OrganisationId } from '../../domain/index.js';
 import type { Quota, QuotaTolerance } from '../Organisation.js';
 
--- a/src/placement/decisions/CopyValues.ts
+++ b/src/placement/decisions/CopyValues.ts
@@ -1,6 +1,6 @@
+import { hashToFraction } from '../../kernel/index.js';
 import {
   getRequiredCount,
-  hashToFraction,
   type EngineProfile,
   type EvictionPolicy,
   type KnownServer,
--- a/test/direct/decisions/OriginReplicas.test.ts
+++ b/test/direct/decisions/OriginReplicas.test.ts
@@ -1,5 +1,6 @@
+import { rankForKey } from '../../../src/kernel/index.js';
 import { expect } from 'chai';
-import { OriginReplicas, rankForKey, type OriginCopy } from '../../../src/direct/index.js';
+import { OriginReplicas, type OriginCopy } from '../../../src/direct/index.js';
 
 const REPLICA_COUNT = 3;
 /** Longest time for which a stream is taken up in practice, in milliseconds. */
--- a/test/direct/decisions/rendezvous.test.ts
+++ b/test/kernel/rendezvous.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
-import { findFirstForKey, rankForKey } from '../../../src/direct/index.js';
+import { findFirstForKey, rankForKey } from '../../src/kernel/index.js';
 
 describe('findFirstForKey', () => {
   // Routers of two versions must choose the same agents for a stream, whether they sort all agents or not.
--- a/test/organisations/QuotaFleetSimulation.ts
+++ b/test/organisations/QuotaFleetSimulation.ts
@@ -1,5 +1,4 @@
-import { RouterCounts } from '../../src/direct/index.js';
-import { toOrganisationId } from '../../src/domain/index.js';
+import { toOrganisationId, RouterCounts } from '../../src/domain/index.js';
 import { Random } from '../../src/kernel/index.js';
 import {
   OrganisationDirectory,
