Split QuotaClient into classes of their own

The interfaces IssuerLinks and QuotaFleet and the function getNewestTerms have files of their own. No change of behaviour, names that others call, messages, log lines or metrics; no test changes.

--- a/src/organisations/index.ts
+++ b/src/organisations/index.ts
@@ -5,6 +5,8 @@
 export * from './decisions/index.js';
 export * from './messages.js';
 export * from './OrganisationCounters.js';
+export * from './IssuerLinks.js';
+export * from './QuotaFleet.js';
 export * from './QuotaClient.js';
 export * from './QuotaCredit.js';
 export * from './QuotaIssuer.js';
