--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -312,7 +312,7 @@
    * caller had time to read the refusal: closing it under bytes that are still arriving resets it.
    */
   private refuseUnread(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
-    const requestId = this.deps.codec.getRequestId(request.headers);
+    const requestId = this.deps.codec.decodeRequest(request.headers)?.requestId;
     if (!this.openBodies.has(response) && isBodySkipped(request)) {
       request.resume();
       this.refuse(response, requestId, refusal);
--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -241,8 +241,8 @@
     servers: readonly KnownServer[],
     nowMs: number,
   ): number | undefined {
-    const values = this.placer.getValues(waited.serviceId, nowMs);
-    const requirements = toPlacementRequirements(waited, values, nowMs);
+    const policy = this.placer.getPolicy(waited.serviceId, nowMs);
+    const requirements = toPlacementRequirements(waited, policy, nowMs);
     const profile = this.getProfile(waited.serviceId);
     if (!profile) {
       return undefined;
@@ -285,8 +285,8 @@
     if (nowMs - waited.requestedAtMs < RENEWAL_INTERVAL_MS) {
       return pendingMs;
     }
-    const values = this.placer.getValues(waited.serviceId, nowMs);
-    const requirements = toPlacementRequirements(waited, values, nowMs);
+    const policy = this.placer.getPolicy(waited.serviceId, nowMs);
+    const requirements = toPlacementRequirements(waited, policy, nowMs);
     const choice =
       waited.isInteractive && pendingMs > MIN_TIME_SAVED_MS
         ? choosePlacement(requirements, servers, profile)
--- a/src/direct/decisions/ModelPlacement.ts
+++ b/src/direct/decisions/ModelPlacement.ts
@@ -53,6 +53,8 @@
 
 /** Values the models that servers hold, and the servers for a model. */
 export interface EvictionPolicy {
+  /** Whether evictions are planned for the whole fleet, and for the models that engines have in their queues. */
+  readonly isFleetWide: boolean;
   /**
    * Returns what the fleet loses when a server evicts a model, in milliseconds of waiting; undefined if the server may not
    * evict it.
@@ -377,7 +379,11 @@
   { report }: KnownServer,
   profile: EngineProfile,
 ): number {
-  if (!evictionPolicy || !report || (report.loadingModel === undefined && report.queuedModels.length === 0)) {
+  if (
+    evictionPolicy?.isFleetWide !== true ||
+    !report ||
+    (report.loadingModel === undefined && report.queuedModels.length === 0)
+  ) {
     return 0;
   }
   let pendingMb = 0;
--- a/src/placement/ModelPlacer.ts
+++ b/src/placement/ModelPlacer.ts
@@ -17,7 +17,7 @@
 } from '../direct/decisions/index.js';
 import { PeriodicTask, type Clock, type Service } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
-import { CopyValues, ServerPace } from './decisions/index.js';
+import { CopyValues, ServerPace, TurnTaking } from './decisions/index.js';
 import type { PaceSource } from './PaceSource.js';
 
 /** Interval at which the replicas of models in interactive use are reviewed, in milliseconds. */
@@ -135,6 +135,16 @@
     }
   }
 
+  /**
+   * Returns the policy for evictions at a service's engines; undefined for a service without engines.
+   * @param serviceId - The service.
+   * @param nowMs - Current time.
+   */
+  getPolicy(serviceId: ServiceId, nowMs: number): CopyValues | TurnTaking | undefined {
+    const values = this.getValues(serviceId, nowMs);
+    return values?.hasRoom === false ? new TurnTaking(values) : values;
+  }
+
   /**
    * Returns the values of the copies of a service's models; undefined for a service without engines.
    * @param serviceId - The service.
@@ -227,10 +237,17 @@
 
   /** Requests a model from an agent, which evicts the given models for it and keeps the others. */
   private sendRequest(
-    { entry, report }: KnownServer,
-    { model, isInteractive }: PlacementRequirements,
+    server: KnownServer,
+    { model, isInteractive, evictionPolicy, isReplica }: PlacementRequirements,
     evictedModels: readonly string[],
   ): void {
+    if (evictionPolicy instanceof TurnTaking) {
+      const evictableModels = isReplica === undefined ? evictionPolicy.getSurplusModels(server) : [];
+      const params = { model, isInteractive, keptModels: [], evictableModels };
+      this.deps.agentConnections.requestModel(server.entry.address, params);
+      return;
+    }
+    const { entry, report } = server;
     const names = new Set(report?.heldModels.map(({ name }) => name));
     for (const name of [report?.loadingModel, ...(report?.queuedModels ?? [])]) {
       if (name !== undefined) {
@@ -284,8 +301,9 @@
           isInteractive: false,
           maxStartMs: 0,
           mayFetchCopy: true,
-          evictionPolicy: values,
-          maxEvictionCostMs: getDemand(model) > 0 ? undefined : NO_DEMAND_PER_SECOND * footprint.diskLoadMs,
+          evictionPolicy: this.getPolicy(serviceId, nowMs),
+          maxEvictionCostMs:
+            getDemand(model) > 0 || !values.hasRoom ? undefined : NO_DEMAND_PER_SECOND * footprint.diskLoadMs,
         };
         const choice = requirements && choosePlacement(requirements, others, engine);
         if (choice) {
@@ -308,7 +326,8 @@
     }
     const servers = [...view.getReadyServers(serviceId, nowMs)];
     const holders = servers.filter((server) => getHeldModel(server, model));
-    const isTooSlow = holders.length > 0 && holders.every((server) => values.pace.isTooSlow(server, model));
+    const isTooSlow =
+      values.hasRoom && holders.length > 0 && holders.every((server) => values.pace.isTooSlow(server, model));
     let load = 0;
     for (const holder of holders) {
       load += chooser.getLoad(holder) / holders.length;
@@ -326,13 +345,17 @@
       maxStartMs: Infinity,
       mayFetchCopy: true,
       isReplica: holders.length > 0,
-      evictionPolicy: values,
+      evictionPolicy: this.getPolicy(serviceId, nowMs),
       maxEvictionCostMs:
-        holders.length > 0 ? Math.max(idleCostMs, fastGainMs, loadGainMs, spareGainMs) : undefined,
+        holders.length > 0 && values.hasRoom
+          ? Math.max(idleCostMs, fastGainMs, loadGainMs, spareGainMs)
+          : undefined,
     };
     const pending = findPendingLoad(requirements, servers, profile);
     if (pending) {
-      this.renewReplica(use, pending.server, requirements, nowMs);
+      if (values.hasRoom) {
+        this.renewReplica(use, pending.server, requirements, nowMs);
+      }
       return;
     }
     if (nowMs - use.replicaRequestedAtMs < REPLICA_DELAY_MS) {
--- a/src/placement/decisions/CopyValues.ts
+++ b/src/placement/decisions/CopyValues.ts
@@ -17,6 +17,11 @@
  * busy weight store.
  */
 const MAX_LOST_COUNT = 2;
+/**
+ * Memory of all engines as a share of that of all models, from which the models without demand make enough room for those in
+ * demand.
+ */
+const MIN_ROOM_SHARE = 0.88;
 /** Estimated duration of a request, in seconds. */
 const REQUEST_S = 1;
 /** Shortest idle time that is told apart, in seconds. */
@@ -57,6 +62,9 @@
  * that each one adds its own arrivals as a lower bound of the demand.
  */
 export class CopyValues implements EvictionPolicy {
+  readonly isFleetWide = true;
+  /** Whether the engines together can hold nearly all models of their profile. */
+  readonly hasRoom: boolean;
   private readonly copiesByModel = new Map<string, ModelCopies>();
 
   /**
@@ -71,6 +79,11 @@
     private readonly getArrivalsPerSecond: (model: string) => number,
     readonly pace: ServerPace,
   ) {
+    let modelsMb = 0;
+    for (const { weightsMb } of profile.models.values()) {
+      modelsMb += weightsMb;
+    }
+    this.hasRoom = servers.length * profile.weightsMb >= MIN_ROOM_SHARE * modelsMb;
     this.collect(servers);
     this.assignKeepers();
   }
--- a/src/placement/decisions/index.ts
+++ b/src/placement/decisions/index.ts
@@ -1,2 +1,3 @@
 export * from './ServerPace.js';
 export * from './CopyValues.js';
+export * from './TurnTaking.js';
