--- a/src/direct/ModelLoader.ts
+++ b/src/direct/ModelLoader.ts
@@ -1,9 +1,7 @@
-import type { Clock, Service, Timer } from '../kernel/index.js';
+import type { Service, Timer } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
 import type { ServiceId } from '../domain/index.js';
-import { ModelPlacer, type PaceSource } from '../placement/index.js';
-import type { Log, Metrics } from '../telemetry/index.js';
-import type { AgentConnections } from './AgentConnections.js';
+import { ModelPlacer, type ModelPlacerDependencies } from '../placement/index.js';
 import {
   getWaitKey,
   isWithoutPlace,
@@ -19,12 +17,10 @@
   getHeldModel,
   isRequiredVersion,
   type EngineProfile,
-  type FleetView,
   type KnownServer,
   type PendingLoad,
   type PlacementChoice,
   type PlacementRequirements,
-  type ServerChooser,
 } from './decisions/index.js';
 
 /** Interval at which all waits are reviewed, in milliseconds. */
@@ -44,16 +40,7 @@
 /** Time by which a second load must finish before a pending one to justify using another server, in milliseconds. */
 const MIN_TIME_SAVED_MS = 1_000;
 /** Dependencies of {@link ModelLoader}. */
-export interface ModelLoaderDependencies {
-  readonly clock: Clock;
-  readonly view: FleetView;
-  readonly chooser: ServerChooser;
-  readonly agentConnections: AgentConnections;
-  readonly log: Log;
-  readonly metrics?: Metrics;
-  /** What is known of the speed of the servers; absent if nothing is. */
-  readonly pace?: PaceSource;
-}
+export type ModelLoaderDependencies = ModelPlacerDependencies;
 
 /** Requests loads of models that requests are waiting for. */
 export class ModelLoader implements Service {
@@ -249,7 +236,7 @@
     }
     const pending = findPendingLoad(requirements, servers, profile);
     if (pending?.isBlocked === false) {
-      return this.renewLoadRequest(waited, servers, profile, nowMs, pending);
+      return this.renewLoadRequest(waited, requirements, servers, profile, pending, nowMs);
     }
     const sinceRequestMs = nowMs - waited.requestedAtMs;
     if (waited.requestedAddress !== undefined && sinceRequestMs < REPORT_DELAY_MS) {
@@ -276,17 +263,16 @@
    */
   private renewLoadRequest(
     waited: WaitedModel,
+    requirements: PlacementRequirements,
     servers: readonly KnownServer[],
     profile: EngineProfile,
-    nowMs: number,
     pending: PendingLoad,
+    nowMs: number,
   ): number {
     const pendingMs = pending.readyInMs;
     if (nowMs - waited.requestedAtMs < RENEWAL_INTERVAL_MS) {
       return pendingMs;
     }
-    const policy = this.placer.getPolicy(waited.serviceId, nowMs);
-    const requirements = toPlacementRequirements(waited, policy, nowMs);
     const choice =
       waited.isInteractive && pendingMs > MIN_TIME_SAVED_MS
         ? choosePlacement(requirements, servers, profile)
--- a/src/placement/ModelPlacer.ts
+++ b/src/placement/ModelPlacer.ts
@@ -83,9 +83,17 @@
   replicaRenewedAtMs: number;
 }
 
+/** Values of the copies of a service's models, and the policy for evictions that follows from them. */
+interface Evaluation {
+  /** Time until which it is reused, in milliseconds. */
+  readonly untilMs: number;
+  readonly values: CopyValues;
+  readonly policy: CopyValues | TurnTaking;
+}
+
 /** Sends load requests with the evictions that cost the fleet least, and requests replicas and models ahead of use. */
 export class ModelPlacer implements Service {
-  private readonly values = new Map<ServiceId, { untilMs: number; values: CopyValues }>();
+  private readonly evaluations = new Map<ServiceId, Evaluation>();
   private readonly interactiveUses = new Map<string, InteractiveUse>();
   private lastFetchAtMs = -Infinity;
   /** Time of the first request; undefined before it. */
@@ -141,35 +149,7 @@
    * @param nowMs - Current time.
    */
   getPolicy(serviceId: ServiceId, nowMs: number): CopyValues | TurnTaking | undefined {
-    const values = this.getValues(serviceId, nowMs);
-    return values?.hasRoom === false ? new TurnTaking(values) : values;
-  }
-
-  /**
-   * Returns the values of the copies of a service's models; undefined for a service without engines.
-   * @param serviceId - The service.
-   * @param nowMs - Current time.
-   */
-  getValues(serviceId: ServiceId, nowMs: number): CopyValues | undefined {
-    const known = this.values.get(serviceId);
-    if (known && nowMs < known.untilMs) {
-      return known.values;
-    }
-    const { view, chooser, pace } = this.deps;
-    const profile = view.configuration?.services.get(serviceId)?.engine;
-    if (!profile) {
-      return undefined;
-    }
-    const servers = [...view.getReadyServers(serviceId, nowMs)];
-    const values = new CopyValues(
-      servers,
-      profile,
-      (model) => chooser.getArrivalsPerSecond(serviceId, model, nowMs),
-      new ServerPace(pace, this.getMaxGapMs(serviceId)),
-    );
-    const lifetimeMs = Math.max(VALUES_LIFETIME_MS, VALUES_LIFETIME_PER_SERVER_MS * servers.length);
-    this.values.set(serviceId, { untilMs: nowMs + lifetimeMs, values });
-    return values;
+    return this.evaluate(serviceId, nowMs)?.policy;
   }
 
   /**
@@ -286,10 +266,11 @@
     const copyCount = this.firstRequestAtMs === undefined ? IDLE_DISK_COPIES : 1;
     for (const { serviceId, engine } of view.configuration?.services.values() ?? []) {
       const servers = engine ? [...view.getReadyServers(serviceId, nowMs)] : [];
-      const values = this.getValues(serviceId, nowMs);
-      if (!engine || !values || servers.length === 0) {
+      const evaluation = this.evaluate(serviceId, nowMs);
+      if (!engine || !evaluation || servers.length === 0) {
         continue;
       }
+      const { values, policy } = evaluation;
       const requestedAddresses = new Set<string>();
       const getDemand = (model: string) => values.getDemandPerSecond(model);
       for (const model of findUnderReplicatedModels(servers, engine, copyCount, getDemand)) {
@@ -301,7 +282,7 @@
           isInteractive: false,
           maxStartMs: 0,
           mayFetchCopy: true,
-          evictionPolicy: this.getPolicy(serviceId, nowMs),
+          evictionPolicy: policy,
           maxEvictionCostMs:
             getDemand(model) > 0 || !values.hasRoom ? undefined : NO_DEMAND_PER_SECOND * footprint.diskLoadMs,
         };
@@ -320,10 +301,11 @@
     const { serviceId, model } = use;
     const profile = view.configuration?.services.get(serviceId)?.engine;
     const footprint = profile?.models.get(model);
-    const values = this.getValues(serviceId, nowMs);
-    if (!profile || !footprint || !values) {
+    const evaluation = this.evaluate(serviceId, nowMs);
+    if (!profile || !footprint || !evaluation) {
       return;
     }
+    const { values, policy } = evaluation;
     const servers = [...view.getReadyServers(serviceId, nowMs)];
     const holders = servers.filter((server) => getHeldModel(server, model));
     const isTooSlow =
@@ -345,7 +327,7 @@
       maxStartMs: Infinity,
       mayFetchCopy: true,
       isReplica: holders.length > 0,
-      evictionPolicy: this.getPolicy(serviceId, nowMs),
+      evictionPolicy: policy,
       maxEvictionCostMs:
         holders.length > 0 && values.hasRoom
           ? Math.max(idleCostMs, fastGainMs, loadGainMs, spareGainMs)
@@ -354,7 +336,7 @@
     const pending = findPendingLoad(requirements, servers, profile);
     if (pending) {
       if (values.hasRoom) {
-        this.renewReplica(use, pending.server, requirements, nowMs);
+        this.renewReplica(use, pending.server, requirements, profile, nowMs);
       }
       return;
     }
@@ -384,12 +366,12 @@
     use: InteractiveUse,
     server: KnownServer,
     requirements: PlacementRequirements,
+    profile: EngineProfile,
     nowMs: number,
   ): void {
-    const profile = this.deps.view.configuration?.services.get(use.serviceId)?.engine;
     const isOwn = server.entry.address === use.replicaAddress;
     const isDue = nowMs - use.replicaRenewedAtMs >= RENEWAL_INTERVAL_MS;
-    if (!profile || !isOwn || !isDue || server.report?.queuedModels.includes(use.model) !== true) {
+    if (!isOwn || !isDue || server.report?.queuedModels.includes(use.model) !== true) {
       return;
     }
     use.replicaRenewedAtMs = nowMs;
@@ -399,6 +381,31 @@
     }
   }
 
+  /** Returns the evaluation of a service's copies; undefined for a service without engines. */
+  private evaluate(serviceId: ServiceId, nowMs: number): Evaluation | undefined {
+    const known = this.evaluations.get(serviceId);
+    if (known && nowMs < known.untilMs) {
+      return known;
+    }
+    const { view, chooser, pace } = this.deps;
+    const profile = view.configuration?.services.get(serviceId)?.engine;
+    if (!profile) {
+      return undefined;
+    }
+    const servers = [...view.getReadyServers(serviceId, nowMs)];
+    const values = new CopyValues(
+      servers,
+      profile,
+      (model) => chooser.getArrivalsPerSecond(serviceId, model, nowMs),
+      new ServerPace(pace, this.getMaxGapMs(serviceId)),
+    );
+    const lifetimeMs = Math.max(VALUES_LIFETIME_MS, VALUES_LIFETIME_PER_SERVER_MS * servers.length);
+    const policy = values.hasRoom ? values : new TurnTaking(values);
+    const evaluation = { untilMs: nowMs + lifetimeMs, values, policy };
+    this.evaluations.set(serviceId, evaluation);
+    return evaluation;
+  }
+
   /** Returns the shortest limit of the gaps between events among the routes to a service; undefined without one. */
   private getMaxGapMs(serviceId: ServiceId): number | undefined {
     let shortestMs: number | undefined;
