--- a/src/organisations/CreditRequests.ts
+++ b/src/organisations/CreditRequests.ts
@@ -82,14 +82,6 @@
     return this.unsentCredit === 0 && !this.isCalling && this.waiting.length === 0;
   }
 
-  /**
-   * Adds the credit of a granted request, which was not sent yet.
-   * @param cost - Cost of the request, in the unit of the quota.
-   */
-  addUnsent(cost: number): void {
-    this.unsentCredit += cost;
-  }
-
   /**
    * Changes the credit of the requests that were not sent yet; the result is at least 0.
    * @param change - What is added, in the unit of the quota.
@@ -137,7 +129,7 @@
           const retryInMs = retriesInMs?.[index];
           if (retryInMs === 0) {
             // Before the next call, which states the credit of unsent requests.
-            this.addUnsent(cost);
+            this.changeUnsent(cost);
           }
           resolve(retryInMs === undefined ? undefined : toDecision(retryInMs));
         }
--- a/src/organisations/QuotaClient.ts
+++ b/src/organisations/QuotaClient.ts
@@ -83,7 +83,7 @@
     const issued = following.isMember(clock.nowMs()) ? await requests.ask(quota, cost) : undefined;
     const decision = issued ?? this.takeShare(organisationId, quota, requests, cost);
     if (!issued && decision.isGranted) {
-      requests.addUnsent(cost);
+      requests.changeUnsent(cost);
     }
     this.counters.count(decision.isGranted ? 'quota_granted' : 'quota_refused', organisationId);
     if (!decision.isGranted) {
