--- a/src/state/Catalogue.ts
+++ b/src/state/Catalogue.ts
@@ -33,7 +33,6 @@
 /** Typed view of the services, organisations, placements and drains in the state. */
 export class Catalogue {
   private readonly models = new Map<string, CatalogueModel>();
-  private readonly organisations = new Map<string, OrganisationConfiguration>();
   private organisationKeys = new KeyDirectory<KeyedOrganisation>([]);
   private isStale = true;
 
@@ -61,12 +60,6 @@
     return this.state.get<ServiceConfiguration>(SERVICE_PREFIX + service)?.value;
   }
 
-  /** Returns all organisations. */
-  getOrganisations(): Iterable<OrganisationConfiguration> {
-    this.refresh();
-    return this.organisations.values();
-  }
-
   /**
    * Returns the organisation that a key belongs to; undefined if there is none.
    * @param digest - SHA-256 of the key, in hexadecimal.
@@ -92,18 +85,14 @@
     }
     this.isStale = false;
     this.models.clear();
-    this.organisations.clear();
     for (const { value } of this.state.list<ServiceConfiguration>(SERVICE_PREFIX)) {
       this.addService(value);
     }
+    const organisations: KeyedOrganisation[] = [];
     for (const { value } of this.state.list<OrganisationConfiguration>(ORGANISATION_PREFIX)) {
-      this.organisations.set(value.organisation, value);
+      organisations.push({ keyDigests: value.tokenSha256s, configuration: value });
     }
-    const keyed = [...this.organisations.values()].map((configuration) => ({
-      keyDigests: configuration.tokenSha256s,
-      configuration,
-    }));
-    this.organisationKeys = new KeyDirectory(keyed);
+    this.organisationKeys = new KeyDirectory(organisations);
   }
 
   private addService(service: ServiceConfiguration): void {
