--- a/src/cli/commands/TraceCommand.ts
+++ b/src/cli/commands/TraceCommand.ts
@@ -1,12 +1,9 @@
-import { Command, Option } from 'clipanion';
-import { readFile } from 'node:fs/promises';
+import { Command } from 'clipanion';
 import { findTrace } from '../findTrace.js';
-
-/** Exit code when no line contains the request id. */
-const EXIT_NOT_FOUND = 5;
+import { LogCommand } from '../LogCommand.js';
 
 /** Prints the lines on one request from collected logs. */
-export class TraceCommand extends Command {
+export class TraceCommand extends LogCommand {
   static override paths = [['trace']];
   static override usage = Command.Usage({
     description:
@@ -16,15 +13,7 @@
     ],
   });
 
-  requestId = Option.String({ name: 'request id' });
-  files = Option.Rest({ name: 'log files', required: 1 });
-
-  override async execute(): Promise<number> {
-    const texts = await Promise.all(this.files.map((file) => readFile(file, 'utf8')));
-    const lines = findTrace(texts.join('\n').split('\n'), this.requestId);
-    for (const line of lines) {
-      this.context.stdout.write(`${line}\n`);
-    }
-    return lines.length > 0 ? 0 : EXIT_NOT_FOUND;
+  protected override search(lines: readonly string[], requestId: string): string[] {
+    return findTrace(lines, requestId);
   }
 }
