--- a/test/soak/SoakFleet.ts
+++ b/test/soak/SoakFleet.ts
@@ -227,9 +227,9 @@
       storeAddress: this.storeAddress,
       graceS: GRACE_MS / 1_000,
       engineAddress: isRouter ? undefined : `${ip}:${PORTS.worker}`,
+      bounds: { QuotaWindowS: 8, QuotaOver: 0.1, QuotaSlack: 20 },
     });
-    const bounds = { ...(settings.Bounds as object), QuotaWindowS: 8, QuotaOver: 0.1, QuotaSlack: 20 };
-    await writeFile(settingsFile, JSON.stringify({ ...settings, Bounds: bounds }));
+    await writeFile(settingsFile, JSON.stringify(settings));
     this.processes.push({
       name,
       ip,
--- a/test/soak/SoakOrganisations.ts
+++ b/test/soak/SoakOrganisations.ts
@@ -6,7 +6,7 @@
 import type { SoakRecorder } from './SoakRecorder.js';
 
 /** Key that no configuration ever holds. */
-export const UNKNOWN_KEY = 'k-unknown';
+const UNKNOWN_KEY = 'k-unknown';
 const UNKNOWN_KEY_PROBABILITY = 0.02;
 /** Keys by organisation; the second one of an organisation is revoked and reinstated. */
 const KEYS: Readonly<Record<string, readonly string[]>> = {
