--- a/src/direct/CallerRequest.ts
+++ b/src/direct/CallerRequest.ts
@@ -20,6 +20,8 @@
   /** Fingerprint, the same for equal requests. */
   readonly fingerprint: string;
   readonly receivedAtMs: number;
+  /** Version of the configuration that its route is from. */
+  readonly configurationVersion: number;
   /** Number of this request among those on its caller's connection, from 1. */
   readonly connectionRequestNumber: number;
 }
--- a/src/direct/CallerServer.ts
+++ b/src/direct/CallerServer.ts
@@ -49,6 +49,7 @@
 const STOP_POLL_MS = 50;
 
 const STATUS_UNAUTHORIZED = 401;
+const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 
 /** Dependencies of {@link CallerServer}. */
@@ -391,7 +392,7 @@
     response.end(this.beginRefusal(response, requestId, refusal));
   }
 
-  /** Describes the configuration by which a key is refused, for the log. */
+  /** Describes the configuration by which a key or a path is refused, for the log. */
   private describeConfiguration(): Record<string, number> {
     const { version, confirmedAtMs } = this.deps.view.configurationKnowledge ?? {
       version: 0,
@@ -410,7 +411,8 @@
     { status, detail, retryAfterMs }: Refusal,
   ): string {
     this.deps.metrics.count(`refusals_${status}`);
-    const configuration = status === STATUS_UNAUTHORIZED ? this.describeConfiguration() : {};
+    const isByConfiguration = status === STATUS_UNAUTHORIZED || status === STATUS_NOT_FOUND;
+    const configuration = isByConfiguration ? this.describeConfiguration() : {};
     this.deps.log.decision('request refused', {
       requestId: requestId ?? '',
       status,
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -296,6 +296,6 @@
       leavingServers: Object.fromEntries(this.leavingServers),
       paces: this.paceAverages.getPaces(nowMs),
     };
-    this.publisher.publish(report, isForced);
+    this.deps.metrics.count('reports_sent', this.publisher.publish(report, isForced));
   }
 }
--- a/src/direct/FleetSource.ts
+++ b/src/direct/FleetSource.ts
@@ -36,10 +36,13 @@
   readonly changes: readonly ServerChange[];
 }
 
-/** The latest configuration, if it could be read, as of a position. */
+/** The latest configuration as of a position. */
 export interface ConfigurationRead extends StorePosition {
   readonly kind: 'read';
+  /** Undefined if there is none, if a watch found no newer one, or if it could not be read. */
   readonly configuration: ServingConfiguration | undefined;
+  /** Why the configuration could not be read; absent if it could, or if there is none. */
+  readonly problem?: string;
 }
 
 /** Source of the configuration and the list of backend servers. */
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -42,15 +42,16 @@
   readonly list: () => Promise<R | SourceFailure>;
   readonly watch: (revision: number) => Promise<R | SourceFailure>;
   /** Applies a list; returns whether to watch it from its revision on, instead of listing again. */
-  readonly applyList: (result: R, isRestored: boolean) => Promise<boolean>;
+  readonly applyList: (result: R, isRestored: boolean, callMs: number) => Promise<boolean>;
   /** Applies the result of a watch. */
-  readonly applyChanges: (result: R) => Promise<void>;
+  readonly applyChanges: (result: R, callMs: number) => Promise<void>;
 }
 
 /** Keeps a router's view of the fleet current with one watch of the configuration and one of the servers. */
 export class FleetWatcher implements Service {
   private readonly expiryTask: PeriodicTask;
-  private readonly downSubjects = new Set<string>();
+  /** When each subject became unreachable, and the number of failed calls since. */
+  private readonly downSubjects = new Map<string, { readonly sinceMs: number; failureCount: number }>();
   private readonly unreadableIds = new Set<string>();
   private readonly eras = new StoreEras();
   /** Functions that end the pending waits of all subjects after a restore of the store. */
@@ -61,6 +62,8 @@
   /** @param deps - Dependencies. */
   constructor(private readonly deps: FleetWatcherDependencies) {
     this.expiryTask = new PeriodicTask(deps.clock, EXPIRY_INTERVAL_MS, () => this.expire());
+    deps.metrics.gauge('configuration_version', () => deps.view.configuration?.version ?? 0);
+    deps.metrics.gauge('configuration_confirmed_age_ms', () => this.getConfirmedAgeMs());
   }
 
   /**
@@ -119,8 +122,8 @@
       subject: 'configuration',
       list: () => source.readConfiguration(),
       watch: (revision) => source.watchConfiguration(revision, this.getTimes().waitMs),
-      applyList: async (result) => {
-        this.applyConfiguration(result);
+      applyList: async (result, _isRestored, callMs) => {
+        this.applyConfiguration(result, 'list', callMs);
         if (!result.configuration) {
           // A kind of object that was never written may not be watchable yet, so a missing configuration is read again
           // instead.
@@ -128,8 +131,8 @@
         }
         return result.configuration !== undefined;
       },
-      applyChanges: (result) => {
-        this.applyConfiguration(result);
+      applyChanges: (result, callMs) => {
+        this.applyConfiguration(result, 'watch', callMs);
         return Promise.resolve();
       },
     });
@@ -150,8 +153,10 @@
         position = undefined;
       }
       const isList = position === undefined;
+      const calledAtMs = this.deps.clock.nowMs();
       const call = position === undefined ? watched.list() : watched.watch(position.revision);
       const result = await this.awaitUnlessRestored(call);
+      const callMs = this.deps.clock.nowMs() - calledAtMs;
       if (!result) {
         continue;
       }
@@ -170,9 +175,9 @@
       if (isList) {
         const isRestored = listedEra !== undefined && listedEra !== result.era;
         listedEra = result.era;
-        position = (await watched.applyList(result, isRestored)) ? toPosition(result) : undefined;
+        position = (await watched.applyList(result, isRestored, callMs)) ? toPosition(result) : undefined;
       } else if (result.era === position?.era) {
-        await watched.applyChanges(result);
+        await watched.applyChanges(result, callMs);
         position = toPosition(result);
       }
     }
@@ -263,12 +268,27 @@
     }
   }
 
-  private applyConfiguration(result: ConfigurationRead): void {
-    const { configuration } = result;
-    this.deps.view.confirmConfiguration(this.deps.clock.nowMs());
+  /** Time since the store last stated that there is no newer configuration than the applied one, in milliseconds; -1 if never. */
+  private getConfirmedAgeMs(): number {
+    const confirmedAtMs = this.deps.view.configurationKnowledge?.confirmedAtMs;
+    return confirmedAtMs === undefined ? -1 : Math.round(this.deps.clock.nowMs() - confirmedAtMs);
+  }
+
+  private applyConfiguration(result: ConfigurationRead, source: 'list' | 'watch', callMs: number): void {
+    const { configuration, problem } = result;
+    if (problem !== undefined) {
+      this.deps.metrics.count('unreadable_configurations');
+      this.deps.log.warn('configuration cannot be read', { source, revision: result.revision, problem });
+    }
+    const confirmedAgeMs = this.getConfirmedAgeMs();
+    const receivedAtMs = this.deps.clock.nowMs();
+    this.deps.view.confirmConfiguration(receivedAtMs);
     if (configuration && this.deps.view.applyConfiguration(configuration)) {
       this.deps.log.info('configuration applied', {
         version: configuration.version,
+        source,
+        callMs: Math.round(callMs),
+        confirmedAgeMs,
         routeCount: configuration.routes.length,
         headerTimeoutMs: configuration.callerLimits.headerTimeoutMs,
         idleTimeoutMs: configuration.callerLimits.idleTimeoutMs,
@@ -278,6 +298,7 @@
         this.deps.log.warn('organisation cannot be read', { version: configuration.version, problem });
       }
       this.changeListener();
+      this.deps.metrics.recordMs('configuration_apply_ms', this.deps.clock.nowMs() - receivedAtMs);
     }
   }
 
@@ -291,8 +312,12 @@
 
   private markAvailable(subject: string): void {
     const { view, clock, log } = this.deps;
-    if (this.downSubjects.delete(subject)) {
-      log.info('platform store is reachable again', { subject });
+    const outage = this.downSubjects.get(subject);
+    if (outage) {
+      this.downSubjects.delete(subject);
+      const { sinceMs, failureCount } = outage;
+      const downMs = Math.round(clock.nowMs() - sinceMs);
+      log.info('platform store is reachable again', { subject, downMs, failureCount });
     }
     if (this.downSubjects.size === 0) {
       view.markStoreAvailable(clock.nowMs());
@@ -307,8 +332,11 @@
       return MIN_RETRY_MS;
     }
     view.markStoreUnavailable(clock.nowMs());
-    if (!this.downSubjects.has(subject)) {
-      this.downSubjects.add(subject);
+    const outage = this.downSubjects.get(subject);
+    if (outage) {
+      outage.failureCount++;
+    } else {
+      this.downSubjects.set(subject, { sinceMs: clock.nowMs(), failureCount: 1 });
       log.warn('platform store is unreachable', { subject, detail: failure.detail });
     }
     await delay(clock, random.jitterMs(retryMs));
--- a/src/direct/ReportPublisher.ts
+++ b/src/direct/ReportPublisher.ts
@@ -113,12 +113,13 @@
   }
 
   /**
-   * Sends a report to the routers for which it is due.
+   * Sends a report to the routers for which it is due, and returns their number.
    * @param report - Current state of the engine.
    * @param isForced - Whether to send it to all routers in any case.
    */
-  publish(report: AgentReport, isForced = false): void {
+  publish(report: AgentReport, isForced = false): number {
     const nowMs = this.clock.nowMs();
+    let sentCount = 0;
     const comparisons = new Map<AgentReport | undefined, Comparison>();
     for (const [connection, follower] of this.followers) {
       let comparison = comparisons.get(follower.sentReport);
@@ -132,8 +133,10 @@
         follower.sentReport = report;
         follower.sentAtMs = nowMs;
         connection.notify(ROUTING_METHODS.report, comparison.changes);
+        sentCount++;
       }
     }
+    return sentCount;
   }
 
   private updateNames(): void {
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -566,6 +566,7 @@
     log.decision('request ended', {
       requestId: headers.requestId,
       route: route.name,
+      configurationVersion: this.request.configurationVersion,
       outcome,
       detail,
       verdict: this.tracker.verdict,
--- a/src/direct/RequestResolver.ts
+++ b/src/direct/RequestResolver.ts
@@ -21,6 +21,7 @@
 /** Route of a request and what its key gives access to. */
 interface Permitted {
   readonly kind: 'permitted';
+  readonly configurationVersion: number;
   readonly route: Route;
   readonly access: CallerAccess;
 }
@@ -65,7 +66,7 @@
       return permission;
     }
     const { codec, random } = this.deps;
-    const { route, access } = permission;
+    const { route, access, configurationVersion } = permission;
     const headers = codec.decodeRequest(incoming.headers);
     const target = pickTarget(route, random.nextFraction());
     if (!target) {
@@ -87,6 +88,7 @@
       priority: organisationPriority ?? route.priority,
       fingerprint: getFingerprint(method, path, headers.model, body),
       receivedAtMs,
+      configurationVersion,
       connectionRequestNumber,
     };
     return { kind: 'accepted', request };
@@ -111,7 +113,7 @@
       case 'unmanaged':
       case 'public':
       case 'organisation':
-        return { kind: 'permitted', route, access };
+        return { kind: 'permitted', route, access, configurationVersion: view.configuration.version };
     }
   }
 }
--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -321,12 +321,9 @@
         status: 200,
         body: { items: [serverObject('main', { Version: 'x' })], HasMore: false, StoreRevision: 3 },
       });
-      expect(await source.readConfiguration()).to.deep.equal({
-        kind: 'read',
-        configuration: undefined,
-        era: 0,
-        revision: 3,
-      });
+      const read = await source.readConfiguration();
+      expect(read).to.deep.include({ kind: 'read', configuration: undefined, era: 0, revision: 3 });
+      expect(read.kind === 'read' && read.problem).to.match(/^Version: /);
     });
   });
 });
--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { toOrganisationId, toServerId } from '../../src/domain/index.js';
+import type { ServingConfiguration } from '../../src/direct/index.js';
 import type { CallerAccess } from '../../src/organisations/index.js';
 import { decodeConfiguration } from '../../platform/configurationCodec.js';
 import { PlatformHeaderCodec } from '../../platform/PlatformHeaderCodec.js';
@@ -97,6 +98,12 @@
   it('is undefined for an invalid report', () => expect(decodeEngineReport({})).to.equal(undefined));
 });
 
+/** Returns the decoded configuration; undefined if it is invalid. */
+function decodeValid(value: unknown): ServingConfiguration | undefined {
+  const decoded = decodeConfiguration(value);
+  return decoded.kind === 'decoded' ? decoded.configuration : undefined;
+}
+
 describe('decodeConfiguration', () => {
   const configuration = {
     Version: 7,
@@ -144,7 +151,7 @@
   };
 
   it('decodes routes, engines and limits', () => {
-    const decoded = decodeConfiguration(configuration);
+    const decoded = decodeValid(configuration);
     expect(decoded?.routes[0]?.targets.map(({ weight }) => weight)).to.deep.equal([90, 10]);
     const engine = [...(decoded?.services.values() ?? [])][0]?.engine;
     expect(engine?.weightsMb).to.equal(200_000);
@@ -163,13 +170,15 @@
   it('takes a health path that cannot be requested for none', () => {
     for (const HealthPath of ['health', '/a b', '', 7, null]) {
       const Services = [{ ...configuration.Services[0], HealthPath }];
-      const [service] = [...(decodeConfiguration({ ...configuration, Services })?.services.values() ?? [])];
+      const [service] = [...(decodeValid({ ...configuration, Services })?.services.values() ?? [])];
       expect(service?.engine).to.include({ weightsMb: 200_000, healthPath: undefined });
     }
   });
 
-  it('is undefined for an invalid configuration', () =>
-    expect(decodeConfiguration({ ...configuration, Routes: 'none' })).to.equal(undefined));
+  it('names the fields of an invalid configuration', () => {
+    const decoded = decodeConfiguration({ ...configuration, Routes: 'none' });
+    expect(decoded.kind === 'invalid' && decoded.problem).to.match(/^Routes: /);
+  });
 });
 
 describe('PlatformHeaderCodec', () => {
