--- a/test/direct/AgentConnections.test.ts
+++ b/test/direct/AgentConnections.test.ts
@@ -6,10 +6,15 @@
 import { PeerDialer, PeerServer, TrafficMeter } from '../../src/transport/index.js';
 import { SilencingProxy } from '../process/SilencingProxy.js';
 import { sleepMs, waitUntil } from '../waiting.js';
-import { makeConfiguration, makeEntry } from './fleetFixtures.js';
+import { ENGINES, makeConfiguration, makeEntry, makeProfile } from './fleetFixtures.js';
 import { SlowEngine } from './SlowEngine.js';
 
 const CLOCK = new SystemClock();
+const MANY_MODELS = Array.from({ length: 195 }, (_, index) => `model-${index}`);
+/** Bytes that a version may cost for each agent whose models are the same, heartbeats included. */
+const MAX_UNCHANGED_BYTES = 1_000;
+/** Time in which an agent reports a version, in milliseconds. */
+const VERSION_LIMIT_MS = 3_000;
 const ENGINE_ADDRESS = '127.0.0.1:1';
 /** Time in which a router replaces a silent connection, in milliseconds. */
 const RECONNECT_LIMIT_MS = 6_000;
@@ -47,6 +52,8 @@
   let proxy: SilencingProxy;
   let reservation: LoopbackReservation;
   let agentConnections: AgentConnections;
+  let view: FleetView;
+  let traffic: TrafficMeter;
 
   beforeEach(async () => {
     engine = new SlowEngine();
@@ -67,10 +74,11 @@
     await controller.start();
     proxy = new SilencingProxy(`127.0.0.1:${port}`);
     const peerPort = Number((await proxy.start()).split(':')[1]);
-    const view = new FleetView();
+    view = new FleetView();
     view.applyConfiguration(makeConfiguration(1));
     view.applyList([makeEntry('x', { address: ENGINE_ADDRESS })], 0);
-    const dialer = new PeerDialer('router-1', 's', CLOCK, new TrafficMeter());
+    traffic = new TrafficMeter();
+    const dialer = new PeerDialer('router-1', 's', CLOCK, traffic);
     agentConnections = new AgentConnections({ clock: CLOCK, dialer, view, peerPort, log: routerLog });
     dialer.exposeMethods(agentConnections.getMethods());
     await agentConnections.start();
@@ -96,6 +104,39 @@
     expect(isReplaced()).to.equal(true);
   }
 
+  // Issue 50, CONFIG: each version sent the sizes of all models to each agent again, 24 KB each, on links of 14 Mbit/s.
+  describe('updateConnections', () => {
+    /** Applies a version of the configuration and returns the bytes that the router sends because of it. */
+    async function countBytesOfVersion(version: number, models: readonly string[]): Promise<number> {
+      const configuration = makeConfiguration(version);
+      const services = new Map(configuration.services);
+      services.set(ENGINES, { serviceId: ENGINES, maxConnections: 300, engine: makeProfile(models) });
+      view.applyConfiguration({ ...configuration, services });
+      const before = traffic.sentBytes;
+      agentConnections.updateConnections();
+      await waitUntil(() => engineVersion() === version, VERSION_LIMIT_MS);
+      expect(engineVersion()).to.equal(version);
+      return traffic.sentBytes - before;
+    }
+
+    /** Version that the agent reports. */
+    function engineVersion(): number | undefined {
+      const [known] = [...view.getReadyServers(ENGINES, CLOCK.nowMs())];
+      return known?.report?.configurationVersion;
+    }
+
+    it('sends the models of an engine once, and a later version without them', async () => {
+      expect(await countBytesOfVersion(2, MANY_MODELS)).to.be.greaterThan(MAX_UNCHANGED_BYTES);
+      expect(await countBytesOfVersion(3, MANY_MODELS)).to.be.below(MAX_UNCHANGED_BYTES);
+    });
+
+    it('sends models again that have changed', async () => {
+      await countBytesOfVersion(2, MANY_MODELS);
+      expect(await countBytesOfVersion(3, MANY_MODELS.slice(1))).to.be.greaterThan(MAX_UNCHANGED_BYTES);
+      expect(await countBytesOfVersion(4, MANY_MODELS)).to.be.greaterThan(MAX_UNCHANGED_BYTES);
+    });
+  });
+
   describe('notifyModelUse', () => {
     it('protects the models of running requests also after a silent connection was replaced', async () => {
       for (const model of ['b', 'c']) {
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -14,6 +14,9 @@
 
 const CLOCK = new SystemClock();
 
+/** Number of routers of a large fleet. */
+const FLEET_SIZE = 60;
+
 /** Number of routers so far; agents count routers by their names. */
 let routerCount = 0;
 
@@ -156,6 +159,35 @@
     expect(second.reports.at(-1)?.routerCount).to.equal(2);
   });
 
+  // Issue 50, CONFIG: each router that sent a new version made the agent send a report to all of them.
+  it('sends no report because routers have received a new version of the configuration', async () => {
+    const routers = Array.from({ length: FLEET_SIZE }, () => new FakeRouter(controller));
+    for (const follower of routers) {
+      follower.call('residency.follow', toFollowParams(makeProfile(), 1));
+    }
+    await delay(CLOCK, 200);
+    const countReports = () => routers.reduce((sum, { receivedChanges }) => sum + receivedChanges.length, 0);
+    const before = countReports();
+    for (const follower of routers) {
+      follower.call('residency.follow', toFollowParams(makeProfile(), 2));
+    }
+    expect(countReports() - before).to.equal(0);
+    // The next report that is due names the version.
+    await delay(CLOCK, 1_300);
+    expect(routers.map(({ reports }) => reports.at(-1)?.configurationVersion)).to.deep.equal(
+      routers.map(() => 2),
+    );
+  });
+
+  // Issue 50, CONFIG: as above, while many routers connect.
+  it('sends each router that connects one report, and the others none', () => {
+    const routers = Array.from({ length: FLEET_SIZE }, () => new FakeRouter(controller));
+    for (const follower of routers) {
+      follower.call('residency.follow', toFollowParams(makeProfile(), 1));
+    }
+    expect(routers.map(({ receivedChanges }) => receivedChanges.length)).to.deep.equal(routers.map(() => 1));
+  });
+
   it('reports fingerprints of requests that crash servers', () => {
     router.call('residency.crashed', { fingerprint: 'f', crashCount: 2 });
     expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 2 });
