--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -171,13 +171,19 @@
     if (typeof params.healthPath === 'string') {
       this.orders.setHealthPath(params.healthPath);
     }
-    if (this.publisher.add(from)) {
-      this.runningCounts.set(from, new Map());
-      from.onClose(() => this.onDisconnect(from));
-      this.deps.log.info('router connected', { router: from.peerName });
-      this.sendCrashes(this.crashRecorder.getCrashes(this.deps.clock.nowMs()), from);
+    this.addFollower(from);
+  }
+
+  /** Sends a router that is new the current state; the others receive what has changed with their next report. */
+  private addFollower(from: PeerConnection): void {
+    if (!this.publisher.add(from)) {
+      return;
     }
-    this.publishReport(true);
+    this.runningCounts.set(from, new Map());
+    from.onClose(() => this.onDisconnect(from));
+    this.deps.log.info('router connected', { router: from.peerName });
+    this.sendCrashes(this.crashRecorder.getCrashes(this.deps.clock.nowMs()), from);
+    this.publishReport();
   }
 
   private onDisconnect(from: PeerConnection): void {
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -155,6 +155,8 @@
     await delay(CLOCK, 1_300);
     expect(second.receivedChanges[0]?.heldModels?.map(({ name }) => name)).to.deep.equal(['b', 'c']);
     expect(second.receivedChanges.at(-1)).not.to.have.any.keys('heldModels', 'bornAtMs', 'modelsOnDisk');
+    // A change that goes to all routers at once.
+    router.call('residency.leaving', { serverId: 'i-9', bornAtMs: 5 });
     expect(second.reports.at(-1)).to.deep.equal(router.reports.at(-1));
     expect(second.reports.at(-1)?.routerCount).to.equal(2);
   });
