--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -15,10 +15,10 @@
   type ServerIncarnation,
 } from './decisions/index.js';
 import { getEngineEntries } from './engineEntries.js';
+import { EngineSubscription, type SubscriptionLink } from './EngineSubscription.js';
 import {
   RESIDENCY_METHODS,
   ROUTING_METHODS,
-  toFollowParams,
   type BrokenOffParams,
   type EngineCrashesParams,
   type EngineReportParams,
@@ -55,7 +55,7 @@
 /** Connection to one agent. */
 interface AgentConnection {
   readonly connection: PeerConnection;
-  followedVersion: number;
+  readonly subscription: EngineSubscription;
   /** Latest report, to which the agent's next changes are applied. */
   report: AgentReport | undefined;
   /** When the agent last sent a report or an answer. */
@@ -325,7 +325,7 @@
   private ensureConnection(address: string, engine: EngineProfile): void {
     const agent = this.connections.get(address);
     if (agent) {
-      this.sendFollow(agent, engine);
+      this.announce(agent, engine);
     } else if (!this.dialling.has(address)) {
       this.dialling.set(address, this.dial(address, engine));
     }
@@ -336,9 +336,18 @@
     const host = address.slice(0, address.lastIndexOf(':'));
     try {
       const connection = await dialer.connect(`${host}:${peerPort}`);
+      const sendRunningUses = () => {
+        for (const use of this.runningUses.get(address)) {
+          connection.notify(RESIDENCY_METHODS.started, use);
+        }
+      };
+      const link: SubscriptionLink = {
+        call: (method, params, timeoutMs) => this.call(address, method, params, timeoutMs),
+        notify: (method, params) => connection.notify(method, params),
+      };
       const agent: AgentConnection = {
         connection,
-        followedVersion: -Infinity,
+        subscription: new EngineSubscription(this.deps.clock, link, sendRunningUses),
         report: undefined,
         heardAtMs: this.deps.clock.nowMs(),
         missingMethods: new Set(),
@@ -352,10 +361,8 @@
         view.discardReport(address);
         log.warn('agent disconnected', { address, wasUnread: connection.wasUnread });
       });
-      this.sendFollow(agent, engine);
-      for (const use of this.runningUses.get(address)) {
-        connection.notify(RESIDENCY_METHODS.started, use);
-      }
+      this.announce(agent, engine);
+      sendRunningUses();
       log.info('agent connected', { address });
     } catch {
       // Retried at the next interval; until then the server's state is taken from the platform's list.
@@ -364,12 +371,8 @@
     }
   }
 
-  private sendFollow(agent: AgentConnection, engine: EngineProfile): void {
-    const version = this.deps.view.configuration?.version ?? 0;
-    if (agent.followedVersion !== version) {
-      agent.followedVersion = version;
-      agent.connection.notify(RESIDENCY_METHODS.follow, toFollowParams(engine, version));
-    }
+  private announce({ subscription }: AgentConnection, engine: EngineProfile): void {
+    subscription.update(engine, this.deps.view.configuration?.version ?? 0);
   }
 }
 
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -27,6 +27,8 @@
   type LeavingParams,
   type ModelUseParams,
   type PartsAnsweredParams,
+  type SubscribeEngineParams,
+  type SubscribeEngineReply,
   type WantModelParams,
 } from './messages.js';
 
@@ -34,6 +36,8 @@
 const POLL_INTERVAL_MS = 100;
 /** Interval at which the engine's state is read while it carries out an order or models are queued, in milliseconds. */
 const BUSY_POLL_INTERVAL_MS = 40;
+/** Time for which an agent waits for the engine profile from one router before it asks another, in milliseconds. */
+const PROFILE_TIMEOUT_MS = 1_000;
 /** Maximum number of stored leaving servers. */
 const MAX_LEAVING_SERVERS = 200;
 /** Maximum number of stored fingerprints of crashing requests. */
@@ -67,6 +71,8 @@
   /** Start times of servers that routers have found to be leaving. */
   private readonly leavingServers = new Map<ServerId, number>();
   private isEngineUp = true;
+  /** Time until which a router that was asked for the engine profile may send it. */
+  private profileAwaitedUntilMs = -Infinity;
   private endDelay: () => void = () => undefined;
   private stopped = false;
 
@@ -87,6 +93,8 @@
   /** Returns the methods that routers call. */
   getMethods(): PeerMethods {
     return {
+      [RESIDENCY_METHODS.subscribe]: (params: SubscribeEngineParams, from: PeerConnection) =>
+        this.onSubscribe(params, from),
       [RESIDENCY_METHODS.follow]: (params: FollowEngineParams, from: PeerConnection) =>
         this.onFollow(params, from),
       [RESIDENCY_METHODS.want]: (params: WantModelParams, from: PeerConnection) =>
@@ -166,8 +174,23 @@
     }
   }
 
+  private onSubscribe(params: SubscribeEngineParams, from: PeerConnection): SubscribeEngineReply {
+    const nowMs = this.deps.clock.nowMs();
+    const isKnown = this.planner.confirmCapacity(params.configurationVersion, params.profileDigest);
+    this.addFollower(from);
+    if (isKnown) {
+      return { profileState: 'known' };
+    }
+    if (nowMs < this.profileAwaitedUntilMs) {
+      return { profileState: 'pending' };
+    }
+    this.profileAwaitedUntilMs = nowMs + PROFILE_TIMEOUT_MS;
+    return { profileState: 'wanted' };
+  }
+
   private onFollow(params: FollowEngineParams, from: PeerConnection): void {
     this.planner.setCapacity({ ...params, models: new Map(params.models) });
+    this.profileAwaitedUntilMs = -Infinity;
     if (typeof params.healthPath === 'string') {
       this.orders.setHealthPath(params.healthPath);
     }
--- a/src/direct/decisions/ResidencyPlanner.ts
+++ b/src/direct/decisions/ResidencyPlanner.ts
@@ -27,6 +27,8 @@
 /** Memory and adapter slots of an engine, and the sizes of the models that it may hold. */
 export interface EngineCapacity {
   readonly configurationVersion: number;
+  /** Digest of the engine profile that the capacity is from; absent if the router that sent it stated none. */
+  readonly profileDigest?: string;
   readonly weightsMb: number;
   readonly adapterSlotCount: number;
   readonly models: ReadonlyMap<string, ModelFootprint>;
@@ -120,6 +122,25 @@
     }
   }
 
+  /**
+   * Records a version of the configuration whose engine profile has a digest; returns false if that profile is not known.
+   * @param configurationVersion - The version.
+   * @param profileDigest - Digest of the profile.
+   */
+  confirmCapacity(configurationVersion: number, profileDigest: string): boolean {
+    if (!this.capacity) {
+      return false;
+    }
+    if (configurationVersion < this.capacity.configurationVersion) {
+      return true;
+    }
+    if (profileDigest !== this.capacity.profileDigest) {
+      return false;
+    }
+    this.capacity = { ...this.capacity, configurationVersion };
+    return true;
+  }
+
   /**
    * Applies a report of the engine.
    * @param report - The report.
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -6,9 +6,11 @@
   PromptPartHistory,
   ReportChanges,
 } from './decisions/index.js';
+import { getProfileDigest } from './getProfileDigest.js';
 
 /** Methods that agents offer to routers. */
 export const RESIDENCY_METHODS = {
+  subscribe: 'residency.subscribe',
   follow: 'residency.follow',
   want: 'residency.want',
   started: 'residency.started',
@@ -29,9 +31,23 @@
 /** Methods that routers offer to agents. */
 export const ROUTING_METHODS = { report: 'routing.report', engineCrashes: 'routing.engineCrashes' } as const;
 
+/** Subscribes to an agent's reports and tells it a version of the configuration. */
+export interface SubscribeEngineParams {
+  readonly configurationVersion: number;
+  /** Digest of the engine profile of its service in that version. */
+  readonly profileDigest: string;
+}
+
+/** An agent's reply: whether it has the profile, wants it from this router, or waits for it from another one. */
+export interface SubscribeEngineReply {
+  readonly profileState: 'known' | 'wanted' | 'pending';
+}
+
 /** Sends an agent the engine profile of its service and subscribes to its reports. */
 export interface FollowEngineParams {
   readonly configurationVersion: number;
+  /** Digest of this profile; absent from routers of older versions. */
+  readonly profileDigest?: string;
   readonly weightsMb: number;
   readonly adapterSlotCount: number;
   readonly models: readonly (readonly [string, ModelFootprint])[];
@@ -137,5 +153,13 @@
  */
 export function toFollowParams(profile: EngineProfile, configurationVersion: number): FollowEngineParams {
   const { weightsMb, adapterSlotCount, models, healthPath } = profile;
-  return { configurationVersion, weightsMb, adapterSlotCount, models: [...models], healthPath };
+  const profileDigest = getProfileDigest(profile);
+  return {
+    configurationVersion,
+    profileDigest,
+    weightsMb,
+    adapterSlotCount,
+    models: [...models],
+    healthPath,
+  };
 }
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -5,7 +5,11 @@
   type AgentReport,
   type ReportChanges,
 } from '../../src/direct/index.js';
-import { toFollowParams, type EngineCrashesParams } from '../../src/direct/messages.js';
+import {
+  toFollowParams,
+  type EngineCrashesParams,
+  type SubscribeEngineReply,
+} from '../../src/direct/messages.js';
 import { delay, onBackgroundError, SystemClock } from '../../src/kernel/index.js';
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import type { PeerConnection } from '../../src/transport/index.js';
@@ -181,6 +185,22 @@
     );
   });
 
+  // Issue 50, CONFIG: each router sent the profile, of which one copy is enough.
+  it('asks one router at a time for a profile that it does not have', async () => {
+    const params = (version: number, models: string[]) => toFollowParams(makeProfile(models), version);
+    const subscribe = (version: number, models: string[]) =>
+      router.call<SubscribeEngineReply>('residency.subscribe', params(version, models)).profileState;
+    expect(subscribe(2, ['a', 'b', 'c', 'd'])).to.equal('known');
+    expect([subscribe(3, ['a']), subscribe(3, ['a'])]).to.deep.equal(['wanted', 'pending']);
+    router.call('residency.follow', params(3, ['a']));
+    expect(subscribe(3, ['a'])).to.equal('known');
+    // A router that still has an older version is not asked for what it can no longer change.
+    expect(subscribe(2, ['a', 'b', 'c', 'd'])).to.equal('known');
+    expect(subscribe(4, ['b'])).to.equal('wanted');
+    await delay(CLOCK, 1_050);
+    expect(subscribe(4, ['b'])).to.equal('wanted');
+  });
+
   // Issue 50, CONFIG: as above, while many routers connect.
   it('sends each router that connects one report, and the others none', () => {
     const routers = Array.from({ length: FLEET_SIZE }, () => new FakeRouter(controller));
