--- a/src/agent/HttpBackendClient.ts
+++ b/src/agent/HttpBackendClient.ts
@@ -7,7 +7,10 @@
 const STATE_TIMEOUT_MS = 1_000;
 /** Timeout of an order. */
 const ORDER_TIMEOUT_MS = 120_000;
+/** Maximum size of a response, in bytes; an agent keeps a response until its router has received it. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 const AGENT_OPTIONS: Agent.Options = {
+  maxResponseSize: MAX_RESPONSE_BYTES,
   connections: 512,
   pipelining: 1,
   headersTimeout: 0,
--- a/src/platform/PlatformHttp.ts
+++ b/src/platform/PlatformHttp.ts
@@ -3,6 +3,9 @@
 /** Response timeout of a request without a wait time, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 2_000;
 
+/** Maximum size of a response, in bytes; a page of a list holds about 1 MB. */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
 /** Response of the platform; status 0 when there was none. */
 export interface PlatformResponse {
   readonly status: number;
@@ -11,7 +14,11 @@
 
 /** Sends authenticated requests to the platform. */
 export class PlatformHttp {
-  private readonly agent = new Agent({ connections: 16, pipelining: 1 });
+  private readonly agent = new Agent({
+    connections: 16,
+    pipelining: 1,
+    maxResponseSize: MAX_RESPONSE_BYTES,
+  });
   private requestCountValue = 0;
   private byteCountValue = 0;
 
