--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -43,8 +43,8 @@
   readonly watch: (revision: number) => Promise<R | SourceFailure>;
   /** Applies a list; returns whether to watch it from its revision on, instead of listing again. */
   readonly applyList: (result: R, isRestored: boolean, callMs: number) => Promise<boolean>;
-  /** Applies the result of a watch. */
-  readonly applyChanges: (result: R, callMs: number) => Promise<void>;
+  /** Applies the result of a watch; returns whether to watch on from its revision, instead of listing again. */
+  readonly applyChanges: (result: R, callMs: number) => Promise<boolean>;
 }
 
 /** Keeps a router's view of the fleet current with one watch of the configuration and one of the servers. */
@@ -56,6 +56,8 @@
   private readonly eras = new StoreEras();
   /** Functions that end the pending waits of all subjects after a restore of the store. */
   private readonly restoreListeners = new Set<() => void>();
+  /** Whether the store has a newer configuration than the applied one, which could not be read. */
+  private isNewestUnreadable = false;
   private changeListener: () => void = () => undefined;
   private stopped = false;
 
@@ -112,6 +114,7 @@
           await this.awaitUnlessRestored(delay(clock, times.changesDelayMs));
           waitMs = times.delayedWaitMs;
         }
+        return true;
       },
     });
   }
@@ -124,16 +127,19 @@
       watch: (revision) => source.watchConfiguration(revision, this.getTimes().waitMs),
       applyList: async (result, _isRestored, callMs) => {
         this.applyConfiguration(result, 'list', callMs);
-        if (!result.configuration) {
+        const isPresent = result.configuration !== undefined || result.problem !== undefined;
+        const isWatchable = isPresent && this.deps.view.configuration !== undefined;
+        if (!isWatchable) {
           // A kind of object that was never written may not be watchable yet, so a missing configuration is read again
           // instead.
           await delay(clock, MAX_RETRY_MS);
         }
-        return result.configuration !== undefined;
+        return isWatchable;
       },
       applyChanges: (result, callMs) => {
         this.applyConfiguration(result, 'watch', callMs);
-        return Promise.resolve();
+        // The list has the whole object, of which the event may be a part.
+        return Promise.resolve(result.problem === undefined);
       },
     });
   }
@@ -177,8 +183,7 @@
         listedEra = result.era;
         position = (await watched.applyList(result, isRestored, callMs)) ? toPosition(result) : undefined;
       } else if (result.era === position?.era) {
-        await watched.applyChanges(result, callMs);
-        position = toPosition(result);
+        position = (await watched.applyChanges(result, callMs)) ? toPosition(result) : undefined;
       }
     }
   }
@@ -276,23 +281,26 @@
 
   private applyConfiguration(result: ConfigurationRead, source: 'list' | 'watch', callMs: number): void {
     const { configuration, problem } = result;
+    this.isNewestUnreadable = !configuration && (problem !== undefined || this.isNewestUnreadable);
     if (problem !== undefined) {
       this.deps.metrics.count('unreadable_configurations');
       this.deps.log.warn('configuration cannot be read', { source, revision: result.revision, problem });
     }
     const confirmedAgeMs = this.getConfirmedAgeMs();
     const receivedAtMs = this.deps.clock.nowMs();
-    this.deps.view.confirmConfiguration(receivedAtMs);
+    if (!this.isNewestUnreadable) {
+      this.deps.view.confirmConfiguration(receivedAtMs);
+    }
     if (configuration && this.deps.view.applyConfiguration(configuration)) {
       this.deps.log.info('configuration applied', {
         version: configuration.version,
-        source,
-        callMs: Math.round(callMs),
-        confirmedAgeMs,
         routeCount: configuration.routes.length,
         headerTimeoutMs: configuration.callerLimits.headerTimeoutMs,
         idleTimeoutMs: configuration.callerLimits.idleTimeoutMs,
         organisationCount: configuration.organisations?.organisations.length ?? 0,
+        source,
+        callMs: Math.round(callMs),
+        confirmedAgeMs,
       });
       for (const problem of configuration.organisations?.problems ?? []) {
         this.deps.log.warn('organisation cannot be read', { version: configuration.version, problem });
--- a/test/direct/FleetWatcher.test.ts
+++ b/test/direct/FleetWatcher.test.ts
@@ -222,6 +222,37 @@
       ]);
     });
 
+    // Issue 50, CONFIG: such a version left no line, counted as confirmed, and was never read again.
+    it('reads a configuration again that it could not read, and does not take the former one for confirmed', async () => {
+      const bench = new WatcherBench();
+      const unreadable: ConfigurationRead = {
+        kind: 'read',
+        configuration: undefined,
+        problem: 'Routes.0.Kind: Invalid option',
+        era: 1,
+        revision: 9,
+      };
+      await bench.resolveCall('read configuration', READ);
+      const confirmedAtMs = bench.view.configurationKnowledge?.confirmedAtMs;
+      await bench.advance(100);
+      await bench.resolveCall('watch configuration from 5', unreadable);
+      expect(bench.log.warnings).to.deep.equal(['configuration cannot be read']);
+      await bench.resolveCall('read configuration', unreadable);
+      // Nothing newer than the version that it cannot read.
+      await bench.resolveCall('watch configuration from 9', {
+        kind: 'read',
+        configuration: undefined,
+        era: 1,
+        revision: 12,
+      });
+      expect(bench.view.configurationKnowledge?.confirmedAtMs).to.equal(confirmedAtMs);
+      expect(bench.view.configuration?.version).to.equal(3);
+      const newer = makeConfiguration(7);
+      await bench.resolveCall('watch configuration from 12', { ...READ, configuration: newer, revision: 15 });
+      expect(bench.view.configuration?.version).to.equal(7);
+      expect(bench.view.configurationKnowledge?.confirmedAtMs).to.equal(bench.clock.nowMs());
+    });
+
     it('retries at most 400 ms apart while the store is unreachable', async () => {
       const bench = new WatcherBench();
       for (let round = 0; round < 8; round++) {
--- a/test/platform/StoreFleetSource.test.ts
+++ b/test/platform/StoreFleetSource.test.ts
@@ -235,6 +235,21 @@
     });
   });
 
+  // Issue 50, CONFIG: an event that could not be read counted as no change.
+  describe('watchConfiguration with an event that cannot be read', () => {
+    it('states it, unless a later event has the configuration', async () => {
+      const main = { Tombstone: false, Object: serverObject('main', PLAIN_CONFIGURATION) };
+      for (const events of [[{ Object: 7 }], [{ Object: 7 }, main]]) {
+        script.push({ status: 200, body: { events, StoreRevision: 3 } });
+      }
+      const unreadable = await source.watchConfiguration(2, 50);
+      expect(unreadable.kind === 'read' && unreadable.problem).to.equal('an event cannot be read');
+      const read = await source.watchConfiguration(2, 50);
+      expect(read.kind === 'read' && read.problem).to.equal(undefined);
+      expect(read.kind === 'read' && read.configuration?.version).to.equal(PLAIN_CONFIGURATION.Version);
+    });
+  });
+
   describe('listServers during a restore of the store', () => {
     const makePage = (name: string, era: number, hasMore: boolean): ScriptedResponse => ({
       status: 200,
