--- a/test/platform/codecs.test.ts
+++ b/test/platform/codecs.test.ts
@@ -175,6 +175,42 @@
     }
   });
 
+  // Issue 50, CONFIG: a null in a field that may be absent made the whole configuration unreadable.
+  it('takes null for absent where a field may be absent', () => {
+    const Routes = [
+      {
+        ...configuration.Routes[0],
+        Priority: null,
+        TrafficSplit: null,
+        Service: 's',
+        MaxAttempts: null,
+        CanResume: null,
+        Public: null,
+        GapAimMs: null,
+      },
+    ];
+    const models = [
+      { Name: 'm', WeightsMb: 1, LoadS: 6, Adapters: null, AdapterMb: null, WarmS: null, DiskS: null },
+    ];
+    const Engine = { Slots: 48, WeightsMb: 2, AdapterSlots: null, LoadsPerS: 2.9, Models: models };
+    const Services = [
+      { Name: 's', MaxConns: 300, Engine },
+      { Name: 't', MaxConns: 110, Engine: null },
+    ];
+    const decoded = decodeValid({ ...configuration, Routes, Services });
+    expect(decoded?.routes[0]).to.deep.include({
+      priority: 0,
+      targets: [{ serviceId: 's', weight: 1 }],
+      maxAttempts: 1,
+      isResumable: false,
+      isPublic: false,
+      maxGapMs: undefined,
+    });
+    const [engines, plain] = [...(decoded?.services.values() ?? [])];
+    expect(engines?.engine?.models.get('m')).to.deep.include({ adapterCount: 0, diskLoadMs: 6_000 });
+    expect(plain?.engine).to.equal(undefined);
+  });
+
   it('names the fields of an invalid configuration', () => {
     const decoded = decodeConfiguration({ ...configuration, Routes: 'none' });
     expect(decoded.kind === 'invalid' && decoded.problem).to.match(/^Routes: /);
