--- a/standins/users/ObjectStore.ts
+++ b/standins/users/ObjectStore.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 /** Limits for callers in the configurations of tests. */
 export const CALLER_LIMITS = {
@@ -53,10 +53,20 @@
   /** Watches that began before this time never get a response. */
   private silentBeforeMs = -Infinity;
   private readonly pendingWatches = new Set<() => void>();
+  private readonly openSockets = new Set<Socket>();
+  /** Connections on which nothing is answered any more. */
+  private readonly silentSockets = new WeakSet<Socket>();
   private readonly server: Server = createServer((incoming, response) =>
     this.handleRequest(incoming, response),
   );
 
+  constructor() {
+    this.server.on('connection', (socket: Socket) => {
+      this.openSockets.add(socket);
+      socket.once('close', () => this.openSockets.delete(socket));
+    });
+  }
+
   /** Starts the store and returns its host and port. */
   async start(): Promise<string> {
     await new Promise<void>((resolve) => {
@@ -129,6 +139,13 @@
     this.silentBeforeMs = Date.now() + forMs;
   }
 
+  /** Answers nothing more on the connections that are open now; new connections are served. */
+  silenceOpenConnections(): void {
+    for (const socket of this.openSockets) {
+      this.silentSockets.add(socket);
+    }
+  }
+
   private publishEvent(event: StoredEvent): void {
     this.events.push(event);
     for (const tryRespond of [...this.pendingWatches]) {
@@ -194,6 +211,9 @@
   }
 
   private sendJson(response: ServerResponse, status: number, body: unknown): void {
+    if (response.socket && this.silentSockets.has(response.socket)) {
+      return;
+    }
     response.writeHead(status, { 'content-type': 'application/json', 'store-era': this.era });
     const text = JSON.stringify(body);
     if (this.delayMs > 0) {
