--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -253,9 +253,12 @@
   }
 
   private onCrash({ fingerprint, crashCount }: CrashedParams): void {
-    const count = Math.max(crashCount, this.crashCounts.get(fingerprint) ?? 0);
-    setNewest(this.crashCounts, fingerprint, count, MAX_CRASH_COUNTS);
-    this.deps.log.decision('crash recorded', { fingerprint, crashCount: count });
+    const isHigher = crashCount > (this.crashCounts.get(fingerprint) ?? 0);
+    if (!isHigher) {
+      return;
+    }
+    setNewest(this.crashCounts, fingerprint, crashCount, MAX_CRASH_COUNTS);
+    this.deps.log.decision('crash recorded', { fingerprint, crashCount });
     this.publishReport(true);
   }
 
--- a/test/direct/EngineController.test.ts
+++ b/test/direct/EngineController.test.ts
@@ -215,6 +215,18 @@
     expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 2 });
   });
 
+  // Issue 50, CONFIG: each router that stated a crash made the agent send a report to all of them, also a crash that it knew.
+  it('reports a crash count once, although several routers state it', () => {
+    const { length } = router.receivedChanges;
+    const state = (crashCount: number) => router.call('residency.crashed', { fingerprint: 'f', crashCount });
+    state(2);
+    state(2);
+    state(1);
+    expect(router.receivedChanges.length).to.equal(length + 1);
+    state(3);
+    expect(router.reports.at(-1)?.crashCounts).to.deep.equal({ f: 3 });
+  });
+
   it('tells all routers which prompt parts broke off at a crash, also while the engine is down', async () => {
     router.call('residency.brokenOff', { bornAtMs: 1, promptParts: ['a', 'b'] });
     engine.isDown = true;
