--- a/src/direct/EngineSubscription.ts
+++ b/src/direct/EngineSubscription.ts
@@ -60,7 +60,7 @@
   private async subscribe(profile: EngineProfile, configurationVersion: number): Promise<void> {
     const params: SubscribeEngineParams = { configurationVersion, profileDigest: getProfileDigest(profile) };
     try {
-      const result = await this.link.call<SubscribeEngineReply>(
+      const result = await this.link.call<SubscribeEngineReply | undefined>(
         RESIDENCY_METHODS.subscribe,
         params,
         SUBSCRIBE_TIMEOUT_MS,
@@ -70,8 +70,7 @@
         this.onLateSubscription();
         return;
       }
-      const profileState = result.kind === 'answered' ? result.value.profileState : 'pending';
-      switch (profileState) {
+      switch (result.kind === 'answered' ? result.value?.profileState : undefined) {
         case 'known':
           this.subscribedVersion = configurationVersion;
           return;
@@ -79,6 +78,7 @@
           this.sendProfile(profile, configurationVersion);
           return;
         case 'pending':
+        case undefined:
           this.retryAtMs = this.clock.nowMs() + RETRY_INTERVAL_MS;
       }
     } finally {
--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -1,6 +1,7 @@
 import { delay, keepRunning, type Clock, type Random, type Service } from '../kernel/index.js';
 import { PeriodicTask } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
+import { ConfigurationApplier, type ConfigurationCall } from './ConfigurationApplier.js';
 import type {
   ConfigurationRead,
   FleetSource,
@@ -50,22 +51,20 @@
 /** Keeps a router's view of the fleet current with one watch of the configuration and one of the servers. */
 export class FleetWatcher implements Service {
   private readonly expiryTask: PeriodicTask;
+  private readonly configurationApplier: ConfigurationApplier;
   /** When each subject became unreachable, and the number of failed calls since. */
   private readonly downSubjects = new Map<string, { readonly sinceMs: number; failureCount: number }>();
   private readonly unreadableIds = new Set<string>();
   private readonly eras = new StoreEras();
   /** Functions that end the pending waits of all subjects after a restore of the store. */
   private readonly restoreListeners = new Set<() => void>();
-  /** Whether the store has a newer configuration than the applied one, which could not be read. */
-  private isNewestUnreadable = false;
   private changeListener: () => void = () => undefined;
   private stopped = false;
 
   /** @param deps - Dependencies. */
   constructor(private readonly deps: FleetWatcherDependencies) {
     this.expiryTask = new PeriodicTask(deps.clock, EXPIRY_INTERVAL_MS, () => this.expire());
-    deps.metrics.gauge('configuration_version', () => deps.view.configuration?.version ?? 0);
-    deps.metrics.gauge('configuration_confirmed_age_ms', () => this.getConfirmedAgeMs());
+    this.configurationApplier = new ConfigurationApplier(deps);
   }
 
   /**
@@ -126,7 +125,7 @@
       list: () => source.readConfiguration(),
       watch: (revision) => source.watchConfiguration(revision, this.getTimes().waitMs),
       applyList: async (result, _isRestored, callMs) => {
-        this.applyConfiguration(result, 'list', callMs);
+        this.applyConfiguration(result, { kind: 'list', tookMs: callMs });
         const isPresent = result.configuration !== undefined || result.problem !== undefined;
         const isWatchable = isPresent && this.deps.view.configuration !== undefined;
         if (!isWatchable) {
@@ -137,7 +136,7 @@
         return isWatchable;
       },
       applyChanges: (result, callMs) => {
-        this.applyConfiguration(result, 'watch', callMs);
+        this.applyConfiguration(result, { kind: 'watch', tookMs: callMs });
         // The list has the whole object, of which the event may be a part.
         return Promise.resolve(result.problem === undefined);
       },
@@ -273,38 +272,9 @@
     }
   }
 
-  /** Time since the store last stated that there is no newer configuration than the applied one, in milliseconds; -1 if never. */
-  private getConfirmedAgeMs(): number {
-    const confirmedAtMs = this.deps.view.configurationKnowledge?.confirmedAtMs;
-    return confirmedAtMs === undefined ? -1 : Math.round(this.deps.clock.nowMs() - confirmedAtMs);
-  }
-
-  private applyConfiguration(result: ConfigurationRead, source: 'list' | 'watch', callMs: number): void {
-    const { configuration, problem } = result;
-    this.isNewestUnreadable = !configuration && (problem !== undefined || this.isNewestUnreadable);
-    if (problem !== undefined) {
-      this.deps.metrics.count('unreadable_configurations');
-      this.deps.log.warn('configuration cannot be read', { source, revision: result.revision, problem });
-    }
-    const confirmedAgeMs = this.getConfirmedAgeMs();
+  private applyConfiguration(result: ConfigurationRead, call: ConfigurationCall): void {
     const receivedAtMs = this.deps.clock.nowMs();
-    if (!this.isNewestUnreadable) {
-      this.deps.view.confirmConfiguration(receivedAtMs);
-    }
-    if (configuration && this.deps.view.applyConfiguration(configuration)) {
-      this.deps.log.info('configuration applied', {
-        version: configuration.version,
-        routeCount: configuration.routes.length,
-        headerTimeoutMs: configuration.callerLimits.headerTimeoutMs,
-        idleTimeoutMs: configuration.callerLimits.idleTimeoutMs,
-        organisationCount: configuration.organisations?.organisations.length ?? 0,
-        source,
-        callMs: Math.round(callMs),
-        confirmedAgeMs,
-      });
-      for (const problem of configuration.organisations?.problems ?? []) {
-        this.deps.log.warn('organisation cannot be read', { version: configuration.version, problem });
-      }
+    if (this.configurationApplier.apply(result, call)) {
       this.changeListener();
       this.deps.metrics.recordMs('configuration_apply_ms', this.deps.clock.nowMs() - receivedAtMs);
     }
