--- a/src/direct/CallerConnections.ts
+++ b/src/direct/CallerConnections.ts
@@ -101,7 +101,7 @@
     this.states.set(socket, state);
     // Node.js resumes the connection for the body of each request.
     socket.on('resume', () => {
-      if (!state.isReadingAhead) {
+      if (!state.isReadingAhead || hasReadAhead(socket, state)) {
         pauseIfFull(socket, openResponses);
       }
     });
@@ -192,7 +192,7 @@
   private findLeftCallers(): void {
     for (const [socket, state] of this.states) {
       const isPaused = state.openResponses.size >= MAX_OPEN_RESPONSES;
-      if (isPaused && socket.bytesRead - state.pausedAtBytes < READ_AHEAD_BYTES) {
+      if (isPaused && !hasReadAhead(socket, state)) {
         runInBackground('reading ahead', () => readAhead(socket, state));
       }
     }
@@ -258,6 +258,11 @@
   }
 }
 
+/** Whether as many bytes were read from a connection since it was paused as may be read ahead. */
+function hasReadAhead(socket: Socket, { pausedAtBytes }: ConnectionState): boolean {
+  return socket.bytesRead - pausedAtBytes >= READ_AHEAD_BYTES;
+}
+
 /** Reads once from a connection with too many open responses. */
 async function readAhead(socket: Socket, state: ConnectionState): Promise<void> {
   state.isReadingAhead = true;
