--- a/src/direct/FleetWatcher.ts
+++ b/src/direct/FleetWatcher.ts
@@ -43,9 +43,9 @@
   readonly list: () => Promise<R | SourceFailure>;
   readonly watch: (revision: number) => Promise<R | SourceFailure>;
   /** Applies a list; returns whether to watch it from its revision on, instead of listing again. */
-  readonly applyList: (result: R, isRestored: boolean, callMs: number) => Promise<boolean>;
+  readonly applyList: (result: R, isRestored: boolean) => Promise<boolean>;
   /** Applies the result of a watch; returns whether to watch on from its revision, instead of listing again. */
-  readonly applyChanges: (result: R, callMs: number) => Promise<boolean>;
+  readonly applyChanges: (result: R) => Promise<boolean>;
 }
 
 /** Keeps a router's view of the fleet current with one watch of the configuration and one of the servers. */
@@ -120,12 +120,21 @@
 
   private watchConfiguration(): Promise<void> {
     const { source, clock } = this.deps;
+    let calledAtMs = clock.nowMs();
+    const apply = (result: ConfigurationRead, kind: ConfigurationCall['kind']) =>
+      this.applyConfiguration(result, { kind, tookMs: clock.nowMs() - calledAtMs });
     return this.watchSubject<ConfigurationRead>({
       subject: 'configuration',
-      list: () => source.readConfiguration(),
-      watch: (revision) => source.watchConfiguration(revision, this.getTimes().waitMs),
-      applyList: async (result, _isRestored, callMs) => {
-        this.applyConfiguration(result, { kind: 'list', tookMs: callMs });
+      list: () => {
+        calledAtMs = clock.nowMs();
+        return source.readConfiguration();
+      },
+      watch: (revision) => {
+        calledAtMs = clock.nowMs();
+        return source.watchConfiguration(revision, this.getTimes().waitMs);
+      },
+      applyList: async (result) => {
+        apply(result, 'list');
         const isPresent = result.configuration !== undefined || result.problem !== undefined;
         const isWatchable = isPresent && this.deps.view.configuration !== undefined;
         if (!isWatchable) {
@@ -135,8 +144,8 @@
         }
         return isWatchable;
       },
-      applyChanges: (result, callMs) => {
-        this.applyConfiguration(result, { kind: 'watch', tookMs: callMs });
+      applyChanges: (result) => {
+        apply(result, 'watch');
         // The list has the whole object, of which the event may be a part.
         return Promise.resolve(result.problem === undefined);
       },
@@ -158,10 +167,8 @@
         position = undefined;
       }
       const isList = position === undefined;
-      const calledAtMs = this.deps.clock.nowMs();
       const call = position === undefined ? watched.list() : watched.watch(position.revision);
       const result = await this.awaitUnlessRestored(call);
-      const callMs = this.deps.clock.nowMs() - calledAtMs;
       if (!result) {
         continue;
       }
@@ -180,9 +187,9 @@
       if (isList) {
         const isRestored = listedEra !== undefined && listedEra !== result.era;
         listedEra = result.era;
-        position = (await watched.applyList(result, isRestored, callMs)) ? toPosition(result) : undefined;
+        position = (await watched.applyList(result, isRestored)) ? toPosition(result) : undefined;
       } else if (result.era === position?.era) {
-        position = (await watched.applyChanges(result, callMs)) ? toPosition(result) : undefined;
+        position = (await watched.applyChanges(result)) ? toPosition(result) : undefined;
       }
     }
   }
