--- a/test/platform/endlessBytes.test.ts
+++ b/test/platform/endlessBytes.test.ts
@@ -8,7 +8,13 @@
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
 import { sleepMs, waitUntil } from '../waiting.js';
-import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
+import {
+  bundleProgram,
+  callRouter,
+  makeSettingsFile,
+  makeWorkerOptions,
+  PLAIN_CONFIGURATION,
+} from './programs.js';
 
 const PORTS = { front: 9_491, ready: 9_492, peer: 9_493, spare: 9_494 };
 const WORKER_PORT = 9_495;
@@ -175,15 +181,7 @@
     it(`a router stays bounded and answers an ordinary caller: the store sends ${name}`, async () => {
       store.put('config', 'main', PLAIN_CONFIGURATION);
       endless = new EndlessEnd(await store.start());
-      worker = new PlainWorker({
-        workerId: 'i-1',
-        service: 's',
-        host: reservation.getAddress(4),
-        port: WORKER_PORT,
-        store,
-        onRun: () => undefined,
-        drawFault: () => undefined,
-      });
+      worker = new PlainWorker(makeWorkerOptions(store, reservation.getAddress(4), WORKER_PORT));
       await worker.start();
       await startProcess('router', await endless.start(ip));
       const isReady = async () => (await callRouter(ip, PORTS.ready, '/'))?.status === 200;
--- a/test/platform/oddEntries.test.ts
+++ b/test/platform/oddEntries.test.ts
@@ -11,6 +11,7 @@
   bundleProgram,
   callRouter,
   makeSettingsFile,
+  makeWorkerOptions,
   PLAIN_CONFIGURATION,
   startProgram,
 } from './programs.js';
@@ -69,15 +70,7 @@
     directory = await mkdtemp(join(tmpdir(), 'monsoonglade-'));
     store = new ObjectStore();
     store.put('config', 'main', PLAIN_CONFIGURATION);
-    worker = new PlainWorker({
-      workerId: 'i-1',
-      service: 's',
-      host: reservation.getAddress(4),
-      port: WORKER_PORT,
-      store,
-      onRun: () => undefined,
-      drawFault: () => undefined,
-    });
+    worker = new PlainWorker(makeWorkerOptions(store, reservation.getAddress(4), WORKER_PORT));
   });
 
   afterEach(async () => {
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -12,6 +12,7 @@
   bundleProgram,
   callRouter,
   makeSettingsFile,
+  makeWorkerOptions,
   PLAIN_CONFIGURATION,
   startProgram,
 } from './programs.js';
@@ -50,15 +51,7 @@
     store = new ObjectStore();
     storeAddress = await store.start();
     store.put('config', 'main', PLAIN_CONFIGURATION);
-    worker = new PlainWorker({
-      workerId: 'i-1',
-      service: 's',
-      host: reservation.getAddress(4),
-      port: WORKER_PORT,
-      store,
-      onRun: () => undefined,
-      drawFault: () => undefined,
-    });
+    worker = new PlainWorker(makeWorkerOptions(store, reservation.getAddress(4), WORKER_PORT));
     await worker.start();
   });
 
--- a/test/platform/programs.ts
+++ b/test/platform/programs.ts
@@ -1,7 +1,7 @@
 import { execFile, spawn, type ChildProcess } from 'node:child_process';
 import { request } from 'node:http';
 import { promisify } from 'node:util';
-import { CALLER_LIMITS } from '../../standins/users/index.js';
+import { CALLER_LIMITS, type ObjectStore, type WorkerOptions } from '../../standins/users/index.js';
 
 /** Configuration with one route to a plain service. */
 export const PLAIN_CONFIGURATION = {
@@ -21,6 +21,24 @@
   Limits: CALLER_LIMITS,
 };
 
+/**
+ * Returns the options of the sound worker `i-1` of the service of {@link PLAIN_CONFIGURATION}.
+ * @param store - Store in which it registers itself.
+ * @param host - Address of the worker.
+ * @param port - Port of the worker.
+ */
+export function makeWorkerOptions(store: ObjectStore, host: string, port: number): WorkerOptions {
+  return {
+    workerId: 'i-1',
+    service: 's',
+    host,
+    port,
+    store,
+    onRun: () => undefined,
+    drawFault: () => undefined,
+  };
+}
+
 /** Ports of a program, the same on each loopback address. */
 export interface ProgramPorts {
   readonly front: number;
--- a/test/platform/requestMemory.test.ts
+++ b/test/platform/requestMemory.test.ts
@@ -10,7 +10,13 @@
 import { getRequestId, makeSignedHeaders } from '../../standins/users/Worker.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
 import { sleepMs, waitUntil } from '../waiting.js';
-import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
+import {
+  bundleProgram,
+  callRouter,
+  makeSettingsFile,
+  makeWorkerOptions,
+  PLAIN_CONFIGURATION,
+} from './programs.js';
 
 const PORTS = { front: 9_471, ready: 9_472, peer: 9_473, spare: 9_474 };
 const WORKER_PORT = 9_475;
@@ -138,15 +144,7 @@
     const Limits = { ...PLAIN_CONFIGURATION.Limits, MaxBodyBytes: BODY.length };
     const Services = [{ Name: 's', MaxConns: 1_000 }];
     store.put('config', 'main', { ...PLAIN_CONFIGURATION, Routes: routes, Services, Limits });
-    worker = new SlowWorker({
-      workerId: 'i-1',
-      service: 's',
-      host: reservation.getAddress(4),
-      port: WORKER_PORT,
-      store,
-      onRun: () => undefined,
-      drawFault: () => undefined,
-    });
+    worker = new SlowWorker(makeWorkerOptions(store, reservation.getAddress(4), WORKER_PORT));
     await worker.start();
     await startRouter();
   });
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -15,6 +15,7 @@
   bundleProgram,
   callRouter,
   makeSettingsFile,
+  makeWorkerOptions,
   PLAIN_CONFIGURATION,
   type ProgramPorts,
 } from './programs.js';
@@ -82,15 +83,7 @@
     store = new ObjectStore();
     storeAddress = await store.start();
     store.put('config', 'main', CONFIGURATION);
-    worker = new SlowPlainWorker({
-      workerId: 'i-1',
-      service: 's',
-      host: reservation.getAddress(4),
-      port: WORKER_PORT,
-      store,
-      onRun: () => undefined,
-      drawFault: () => undefined,
-    });
+    worker = new SlowPlainWorker(makeWorkerOptions(store, reservation.getAddress(4), WORKER_PORT));
     await worker.start();
   });
 
--- a/test/platform/untrustedCallers.test.ts
+++ b/test/platform/untrustedCallers.test.ts
@@ -10,7 +10,13 @@
 import { ObjectStore, PlainWorker } from '../../standins/users/index.js';
 import { getRequestId, makeSignedHeaders } from '../../standins/users/Worker.js';
 import { sleepMs, waitUntil } from '../waiting.js';
-import { bundleProgram, callRouter, makeSettingsFile, PLAIN_CONFIGURATION } from './programs.js';
+import {
+  bundleProgram,
+  callRouter,
+  makeSettingsFile,
+  makeWorkerOptions,
+  PLAIN_CONFIGURATION,
+} from './programs.js';
 import type { Crowd, CrowdKind } from './sendCrowd.js';
 
 const PORTS = { front: 9_481, ready: 9_482, peer: 9_483, spare: 9_484 };
@@ -85,15 +91,7 @@
     const Routes = PLAIN_CONFIGURATION.Routes.map((route) => ({ ...route, TimeoutMs: ROUTE_TIMEOUT_MS }));
     const Limits = { ...PLAIN_CONFIGURATION.Limits, MaxBodyBytes: MAX_BODY_BYTES };
     store.put('config', 'main', { ...PLAIN_CONFIGURATION, Routes, Limits });
-    worker = new LargeWorker({
-      workerId: 'i-1',
-      service: 's',
-      host: reservation.getAddress(4),
-      port: WORKER_PORT,
-      store,
-      onRun: () => undefined,
-      drawFault: () => undefined,
-    });
+    worker = new LargeWorker(makeWorkerOptions(store, reservation.getAddress(4), WORKER_PORT));
   });
 
   afterEach(async () => {
