--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,9 +1,7 @@
-/** A router is killed while its client reads an answer that the worker sent whole, without a length. */
-import { connect } from 'node:net';
-import { createHash } from 'node:crypto';
+/** A worker starts again under its ID, then the agent beside it starts again: the fencing tokens of the agent's orders. */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { makeRequestId } from '../lib-2/client.mjs';
+import { send } from '../lib-2/client.mjs';
 import { CALLER_LIMITS, Store } from '../lib-2/store.mjs';
 import {
   BROKEN,
@@ -16,135 +14,152 @@
   sleep,
   waitUntil,
 } from '../lib-2/system.mjs';
-import { HEALTH_PATH, PlainWorker } from '../lib-2/workers.mjs';
+import { HEALTH_PATH, ModelWorker } from '../lib-2/workers.mjs';
 
-const HOST = 'desk.example';
+const WORKER_PORT = 8501;
+const HOST = 'saga.example';
+/** Twice as many models as the worker has memory for. */
+const MODELS = Array.from({ length: 10 }, (_, index) => `m${index}`);
 const DEADLINE_MS = 12_000;
-/** Size of the answer, in bytes: more than the sockets of both sides hold. */
-const ANSWER_BYTES = 6 * 1024 * 1024;
-/** Bytes that the client reads at once, and the time between two reads in milliseconds: about 8 Mbit/s. */
-const READ_BYTES = 20_000;
-const READ_INTERVAL_MS = 20;
-/** Time from the first byte of the answer until the router is killed, in milliseconds. */
-const KILL_AFTER_MS = 500;
+/** Time for which the worker is down after its crash, in milliseconds. */
+const DOWN_MS = 2_000;
 
-const digest = (bytes) => createHash('sha256').update(bytes).digest('hex').slice(0, 16);
+const model = (name) => ({
+  Name: name,
+  WeightsMb: 16_100,
+  LoadS: 10.2,
+  DiskS: 0.68,
+  WarmS: 0.44,
+  Adapters: 0,
+  AdapterMb: 12,
+});
 
-await runCase(dirname(fileURLToPath(import.meta.url)), {}, async (system, recorder) => {
-  const store = new Store();
-  await store.start();
-  const routerIp = await reserveMachine([8149, 8141]);
-  const workerIp = await reserveMachine([8501]);
-  store.put('config', 'main', {
-    Version: 3,
-    Routes: [
-      {
-        Name: 'read',
-        Hostname: HOST,
-        PathPrefix: '/read/',
-        Kind: 'idempotent',
-        TimeoutMs: DEADLINE_MS,
-        TargetLatencyMs: 1_000,
-        Priority: 2,
-        Service: 'pedidos',
-        MaxAttempts: 2,
-      },
-    ],
-    Services: [{ Name: 'pedidos', HealthPath: HEALTH_PATH, MaxConns: 110 }],
-    Limits: CALLER_LIMITS,
-  });
-  const answerBody = Buffer.alloc(ANSWER_BYTES);
-  for (let offset = 0; offset < ANSWER_BYTES; offset += 4) {
-    answerBody.writeUInt32BE(offset, offset);
-  }
-  let isSentWhole = false;
-  const worker = new PlainWorker({
-    id: 'i-a',
-    service: 'pedidos',
-    host: workerIp,
-    port: 8501,
-    store,
-    recorder,
-    serve: (incoming, response, { id }) => {
-      const requestId = String(incoming.headers['request-id']);
-      recorder.add(`worker ${id} runs ${requestId}`);
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-      response.writeHead(200, {
-        'request-id': requestId,
-        'response-stamp': `${id}.${requestId}`,
-        'content-type': 'application/octet-stream',
-      });
-      response.end(answerBody, () => {
-        isSentWhole = true;
+await runCase(
+  dirname(fileURLToPath(import.meta.url)),
+  { bounds: { RequireFence: false } },
+  async (system, recorder) => {
+    const store = new Store();
+    await store.start();
+    const routerIp = await reserveMachine([8149, 8141]);
+    const agentIp = await reserveMachine([WORKER_PORT]);
+    store.put('config', 'main', {
+      Version: 3,
+      Routes: [
+        {
+          Name: 'draft',
+          Hostname: HOST,
+          PathPrefix: '/draft/',
+          Kind: 'stream',
+          TimeoutMs: DEADLINE_MS,
+          TargetLatencyMs: 300,
+          GapAimMs: 200,
+          Priority: 1,
+          Service: 'sagnamadur',
+          MaxAttempts: 2,
+          CanResume: true,
+          Sticky: true,
+        },
+      ],
+      Services: [
+        {
+          Name: 'sagnamadur',
+          HealthPath: HEALTH_PATH,
+          MaxConns: 380,
+          Engine: {
+            Slots: 48,
+            WeightsMb: 83_000,
+            AdapterSlots: 8,
+            LoadsPerS: 13,
+            Models: MODELS.map(model),
+          },
+        },
+      ],
+      Limits: CALLER_LIMITS,
+    });
+    const orders = [];
+    const worker = new ModelWorker({
+      id: 'i-7f3a91c2',
+      service: 'sagnamadur',
+      host: agentIp,
+      port: WORKER_PORT,
+      store,
+      recorder,
+      requireFence: false,
+      onOrder: ({ Op, Model, Holder, Fence, Expect }, status, { id, born }) => {
+        orders.push({ born, Fence });
         recorder.add(
-          `worker ${id} has sent its whole answer to ${requestId}: ${ANSWER_BYTES} bytes, ${digest(answerBody)}, without a length`,
+          `order at worker ${id} born ${born}: ${Op} ${Model}, Holder ${Holder}, Fence ${Fence}, Expect ${Expect}; answer ${status}`,
         );
-      });
-    },
-  });
-  await worker.start();
-  const router = system.startRouter('front-1', routerIp, store.address);
-  if (!(await waitUntil(() => isReady(routerIp), 10_000))) {
-    return { code: COULD_NOT_RUN, text: 'the router did not become ready' };
-  }
-  const requestId = makeRequestId();
-  const { bytes, end } = await readSlowly(routerIp, requestId, recorder, async () => {
-    await sleep(KILL_AFTER_MS);
-    if (isTroubled) {
-      recorder.add('the router is killed');
-      router.kill('SIGKILL');
+      },
+    });
+    await worker.start();
+    system.startRouter('front-1', routerIp, store.address);
+    const startAgent = () => system.startAgent('side-1', agentIp, store.address, worker.address);
+    let agent = startAgent();
+    if (!(await waitUntil(() => isReady(routerIp), 10_000))) {
+      return { code: COULD_NOT_RUN, text: 'the router did not become ready' };
     }
-  });
-  await worker.stop();
-  store.stop();
-  const headEnd = bytes.indexOf('\r\n\r\n');
-  const head = bytes.subarray(0, Math.max(0, headEnd)).toString('latin1');
-  const body = bytes.subarray(headEnd + 4);
-  const isFramed = /^(content-length|transfer-encoding):/im.test(head);
-  recorder.add(`answer to ${requestId}: ${head.replaceAll('\r\n', ' | ')}`);
-  recorder.add(`body: ${body.length} bytes, ${digest(body)}; connection: ${end}`);
-  if (!isSentWhole || !head.startsWith('HTTP/1.1 200')) {
-    return { code: COULD_NOT_RUN, text: `no success arrived (${head.split('\r\n')[0]})` };
-  }
-  const isWhole = body.equals(answerBody);
-  const looksComplete = !isFramed && end === 'ended';
-  return !isWhole && looksComplete
-    ? {
-        code: BROKEN,
-        text: `MIXED: the client got 200 with ${body.length} of ${ANSWER_BYTES} bytes, and nothing shows that it ended early`,
+    /** Asks for a model that the worker does not hold until it is served. */
+    const ask = async () => {
+      const name = MODELS.find((other) => !worker.held.has(other));
+      let answer;
+      const isServed = await waitUntil(async () => {
+        answer = await send({
+          host: routerIp,
+          name: HOST,
+          method: 'POST',
+          path: '/draft/2f',
+          headers: {
+            Model: name,
+            'Token-Count': '700,40',
+            'Prompt-Prefix': '5c1e07a2:170,91bd3f06:530',
+            'Deadline-Ms': String(DEADLINE_MS),
+          },
+          body: 'draft',
+        });
+        recorder.add(`request ${answer.requestId} for ${name}: ${answer.status} ${answer.detail}`);
+        await sleep(250);
+        return answer.status === 200 && answer.detail === 'complete';
+      }, 12_000);
+      if (!isServed) {
+        throw new Error(`A request for ${name} was not served.`);
       }
-    : { code: HELD, text: isWhole ? 'the body is whole' : `the answer is visibly broken off: ${end}` };
-});
+    };
+    await ask();
+    if (isTroubled) {
+      await worker.crash();
+      await sleep(DOWN_MS);
+      await worker.start();
+    }
+    await sleep(2_500);
+    await ask();
+    if (isTroubled) {
+      agent.kill('SIGKILL');
+      await sleep(500);
+      agent = startAgent();
+      await sleep(2_000);
+    }
+    await ask();
+    await sleep(300);
+    await worker.stop();
+    store.stop();
 
-/** Sends a request and reads its answer slowly; resolves with what arrived and how the connection ended. */
-function readSlowly(host, requestId, recorder, onFirstByte) {
-  return new Promise((resolve) => {
-    const socket = connect({ host, port: 8149 });
-    const parts = [];
-    let hasBegun = false;
-    let end = 'ended';
-    recorder.add(`request ${requestId} sent`);
-    socket.write(
-      `GET /read/2f HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: ${requestId}\r\nDeadline-Ms: ${DEADLINE_MS}\r\n\r\n`,
-    );
-    socket.on('error', (error) => (end = `reset: ${error.code}`));
-    socket.on('close', () => {
-      clearInterval(timer);
-      resolve({ bytes: Buffer.concat(parts), end });
-    });
-    // Paused between two reads, the stream takes no more from the system than its buffer holds.
-    socket.pause();
-    const timer = setInterval(() => {
-      const bytes = socket.read(Math.min(READ_BYTES, socket.readableLength)) ?? undefined;
-      if (bytes !== undefined) {
-        parts.push(bytes);
-        if (!hasBegun) {
-          hasBegun = true;
-          void onFirstByte();
-        }
+    const highest = new Map();
+    let lowered = 0;
+    for (const { born, Fence } of orders) {
+      if (Fence < (highest.get(born) ?? -Infinity)) {
+        lowered++;
       }
-    }, READ_INTERVAL_MS);
-    socket.on('readable', () => undefined);
-  });
-}
+      highest.set(born, Math.max(Fence, highest.get(born) ?? -Infinity));
+    }
+    if (orders.length < 4) {
+      return { code: COULD_NOT_RUN, text: `only ${orders.length} orders reached the worker` };
+    }
+    return lowered > 0
+      ? {
+          code: BROKEN,
+          text: `ONE: ${lowered} of ${orders.length} orders had a lower fencing token than one before them`,
+        }
+      : { code: HELD, text: `${orders.length} orders, none with a lower fencing token than one before it` };
+  },
+);
