--- a/src/direct/EngineOrders.ts
+++ b/src/direct/EngineOrders.ts
@@ -172,6 +172,7 @@
       adapter: order.adapter ?? '',
       expectedOrderCount: order.expectedOrderCount,
       instanceId: conditions.instanceId ?? '',
+      fenceNumber: conditions.fenceNumber,
       answer: result,
     });
     if (adapterToUnload !== undefined && result !== 'accepted' && result !== 'alreadyDone') {
@@ -187,8 +188,6 @@
     }
     if (result === 'otherInstance') {
       this.identity.onOtherInstance();
-    } else if (result === 'fenced') {
-      this.identity.onFenced();
     }
     // A reading that began before the end of the order may not show its outcome.
     this.reading = this.startReading();
--- a/src/direct/decisions/EngineIdentity.ts
+++ b/src/direct/decisions/EngineIdentity.ts
@@ -1,17 +1,9 @@
-import { setNewest } from '../../kernel/setNewest.js';
-
-/**
- * Fencing number of orders to an engine that has not started again under the ID that it had. An engine receives orders only
- * from the agent on its machine, so that no other sender has to be fenced off. Agents of older versions send no other
- * number, and an engine rejects numbers below the highest one that it has received since its start.
- */
-const FIRST_FENCE_NUMBER = 1;
+/** Lowest fencing number of an order. */
+const MIN_FENCE_NUMBER = 1;
 /** Times that the ID of one incarnation is asked for, in case answers get lost. */
 const MAX_ASK_COUNT = 3;
 /** Time between the end of a request for the ID and the next one, in milliseconds. */
 const ASK_INTERVAL_MS = 1_000;
-/** Maximum number of stored IDs. */
-const MAX_KNOWN_IDS = 32;
 const MS_PER_SECOND = 1_000;
 
 /** Conditions under which an engine carries out an order. */
@@ -23,20 +15,17 @@
 }
 
 /**
- * Knows for which incarnation of an engine orders are: its ID, and a fencing number where the ID is not enough because the
- * engine has started again under the same one. An order that is carried out late is so rejected by a later incarnation.
+ * Knows for which incarnation of an engine orders are: its ID, and a fencing number, since an engine may start again under the
+ * ID that it had. An order that is carried out late is so rejected by a later incarnation that has received an order.
  */
 export class EngineIdentity {
   private bornAtMs: number | undefined;
   private instanceId: string | undefined;
-  private fenceNumber = FIRST_FENCE_NUMBER;
   private askCount = 0;
   /** Number of orders that this incarnation has rejected as meant for another one. */
   private rejectionCount = 0;
   private isAsking = false;
   private askAgainAtMs = -Infinity;
-  /** Start times of the incarnations that had an ID last. */
-  private readonly bornAtMsById = new Map<string, number>();
 
   /**
    * Records a report of the engine.
@@ -46,7 +35,6 @@
     if (bornAtMs !== this.bornAtMs) {
       this.bornAtMs = bornAtMs;
       this.instanceId = undefined;
-      this.fenceNumber = FIRST_FENCE_NUMBER;
       this.askCount = 0;
       this.rejectionCount = 0;
       this.askAgainAtMs = -Infinity;
@@ -99,12 +87,6 @@
       return;
     }
     this.instanceId = instanceId;
-    if (bornAtMs !== undefined) {
-      if ((this.bornAtMsById.get(instanceId) ?? bornAtMs) !== bornAtMs) {
-        this.raiseFence();
-      }
-      setNewest(this.bornAtMsById, instanceId, bornAtMs, MAX_KNOWN_IDS);
-    }
   }
 
   /**
@@ -112,9 +94,10 @@
    * @param bornAtMs - Start time of the incarnation.
    */
   getConditions(bornAtMs: number): IncarnationConditions {
-    return bornAtMs === this.bornAtMs
-      ? { instanceId: this.instanceId, fenceNumber: this.fenceNumber }
-      : { instanceId: undefined, fenceNumber: FIRST_FENCE_NUMBER };
+    return {
+      instanceId: bornAtMs === this.bornAtMs ? this.instanceId : undefined,
+      fenceNumber: getFenceNumber(bornAtMs),
+    };
   }
 
   /** Records that the engine has rejected an order as meant for another incarnation, so that it is asked again. */
@@ -125,18 +108,14 @@
     this.askCount = this.rejectionCount < MAX_ASK_COUNT ? 0 : MAX_ASK_COUNT;
     this.askAgainAtMs = -Infinity;
   }
+}
 
-  /** Records that the engine has rejected an order because of its fencing number, as after a restart of the agent. */
-  onFenced(): void {
-    this.raiseFence();
-  }
-
-  /**
-   * Sets the fencing number of this incarnation above those of all earlier ones. It does not depend on what this process
-   * remembers, and seconds keep it small; two starts within one second share it.
-   */
-  private raiseFence(): void {
-    const bornAtSeconds = Math.floor((this.bornAtMs ?? 0) / MS_PER_SECOND);
-    this.fenceNumber = Math.max(FIRST_FENCE_NUMBER, bornAtSeconds);
-  }
+/**
+ * Returns the fencing number of the orders to an incarnation. It depends on nothing but the start of the incarnation, which
+ * each agent reads, so that an agent that starts again continues with the number of the one before it. No sender has to be
+ * fenced off: an engine receives orders only from the agent on its machine. Two starts within one second share a number.
+ * @param bornAtMs - Start time of the incarnation.
+ */
+function getFenceNumber(bornAtMs: number): number {
+  return Math.max(MIN_FENCE_NUMBER, Math.floor(bornAtMs / MS_PER_SECOND));
 }
--- a/standins/users/ModelWorker.ts
+++ b/standins/users/ModelWorker.ts
@@ -27,6 +27,8 @@
   maxHeldModels = 0;
   /** Number of orders to load more than the worker holds since the start. */
   overloadCount = 0;
+  /** Number of orders with a lower fencing token than an earlier one that the same incarnation has carried out. */
+  loweredFenceCount = 0;
   /** Orders without an answer that are not carried out yet. */
   private readonly lateOrders = new Set<LateOrder>();
   /** Adapters that are loading, as `model/adapter`. */
@@ -135,6 +137,9 @@
     expectedInstance: string | undefined,
     response: ServerResponse,
   ): void {
+    if ((order.Fence ?? 0) < this.highestFence) {
+      this.loweredFenceCount++;
+    }
     const lateMs = this.options.drawLateMs?.();
     if (lateMs === undefined) {
       response.writeHead(this.executeOrder(order, expectedInstance)).end('{}');
@@ -156,10 +161,11 @@
     if (expectedInstance !== undefined && expectedInstance !== this.instanceId) {
       return 421;
     }
-    if ((order.Fence ?? 0) < this.highestFence) {
+    const fence = order.Fence ?? 0;
+    if (fence < this.highestFence && this.options.ignoresFences !== true) {
       return 412;
     }
-    this.highestFence = order.Fence ?? 0;
+    this.highestFence = Math.max(this.highestFence, fence);
     const { Op, Model, Adapter } = order;
     const adapters = this.adaptersByModel.get(Model);
     const isHeld =
--- a/standins/users/Worker.ts
+++ b/standins/users/Worker.ts
@@ -75,6 +75,8 @@
   readonly drawLateMs?: () => number | undefined;
   /** Whether each restart has an ID of its own; absent means that the worker keeps its ID. */
   readonly changesId?: boolean;
+  /** Whether a model worker carries out orders with a lower fencing token than an earlier one; absent means not. */
+  readonly ignoresFences?: boolean;
 }
 
 /** Stand-in for one of the users' workers: serves requests, publishes its entry in the store, drains, stalls and crashes. */
