--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -4,6 +4,7 @@
 import {
   AgentConnections,
   CallerServer,
+  CrashRecordClient,
   CrashTracker,
   EngineController,
   FleetView,
@@ -140,6 +141,9 @@
     metrics.count('prompt_parts_blocked');
     log.decision('prompt part blocked', { promptPart, crashCount, evidence: Math.round(evidence) });
   });
+  agentConnections.onRequestCompleted((fingerprint) => {
+    crashTracker.applyCompletion(fingerprint, clock.nowMs());
+  });
   agentConnections.onEngineCrashes((address, crashes) => {
     const promptParts = partSuspects.applyCrashes(address, crashes, clock.nowMs());
     if (promptParts.length > 0) {
@@ -177,6 +181,7 @@
       streamOrigins,
       permits: new RequestPermits({ clock, view, agentConnections, log, metrics }),
       codec,
+      crashRecords: new CrashRecordClient(agentConnections),
       crashTracker,
       partSuspects,
       log,
--- a/src/direct/AgentConnections.ts
+++ b/src/direct/AgentConnections.ts
@@ -26,6 +26,7 @@
   type EnsureAdapterReply,
   type ModelUseParams,
   type PartsAnsweredParams,
+  type RequestCompletedParams,
   type WantModelParams,
 } from './messages.js';
 import { RunningModelUses } from './RunningModelUses.js';
@@ -81,6 +82,7 @@
   private readonly dialTask: PeriodicTask;
   private currentChangeCount = 0;
   private reportListener: () => void = () => undefined;
+  private completionListener: (fingerprint: string) => void = () => undefined;
   private crashListener: (address: string, crashes: readonly EngineCrash[]) => void = () => undefined;
 
   /** @param deps - Dependencies. */
@@ -98,6 +100,8 @@
     return {
       [ROUTING_METHODS.report]: (report: EngineReportParams) => this.applyReport(report),
       [ROUTING_METHODS.engineCrashes]: (params: EngineCrashesParams) => this.applyCrashes(params),
+      [ROUTING_METHODS.requestCompleted]: ({ fingerprint }: RequestCompletedParams) =>
+        this.completionListener(fingerprint),
     } as PeerMethods;
   }
 
@@ -117,6 +121,14 @@
     this.crashListener = listener;
   }
 
+  /**
+   * Sets the listener for requests with known crashes that completed at another router.
+   * @param listener - Called with the fingerprint of the request.
+   */
+  onRequestCompleted(listener: (fingerprint: string) => void): void {
+    this.completionListener = listener;
+  }
+
   start(): Promise<void> {
     this.dialTask.start();
     this.updateConnections();
@@ -255,17 +267,6 @@
     return rankForKey(key, this.connections.keys());
   }
 
-  /**
-   * Notifies all agents of a request that crashed a server; their reports pass it on to the other routers.
-   * @param fingerprint - Fingerprint of the request.
-   * @param crashCount - Number of crashes so far.
-   */
-  notifyCrash(fingerprint: string, crashCount: number): void {
-    for (const { connection } of this.connections.values()) {
-      connection.notify(RESIDENCY_METHODS.crashed, { fingerprint, crashCount });
-    }
-  }
-
   /**
    * Notifies the agent of an engine that a connection to the engine broke while it carried a request.
    * @param address - Address of the agent's engine.
--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -1,8 +1,8 @@
-import type { ServerId } from '../domain/index.js';
 import type { Clock } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import type { BreakCause } from './attemptEnds.js';
+import type { CrashRecordClient } from './CrashRecordClient.js';
 import type { CrashTracker, FleetView, PromptPartSuspects, ServerEntry } from './decisions/index.js';
 import { getSharedParts } from './HeaderCodec.js';
 import type { CallerRequest } from './CallerRequest.js';
@@ -19,6 +19,7 @@
   readonly clock: Clock;
   readonly view: FleetView;
   readonly agentConnections: AgentConnections;
+  readonly crashRecords: CrashRecordClient;
   readonly crashTracker: CrashTracker;
   readonly partSuspects: PromptPartSuspects;
   readonly log: Log;
@@ -38,6 +39,12 @@
  */
 export class CrashEvidence {
   private readonly promptParts: readonly string[];
+  /** Whether the request is tried although equal ones are blocked. */
+  private isTrial = false;
+  /** Number of attempts that were lost because their server may have crashed. */
+  private lossCount = 0;
+  /** When the current attempt was sent. */
+  private sentAtMs = -Infinity;
   /** Whether the current attempt has shown that its prompt does not crash the server. */
   private isProven = false;
   /** When the first event of the current attempt arrived. */
@@ -70,14 +77,41 @@
       return { isPart: true, detail: `servers crashed on the part ${blockedPart} of the prompt` };
     }
     const { fingerprint } = this.request;
-    return crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), nowMs)
+    return !this.isTrial && crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), nowMs)
       ? { isPart: false, detail: 'the request broke off on several servers' }
       : undefined;
   }
 
+  /** Asks for leave to try the request once if it is blocked itself, in contrast to a part of its prompt. */
+  async requestTrial(): Promise<void> {
+    const { crashTracker, crashRecords, view, clock, log, metrics } = this.deps;
+    const { fingerprint, headers } = this.request;
+    if (
+      this.lossCount > 0 ||
+      this.findBlock()?.isPart !== false ||
+      !crashTracker.beginAsking(fingerprint, clock.nowMs())
+    ) {
+      return;
+    }
+    const crashCount = crashTracker.getCount(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+    const decision =
+      (await crashRecords.takeTrial({ fingerprint, crashCount })) ??
+      crashTracker.takeTrial(fingerprint, crashCount, view.routerCount, clock.nowMs());
+    crashTracker.recordDecision(fingerprint, decision, clock.nowMs());
+    this.isTrial = decision.isGranted;
+    metrics.count(decision.isGranted ? 'blocked_requests_tried' : 'blocked_requests_not_tried');
+    log.decision('blocked request', {
+      requestId: headers.requestId,
+      fingerprint,
+      crashCount,
+      isTried: decision.isGranted,
+    });
+  }
+
   /** Records that another attempt has the request. */
   recordAttempt(): void {
     const { partSuspects, clock } = this.deps;
+    this.sentAtMs = clock.nowMs();
     if (this.promptParts.length > 0) {
       partSuspects.recordAttempt(this.promptParts, clock.nowMs());
     }
@@ -114,9 +148,11 @@
 
   /** Records that a server has run the request to its end. */
   recordCompleted(): void {
-    const { crashTracker, view, clock } = this.deps;
+    const { crashTracker, crashRecords, view, clock } = this.deps;
     const { fingerprint } = this.request;
-    crashTracker.recordSuccess(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+    if (crashTracker.recordSuccess(fingerprint, view.getCrashCount(fingerprint), clock.nowMs())) {
+      crashRecords.notifyCompleted(fingerprint);
+    }
   }
 
   /**
@@ -146,15 +182,21 @@
 
   /**
    * Counts a crash against the request's fingerprint if its attempt may have crashed the server.
-   * @param serverId - The server.
    * @param cause - Why the attempt ended.
+   * @param sentAtMs - When the attempt was sent; absent for the current one.
    */
-  recordCrash(serverId: ServerId, cause: BreakCause): void {
-    const { crashTracker, agentConnections, clock } = this.deps;
+  recordCrash(cause: BreakCause, sentAtMs = this.sentAtMs): void {
+    if (cause !== 'server') {
+      return;
+    }
+    const { crashTracker, crashRecords, clock } = this.deps;
     const { fingerprint } = this.request;
-    const count = cause === 'server' ? crashTracker.recordCrash(fingerprint, serverId, clock.nowMs()) : 0;
-    if (count > 1) {
-      agentConnections.notifyCrash(fingerprint, count);
+    const nowMs = clock.nowMs();
+    const isRepeat = this.lossCount++ > 0;
+    this.isTrial = false;
+    const crashCount = crashTracker.recordCrash(fingerprint, { sentAtMs, isRepeat }, nowMs);
+    if (crashCount > 1) {
+      crashRecords.notifyCrash({ fingerprint, crashCount, sentForMs: nowMs - sentAtMs, isRepeat });
     }
   }
 }
--- a/src/direct/EngineController.ts
+++ b/src/direct/EngineController.ts
@@ -16,11 +16,11 @@
 import { EngineOrders } from './EngineOrders.js';
 import type { EnginePort } from './EnginePort.js';
 import { ReportPublisher } from './ReportPublisher.js';
+import { RequestCrashRecorder } from './RequestCrashRecorder.js';
 import {
   RESIDENCY_METHODS,
   ROUTING_METHODS,
   type BrokenOffParams,
-  type CrashedParams,
   type EnsureAdapterParams,
   type EnsureAdapterReply,
   type FollowEngineParams,
@@ -40,8 +40,6 @@
 const PROFILE_TIMEOUT_MS = 1_000;
 /** Maximum number of stored leaving servers. */
 const MAX_LEAVING_SERVERS = 200;
-/** Maximum number of stored fingerprints of crashing requests. */
-const MAX_CRASH_COUNTS = 200;
 /** Maximum number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -66,7 +64,7 @@
   /** Numbers of running requests of each connected router, by model. */
   private readonly runningCounts = new Map<PeerConnection, Map<string, number>>();
   private readonly paceAverages = new ModelPaceAverages();
-  private readonly crashCounts = new Map<string, number>();
+  private readonly requestCrashes: RequestCrashRecorder;
   private readonly crashRecorder = new EngineCrashRecorder();
   /** Start times of servers that routers have found to be leaving. */
   private readonly leavingServers = new Map<ServerId, number>();
@@ -83,6 +81,12 @@
     const onReading = (report: EngineReport | undefined) => this.onReading(report);
     this.orders = new EngineOrders({ clock, engine, planner, log, metrics, onReading });
     this.publisher = new ReportPublisher(clock);
+    this.requestCrashes = new RequestCrashRecorder({
+      clock,
+      log,
+      onChange: () => this.publishReport(true),
+      notifyRouters: (method, params) => this.publisher.notify(method, params),
+    });
   }
 
   /** Number of routers that are connected to this agent. */
@@ -93,6 +97,7 @@
   /** Returns the methods that routers call. */
   getMethods(): PeerMethods {
     return {
+      ...this.requestCrashes.getMethods(),
       [RESIDENCY_METHODS.subscribe]: (params: SubscribeEngineParams, from: PeerConnection) =>
         this.onSubscribe(params, from),
       [RESIDENCY_METHODS.follow]: (params: FollowEngineParams, from: PeerConnection) =>
@@ -104,7 +109,6 @@
       [RESIDENCY_METHODS.ended]: (params: ModelUseParams, from: PeerConnection) =>
         this.onRequestEnded(params, from),
       [RESIDENCY_METHODS.ensureAdapter]: (params: EnsureAdapterParams) => this.ensureAdapter(params),
-      [RESIDENCY_METHODS.crashed]: (params: CrashedParams) => this.onCrash(params),
       [RESIDENCY_METHODS.leaving]: (params: LeavingParams) => this.onLeaving(params),
       [RESIDENCY_METHODS.brokenOff]: (params: BrokenOffParams) => this.onBrokenOff(params),
       [RESIDENCY_METHODS.partsAnswered]: (params: PartsAnsweredParams) => this.onPartsAnswered(params),
@@ -252,16 +256,6 @@
     return { isReady: await this.orders.ensureAdapter(model, adapter) };
   }
 
-  private onCrash({ fingerprint, crashCount }: CrashedParams): void {
-    const isHigher = crashCount > (this.crashCounts.get(fingerprint) ?? 0);
-    if (!isHigher) {
-      return;
-    }
-    setNewest(this.crashCounts, fingerprint, crashCount, MAX_CRASH_COUNTS);
-    this.deps.log.decision('crash recorded', { fingerprint, crashCount });
-    this.publishReport(true);
-  }
-
   private onBrokenOff({ bornAtMs, promptParts, histories = [] }: BrokenOffParams): void {
     if (Number.isFinite(bornAtMs) && isPartList(promptParts)) {
       const knownHistories = isHistoryList(histories) ? histories : [];
@@ -324,7 +318,7 @@
       uses: this.planner.getModelUses(nowMs),
       routerCount: this.publisher.followerCount,
       configurationVersion: this.planner.configurationVersion,
-      crashCounts: Object.fromEntries(this.crashCounts),
+      crashCounts: this.requestCrashes.blockedCounts,
       leavingServers: Object.fromEntries(this.leavingServers),
       paces: this.paceAverages.getPaces(nowMs),
     };
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -9,6 +9,7 @@
 import { BackendAttempt } from './BackendAttempt.js';
 import type { CallerRequest } from './CallerRequest.js';
 import { CrashEvidence } from './CrashEvidence.js';
+import type { CrashRecordClient } from './CrashRecordClient.js';
 import {
   isRetryable,
   RequestLimits,
@@ -45,6 +46,7 @@
   readonly permits: RequestPermits;
   readonly streamOrigins: StreamOriginClient;
   readonly codec: HeaderCodec;
+  readonly crashRecords: CrashRecordClient;
   readonly crashTracker: CrashTracker;
   readonly partSuspects: PromptPartSuspects;
   readonly log: Log;
@@ -219,7 +221,8 @@
 
   /** Finds the next server; ends the request and returns undefined if there is none. */
   private async findServer(): Promise<KnownServer | undefined> {
-    if (this.endIfBlocked() || this.endIfUnsent()) {
+    await this.crashEvidence.requestTrial();
+    if (this.hasEnded || this.endIfBlocked() || this.endIfUnsent()) {
       return undefined;
     }
     const { sendCount, runCount } = this;
@@ -318,7 +321,7 @@
       this.search.exclude(serverId);
     }
     if (end.kind === 'broken') {
-      this.crashEvidence.recordCrash(serverId, end.cause);
+      this.crashEvidence.recordCrash(end.cause, sent.sentAtMs);
     }
     if (end.kind === 'broken' || end.kind === 'cancelled') {
       this.runCount++;
@@ -447,7 +450,7 @@
     this.runCount++;
     this.search.exclude(serverId);
     this.resumption.recordBreak(end.cause);
-    this.crashEvidence.recordCrash(serverId, end.cause);
+    this.crashEvidence.recordCrash(end.cause);
     if (!this.mayRunAgain()) {
       this.endWithFallback(end.detail);
     }
--- a/src/direct/decisions/CrashTracker.ts
+++ b/src/direct/decisions/CrashTracker.ts
@@ -1,66 +1,60 @@
-import type { ServerId } from '../../domain/index.js';
 import { setNewest } from '../../kernel/setNewest.js';
+import { CrashRecords, isBlockingCount, type AttemptLoss } from './CrashRecords.js';
+import type { PermitDecision } from './PermitBuckets.js';
 
-/** Number of crashes at which a request is blocked. */
-const MAX_CRASHES = 2;
-/** Time after which the crash record of a request expires, in milliseconds. */
-const RECORD_LIFETIME_MS = 60_000;
-/**
- * Time within which lost connections to one server count as one crash, in milliseconds: a crash ends all requests that
- * run on the server.
- */
-const SAME_CRASH_WINDOW_MS = 1_000;
-/** Maximum number of request fingerprints with a record. */
-const MAX_RECORDS = 1_000;
-
-/** Crashes recorded for one request fingerprint. */
-interface CrashRecord {
-  /** Crashes since an equal request last completed. */
-  count: number;
-  updatedAtMs: number;
-  readonly lastCrashAtMsByServer: Map<ServerId, number>;
-  /** When an equal request last completed after a crash. */
-  completedAtMs: number;
-}
+/** Time for which crashes that others report of a request do not count after an equal one has completed, in milliseconds. */
+const COMPLETION_LIFETIME_MS = 60_000;
+/** Time for which a router waits for the decision on a trial before it asks again, in milliseconds. */
+const DECISION_TIMEOUT_MS = 1_000;
+/** Maximum number of fingerprints for which a completion or a trial is stored. */
+const MAX_FINGERPRINTS = 1_000;
 
 /**
- * Records the requests that run on a server when it crashes, and blocks requests that crash servers repeatedly.
+ * Records, at one router, the requests that run on a server when it crashes, and blocks requests that crash servers repeatedly.
  *
- * Equal requests share a fingerprint, and many harmless requests may be equal, such as reads without a body. Therefore
- * connections lost to one server within a short time count as one crash, and an equal request that completes resets the
- * count.
+ * Equal requests share a fingerprint, and many harmless requests may be equal, such as reads without a body. Therefore an
+ * equal request that completes resets the count, and a blocked one is tried again now and then.
  */
 export class CrashTracker {
-  private readonly records = new Map<string, CrashRecord>();
+  private readonly records = new CrashRecords();
+  /** When requests with crashes last completed. */
+  private readonly completedAtMs = new Map<string, number>();
+  /** Times before which no trial of a blocked request is asked for. */
+  private readonly askAgainAtMs = new Map<string, number>();
 
   /**
-   * Records that a server crashed while it ran a request, and returns the number of crashes so far.
+   * Records that an attempt was lost because its server may have crashed, and returns the number of crashes so far.
    * @param fingerprint - Fingerprint of the request.
-   * @param serverId - The server.
+   * @param loss - The loss.
    * @param nowMs - Current time.
    */
-  recordCrash(fingerprint: string, serverId: ServerId, nowMs: number): number {
-    const record = this.getUnexpiredRecord(fingerprint, nowMs) ?? createRecord();
-    const isSameCrash =
-      nowMs - (record.lastCrashAtMsByServer.get(serverId) ?? -Infinity) < SAME_CRASH_WINDOW_MS;
-    record.count += isSameCrash ? 0 : 1;
-    record.lastCrashAtMsByServer.set(serverId, nowMs);
-    record.updatedAtMs = nowMs;
-    this.saveRecord(fingerprint, record);
-    return record.count;
+  recordCrash(fingerprint: string, loss: AttemptLoss, nowMs: number): number {
+    return this.records.recordLoss(fingerprint, loss, nowMs);
   }
 
   /**
-   * Records that a request completed.
+   * Records that a request completed; returns whether crashes of equal ones were known.
    * @param fingerprint - Fingerprint of the request.
    * @param otherRoutersCount - Crashes reported by other routers.
    * @param nowMs - Current time.
    */
-  recordSuccess(fingerprint: string, otherRoutersCount: number, nowMs: number): void {
-    const record = this.getUnexpiredRecord(fingerprint, nowMs);
-    if (record || otherRoutersCount > 0) {
-      this.saveRecord(fingerprint, { ...createRecord(), updatedAtMs: nowMs, completedAtMs: nowMs });
+  recordSuccess(fingerprint: string, otherRoutersCount: number, nowMs: number): boolean {
+    const hadRecord = this.records.clear(fingerprint);
+    if (!hadRecord && otherRoutersCount === 0) {
+      return false;
     }
+    this.askAgainAtMs.delete(fingerprint);
+    setNewest(this.completedAtMs, fingerprint, nowMs, MAX_FINGERPRINTS);
+    return true;
+  }
+
+  /**
+   * Records that a request completed at another router, which knows of crashes.
+   * @param fingerprint - Fingerprint of the request.
+   * @param nowMs - Current time.
+   */
+  applyCompletion(fingerprint: string, nowMs: number): void {
+    this.recordSuccess(fingerprint, 1, nowMs);
   }
 
   /**
@@ -70,21 +64,54 @@
    * @param nowMs - Current time.
    */
   isBlocked(fingerprint: string, otherRoutersCount: number, nowMs: number): boolean {
-    const record = this.getUnexpiredRecord(fingerprint, nowMs);
-    const isCleared = record !== undefined && nowMs - record.completedAtMs < RECORD_LIFETIME_MS;
-    return Math.max(record?.count ?? 0, isCleared ? 0 : otherRoutersCount) >= MAX_CRASHES;
+    return isBlockingCount(this.getCount(fingerprint, otherRoutersCount, nowMs));
   }
 
-  private getUnexpiredRecord(fingerprint: string, nowMs: number): CrashRecord | undefined {
-    const record = this.records.get(fingerprint);
-    return record && nowMs - record.updatedAtMs < RECORD_LIFETIME_MS ? record : undefined;
+  /**
+   * Returns the number of crashes of a request.
+   * @param fingerprint - Fingerprint of the request.
+   * @param otherRoutersCount - Crashes reported by other routers.
+   * @param nowMs - Current time.
+   */
+  getCount(fingerprint: string, otherRoutersCount: number, nowMs: number): number {
+    const completedAtMs = this.completedAtMs.get(fingerprint) ?? -Infinity;
+    const isCleared = nowMs - completedAtMs < COMPLETION_LIFETIME_MS;
+    return Math.max(this.records.getCount(fingerprint, nowMs), isCleared ? 0 : otherRoutersCount);
   }
 
-  private saveRecord(fingerprint: string, record: CrashRecord): void {
-    setNewest(this.records, fingerprint, record, MAX_RECORDS);
+  /**
+   * Whether to ask for a trial of a blocked request now; the next call returns false until the decision on it is recorded.
+   * @param fingerprint - Fingerprint of the request.
+   * @param nowMs - Current time.
+   */
+  beginAsking(fingerprint: string, nowMs: number): boolean {
+    if (nowMs < (this.askAgainAtMs.get(fingerprint) ?? -Infinity)) {
+      return false;
+    }
+    setNewest(this.askAgainAtMs, fingerprint, nowMs + DECISION_TIMEOUT_MS, MAX_FINGERPRINTS);
+    return true;
+  }
+
+  /**
+   * Records the decision on a trial.
+   * @param fingerprint - Fingerprint of the request.
+   * @param decision - The decision.
+   * @param nowMs - Current time.
+   */
+  recordDecision(fingerprint: string, decision: PermitDecision, nowMs: number): void {
+    if (!decision.isGranted) {
+      setNewest(this.askAgainAtMs, fingerprint, nowMs + decision.retryInMs, MAX_FINGERPRINTS);
+    }
   }
-}
 
-function createRecord(): CrashRecord {
-  return { count: 0, updatedAtMs: 0, lastCrashAtMsByServer: new Map(), completedAtMs: -Infinity };
+  /**
+   * Decides on a trial of a blocked request where no agent does.
+   * @param fingerprint - Fingerprint of the request.
+   * @param crashCount - Number of its crashes.
+   * @param routerCount - Number of routers that decide alike.
+   * @param nowMs - Current time.
+   */
+  takeTrial(fingerprint: string, crashCount: number, routerCount: number, nowMs: number): PermitDecision {
+    return this.records.takeTrial(fingerprint, crashCount, routerCount, nowMs);
+  }
 }
--- a/src/direct/decisions/ServerEntry.ts
+++ b/src/direct/decisions/ServerEntry.ts
@@ -77,7 +77,7 @@
   readonly queuedModels: readonly string[];
   /** Number of routers that are connected to the agent. */
   readonly routerCount: number;
-  /** Number of server crashes by request fingerprint, as reported to the agent. */
+  /** Numbers of server crashes of the blocked requests, by fingerprint, as recorded by the agent. */
   readonly crashCounts: Readonly<Record<string, number>>;
   /** Newest version of the configuration that a router has sent to the agent; absent in reports of older agents. */
   readonly configurationVersion?: number;
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -26,6 +26,7 @@
 export * from './isEngineCrash.js';
 export * from './reportChanges.js';
 export * from './AttemptSample.js';
+export * from './CrashRecords.js';
 export * from './CrashTracker.js';
 export * from './EngineCrashRecorder.js';
 export * from './PromptPartSuspects.js';
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -6,6 +6,7 @@
 export * from './EngineOrders.js';
 export * from './EngineController.js';
 export * from './AgentConnections.js';
+export * from './CrashRecordClient.js';
 export type { TakePermitParams, WantModelParams } from './messages.js';
 export * from './PermitIssuer.js';
 export * from './StreamOriginClient.js';
--- a/src/direct/messages.ts
+++ b/src/direct/messages.ts
@@ -17,6 +17,8 @@
   ended: 'residency.ended',
   ensureAdapter: 'residency.ensureAdapter',
   crashed: 'residency.crashed',
+  completed: 'residency.completed',
+  takeTrial: 'residency.takeTrial',
   leaving: 'residency.leaving',
   brokenOff: 'residency.brokenOff',
   partsAnswered: 'residency.partsAnswered',
@@ -29,7 +31,11 @@
 export const STREAM_METHODS = { began: 'streams.began', findOrigin: 'streams.findOrigin' } as const;
 
 /** Methods that routers offer to agents. */
-export const ROUTING_METHODS = { report: 'routing.report', engineCrashes: 'routing.engineCrashes' } as const;
+export const ROUTING_METHODS = {
+  report: 'routing.report',
+  engineCrashes: 'routing.engineCrashes',
+  requestCompleted: 'routing.requestCompleted',
+} as const;
 
 /** Subscribes to an agent's reports and tells it a version of the configuration. */
 export interface SubscribeEngineParams {
@@ -108,9 +114,26 @@
   readonly isReady: boolean;
 }
 
-/** Notifies an agent of a request that crashed a server; the agent includes it in its reports to all routers. */
+/** Notifies an agent of a request that crashed a server; the agent includes a blocked one in its reports to all routers. */
 export interface CrashedParams {
   readonly fingerprint: string;
+  /** Number of crashes that the router has counted. */
+  readonly crashCount: number;
+  /** Time since the lost attempt was sent, in milliseconds; absent from routers of older versions. */
+  readonly sentForMs?: number;
+  /** Whether an attempt of the same request was lost before; absent from routers of older versions. */
+  readonly isRepeat?: boolean;
+}
+
+/** Notifies an agent, and the agent its routers, that a request completed of which crashes are known. */
+export interface RequestCompletedParams {
+  readonly fingerprint: string;
+}
+
+/** Asks whether a blocked request is tried once; the answer is a decision as on a permit. */
+export interface TakeTrialParams {
+  readonly fingerprint: string;
+  /** Number of its crashes that the router knows of. */
   readonly crashCount: number;
 }
 
--- a/test/direct/RouterBench.ts
+++ b/test/direct/RouterBench.ts
@@ -17,6 +17,7 @@
 import {
   AgentConnections,
   CallerServer,
+  CrashRecordClient,
   CrashTracker,
   FleetView,
   ModelLoader,
@@ -155,6 +156,9 @@
     const retryBudget = new SharedRetryBudget(() => this.retryLimits, -Infinity);
     const crashTracker = new CrashTracker();
     const partSuspects = new PromptPartSuspects();
+    agentConnections.onRequestCompleted((fingerprint) => {
+      crashTracker.applyCompletion(fingerprint, CLOCK.nowMs());
+    });
     agentConnections.onEngineCrashes((address, crashes) => {
       const promptParts = partSuspects.applyCrashes(address, crashes, CLOCK.nowMs());
       if (promptParts.length > 0) {
@@ -202,6 +206,7 @@
         streamOrigins,
         permits: new RequestPermits({ clock: CLOCK, view, agentConnections, log, metrics }),
         codec,
+        crashRecords: new CrashRecordClient(agentConnections),
         crashTracker,
         partSuspects,
         log,
