--- a/src/direct/RequestResolver.ts
+++ b/src/direct/RequestResolver.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
+import type { OrganisationId } from '../domain/index.js';
 import type { Random } from '../kernel/index.js';
 import type { CallerAccess, RequestAuthorizer } from '../organisations/index.js';
 import type { CallerRequest } from './CallerRequest.js';
@@ -76,7 +77,7 @@
       return { kind: 'refused', status: 400, detail: 'the request id is missing' };
     }
     const { method = 'GET', url: path = '/' } = incoming;
-    const organisationPriority = access.kind === 'organisation' ? access.organisation.priority : undefined;
+    const organisation = access.kind === 'organisation' ? access.organisation : undefined;
     const request: CallerRequest = {
       headers,
       route,
@@ -85,8 +86,8 @@
       path,
       body,
       access,
-      priority: organisationPriority ?? route.priority,
-      fingerprint: getFingerprint(method, path, headers.model, body),
+      priority: organisation?.priority ?? route.priority,
+      fingerprint: getFingerprint(organisation?.organisationId, method, path, headers.model, body),
       receivedAtMs,
       configurationVersion,
       connectionRequestNumber,
@@ -118,8 +119,14 @@
   }
 }
 
-/** Returns the fingerprint of a request, the same for requests with equal method, path, model and body. */
-function getFingerprint(method: string, path: string, model: string | undefined, body: Buffer): string {
-  const hash = createHash('sha1').update(`${method} ${path} ${model ?? ''}\n`);
-  return hash.update(body).digest('base64url');
+/** Returns the fingerprint of a request, the same for requests with equal organisation, method, path, model and body. */
+function getFingerprint(
+  organisationId: OrganisationId | undefined,
+  method: string,
+  path: string,
+  model: string | undefined,
+  body: Buffer,
+): string {
+  const head = JSON.stringify([organisationId ?? '', method, path, model ?? '']);
+  return createHash('sha1').update(head).update(body).digest('base64url');
 }
--- a/test/direct/callerKeys.test.ts
+++ b/test/direct/callerKeys.test.ts
@@ -57,6 +57,33 @@
     expect(received?.authorization).to.equal(undefined);
   });
 
+  // Review/REPORT-2.md: a read of one organisation that crashed its servers had the same read of another one refused.
+  it('blocks a request that crashes servers for its own organisation only', async () => {
+    const other: Organisation = { organisationId: toOrganisationId('other'), keyDigests: [digestKey('k3')] };
+    apply(3, [ACME, other]);
+    for (const id of ['p', 'pp', 'ppp']) {
+      await bench.addServer(
+        id,
+        (incoming, response) => {
+          if (incoming.headers.tenant === 'acme') {
+            incoming.socket.destroy();
+            return;
+          }
+          const requestId = String(incoming.headers['request-id']);
+          response.writeHead(200, makeSignedHeaders(requestId, 'text/plain')).end(makePlainText(requestId));
+        },
+        ORDERS,
+      );
+    }
+    const sendAs = async (key: string) =>
+      (await bench.sendRequest('/keyed/x', { authorization: `Bearer ${key}` })).status;
+    expect([await sendAs('k1'), await sendAs('k1')]).to.deep.equal([502, 502]);
+    expect(bench.receivedRequests).to.have.length(2);
+    expect(await sendAs('k3')).to.equal(200);
+    expect(await sendAs('k1')).to.equal(502);
+    expect(bench.receivedRequests).to.have.length(3);
+  });
+
   it('refuses requests without a valid key, except on public routes', async () => {
     await addServer();
     for (const authorization of [undefined, 'Bearer k9', 'Basic k1']) {
