--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -3,6 +3,7 @@
 import { ChunkCollector, type ByteBudget, type Clock, type Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import type { CallerAccess } from '../organisations/index.js';
+import { checkResetBeforeEnd, endsWithConnection } from '../transport/index.js';
 import type { AttemptEnd, BreakCause, ResponseHead } from './attemptEnds.js';
 import { EventSplitter, followsEvent, ResponseProgress, type CompleteEvents } from './decisions/index.js';
 import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
@@ -234,8 +235,6 @@
       this.progress.recordInterimResponse();
       this.checkProgress();
     });
-    // Before the listener of Node.js, which forbids further writes.
-    socket.prependOnceListener('end', () => this.checkReset(socket));
     socket.on('data', (chunk: Buffer) => {
       this.receivedAtMs = this.clock.nowMs();
       this.resolveFirstSign();
@@ -268,6 +267,9 @@
     }
     const isFramed =
       response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
+    if (endsWithConnection(response) && this.params.method !== 'HEAD') {
+      checkResetBeforeEnd(response.socket, () => this.fail('the connection was reset'));
+    }
     const head: ResponseHead = { status, isFramed, headers: decoded.forwarded };
     const hasEvents = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
     if (hasEvents && status === STREAM_STATUS) {
@@ -370,20 +372,6 @@
     }
   }
 
-  /**
-   * Fails the attempt if the connection was reset: a reset that arrives together with the last bytes is reported as the
-   * end of the connection, and only a write shows it. Nothing is sent, since the write is empty.
-   */
-  private checkReset(socket: Socket): void {
-    if (!this.hasEnded && this.response?.complete === false) {
-      socket.write(Buffer.alloc(0), (error) => {
-        if (error) {
-          this.fail('the connection was reset');
-        }
-      });
-    }
-  }
-
   private checkProgress(): void {
     if (this.progress.isEndless) {
       this.fail('the answer goes on without end');
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -6,3 +6,4 @@
 export * from './PeerServer.js';
 export * from './PeerDialer.js';
 export * from './pollSockets.js';
+export * from './endsWithConnection.js';
