--- a/src/agent/HttpBackendClient.ts
+++ b/src/agent/HttpBackendClient.ts
@@ -1,7 +1,8 @@
-import { Agent, request, type Dispatcher } from 'undici';
+import { Agent, request, type Client, type Dispatcher } from 'undici';
 import type { ResponseHead, RunRequest } from '../domain/index.js';
 import { BackendClient, type ResponseSink, type BackendRunResult } from './BackendClient.js';
 import type { EngineOrder, EngineState, EngineOrderResult } from './decisions/index.js';
+import { SingleUseConnection } from './SingleUseConnection.js';
 
 /** Timeout of a state request. */
 const STATE_TIMEOUT_MS = 1_000;
@@ -9,13 +10,13 @@
 const ORDER_TIMEOUT_MS = 120_000;
 /** Maximum size of a response, in bytes; an agent keeps a response until its router has received it. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-const AGENT_OPTIONS: Agent.Options = {
+const CLIENT_OPTIONS: Client.Options = {
   maxResponseSize: MAX_RESPONSE_BYTES,
-  connections: 512,
   pipelining: 1,
   headersTimeout: 0,
   bodyTimeout: 0,
 };
+const AGENT_OPTIONS: Agent.Options = { ...CLIENT_OPTIONS, connections: 512 };
 /** Last event of a complete event stream. */
 const STREAM_END_EVENT = 'data: [DONE]';
 /** Prefix of an event; one event contains about one token. */
@@ -24,10 +25,12 @@
 /** HTTP client for a backend server: a model engine, or a plain service, which has neither state nor orders. */
 export class HttpBackendClient extends BackendClient {
   /**
-   * Connections of runs and orders, each used for one of them only: what a faulty server sends after its response, such as a
-   * copy of it, can't be taken for the response to another.
+   * Connections of orders, each used for one of them only: what a faulty server sends after its response, such as a copy of
+   * it, can't be taken for the response to another.
    */
-  private readonly singleUseAgent = new Agent(AGENT_OPTIONS);
+  private readonly orderAgent = new Agent(AGENT_OPTIONS);
+  /** Connections of runs, each used for one of them only for the same reason. */
+  private readonly runConnections = new Set<SingleUseConnection>();
   /** Kept connections of state requests. A copy of a response is one report late at most, and a state decides on no run. */
   private readonly stateAgent = new Agent(AGENT_OPTIONS);
 
@@ -60,6 +63,7 @@
   async sendOrder(order: EngineOrder): Promise<EngineOrderResult> {
     try {
       const response = await this.send(
+        this.orderAgent,
         'POST',
         '/orders',
         JSON.stringify(order),
@@ -76,21 +80,28 @@
   }
 
   async run(runRequest: RunRequest, sink: ResponseSink, signal: AbortSignal): Promise<BackendRunResult> {
+    const connection = new SingleUseConnection(this.baseUrl, CLIENT_OPTIONS);
+    this.runConnections.add(connection);
     try {
-      return await this.stream(runRequest, sink, signal);
+      return await this.stream(connection, runRequest, sink, signal);
     } catch (error) {
       if (signal.aborted) {
         return { kind: 'cancelled' };
       }
       return toFailedResult(error);
+    } finally {
+      this.runConnections.delete(connection);
+      await connection.close();
     }
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.singleUseAgent.destroy(), this.stateAgent.destroy()]);
+    const runsClosed = [...this.runConnections].map((connection) => connection.close());
+    await Promise.all([...runsClosed, this.orderAgent.destroy(), this.stateAgent.destroy()]);
   }
 
   private async stream(
+    connection: SingleUseConnection,
     runRequest: RunRequest,
     sink: ResponseSink,
     signal: AbortSignal,
@@ -101,7 +112,7 @@
       'x-priority': runRequest.requestClass,
     };
     const { method, path, body } = runRequest;
-    const response = await this.send(method, path, body, signal, headers);
+    const response = await this.send(connection.dispatcher, method, path, body, signal, headers);
     if (response.statusCode === 404 && runRequest.modelId !== undefined) {
       await response.body.dump();
       return { kind: 'notSent', detail: 'The engine does not hold the model.' };
@@ -122,6 +133,10 @@
     if (head) {
       sink({ head, text: '' });
     }
+    if (connection.mayBePartial(response.headers)) {
+      const detail = 'The connection was reset, and the response has no length.';
+      return { kind: 'failed', detail, isConnectionLost: true };
+    }
     if (isEventStream && !tail.includes(STREAM_END_EVENT)) {
       return { kind: 'failed', detail: 'The stream ended without its end marker.', isConnectionLost: true };
     }
@@ -129,6 +144,7 @@
   }
 
   private send(
+    dispatcher: Dispatcher,
     method: string,
     path: string,
     body: string | undefined,
@@ -137,7 +153,7 @@
   ): Promise<Dispatcher.ResponseData> {
     return request(`${this.baseUrl}${path}`, {
       method: method as Dispatcher.HttpMethod,
-      dispatcher: this.singleUseAgent,
+      dispatcher,
       reset: true,
       signal,
       headers: { 'content-type': 'application/json', ...headers },
