--- a/src/agent/HttpBackendClient.ts
+++ b/src/agent/HttpBackendClient.ts
@@ -1,5 +1,6 @@
 import { Agent, request, type Client, type Dispatcher } from 'undici';
 import type { ResponseHead, RunRequest } from '../domain/index.js';
+import { isFinalStatus } from '../transport/index.js';
 import { BackendClient, type ResponseSink, type BackendRunResult } from './BackendClient.js';
 import type { EngineOrder, EngineState, EngineOrderResult } from './decisions/index.js';
 import { SingleUseConnection } from './SingleUseConnection.js';
@@ -117,6 +118,11 @@
       await response.body.dump();
       return { kind: 'notSent', detail: 'The engine does not hold the model.' };
     }
+    if (!isFinalStatus(response.statusCode)) {
+      await response.body.dump();
+      const detail = `The status ${response.statusCode} is not a final one.`;
+      return { kind: 'failed', detail, isConnectionLost: true };
+    }
     const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
     let head: ResponseHead | undefined = { status: response.statusCode, contentType };
     response.body.setEncoding('utf8');
--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -3,7 +3,7 @@
 import { ChunkCollector, type ByteBudget, type Clock, type Timer } from '../kernel/index.js';
 import type { ServerId } from '../domain/index.js';
 import type { CallerAccess } from '../organisations/index.js';
-import { checkResetBeforeEnd, endsWithConnection } from '../transport/index.js';
+import { checkResetBeforeEnd, endsWithConnection, findHeadFault } from '../transport/index.js';
 import type { AttemptEnd, BreakCause, ResponseHead } from './attemptEnds.js';
 import { EventSplitter, followsEvent, ResponseProgress, type CompleteEvents } from './decisions/index.js';
 import type { RequestHeaders, HeaderCodec, ServerNotice } from './HeaderCodec.js';
@@ -14,8 +14,6 @@
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 /** Interval at which the listener is notified again while a server stays silent, in milliseconds. */
 const SILENCE_INTERVAL_MS = 250;
-/** Lowest status with which a response can end; lower ones belong to interim responses or to none. */
-const MIN_FINAL_STATUS = 200;
 /** Status of a stream; with any other one, events are part of a whole response. */
 const STREAM_STATUS = 200;
 /** Part of a body that counts as progress and restarts the timeout between chunks, in bytes; single bytes do not. */
@@ -247,6 +245,11 @@
 
   private onResponse(response: IncomingMessage): void {
     this.response = response;
+    const fault = findHeadFault(response);
+    if (fault !== undefined) {
+      this.fail(fault);
+      return;
+    }
     const status = response.statusCode ?? 0;
     const { headers, serverId } = this.params;
     const decoded = this.codec.decodeResponse(status, response.headers, headers.requestId, serverId);
@@ -257,10 +260,6 @@
       this.finish({ kind: 'notRun', status, isOtherServer: decoded.isFromOtherServer });
       return;
     }
-    if (status < MIN_FINAL_STATUS) {
-      this.fail(`the status ${status} is not a final one`);
-      return;
-    }
     if (!decoded.isAuthentic) {
       this.fail('the answer is not signed or belongs to another request');
       return;
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -7,3 +7,4 @@
 export * from './PeerDialer.js';
 export * from './pollSockets.js';
 export * from './endsWithConnection.js';
+export * from './findHeadFault.js';
--- a/test/agent/HttpBackendClient.test.ts
+++ b/test/agent/HttpBackendClient.test.ts
@@ -67,6 +67,14 @@
       }
     }
 
+    // Issue 56, MIXED, on the product's own interface: a status that is none was passed on as one.
+    for (const status of ['000', '099', '600', '999']) {
+      it(`fails if a response has the status ${status}`, async () => {
+        const answer = `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi`;
+        expect(await run(answer, 'closed', 10)).to.equal('failed');
+      });
+    }
+
     it('is complete if a whole response with a length is reset', async () => {
       const answer = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nwhole';
       expect(await run(answer, 'resetLater', 10)).to.equal('complete');
--- a/test/platform/sendHttpRequest.test.ts
+++ b/test/platform/sendHttpRequest.test.ts
@@ -83,6 +83,19 @@
     }
   }
 
+  // Issue 56, MIXED, where the store and the engine are read: a status or version that is none counted as an answer.
+  for (const statusLine of ['HTTP/1.1 000 OK', 'HTTP/1.1 600 OK', 'HTTP/1.1 999 OK', 'HTTP/2.0 200 OK']) {
+    it(`is lost if the response begins with ${statusLine}`, async () => {
+      const result = await sendTo(`${statusLine}\r\nContent-Length: 2\r\n\r\n{}`, 'closed');
+      expect(result.kind).to.equal('lost');
+    });
+  }
+
+  it('is lost if the server changes the protocol', async () => {
+    const answer = 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n';
+    expect((await sendTo(answer, 'closed')).kind).to.equal('lost');
+  });
+
   // Guards against responses of the store or the engine that were taken for lost although they had arrived: after a
   // standstill the timeout expired before the response was received (issue 30, first matter).
   it('receives a response that arrived while the process stood still', async () => {
