--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -195,8 +195,6 @@
     const isRepeat = this.lossCount++ > 0;
     this.isTrial = false;
     const crashCount = crashTracker.recordCrash(fingerprint, { sentAtMs, isRepeat }, nowMs);
-    if (crashCount > 1) {
-      crashRecords.notifyCrash({ fingerprint, crashCount, sentForMs: nowMs - sentAtMs, isRepeat });
-    }
+    crashRecords.notifyCrash({ fingerprint, crashCount, sentForMs: nowMs - sentAtMs, isRepeat });
   }
 }
--- a/test/direct/EngineFleet.ts
+++ b/test/direct/EngineFleet.ts
@@ -14,7 +14,7 @@
 import { Log, Metrics } from '../../src/telemetry/index.js';
 import { PeerServer, TrafficMeter } from '../../src/transport/index.js';
 import { LoopbackReservation } from '../../standins/LoopbackReservation.js';
-import { IDLE_ENGINE, makeEntry, makeHeldModel, makeRoute, ORDERS } from './fleetFixtures.js';
+import { IDLE_ENGINE, makeEntry, makeHeldModel, makeRoute, ONCE_ROUTE, ORDERS } from './fleetFixtures.js';
 import { CLOCK, makeResponseHeaders, PEER_SECRET, RouterBench } from './RouterBench.js';
 
 /** Time from the arrival of a request to its first event, in milliseconds. */
@@ -279,7 +279,7 @@
     const entries = this.engines.flatMap(({ currentEntry }) => currentEntry ?? []);
     router.view.applyList([...entries, ...this.plainServers.map(({ entry }) => entry)], CLOCK.nowMs());
     this.routers.push(router);
-    await router.start([makeRoute(), plainRoute]);
+    await router.start([makeRoute(), plainRoute, ONCE_ROUTE]);
     return router;
   }
 
--- a/test/direct/crashedRequests.test.ts
+++ b/test/direct/crashedRequests.test.ts
@@ -8,7 +8,7 @@
 import { CLOCK, makeResponseHeaders, type ReceivedResponse } from './RouterBench.js';
 
 const SERVER_COUNT = 3;
-const ROUTER_COUNT = 4;
+const ROUTER_COUNT = 6;
 /** Time that a request takes, in milliseconds. */
 const WORK_MS = 150;
 /** Time from a crash until the server is back, in milliseconds. */
@@ -124,10 +124,10 @@
   }
 
   /** Sends a request to one router after the other. */
-  async function send(body: string): Promise<ReceivedResponse | undefined> {
+  async function send(body: string, path = '/plain/x'): Promise<ReceivedResponse | undefined> {
     const number = requestCount++;
     const router = fleet.routers[number % ROUTER_COUNT];
-    return router?.sendRequest('/plain/x', { 'request-id': `r${number}` }, body).catch(() => undefined);
+    return router?.sendRequest(path, { 'request-id': `r${number}` }, body).catch(() => undefined);
   }
 
   async function countServed(count: number): Promise<number> {
@@ -186,4 +186,16 @@
     expect(late.length).to.be.at.most(MAX_LATE_ARRIVALS);
     expect(await countServed(READ_COUNT)).to.equal(READ_COUNT);
   });
+
+  // Review, case 8: each router learned of a crash only after it had seen two itself.
+  it('reaches a server rarely also if it is not repeated and comes at one router after the other', async () => {
+    for (let count = 0; count < 2 * ROUTER_COUNT; count++) {
+      await send(HARMFUL_BODY, '/once/x');
+      await delay(CLOCK, ARRIVAL_INTERVAL_MS);
+    }
+    const thirdMs = harmfulArrivalsMs[2] ?? Infinity;
+    const late = harmfulArrivalsMs.filter((atMs) => atMs > thirdMs + STABLE_WINDOW_MS);
+    expect(late.length).to.be.at.most(MAX_LATE_ARRIVALS);
+    expect(harmfulArrivalsMs.length).to.be.at.most(3 + MAX_LATE_ARRIVALS);
+  });
 });
