--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -264,16 +264,14 @@
       this.fail('the answer is not signed or belongs to another request');
       return;
     }
-    const isFramed =
-      response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
-    if (endsWithConnection(response) && this.params.method !== 'HEAD') {
+    const isEndMarked = !endsWithConnection(response) || this.params.method === 'HEAD';
+    if (!isEndMarked) {
       checkResetBeforeEnd(response.socket, () => this.fail('the connection was reset'));
     }
-    const head: ResponseHead = { status, isFramed, headers: decoded.forwarded };
+    const head: ResponseHead = { status, headers: decoded.forwarded };
     const hasEvents = String(response.headers['content-type'] ?? '').startsWith('text/event-stream');
     if (hasEvents && status === STREAM_STATUS) {
-      // Events show where a stream breaks; chunks show its caller that this process has ended in the middle of it.
-      this.readStream(response, { ...head, isFramed: true }, isFramed || this.params.method === 'HEAD');
+      this.readStream(response, head, isEndMarked);
     } else if (this.params.isStreamBegun()) {
       this.failToContinue(head);
     } else {
--- a/src/direct/attemptEnds.ts
+++ b/src/direct/attemptEnds.ts
@@ -3,11 +3,6 @@
 /** Head of a response. */
 export interface ResponseHead {
   readonly status: number;
-  /**
-   * Whether the response is passed on with a length or in chunks. The end of a response without either may be a failure of
-   * the server, so it is passed on without a length too, unless it is a stream.
-   */
-  readonly isFramed: boolean;
   readonly headers: OutgoingHttpHeaders;
 }
 
--- a/test/direct/pipelinedRequests.test.ts
+++ b/test/direct/pipelinedRequests.test.ts
@@ -53,6 +53,45 @@
     expect(getRunIds()).to.deep.equal(['first']);
   });
 
+  const unframed = {
+    text: 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n',
+    'no text': 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n',
+    'no body': 'HTTP/1.1 204 No Content\r\n',
+  };
+  for (const [name, head] of Object.entries(unframed)) {
+    // Review, case 7: the router closed the connection behind an answer without a length, and with it the answer to the next request.
+    it(`are answered also if the answer before has no length and ${name}`, async () => {
+      await bench.close();
+      bench = new RouterBench();
+      await bench.addSocketServer(
+        'p',
+        (socket) => {
+          socket.once('data', (chunk) => {
+            const requestId = /request-id: (\S+)/i.exec(chunk.toString())?.[1] ?? '';
+            const signed = `Request-Id: ${requestId}\r\nResponse-Stamp: s\r\n`;
+            setTimeout(
+              () =>
+                requestId === 'first'
+                  ? socket.end(`${head}${signed}\r\n${name === 'text' ? 'whole' : ''}`)
+                  : socket.end(`HTTP/1.1 200 OK\r\n${signed}Content-Length: 2\r\n\r\nok`),
+              requestId === 'first' ? 50 : 300,
+            );
+          });
+        },
+        ORDERS,
+      );
+      await bench.start([ONCE_ROUTE]);
+      connection.close();
+      connection = new CallerConnection(bench.callerPort);
+      connection.write(makeRequest('first') + makeRequest('second'));
+      await delay(CLOCK, 900);
+      expect([connection.received.match(/HTTP\/1\.1 20[04]/g)?.length, connection.isEnded]).to.deep.equal([
+        2,
+        false,
+      ]);
+    });
+  }
+
   // Issue 39, FAULT: only the first of them was cancelled when the caller left; the others ran on and were kept for good.
   it('are cancelled when the caller leaves, and release their bodies', async () => {
     let closedCount = 0;
