--- a/src/direct/decisions/ServerHolds.ts
+++ b/src/direct/decisions/ServerHolds.ts
@@ -1,7 +1,7 @@
 import type { ServerId } from '../../domain/index.js';
 
 /** Longest hold that is applied, in milliseconds; bounds the effect of an implausible value. */
-const MAX_HOLD_MS = 60_000;
+const MAX_HOLD_MS = 86_400_000;
 
 /**
  * Periods in which servers want no requests. A hold applies to all incarnations of its
--- a/test/direct/decisions/FleetView.test.ts
+++ b/test/direct/decisions/FleetView.test.ts
@@ -150,6 +150,19 @@
   });
 
   describe('holdServer', () => {
+    // Review, case 10: a pause of 80 s was cut to 60 s.
+    it('holds a server for as long as it has asked for, up to a day', () => {
+      const view = new FleetView();
+      const entry = makeEntry('x');
+      view.applyList([entry], 0);
+      view.holdServer(X, 80_000, 0);
+      expect(view.acceptsRequests(entry, 79_999)).to.equal(false);
+      expect(view.acceptsRequests(entry, 80_000)).to.equal(true);
+      view.holdServer(X, 1e12, 80_000);
+      expect(view.acceptsRequests(entry, 80_000 + 86_399_999)).to.equal(false);
+      expect(view.acceptsRequests(entry, 80_000 + 86_400_000)).to.equal(true);
+    });
+
     it('excludes a server until the end of the longest pause that it asked for, also in an incarnation that becomes known meanwhile', () => {
       const view = new FleetView();
       view.applyList([makeEntry('x'), makeEntry('y')], 0);
