--- a/src/direct/BackendAttempt.ts
+++ b/src/direct/BackendAttempt.ts
@@ -140,7 +140,7 @@
     return this.ended;
   }
 
-  /** Resolves when the server has sent the first bytes, or the attempt has ended. */
+  /** Resolves when the server has sent the first events of a stream or the head of another response, or the attempt has ended. */
   waitForSign(): Promise<void> {
     return this.firstSign;
   }
@@ -235,7 +235,6 @@
     });
     socket.on('data', (chunk: Buffer) => {
       this.receivedAtMs = this.clock.nowMs();
-      this.resolveFirstSign();
       this.progress.recordReceived(chunk.length);
       this.checkProgress();
     });
@@ -296,6 +295,7 @@
       if (events.eventCount === 0) {
         return;
       }
+      this.resolveFirstSign();
       this.progress.recordBody(events.bytes.length);
       this.restartSilenceTimer(this.params.gapTimeoutMs);
       if (!hasStarted) {
@@ -328,6 +328,7 @@
   private readBody(response: IncomingMessage, head: ResponseHead): void {
     const chunks = new ChunkCollector();
     let progressLength = 0;
+    this.resolveFirstSign();
     response.on('data', (chunk: Buffer) => {
       this.progress.recordBody(chunk.length);
       if (this.bufferedLength === 0 || this.bufferedLength - progressLength >= BODY_PROGRESS_BYTES) {
--- a/test/direct/brokenStreams.test.ts
+++ b/test/direct/brokenStreams.test.ts
@@ -323,8 +323,9 @@
     });
   }
 
-  for (const [name, other] of Object.entries(OTHER_ANSWERS)) {
-    // Issue 39, service: a silent server was left for one that answered with something else than the rest.
+  for (const [name, other] of Object.entries({ ...OTHER_ANSWERS, ...BROKEN_ANSWERS })) {
+    // Issue 39, service: a silent server was left for one that answered with something else than the rest, or with the head of a
+    // stream that broke off before its first event.
     it(`is completed by its silent server if the next one answers with ${name}`, async () => {
       let requestCount = 0;
       for (const id of ['e', 'ee', 'eee']) {
