--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -164,7 +164,7 @@
     const { log, metrics, agentConnections, partSuspects, clock } = this.deps;
     const { promptParts } = this;
     const nowMs = clock.nowMs();
-    const streamedForMs = nowMs - (this.firstEventAtMs ?? nowMs);
+    const streamedForMs = this.getStreamedForMs(nowMs);
     metrics.count(cause === 'silence' ? 'attempts_silent' : 'attempts_broken');
     log.decision('attempt broken off', {
       requestId: this.request.headers.requestId,
@@ -183,18 +183,25 @@
   /**
    * Counts a crash against the request's fingerprint if its attempt may have crashed the server.
    * @param cause - Why the attempt ended.
-   * @param sentAtMs - When the attempt was sent; absent for the current one.
+   * @param otherSentAtMs - When the attempt was sent; absent for the current one, whose events are known.
    */
-  recordCrash(cause: BreakCause, sentAtMs = this.sentAtMs): void {
-    if (cause !== 'server') {
-      return;
-    }
+  recordCrash(cause: BreakCause, otherSentAtMs?: number): void {
     const { crashTracker, crashRecords, clock } = this.deps;
     const { fingerprint } = this.request;
     const nowMs = clock.nowMs();
+    const sentAtMs = otherSentAtMs ?? this.sentAtMs;
+    const isProven = otherSentAtMs === undefined && this.getStreamedForMs(nowMs) >= PROVEN_STREAM_MS;
+    if (cause !== 'server' || isProven) {
+      return;
+    }
     const isRepeat = this.lossCount++ > 0;
     this.isTrial = false;
     const crashCount = crashTracker.recordCrash(fingerprint, { sentAtMs, isRepeat }, nowMs);
     crashRecords.notifyCrash({ fingerprint, crashCount, sentForMs: nowMs - sentAtMs, isRepeat });
   }
+
+  /** Returns the time since the first event of the current attempt, in milliseconds; 0 before it. */
+  private getStreamedForMs(nowMs: number): number {
+    return nowMs - (this.firstEventAtMs ?? nowMs);
+  }
 }
--- a/test/direct/CallerServer.test.ts
+++ b/test/direct/CallerServer.test.ts
@@ -188,6 +188,24 @@
       expect(bench.receivedRequests.length).to.equal(2);
     });
 
+    // Review, case 6, on streams: a server that ends later does not crash on a request that it has streamed for a while.
+    it('does not block a stream that broke off after it had run for a while', async () => {
+      const breakLate: Handler = (incoming, response) => {
+        const next = Number(incoming.headers['last-event-id'] ?? 0) + 1;
+        response.writeHead(200, makeResponseHeaders(incoming, STREAM)).write(`id: ${next}\ndata: 1\n\n`);
+        setTimeout(() => incoming.socket.destroy(), 200);
+      };
+      for (const id of ['e', 'ff', 'ggg']) {
+        await bench.addServer(id, breakLate);
+      }
+      await bench.start([makeRoute({ maxGapMs: 1_000 })]);
+      await bench.sendRequest('/drafts/x', model);
+      const sentCount = bench.receivedRequests.length;
+      await bench.sendRequest('/drafts/x', { ...model, 'request-id': 'r2' });
+      expect(sentCount).to.equal(2);
+      expect(bench.receivedRequests.length).to.equal(2 * sentCount);
+    });
+
     it('refuses a blocked request at once also if no server holds its model', async () => {
       const crash: Handler = (incoming) => incoming.socket.destroy();
       await bench.addServer('e', crash);
