--- a/src/daemon/startDirect.ts
+++ b/src/daemon/startDirect.ts
@@ -179,7 +179,7 @@
       modelLoader,
       agentConnections,
       streamOrigins,
-      permits: new RequestPermits({ clock, view, agentConnections, log, metrics }),
+      permits: new RequestPermits({ clock, random, view, agentConnections, log, metrics }),
       codec,
       crashRecords: new CrashRecordClient(agentConnections),
       crashTracker,
--- a/src/direct/RequestPermits.ts
+++ b/src/direct/RequestPermits.ts
@@ -1,9 +1,10 @@
-import type { Clock } from '../kernel/index.js';
+import type { Clock, Random } from '../kernel/index.js';
 import type { Log, Metrics } from '../telemetry/index.js';
 import type { AgentConnections } from './AgentConnections.js';
 import {
   isPermitDecision,
   PermitBuckets,
+  RandomPermits,
   type FleetView,
   type KnownServer,
   type PermitDecision,
@@ -16,11 +17,17 @@
 const PERMIT_TIMEOUT_MS = 150;
 /** Time after which a caller may return whose request got no answer of the agent that issues permits, in milliseconds. */
 const SILENT_RETRY_MS = 500;
+/**
+ * Share of a limit from which on a router's permits come at even times, in requests per second. Each router keeps one permit for
+ * its next request, and the permits of many small shares would be used together.
+ */
+const MIN_EVEN_SHARE_PER_SECOND = 0.5;
 const UNLIMITED: PermitDecision = { isGranted: true, waitMs: 0 };
 
 /** Dependencies of {@link RequestPermits}. */
 export interface RequestPermitsDependencies {
   readonly clock: Clock;
+  readonly random: Random;
   readonly view: FleetView;
   readonly agentConnections: AgentConnections;
   readonly log: Log;
@@ -36,9 +43,13 @@
 export class RequestPermits {
   /** Permits of this router's share, used without an agent. */
   private readonly shares = new PermitBuckets();
+  /** The same for servers that accept less than a request a second of each router. */
+  private readonly randomShares: RandomPermits;
 
   /** @param deps - Dependencies. */
-  constructor(private readonly deps: RequestPermitsDependencies) {}
+  constructor(private readonly deps: RequestPermitsDependencies) {
+    this.randomShares = new RandomPermits(deps.random);
+  }
 
   /**
    * Obtains a permit for one request to a server; at once if the server names no limit.
@@ -111,8 +122,12 @@
     maxWaitMs: number,
   ): PermitDecision {
     const { clock, view } = this.deps;
+    const { routerCount } = view;
     // Until an agent has reported the number of routers, any number of them may have started together.
-    const share = isRouterCountKnown(view) ? maxRequestsPerSecond / view.routerCount : 0;
-    return this.shares.take(serverId, share, maxWaitMs, clock.nowMs());
+    const isKnown = isRouterCountKnown(view);
+    const share = isKnown ? maxRequestsPerSecond / routerCount : 0;
+    return isKnown && share < MIN_EVEN_SHARE_PER_SECOND
+      ? this.randomShares.take(serverId, maxRequestsPerSecond, routerCount, maxWaitMs, clock.nowMs())
+      : this.shares.take(serverId, share, maxWaitMs, clock.nowMs());
   }
 }
--- a/src/direct/decisions/PermitBuckets.ts
+++ b/src/direct/decisions/PermitBuckets.ts
@@ -3,13 +3,13 @@
 import { setNewest } from '../../kernel/setNewest.js';
 
 /** Rate at which a server that accepts fewer requests, or none, is still tried, in requests per second. */
-const MIN_PERMITS_PER_SECOND = 0.2;
+export const MIN_PERMITS_PER_SECOND = 0.2;
 /** Time for which unused permits accumulate, in seconds; one permit is kept in any case. */
 const BURST_S = 0.5;
 /** Longest time after which a caller is asked to return, in milliseconds. */
-const MAX_RETRY_MS = 5_000;
+export const MAX_RETRY_MS = 5_000;
 /** Maximum number of servers with a bucket. */
-const MAX_BUCKETS = 2_000;
+export const MAX_BUCKETS = 2_000;
 const MS_PER_SECOND = 1_000;
 
 /** Decision on a permit for one request. */
--- a/src/direct/decisions/index.ts
+++ b/src/direct/decisions/index.ts
@@ -14,6 +14,7 @@
 export * from './ServerHolds.js';
 export * from './ServerRateLimits.js';
 export * from './PermitBuckets.js';
+export * from './RandomPermits.js';
 export * from './ServerDirectory.js';
 export * from './FleetView.js';
 export * from './ArrivalRates.js';
