--- a/src/direct/CrashEvidence.ts
+++ b/src/direct/CrashEvidence.ts
@@ -70,27 +70,28 @@
 
   /** Returns what a server might crash on; undefined if nothing suggests it. */
   findBlock(): CrashBlock | undefined {
-    const { crashTracker, partSuspects, view, clock } = this.deps;
+    const { partSuspects, clock } = this.deps;
     const nowMs = clock.nowMs();
     const blockedPart = partSuspects.findBlocked(this.promptParts, nowMs);
     if (blockedPart !== undefined) {
       return { isPart: true, detail: `servers crashed on the part ${blockedPart} of the prompt` };
     }
-    const { fingerprint } = this.request;
-    return !this.isTrial && crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), nowMs)
+    return !this.isTrial && this.isRequestBlocked()
       ? { isPart: false, detail: 'the request broke off on several servers' }
       : undefined;
   }
 
-  /** Asks for leave to try the request once if it is blocked itself, in contrast to a part of its prompt. */
+  /**
+   * Asks for leave to try the request once if it is blocked itself, in contrast to a part of its prompt. One of which an attempt
+   * was lost is not tried again.
+   */
   async requestTrial(): Promise<void> {
     const { crashTracker, crashRecords, view, clock, log, metrics } = this.deps;
     const { fingerprint, headers } = this.request;
-    if (
-      this.lossCount > 0 ||
-      this.findBlock()?.isPart !== false ||
-      !crashTracker.beginAsking(fingerprint, clock.nowMs())
-    ) {
+    if (this.lossCount > 0 || !this.isRequestBlocked() || this.findBlock()?.isPart === true) {
+      return;
+    }
+    if (!crashTracker.beginAsking(fingerprint, clock.nowMs())) {
       return;
     }
     const crashCount = crashTracker.getCount(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
@@ -200,6 +201,13 @@
     crashRecords.notifyCrash({ fingerprint, crashCount, sentForMs: nowMs - sentAtMs, isRepeat });
   }
 
+  /** Whether the request itself is blocked, whatever its prompt is. */
+  private isRequestBlocked(): boolean {
+    const { crashTracker, view, clock } = this.deps;
+    const { fingerprint } = this.request;
+    return crashTracker.isBlocked(fingerprint, view.getCrashCount(fingerprint), clock.nowMs());
+  }
+
   /** Returns the time since the first event of the current attempt, in milliseconds; 0 before it. */
   private getStreamedForMs(nowMs: number): number {
     return nowMs - (this.firstEventAtMs ?? nowMs);
--- a/src/direct/RequestForwarder.ts
+++ b/src/direct/RequestForwarder.ts
@@ -1,23 +1,17 @@
-import type { ByteBudget, Clock, Timer } from '../kernel/index.js';
+import type { ByteBudget, Timer } from '../kernel/index.js';
 import { VerdictTracker, type ServerId, type ServiceId } from '../domain/index.js';
 import type { CallerAccess } from '../organisations/index.js';
 import { describePace, StreamPace } from '../pace/decisions/index.js';
-import type { Log, Metrics } from '../telemetry/index.js';
-import type { AgentConnections } from './AgentConnections.js';
 import { applyServerNotice } from './applyServerNotice.js';
 import { describeEnd, isServerFault, type AttemptEnd, type ResponseHead } from './attemptEnds.js';
 import { BackendAttempt } from './BackendAttempt.js';
 import type { CallerRequest } from './CallerRequest.js';
-import { CrashEvidence } from './CrashEvidence.js';
-import type { CrashRecordClient } from './CrashRecordClient.js';
+import { CrashEvidence, type CrashEvidenceDependencies } from './CrashEvidence.js';
 import {
   isRetryable,
   RequestLimits,
-  type CrashTracker,
   type CompleteEvents,
-  type FleetView,
   type KnownServer,
-  type PromptPartSuspects,
   type SharedRetryBudget,
   type ServerChooser,
 } from './decisions/index.js';
@@ -37,20 +31,12 @@
 const MAX_URGENCY_RANK = 9;
 
 /** Dependencies of {@link RequestForwarder}. */
-export interface RequestForwarderDependencies {
-  readonly clock: Clock;
-  readonly view: FleetView;
+export interface RequestForwarderDependencies extends CrashEvidenceDependencies {
   readonly chooser: ServerChooser;
   readonly modelLoader: ModelLoader;
-  readonly agentConnections: AgentConnections;
   readonly permits: RequestPermits;
   readonly streamOrigins: StreamOriginClient;
   readonly codec: HeaderCodec;
-  readonly crashRecords: CrashRecordClient;
-  readonly crashTracker: CrashTracker;
-  readonly partSuspects: PromptPartSuspects;
-  readonly log: Log;
-  readonly metrics: Metrics;
   /** Memory for responses that are buffered until they are complete. */
   readonly bufferBudget: ByteBudget;
   /** Returns the retry budget of a service. */
--- a/src/transport/endsWithConnection.ts
+++ b/src/transport/endsWithConnection.ts
@@ -15,10 +15,10 @@
 }
 
 /**
- * Has the HTTP client learn of the end of a connection only after a check that it was not reset, since it takes the end as that
- * of a response that ends with its connection. A reset that arrives
- * together with the last bytes is reported as the end of the connection, and only a write shows it. Nothing is sent, since
- * the write is empty, but it waits for the rest of the request, which a server may still read after it has closed its end.
+ * Has the HTTP client learn of the end of a connection only after a check that it was not reset, since the client takes the end
+ * as that of a response that ends with its connection. A reset that arrives together with the last bytes is reported as the
+ * end of the connection, and only a write shows it. Nothing is sent, since the write is empty, but it waits for the rest of
+ * the request, which a server may still read after it has closed its end.
  * @param socket - Connection to which the client listens.
  * @param onReset - Called when the connection was reset; the client does not learn of its end then.
  */
--- a/src/transport/findHeadFault.ts
+++ b/src/transport/findHeadFault.ts
@@ -16,7 +16,7 @@
 }
 
 /**
- * Returns why a response is none although it could be parsed; undefined if nothing is wrong with its first line.
+ * Returns what is wrong with the first line of a response that could be parsed; undefined if nothing is.
  * @param response - Response of which the head was received.
  */
 export function findHeadFault({
